--- /dev/null
+++ b/src/fleet/cloud.rs
@@ -0,0 +1,189 @@
+//! The cloud's API.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use hyper::Method;
+use serde::{Deserialize, Serialize};
+
+use crate::node::lock;
+use crate::settings::Settings;
+use crate::store::budget::{Budget, Urgent};
+use crate::wire::{self, Http};
+
+const ANSWER_WITHIN: Duration = Duration::from_secs(4);
+pub const MOST_RENTED: u64 = 50;
+pub const MOST_RETURNED: usize = 100;
+const MOST_LISTED: u64 = 500;
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineType {
+    pub name: String,
+    pub cpus: f64,
+    #[serde(rename = "accelerators", default)]
+    pub gpus: f64,
+    #[serde(rename = "memGb")]
+    pub memory_gb: f64,
+    #[serde(rename = "pullGbPerS")]
+    pub fetch_gb_per_s: f64,
+    #[serde(rename = "rate")]
+    pub price: f64,
+    #[serde(rename = "spotPrice")]
+    pub spot_price: f64,
+    #[serde(rename = "startupS")]
+    pub boot_s: f64,
+    #[serde(rename = "yards")]
+    pub zones: Vec<String>,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Catalog {
+    #[serde(rename = "fleets")]
+    pub types: Vec<MachineType>,
+}
+
+impl Catalog {
+    pub fn get(&self, name: &str) -> Option<&MachineType> {
+        self.types.iter().find(|t| t.name == name)
+    }
+}
+
+#[derive(Debug, Clone, Serialize)]
+pub struct Rental {
+    #[serde(rename = "charter")]
+    pub request: String,
+    #[serde(rename = "fleet")]
+    pub type_name: String,
+    #[serde(rename = "yard")]
+    pub zone: String,
+    #[serde(rename = "borrowed")]
+    pub spot: bool,
+    pub count: u64,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Listed {
+    #[serde(rename = "uid")]
+    pub id: String,
+    #[serde(rename = "endpoint", default)]
+    pub addr: Option<String>,
+    #[serde(rename = "fleet")]
+    pub type_name: String,
+    #[serde(rename = "yard")]
+    pub zone: String,
+    #[serde(rename = "borrowed")]
+    pub spot: bool,
+    #[serde(rename = "status")]
+    pub state: String,
+    #[serde(rename = "heldS", default)]
+    pub held_s: f64,
+}
+
+#[derive(Deserialize)]
+struct ListPage {
+    #[serde(rename = "berths")]
+    machines: Vec<Listed>,
+    more: bool,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Names {
+    #[serde(rename = "berths")]
+    machines: Vec<String>,
+}
+
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+pub enum CloudError {
+    #[error("no capacity")]
+    NoCapacity,
+    /// Refused for now: not carried out.
+    #[error("the cloud answered {0}")]
+    Refused(u16),
+    /// May have been, or may yet be, carried out.
+    #[error("the cloud did not answer")]
+    Unanswered,
+    #[error("the cloud answered what cannot be read: {0}")]
+    Malformed(String),
+}
+
+pub struct CloudClient {
+    http: Http,
+    addr: String,
+    budget: Mutex<Budget>,
+}
+
+impl CloudClient {
+    pub fn new(http: Http, settings: &Settings, now: Instant) -> Self {
+        // The owner calls nearly alone; the others only ask for the catalog now and then.
+        let rps = settings.params.cloud.rps * 0.8;
+        Self { http, addr: settings.endpoints.cloud.clone(), budget: Mutex::new(Budget::new(rps, rps, now)) }
+    }
+
+    async fn call(&self, method: Method, path: &str, body: Option<Vec<u8>>) -> Result<(u16, bytes::Bytes), CloudError> {
+        loop {
+            let wait = match lock(&self.budget).take(1.0, Urgent::First, Instant::now()) {
+                Ok(()) => break,
+                Err(wait) => wait,
+            };
+            tokio::time::sleep(wait).await;
+        }
+        match self.http.call(method, &self.addr, path, body, ANSWER_WITHIN).await {
+            Ok(answer) => Ok(answer),
+            Err(wire::CallError::NotSent) => Err(CloudError::Refused(0)),
+            Err(wire::CallError::Unanswered) => Err(CloudError::Unanswered),
+        }
+    }
+
+    pub async fn catalog(&self) -> Result<Catalog, CloudError> {
+        match self.call(Method::GET, "/catalog", None).await? {
+            (200, body) => {
+                let catalog: Catalog = read(&body)?;
+                if catalog.types.is_empty() {
+                    return Err(CloudError::Malformed("a catalog without types".into()));
+                }
+                Ok(catalog)
+            }
+            (status, _) => Err(CloudError::Refused(status)),
+        }
+    }
+
+    pub async fn rent(&self, rental: &Rental) -> Result<Vec<String>, CloudError> {
+        match self.call(Method::POST, "/rentals", Some(wire::encode(rental))).await? {
+            (200, body) => Ok(read::<Names>(&body)?.machines),
+            (503, body) if read::<serde_json::Value>(&body).is_ok_and(|v| v["error"] == "no capacity") => {
+                Err(CloudError::NoCapacity)
+            }
+            (status, _) => Err(CloudError::Refused(status)),
+        }
+    }
+
+    pub async fn give_back(&self, machines: Vec<String>) -> Result<(), CloudError> {
+        match self.call(Method::POST, "/rentals/return", Some(wire::encode(&Names { machines }))).await? {
+            (200, _) => Ok(()),
+            (status, _) => Err(CloudError::Refused(status)),
+        }
+    }
+
+    pub async fn list(&self) -> Result<Vec<Listed>, CloudError> {
+        let mut all: Vec<Listed> = Vec::new();
+        loop {
+            let since = all.last().map(|m| format!("&since={}", m.id)).unwrap_or_default();
+            let path = format!("/rentals?most={MOST_LISTED}{since}");
+            match self.call(Method::GET, &path, None).await? {
+                (200, body) => {
+                    let page: ListPage = read(&body)?;
+                    let empty = page.machines.is_empty();
+                    all.extend(page.machines);
+                    if !page.more || empty {
+                        return Ok(all);
+                    }
+                }
+                (status, _) => return Err(CloudError::Refused(status)),
+            }
+        }
+    }
+}
+
+fn read<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, CloudError> {
+    wire::decode(body).map_err(|e| CloudError::Malformed(e.to_string()))
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,206 @@
+//! The machines: what the cloud offers, what to rent, what to return.
+
+pub mod cloud;
+pub mod rent;
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tracing::{debug, info, warn};
+
+pub use cloud::{Catalog, MachineType};
+use cloud::{CloudError, MOST_RETURNED, Rental};
+use rent::{Kind, Refusals};
+
+use crate::node::{Node, lock};
+use crate::scheduling::book::Standing;
+use crate::store::follow::jitter;
+
+const CATALOG_EVERY: Duration = Duration::from_secs(60);
+const RETRY: Duration = Duration::from_millis(700);
+const LIST_EVERY: Duration = Duration::from_secs(5);
+const EVERY: Duration = Duration::from_millis(500);
+/// An unanswered rental is asked again under its own name this often before it is let go; what
+/// it may still bring is adopted when it reports.
+const RENT_TRIES: u32 = 6;
+
+/// Every controller needs the types to judge submissions.
+pub async fn learn_catalog(node: Arc<Node>) {
+    loop {
+        let pause = match node.cloud.catalog().await {
+            Ok(catalog) => {
+                let mut held = lock(&node.catalog);
+                if held.as_deref() != Some(&catalog) {
+                    debug!(types = catalog.types.len(), "catalog");
+                    *held = Some(Arc::new(catalog));
+                }
+                drop(held);
+                node.wake.plan.notify_one();
+                CATALOG_EVERY
+            }
+            Err(error) => {
+                debug!(%error, "asking for the catalog");
+                RETRY
+            }
+        };
+        node.tidy_counts();
+        tokio::time::sleep(jitter(pause)).await;
+    }
+}
+
+/// What the owner remembers of its dealings with the cloud.
+#[derive(Default)]
+pub struct Dealings {
+    pub refusals: Refusals,
+    /// Machines asked for and not yet named.
+    pub asked: HashMap<Kind, u64>,
+    returning: HashSet<String>,
+    next: u64,
+}
+
+type Shared = Arc<std::sync::Mutex<Dealings>>;
+
+pub async fn run(node: Arc<Node>) {
+    let dealings = Shared::default();
+    let mut listed = None::<Instant>;
+    let (mut renting, mut returning) = (tokio::task::JoinSet::new(), tokio::task::JoinSet::new());
+    loop {
+        let _ = tokio::time::timeout(EVERY, node.wake.fleet.notified()).await;
+        if !lock(&node.book).as_ref().is_some_and(|b| b.loaded) {
+            continue;
+        }
+        if listed.is_none_or(|at| at.elapsed() >= LIST_EVERY) {
+            listed = Some(Instant::now());
+            match node.cloud.list().await {
+                Ok(machines) => take_list(&node, machines),
+                Err(error) => debug!(%error, "listing machines"),
+            }
+        }
+        while renting.try_join_next().is_some() {}
+        while returning.try_join_next().is_some() {}
+        for rental in decide(&node, &dealings) {
+            renting.spawn(carry_out(node.clone(), dealings.clone(), rental));
+        }
+        for names in to_return(&node, &dealings) {
+            returning.spawn(give_back(node.clone(), dealings.clone(), names));
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+}
+
+fn take_list(node: &Node, machines: Vec<cloud::Listed>) {
+    let now = Instant::now();
+    let mut held = lock(&node.book);
+    let Some(book) = held.as_mut() else { return };
+    for machine in machines {
+        let age = Duration::try_from_secs_f64(machine.held_s).unwrap_or_default();
+        book.expect(&machine.id, &machine.type_name, &machine.zone, machine.spot, machine.addr.as_deref(), age, now);
+        if machine.state == "failed" {
+            book.condemn(&machine.id, "failed by the cloud's word");
+        }
+    }
+    node.wake.dispatch.notify_one();
+}
+
+fn decide(node: &Node, dealings: &Shared) -> Vec<Rental> {
+    let now = Instant::now();
+    let Some(catalog) = node.catalog() else { return Vec::new() };
+    let mut held = lock(&node.book);
+    let Some(book) = held.as_mut() else { return Vec::new() };
+    for (id, why) in rent::to_give_up(book, &catalog, now) {
+        book.condemn(&id, why);
+    }
+    let mut dealings = lock(dealings);
+    let wanted = rent::plan(book, &catalog, &dealings.refusals, &dealings.asked, now);
+    wanted
+        .into_iter()
+        .map(|(kind, count)| {
+            dealings.next += 1;
+            *dealings.asked.entry(kind.clone()).or_default() += count;
+            Rental {
+                // Never used again by anyone: the incarnation is this process's alone.
+                request: format!("{}-{}", node.incarnation, dealings.next),
+                type_name: kind.type_name,
+                zone: kind.zone,
+                spot: kind.spot,
+                count,
+            }
+        })
+        .collect()
+}
+
+async fn carry_out(node: Arc<Node>, dealings: Shared, rental: Rental) {
+    let kind = Kind { type_name: rental.type_name.clone(), zone: rental.zone.clone(), spot: rental.spot };
+    let mut outcome = Err(CloudError::Unanswered);
+    for _ in 0..RENT_TRIES {
+        outcome = node.cloud.rent(&rental).await;
+        match &outcome {
+            Ok(_) | Err(CloudError::NoCapacity) => break,
+            Err(error) => debug!(%error, request = rental.request, "renting"),
+        }
+        tokio::time::sleep(jitter(RETRY)).await;
+    }
+    let now = Instant::now();
+    let rented = match outcome {
+        Ok(names) => names,
+        Err(CloudError::NoCapacity) => Vec::new(),
+        Err(error) => {
+            warn!(%error, request = rental.request, "a rental is let go");
+            Vec::new()
+        }
+    };
+    let short = (rented.len() as u64) < rental.count;
+    info!(kind = %kind, asked = rental.count, got = rented.len(), "rented");
+    {
+        let mut held = lock(&node.book);
+        if let Some(book) = held.as_mut() {
+            for name in &rented {
+                book.expect(name, &rental.type_name, &rental.zone, rental.spot, None, Duration::ZERO, now);
+            }
+        }
+    }
+    let mut dealings = lock(&dealings);
+    if let Some(asked) = dealings.asked.get_mut(&kind) {
+        *asked = asked.saturating_sub(rental.count);
+    }
+    if short {
+        dealings.refusals.note(kind, node.properties.refusal, now);
+    } else {
+        dealings.refusals.clear(&kind);
+    }
+    node.wake.fleet.notify_one();
+}
+
+fn to_return(node: &Node, dealings: &Shared) -> Vec<Vec<String>> {
+    let held = lock(&node.book);
+    let Some(book) = held.as_ref() else { return Vec::new() };
+    let mut dealings = lock(dealings);
+    let names: Vec<String> = book
+        .machines
+        .values()
+        .filter(|m| m.standing == Standing::Condemned && !dealings.returning.contains(&*m.id))
+        .map(|m| m.id.to_string())
+        .collect();
+    dealings.returning.extend(names.iter().cloned());
+    names.chunks(MOST_RETURNED).map(<[String]>::to_vec).collect()
+}
+
+/// Asked again until answered: only the answer proves that the machines and all on them are gone.
+async fn give_back(node: Arc<Node>, dealings: Shared, names: Vec<String>) {
+    while let Err(error) = node.cloud.give_back(names.clone()).await {
+        debug!(%error, "returning machines");
+        tokio::time::sleep(jitter(RETRY)).await;
+    }
+    let now = Instant::now();
+    if let Some(book) = lock(&node.book).as_mut() {
+        for name in &names {
+            book.machine_gone(&name.as_str().into(), now);
+        }
+    }
+    let mut dealings = lock(&dealings);
+    for name in &names {
+        dealings.returning.remove(name);
+    }
+    node.wake.plan.notify_one();
+}
--- /dev/null
+++ b/src/fleet/rent.rs
@@ -0,0 +1,207 @@
+//! What to rent and what to give up: pure functions of the book and the time.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::time::{Duration, Instant};
+
+use super::{Catalog, MachineType};
+use crate::jobs::JobSpec;
+use crate::scheduling::book::{Book, MachineId, Standing};
+use crate::scheduling::plan::{Quotas, Room, Zones, allowed, place_job, queue, room};
+
+/// Grace on top of a type's usual boot time.
+const BOOT_GRACE: Duration = Duration::from_secs(10);
+/// Longest memory of a refusal.
+const LONGEST_REFUSAL: Duration = Duration::from_secs(120);
+
+/// What can be rented: a type, in a zone, ordinary or spot.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Kind {
+    pub type_name: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} in {}{}", self.type_name, self.zone, if self.spot { " (spot)" } else { "" })
+    }
+}
+
+/// Refused kinds are left alone for a while, longer each time in a row.
+#[derive(Debug, Default)]
+pub struct Refusals {
+    until: HashMap<Kind, (Instant, u32)>,
+}
+
+impl Refusals {
+    pub fn note(&mut self, kind: Kind, base: Duration, now: Instant) {
+        let times = self.until.get(&kind).map_or(0, |(_, n)| *n).min(3);
+        let pause = (base * 2u32.pow(times)).min(LONGEST_REFUSAL);
+        self.until.insert(kind, (now + pause, times + 1));
+    }
+
+    pub fn clear(&mut self, kind: &Kind) {
+        self.until.remove(kind);
+    }
+
+    pub fn refused(&self, kind: &Kind, now: Instant) -> bool {
+        self.until.get(kind).is_some_and(|(until, _)| now < *until)
+    }
+}
+
+fn price(of: &MachineType, spot: bool) -> f64 {
+    if spot { of.spot_price } else { of.price }
+}
+
+/// How many tasks of this kind an empty machine holds.
+fn units(of: &MachineType, spec: &JobSpec) -> u64 {
+    let per = |has: f64, needs: f64| if needs > 0.0 { (has + 1e-6) / needs } else { f64::INFINITY };
+    let n = per(of.cpus, spec.cpus).min(per(of.gpus, spec.gpus)).min(per(of.memory_gb, spec.memory_gb));
+    n.min(1e6) as u64
+}
+
+/// The cheapest way, per task actually held, to run `count` more tasks like this.
+fn cheapest<'a>(
+    catalog: &'a Catalog,
+    spec: &JobSpec,
+    count: u64,
+    zones: &Zones,
+    refusals: &Refusals,
+    now: Instant,
+) -> Option<(&'a MachineType, Kind, u64)> {
+    let mut chosen: Option<(f64, &MachineType, Kind, u64)> = None;
+    for of in &catalog.types {
+        let held = units(of, spec).min(count);
+        if held == 0 {
+            continue;
+        }
+        for zone in &of.zones {
+            for spot in [true, false] {
+                let kind = Kind { type_name: of.name.clone(), zone: zone.clone(), spot };
+                if !allowed(spec, &of.name, zone, spot) || !zones.allow(zone) || refusals.refused(&kind, now) {
+                    continue;
+                }
+                let cost = price(of, spot) / held as f64;
+                if chosen.as_ref().is_none_or(|(best, ..)| cost < best - 1e-12) {
+                    chosen = Some((cost, of, kind, units(of, spec)));
+                }
+            }
+        }
+    }
+    chosen.map(|(_, of, kind, units)| (of, kind, units))
+}
+
+/// What waiting work needs beyond the machines there are, booting and asked-for ones included.
+pub fn plan(
+    book: &Book,
+    catalog: &Catalog,
+    refusals: &Refusals,
+    asked: &HashMap<Kind, u64>,
+    now: Instant,
+) -> Vec<(Kind, u64)> {
+    let mut rooms: Vec<Room> = Vec::new();
+    let mut total = 0u64;
+    for machine in book.machines.values() {
+        if machine.standing == Standing::Condemned {
+            continue;
+        }
+        total += 1;
+        if matches!(machine.standing, Standing::Booting | Standing::Up) && machine.recall.is_none() {
+            rooms.extend(room(book, machine, catalog, now));
+        }
+    }
+    for (kind, count) in asked {
+        total += count;
+        let Some(of) = catalog.get(&kind.type_name) else { continue };
+        for _ in 0..*count {
+            rooms.push(Room::empty("".into(), of, &kind.zone, kind.spot));
+        }
+    }
+    let mut wanted: HashMap<Kind, u64> = HashMap::new();
+    let mut quotas = Quotas::new(book);
+    let most_machines = book.properties.most_machines as u64;
+    for turn in queue(book, now) {
+        let Some(job) = book.job(&turn.job) else { continue };
+        let spec = job.spec();
+        let mut waiting = job.waiting.len();
+        if spec.is_gang() && !quotas.allows(spec, spec.tasks as f64) {
+            continue;
+        }
+        while !spec.is_gang() && waiting > 0 && !quotas.allows(spec, waiting as f64) {
+            waiting -= 1;
+        }
+        let mut zones = Zones::new(book, job);
+        let mut missing = waiting as u64;
+        loop {
+            let placed = place_job(&mut rooms, job, Zones::new(book, job), turn.age, waiting).len() as u64;
+            quotas.take(spec, placed as f64);
+            missing = missing.saturating_sub(placed);
+            if !spec.is_gang() || placed > 0 || missing == 0 {
+                break;
+            }
+            // A gang that does not fit yet: one machine more until it would.
+            let Some((of, kind, _)) = cheapest(catalog, spec, missing, &zones, refusals, now) else { break };
+            if total >= most_machines || total > 10_000 {
+                break;
+            }
+            if spec.same_zone {
+                zones.take(&kind.zone);
+            }
+            rooms.push(Room::empty("".into(), of, &kind.zone, kind.spot));
+            *wanted.entry(kind).or_default() += 1;
+            total += 1;
+        }
+        while missing > 0 && !spec.is_gang() && total < most_machines {
+            let Some((of, kind, held)) = cheapest(catalog, spec, missing, &zones, refusals, now) else { break };
+            let mut bought = Room::empty("".into(), of, &kind.zone, kind.spot);
+            let mut taken = 0;
+            while taken < missing.min(held) && bought.fits(spec) && zones.allow(&kind.zone) {
+                bought.take(spec);
+                zones.take(&kind.zone);
+                taken += 1;
+            }
+            if taken == 0 {
+                break;
+            }
+            quotas.take(spec, taken as f64);
+            rooms.push(bought);
+            missing -= taken;
+            total += 1;
+            *wanted.entry(kind).or_default() += 1;
+        }
+    }
+    let mut wanted: Vec<(Kind, u64)> =
+        wanted.into_iter().map(|(kind, n)| (kind, n.min(super::cloud::MOST_RENTED))).collect();
+    wanted.sort();
+    wanted
+}
+
+/// Machines that boot for too long or stand idle for too long.
+pub fn to_give_up(book: &Book, catalog: &Catalog, now: Instant) -> Vec<(MachineId, &'static str)> {
+    let mut out = Vec::new();
+    for machine in book.machines.values() {
+        let age = now.saturating_duration_since(machine.since);
+        match machine.standing {
+            Standing::Booting => {
+                let usual = catalog.get(&machine.type_name).map_or(60.0, |t| t.boot_s);
+                let patience = Duration::from_secs_f64(usual * book.properties.boot_patience) + BOOT_GRACE;
+                if age > patience {
+                    out.push((machine.id.clone(), "never came up"));
+                }
+            }
+            Standing::Up => {
+                let idle = machine.idle_since.map_or(Duration::ZERO, |t| now.saturating_duration_since(t));
+                if machine.bound.is_empty() && idle > book.properties.idle {
+                    out.push((machine.id.clone(), "idle"));
+                }
+            }
+            Standing::Draining | Standing::Condemned => {}
+        }
+    }
+    out
+}
+
+#[cfg(test)]
+#[path = "rent_tests.rs"]
+mod tests;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,20 @@
+//! hollylanding: a cluster scheduler that admits work by deadline share and return.
+//!
+//! The slices follow duties: `sla` holds the paper's pure arithmetic, `jobs` what a job is and
+//! how it is stored, `users` the public API, `workers` reports and commands, `scheduling` the
+//! book of who runs what and the placement decisions, `fleet` the machines and the cloud,
+//! `store` the state service, `membership` who leads and who owns, `settings` what an operator
+//! hands over and `cli` the commands. I/O stays at the edges; decisions take state and time.
+
+pub mod cli;
+pub mod fleet;
+pub mod jobs;
+pub mod membership;
+pub mod node;
+pub mod scheduling;
+pub mod settings;
+pub mod sla;
+pub mod store;
+pub mod users;
+pub mod wire;
+pub mod workers;
--- /dev/null
+++ b/src/membership/mesh.rs
@@ -0,0 +1,111 @@
+//! What controllers tell one another, as JSON lines: whether the store serves them, and the
+//! owner's counts for display. Nothing that safety rests on travels here.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tracing::{debug, warn};
+
+use crate::jobs::JobId;
+use crate::node::{Node, lock};
+
+const EVERY: Duration = Duration::from_secs(1);
+/// A line is dropped with its connection past this size.
+const LINE_LIMIT: u64 = 256 * 1024;
+const WRITE_WITHIN: Duration = Duration::from_secs(2);
+/// Counts told per line, the most recently changed first.
+const MOST_COUNTS: usize = 2000;
+/// What was heard longer ago says nothing.
+const STALE: Duration = Duration::from_secs(4);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Counts {
+    pub running: u64,
+    pub done: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Line {
+    node: String,
+    store_serves: bool,
+    /// Counts of jobs that changed since the last line, from the owner.
+    #[serde(default)]
+    counts: Vec<(JobId, Counts)>,
+}
+
+#[derive(Debug, Default)]
+pub struct Heard {
+    peers: HashMap<String, (bool, Instant)>,
+    pub counts: HashMap<JobId, Counts>,
+}
+
+impl Heard {
+    /// Whether another controller said lately that the store serves it.
+    pub fn store_serves_others(&self, now: Instant) -> bool {
+        self.peers.values().any(|(serves, at)| *serves && now.saturating_duration_since(*at) < STALE)
+    }
+}
+
+pub async fn listen(node: Arc<Node>) {
+    let listener = loop {
+        match TcpListener::bind(&node.settings.mesh_listen).await {
+            Ok(listener) => break listener,
+            Err(error) => {
+                warn!(%error, addr = node.settings.mesh_listen, "cannot listen to the other controllers");
+                tokio::time::sleep(EVERY).await;
+            }
+        }
+    };
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(tokio::spawn(read_lines(node.clone(), stream))),
+            Err(_) => tokio::time::sleep(EVERY).await,
+        }
+    }
+}
+
+async fn read_lines(node: Arc<Node>, stream: TcpStream) {
+    let mut reader = BufReader::new(stream);
+    let mut text = String::new();
+    loop {
+        text.clear();
+        // A peer that has nothing to say for this long is gone or cut off.
+        let read = tokio::time::timeout(STALE * 4, (&mut reader).take(LINE_LIMIT).read_line(&mut text)).await;
+        if !matches!(read, Ok(Ok(n)) if n > 0) || !text.ends_with('\n') {
+            return;
+        }
+        let Ok(line) = serde_json::from_str::<Line>(&text) else { return };
+        let mut heard = lock(&node.heard);
+        heard.peers.insert(line.node, (line.store_serves, Instant::now()));
+        heard.counts.extend(line.counts);
+    }
+}
+
+/// One connection to one peer, made again whenever it breaks.
+pub async fn tell(node: Arc<Node>, addr: String) {
+    loop {
+        if let Ok(Ok(stream)) = tokio::time::timeout(WRITE_WITHIN, TcpStream::connect(&addr)).await {
+            let error = tell_over(&node, stream).await;
+            debug!(?error, addr, "connection to another controller");
+        }
+        tokio::time::sleep(crate::store::follow::jitter(EVERY)).await;
+    }
+}
+
+async fn tell_over(node: &Node, mut stream: TcpStream) -> std::io::Result<()> {
+    let mut told: HashMap<JobId, Counts> = HashMap::new();
+    loop {
+        let counts = node.counts_to_tell(&mut told, MOST_COUNTS);
+        let line = Line { node: node.settings.node.clone(), store_serves: node.store_serves(), counts };
+        let mut text = serde_json::to_string(&line).unwrap_or_default();
+        text.push('\n');
+        tokio::time::timeout(WRITE_WITHIN, stream.write_all(text.as_bytes()))
+            .await
+            .map_err(|_| std::io::ErrorKind::TimedOut)??;
+        tokio::time::sleep(EVERY).await;
+    }
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,254 @@
+//! One controller: what its parts share, behind short locks that are never held across an await.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use tokio::sync::Notify;
+use tracing::{error, info, warn};
+
+use crate::fleet::cloud::CloudClient;
+use crate::fleet::{self, Catalog};
+use crate::jobs::JobId;
+use crate::membership::mesh::{Counts, Heard};
+use crate::membership::{self, mesh};
+use crate::scheduling::{self, Book};
+use crate::settings::{Properties, Settings};
+use crate::store::budget::Budget;
+use crate::store::follow::Fresh;
+use crate::store::mirror::{Mirror, News};
+use crate::store::{StateClient, commit, follow};
+use crate::wire::Http;
+use crate::workers::dispatch;
+
+/// A poisoned lock means a panic elsewhere, which has been logged; the state itself is whole,
+/// since no lock is held over anything that awaits.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+/// Who is to look again because something changed.
+#[derive(Default)]
+pub struct Wake {
+    pub membership: Notify,
+    pub plan: Notify,
+    pub commit: Notify,
+    pub dispatch: Notify,
+    pub fleet: Notify,
+}
+
+pub struct Node {
+    pub settings: Settings,
+    pub properties: Properties,
+    /// Names this process among all that ever ran; rental names are made from it.
+    pub incarnation: String,
+    pub http: Http,
+    pub store: StateClient,
+    pub cloud: CloudClient,
+    pub mirror: Mutex<Mirror>,
+    pub fresh: Fresh,
+    pub catalog: Mutex<Option<Arc<Catalog>>>,
+    /// The book of tasks and machines, while this controller owns them.
+    pub book: Mutex<Option<Book>>,
+    pub heard: Mutex<Heard>,
+    pub wake: Wake,
+    owner_tasks: Mutex<Vec<tokio::task::AbortHandle>>,
+}
+
+/// An owner writes and reads most; the others keep enough for users and for a campaign.
+fn budgets(settings: &Settings, owner: bool, now: Instant) -> (Budget, Budget) {
+    let p = &settings.params.state;
+    let others = settings.peers.len() as f64;
+    // Below the limits even when every share is used up at once: bursts are bounded likewise.
+    let share = if others == 0.0 {
+        0.95
+    } else if owner {
+        0.5
+    } else {
+        0.45 / others
+    };
+    let make = |limit: f64| Budget::new(limit * share, limit * share, now);
+    (make(p.rps), make(p.write_rps))
+}
+
+impl Node {
+    pub fn new(settings: Settings, properties: Properties) -> Arc<Self> {
+        let now = Instant::now();
+        let http = Http::default();
+        let (requests, writes) = budgets(&settings, false, now);
+        let store = StateClient::new(http.clone(), settings.endpoints.state.clone(), requests, writes);
+        let cloud = CloudClient::new(http.clone(), &settings, now);
+        Arc::new(Self {
+            incarnation: format!("{:016x}", rand::random::<u64>()),
+            http,
+            store,
+            cloud,
+            mirror: Mutex::default(),
+            fresh: Fresh::default(),
+            catalog: Mutex::default(),
+            book: Mutex::default(),
+            heard: Mutex::default(),
+            wake: Wake::default(),
+            owner_tasks: Mutex::default(),
+            settings,
+            properties,
+        })
+    }
+
+    /// Starts everything but the listener for users and workers.
+    pub fn start(self: &Arc<Self>) {
+        tokio::spawn(follow::run(self.clone()));
+        tokio::spawn(follow::run_fresh(self.clone()));
+        tokio::spawn(membership::run(self.clone()));
+        tokio::spawn(mesh::listen(self.clone()));
+        for peer in &self.settings.peers {
+            tokio::spawn(mesh::tell(self.clone(), peer.addr.clone()));
+        }
+        tokio::spawn(fleet::learn_catalog(self.clone()));
+    }
+
+    pub fn catalog(&self) -> Option<Arc<Catalog>> {
+        lock(&self.catalog).clone()
+    }
+
+    /// Hands what the mirror learned to whoever acts on it.
+    pub fn spread(&self, news: News) {
+        if news.is_empty() {
+            return;
+        }
+        if news.ownership {
+            self.wake.membership.notify_one();
+        }
+        let mirror = lock(&self.mirror);
+        let mut held = lock(&self.book);
+        if let Some(book) = held.as_mut().filter(|b| b.loaded) {
+            let now = Instant::now();
+            for id in &news.opened {
+                if let Some(crate::store::mirror::Known::Open(record)) = mirror.job(id) {
+                    book.add_job(record.clone(), now);
+                }
+            }
+            for id in &news.ended {
+                book.end_job(id, now);
+            }
+            self.wake.plan.notify_one();
+            self.wake.dispatch.notify_one();
+        }
+    }
+
+    /// This controller's record stands as the assignment, under this token.
+    pub fn owns(self: &Arc<Self>, token: u64) {
+        let mut held = lock(&self.book);
+        if let Some(book) = held.as_mut() {
+            book.raise_token(token);
+            info!(token, "token raised");
+            return;
+        }
+        info!(token, "owns teams and machines");
+        *held = Some(Book::new(token, self.settings.clone(), self.properties.clone(), Instant::now()));
+        let (requests, writes) = budgets(&self.settings, true, Instant::now());
+        self.store.set_budgets(requests, writes);
+        let mut tasks = lock(&self.owner_tasks);
+        tasks.push(tokio::spawn(scheduling::run(self.clone())).abort_handle());
+        tasks.push(tokio::spawn(commit::run(self.clone())).abort_handle());
+        tasks.push(tokio::spawn(dispatch::run(self.clone())).abort_handle());
+        tasks.push(tokio::spawn(fleet::run(self.clone())).abort_handle());
+    }
+
+    /// Stops owning at once: somebody newer does.
+    pub fn step_down(&self, why: &str) {
+        if let Some(book) = lock(&self.book).take() {
+            warn!(token = book.token, why, "no longer owns");
+            for task in lock(&self.owner_tasks).drain(..) {
+                task.abort();
+            }
+            let (requests, writes) = budgets(&self.settings, false, Instant::now());
+            self.store.set_budgets(requests, writes);
+        }
+    }
+
+    /// Compares the book's token with the assignment as mirrored.
+    pub fn check_deposed(&self) {
+        let newer = lock(&self.mirror)
+            .assignment
+            .as_ref()
+            .filter(|(a, _)| a.incarnation != self.incarnation)
+            .map(|(_, stamp)| *stamp);
+        let token = lock(&self.book).as_ref().map(|b| b.token);
+        if let (Some(newer), Some(token)) = (newer, token)
+            && newer > token
+        {
+            self.step_down("another controller is assigned");
+        }
+    }
+
+    pub fn raise_wanted(&self) -> bool {
+        lock(&self.book).as_ref().is_some_and(|b| b.raise_wanted(Instant::now()))
+    }
+
+    /// The node that workers should report to, as far as known here.
+    pub fn owner_node(&self) -> Option<String> {
+        let mirror = lock(&self.mirror);
+        mirror.leader.as_ref()?;
+        mirror.assignment.as_ref().map(|(a, _)| a.node.clone())
+    }
+
+    pub fn store_serves(&self) -> bool {
+        self.store.health().failing_for(Instant::now()) < Duration::from_secs(2)
+    }
+
+    /// Healthy: has read the store once, and is not the only one the store refuses.
+    pub fn healthy(&self) -> bool {
+        lock(&self.mirror).ready
+            && self.catalog().is_some()
+            && (self.store_serves() || !lock(&self.heard).store_serves_others(Instant::now()))
+    }
+
+    pub fn counts(&self, id: &JobId) -> Counts {
+        if let Some(book) = lock(&self.book).as_ref() {
+            return book.counts(id);
+        }
+        lock(&self.heard).counts.get(id).copied().unwrap_or_default()
+    }
+
+    /// What changed since the peer was last told, at most `most` of it.
+    pub fn counts_to_tell(&self, told: &mut HashMap<JobId, Counts>, most: usize) -> Vec<(JobId, Counts)> {
+        let held = lock(&self.book);
+        let Some(book) = held.as_ref() else { return Vec::new() };
+        let mut changed = Vec::new();
+        for (id, counts) in book.all_counts() {
+            if changed.len() >= most {
+                break;
+            }
+            if told.get(id) != Some(&counts) {
+                changed.push((id.clone(), counts));
+            }
+        }
+        told.retain(|id, _| book.has_job(id));
+        told.extend(changed.iter().cloned());
+        changed
+    }
+
+    /// Drops the counts of jobs that are over; the mirror answers for those.
+    pub fn tidy_counts(&self) {
+        let mirror = lock(&self.mirror);
+        lock(&self.heard).counts.retain(|id, _| {
+            !matches!(mirror.job(id), Some(crate::store::mirror::Known::Ended(_)))
+        });
+    }
+}
+
+/// The whole controller on the current thread, until it is killed.
+pub fn serve(settings: Settings, properties: Properties) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let node = Node::new(settings, properties);
+        info!(node = node.settings.node, incarnation = node.incarnation, "starting");
+        node.start();
+        let outcome = crate::users::serve(node.clone()).await;
+        if let Err(error) = &outcome {
+            error!(%error, addr = node.settings.listen, "cannot serve");
+        }
+        outcome
+    })
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,243 @@
+//! What the platform hands over (a JSON file) and what operators set themselves (properties).
+
+mod properties;
+
+pub use properties::Properties;
+
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+#[derive(Debug, thiserror::Error)]
+#[error("{file}: {problem}")]
+pub struct SettingsError {
+    pub file: String,
+    pub problem: String,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    #[serde(rename = "host_name")]
+    pub node: String,
+    #[serde(rename = "area")]
+    pub zone: String,
+    #[serde(rename = "api_addr")]
+    pub listen: String,
+    #[serde(rename = "mesh_addr")]
+    pub mesh_listen: String,
+    pub peers: Vec<Peer>,
+    pub endpoints: Endpoints,
+    pub params: Params,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Peer {
+    #[serde(rename = "host_name")]
+    pub node: String,
+    #[serde(rename = "endpoint")]
+    pub addr: String,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Endpoints {
+    pub cloud: String,
+    pub state: String,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Params {
+    pub zones: Vec<String>,
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: WorkerParams,
+    pub state: StateParams,
+    pub cloud: CloudParams,
+    #[serde(rename = "resources")]
+    pub limits: Limits,
+}
+
+/// Zero means none, for guarantees and for limits alike.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: String,
+    #[serde(default)]
+    pub within_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct WorkerParams {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateParams {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: u64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudParams {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Limits {
+    pub max_sockets: u64,
+}
+
+impl WorkerParams {
+    pub fn report(&self) -> Duration {
+        Duration::from_secs_f64(self.report_s)
+    }
+    pub fn cancel(&self) -> Duration {
+        Duration::from_secs_f64(self.cancel_s)
+    }
+    pub fn lease(&self) -> Duration {
+        Duration::from_secs_f64(self.lease_s)
+    }
+    pub fn gang_peer(&self) -> Duration {
+        Duration::from_secs_f64(self.gang_peer_s)
+    }
+}
+
+impl Settings {
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let fail = |problem: String| SettingsError { file: path.display().to_string(), problem };
+        let text = std::fs::read_to_string(path).map_err(|e| fail(e.to_string()))?;
+        Self::parse(&text).map_err(fail)
+    }
+
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let settings: Self = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Names the first field whose value cannot be worked with.
+    fn check(&self) -> Result<(), String> {
+        let p = &self.params;
+        let mut addresses = vec![
+            ("api_addr", &self.listen),
+            ("mesh_addr", &self.mesh_listen),
+            ("endpoints.cloud", &self.endpoints.cloud),
+            ("endpoints.state", &self.endpoints.state),
+        ];
+        addresses.extend(self.peers.iter().map(|x| ("peers.endpoint", &x.addr)));
+        for (field, value) in addresses {
+            if value.parse::<std::net::SocketAddr>().is_err() {
+                return Err(format!("{field}: {value:?} is not an IP address with a port"));
+            }
+        }
+        let positive = [
+            ("params.workers.report_s", p.workers.report_s),
+            ("params.workers.lease_s", p.workers.lease_s),
+            ("params.workers.gang_wait_s", p.workers.gang_wait_s),
+            ("params.workers.gang_peer_s", p.workers.gang_peer_s),
+            ("params.workers.cancel_s", p.workers.cancel_s),
+            ("params.state.rps", p.state.rps),
+            ("params.state.write_rps", p.state.write_rps),
+            ("params.state.value_kb", p.state.value_kb),
+            ("params.cloud.rps", p.cloud.rps),
+        ];
+        for (field, value) in positive {
+            if !(value > 0.0 && value <= 1e6) {
+                return Err(format!("{field}: {value} is not above 0 and at most 1000000"));
+            }
+        }
+        if !(0.0..=3600.0).contains(&p.cloud.list_lag_s) {
+            return Err(format!("params.cloud.list_lag_s: {} is not between 0 and 3600", p.cloud.list_lag_s));
+        }
+        if p.state.txn_ops < 2 {
+            return Err(format!("params.state.txn_ops: {} is below 2", p.state.txn_ops));
+        }
+        if p.limits.max_sockets < 16 {
+            return Err(format!("params.resources.max_sockets: {} is below 16", p.limits.max_sockets));
+        }
+        if self.node.is_empty() {
+            return Err("host_name: \"\" names nobody".into());
+        }
+        if p.zones.is_empty() {
+            return Err("params.zones: [] leaves nowhere to run".into());
+        }
+        for team in &p.teams {
+            for (field, value) in [
+                ("cpus", team.cpus),
+                ("cpus_max", team.cpus_max),
+                ("gpus", team.gpus),
+                ("gpus_max", team.gpus_max),
+            ] {
+                if !(value.is_finite() && value >= 0.0) {
+                    return Err(format!("params.teams.{}.{field}: {value} is negative", team.name));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        self.params.teams.iter().find(|t| t.name == name)
+    }
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+
+    pub const EXAMPLE: &str = r#"{
+        "host_name":"node-0","area":"a","api_addr":"127.0.0.1:1","mesh_addr":"127.0.0.1:2",
+        "peers":[{"host_name":"node-1","area":"b","endpoint":"127.0.0.1:3"}],
+        "endpoints":{"cloud":"127.0.0.1:4","state":"127.0.0.1:5"},
+        "params":{"size":3,"zones":["a","b"],
+          "teams":[{"name":"red","cpus":8,"cpus_max":20,"gpus":0,"gpus_max":0},
+                   {"name":"blue","cpus":0,"cpus_max":0,"gpus":0,"gpus_max":0}],
+          "objectives":[],
+          "workers":{"report_s":3,"lease_s":24,"gang_wait_s":35,"gang_peer_s":8,"cancel_s":49},
+          "state":{"rps":100,"write_rps":40,"value_kb":8,"txn_ops":24},
+          "cloud":{"rps":8,"list_lag_s":8},
+          "resources":{"cores":0.1,"memory_mb":100,"max_sockets":700},"skew_ms":25,"new":1}}"#;
+
+    pub fn example() -> Settings {
+        Settings::parse(EXAMPLE).unwrap()
+    }
+
+    #[test]
+    fn errors_name_the_field_and_the_value() {
+        assert_eq!(example().params.teams.len(), 2);
+        for (from, to, want) in [
+            ("127.0.0.1:4", "cloud.example:4", "endpoints.cloud: \"cloud.example:4\""),
+            ("\"report_s\":3", "\"report_s\":-3", "params.workers.report_s: -3"),
+            ("\"txn_ops\":24", "\"txn_ops\":1", "params.state.txn_ops: 1"),
+            ("\"cpus_max\":20", "\"cpus_max\":-20", "params.teams.red.cpus_max: -20"),
+            ("\"zones\":[\"a\",\"b\"]", "\"zones\":[]", "params.zones"),
+            ("\"host_name\":\"node-0\",", "", "host_name"),
+        ] {
+            let text = EXAMPLE.replacen(from, to, 1);
+            let problem = Settings::parse(&text).unwrap_err();
+            assert!(problem.contains(want), "{problem}");
+        }
+    }
+}
--- /dev/null
+++ b/src/settings/properties.rs
@@ -0,0 +1,112 @@
+//! Operators' own settings, Java-style properties. Every number that was chosen rather than
+//! given has its name, unit and default here.
+
+use std::collections::HashMap;
+use std::path::Path;
+use std::time::Duration;
+
+use super::SettingsError;
+
+macro_rules! properties {
+    ($($(#[doc = $doc:literal])+ $field:ident: $kind:ident = $default:expr, $name:literal, $low:expr, $high:expr;)+) => {
+        #[derive(Debug, Clone, PartialEq)]
+        pub struct Properties { $($(#[doc = $doc])+ pub $field: properties!(@type $kind),)+ }
+
+        impl Default for Properties {
+            fn default() -> Self {
+                Self { $($field: properties!(@make $kind, $default),)+ }
+            }
+        }
+
+        impl Properties {
+            /// Name, effective value, as `check` prints them.
+            pub fn lines(&self) -> Vec<(&'static str, String)> {
+                vec![$(($name, properties!(@show $kind, self.$field)),)+]
+            }
+
+            fn set(&mut self, name: &str, text: &str) -> Result<(), String> {
+                match name {
+                    $($name => {
+                        let value: f64 = text.trim().parse()
+                            .map_err(|_| format!("{name}: {text:?} is not a number"))?;
+                        if !($low..=$high).contains(&value) {
+                            return Err(format!("{name}: {text} is not between {} and {}", $low, $high));
+                        }
+                        self.$field = properties!(@make $kind, value);
+                        Ok(())
+                    })+
+                    _ => Err(format!("{name}: unknown property (value {text:?})")),
+                }
+            }
+        }
+    };
+    (@type seconds) => { Duration };
+    (@type number) => { f64 };
+    (@make seconds, $v:expr) => { Duration::from_secs_f64($v) };
+    (@make number, $v:expr) => { $v };
+    (@show seconds, $v:expr) => { format!("{}", $v.as_secs_f64()) };
+    (@show number, $v:expr) => { format!("{}", $v) };
+}
+
+properties! {
+    /// Seconds after which an unrenewed leadership ends and another controller takes over.
+    leader_lease: seconds = 3.0, "leader.lease.seconds", 0.5, 600.0;
+    /// Controllers that share teams and machines.
+    owners: number = 1.0, "controllers.sharing", 1.0, 1.0;
+    /// Deadline of a job without one, in estimates.
+    soft_deadline: number = 4.0, "sla.soft.deadline.estimates", 1.0, 100.0;
+    /// Seconds between two tests of work that was not admitted.
+    retest: seconds = 5.0, "sla.retest.seconds", 0.2, 600.0;
+    /// Seconds without a report after which a machine is given up and returned.
+    silence: seconds = 12.0, "machines.silence.seconds", 2.0, 3600.0;
+    /// Seconds a machine may stand idle before it is returned.
+    idle: seconds = 40.0, "machines.idle.seconds", 0.0, 86400.0;
+    /// Machine boots longer than this many times the type's usual time are given up.
+    boot_patience: number = 4.0, "machines.boot.patience", 1.0, 100.0;
+    /// Machines held at the most, booting ones included.
+    most_machines: number = 1000.0, "machines.most", 1.0, 100000.0;
+    /// Seconds to keep from asking again for machines of a type, zone and kind that were refused.
+    refusal: seconds = 15.0, "machines.refusal.seconds", 1.0, 3600.0;
+    /// Task failures in a row after which a machine is taken out.
+    machine_failures: number = 2.0, "machines.failures", 1.0, 1000.0;
+}
+
+impl Properties {
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let fail = |problem: String| SettingsError { file: path.display().to_string(), problem };
+        let text = std::fs::read(path).map_err(|e| fail(e.to_string()))?;
+        Self::parse(&text).map_err(fail)
+    }
+
+    pub fn parse(text: &[u8]) -> Result<Self, String> {
+        let entries: HashMap<String, String> =
+            java_properties::read(text).map_err(|e| e.to_string())?;
+        let mut properties = Self::default();
+        let mut entries: Vec<_> = entries.into_iter().collect();
+        entries.sort();
+        for (name, value) in entries {
+            properties.set(&name, &value)?;
+        }
+        Ok(properties)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn properties_by_cases() {
+        let read = Properties::parse(b"# ours\nmachines.idle.seconds = 7.5\nsla.retest.seconds:2\n").unwrap();
+        assert_eq!(read.idle, Duration::from_millis(7500));
+        assert_eq!(read.retest, Duration::from_secs(2));
+        for (text, want) in [
+            ("machines.idel.seconds=3", "machines.idel.seconds: unknown property"),
+            ("machines.idle.seconds=soon", "machines.idle.seconds: \"soon\""),
+            ("machines.idle.seconds=-1", "machines.idle.seconds: -1 is not between"),
+        ] {
+            let problem = Properties::parse(text.as_bytes()).unwrap_err();
+            assert!(problem.contains(want), "{problem}");
+        }
+    }
+}
--- /dev/null
+++ b/src/sla/mod.rs
@@ -0,0 +1,183 @@
+//! The arithmetic of LibraSLA (paper, sections 3 and 4), pure and in seconds.
+//!
+//! Terms are the paper's: budget, penalty rate, delay, utility (eq. 1 and 2), share (eq. 3 and
+//! 4), the return of a task and of a machine (eq. 5 and 6). Tasks here hold full requests, so a
+//! share is weighed in cores.
+
+use std::time::Duration;
+
+use crate::jobs::{JobSpec, Urgency};
+
+/// Estimates of zero would divide by zero; a second is below anything worth scheduling.
+pub const LEAST_RUN: Duration = Duration::from_secs(1);
+
+/// What a second of a core is worth, by urgency: each step outweighs the one below it tenfold,
+/// so that a late urgent job still beats a punctual idle one of like size.
+pub fn priority_worth(urgency: Urgency) -> f64 {
+    match urgency {
+        Urgency::Prod => 1000.0,
+        Urgency::High => 100.0,
+        Urgency::Normal => 10.0,
+        Urgency::Idle => 1.0,
+    }
+}
+
+/// The four parameters of the paper's agreement, derived for one task.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Agreement {
+    pub hard: bool,
+    pub run: Duration,
+    pub deadline: Duration,
+    pub budget: f64,
+    pub penalty_rate: f64,
+    pub cores: f64,
+}
+
+impl Agreement {
+    /// `estimate` is the owner's, corrected by what was observed of the class.
+    /// `soft_deadline` is how many estimates a job without a deadline is given.
+    pub fn of(spec: &JobSpec, estimate: Duration, soft_deadline: f64) -> Self {
+        let run = estimate.max(LEAST_RUN);
+        let deadline = match spec.due() {
+            Some(due) => due.max(LEAST_RUN),
+            None => run.mul_f64(soft_deadline.max(1.0)),
+        };
+        // A task that takes no core still takes its place; it is weighed as a small one.
+        let cores = spec.cpus.max(0.1);
+        let budget = priority_worth(spec.urgency) * run.as_secs_f64() * cores;
+        Self {
+            hard: spec.due().is_some(),
+            run,
+            deadline,
+            budget,
+            penalty_rate: budget / deadline.as_secs_f64(),
+            cores,
+        }
+    }
+
+    /// Equation 2, with a finish before the deadline counting as no delay.
+    pub fn delay(&self, finish_after: Duration) -> Duration {
+        finish_after.saturating_sub(self.deadline)
+    }
+
+    /// Equation 1.
+    pub fn utility(&self, finish_after: Duration) -> f64 {
+        self.budget - self.delay(finish_after).as_secs_f64() * self.penalty_rate
+    }
+
+    /// Equation 5; zero or below counts as zero, so that hopeless work is neither sought nor shed.
+    pub fn task_return(&self, finish_after: Duration) -> f64 {
+        let utility = self.utility(finish_after);
+        (utility / self.run.as_secs_f64() / self.deadline.as_secs_f64()).max(0.0)
+    }
+
+    /// Whether a hard job of this age can still make it when started now; one that cannot is soft.
+    pub fn within_reach(&self, age: Duration) -> bool {
+        self.hard && self.delay(age + self.run) == Duration::ZERO
+    }
+}
+
+/// Equation 3 in cores: remaining estimate times cores over the remaining deadline, the latter
+/// clamped to at least the former, so that a share never exceeds what the task holds.
+pub fn share(remaining: Duration, remaining_deadline: Duration, cores: f64) -> f64 {
+    let remaining = remaining.max(LEAST_RUN);
+    remaining.as_secs_f64() * cores / remaining_deadline.max(remaining).as_secs_f64()
+}
+
+/// What is left of a task by its estimate. An overrun task would look finished and make its
+/// machine look free (the paper assumes exact estimates); it is given half of what it has run.
+pub fn remaining(estimate: Duration, ran: Duration) -> Duration {
+    let overrun_guess = ran.mul_f64(0.5);
+    if ran < estimate {
+        (estimate - ran).max(LEAST_RUN)
+    } else {
+        overrun_guess.max(LEAST_RUN)
+    }
+}
+
+/// A machine as admission sees it: what its tasks share and return.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Load {
+    pub share: f64,
+    pub total_return: f64,
+}
+
+/// Soft admission: the summed shares stay within the cores and the return does not fall.
+/// Gives the machine's new return, by which the best machine is chosen.
+pub fn admit(load: Load, cores: f64, task_share: f64, task_return: f64) -> Option<f64> {
+    let new_return = load.total_return + task_return;
+    // Work of no return cannot lower the sum and may go wherever it fits.
+    let qualifies = task_return == 0.0
+        || (load.share + task_share <= cores + 1e-9 && new_return >= load.total_return);
+    qualifies.then_some(new_return)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::jobs::tests::spec;
+
+    fn s(x: f64) -> Duration {
+        Duration::from_secs_f64(x)
+    }
+
+    #[test]
+    fn utility_and_return_by_worked_cases() {
+        // (name, estimate, due, cpus, finish, utility, return)
+        let cases = [
+            ("on time", 100.0, Some(200.0), 2.0, 150.0, 2000.0, 0.1),
+            ("at the deadline", 100.0, Some(200.0), 2.0, 200.0, 2000.0, 0.1),
+            ("late by half", 100.0, Some(200.0), 2.0, 300.0, 1000.0, 0.05),
+            ("utility at zero", 100.0, Some(200.0), 2.0, 400.0, 0.0, 0.0),
+            ("utility below zero", 100.0, Some(200.0), 2.0, 600.0, -2000.0, 0.0),
+            ("no deadline", 100.0, None, 2.0, 400.0, 2000.0, 0.05),
+            ("zero estimate", 0.0, Some(10.0), 1.0, 5.0, 10.0, 1.0),
+        ];
+        for (name, estimate, due, cpus, finish, utility, ret) in cases {
+            let mut job = spec();
+            (job.cpus, job.due_s) = (cpus, due);
+            let a = Agreement::of(&job, s(estimate), 4.0);
+            assert!((a.utility(s(finish)) - utility).abs() < 1e-6, "{name}: {a:?}");
+            assert!((a.task_return(s(finish)) - ret).abs() < 1e-9, "{name}");
+        }
+    }
+
+    #[test]
+    fn shares_and_remaining_by_worked_cases() {
+        // (name, remaining, remaining deadline, cores, share)
+        let cases = [
+            ("half way", 50.0, 100.0, 4.0, 2.0),
+            ("clamped", 50.0, 10.0, 4.0, 4.0),
+            ("past its deadline", 50.0, 0.0, 4.0, 4.0),
+        ];
+        for (name, rest, left, cores, want) in cases {
+            assert!((share(s(rest), s(left), cores) - want).abs() < 1e-9, "{name}");
+        }
+        for (name, estimate, ran, want) in [
+            ("fresh", 100.0, 0.0, 100.0),
+            ("under way", 100.0, 60.0, 40.0),
+            ("overrun", 100.0, 140.0, 70.0),
+            ("nothing known", 0.0, 0.0, 1.0),
+        ] {
+            assert_eq!(remaining(s(estimate), s(ran)), s(want), "{name}");
+        }
+    }
+
+    #[test]
+    fn admission_and_reach() {
+        let load = Load { share: 6.0, total_return: 1.0 };
+        for (name, share, ret, want) in [
+            ("fits", 2.0, 0.5, Some(1.5)),
+            ("share sum exceeded", 2.5, 0.5, None),
+            ("zero return goes anywhere", 9.0, 0.0, Some(1.0)),
+            ("return would fall", 1.0, -0.5, None),
+        ] {
+            assert_eq!(admit(load, 8.0, share, ret), want, "{name}");
+        }
+        let mut job = spec();
+        job.due_s = Some(100.0);
+        let a = Agreement::of(&job, s(60.0), 4.0);
+        assert!(a.within_reach(s(40.0)));
+        assert!(!a.within_reach(s(41.0)), "a hard job past reach becomes soft");
+    }
+}
--- /dev/null
+++ b/src/store/budget.rs
@@ -0,0 +1,68 @@
+//! A token bucket with reserves: urgent calls may use what ordinary ones must leave.
+
+use std::time::{Duration, Instant};
+
+/// What a call is for, in falling order of right.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Urgent {
+    /// Ends, acceptances, leases.
+    First,
+    /// Placements.
+    Second,
+    /// Clean-up.
+    Last,
+}
+
+#[derive(Debug)]
+pub struct Budget {
+    per_second: f64,
+    burst: f64,
+    held: f64,
+    at: Instant,
+}
+
+impl Budget {
+    pub fn new(per_second: f64, burst: f64, now: Instant) -> Self {
+        let burst = burst.max(1.0);
+        Self { per_second: per_second.max(0.01), burst, held: burst, at: now }
+    }
+
+    /// Takes `n` or says how long to wait. More than a whole burst is taken once it is full.
+    pub fn take(&mut self, n: f64, urgent: Urgent, now: Instant) -> Result<(), Duration> {
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.held = (self.held + passed * self.per_second).min(self.burst);
+        self.at = now;
+        let reserve = match urgent {
+            Urgent::First => 0.0,
+            Urgent::Second => 0.15,
+            Urgent::Last => 0.6,
+        } * self.burst;
+        let needed = (n + reserve).min(self.burst);
+        if self.held + 1e-9 >= needed {
+            self.held -= n;
+            return Ok(());
+        }
+        Err(Duration::from_secs_f64((needed - self.held) / self.per_second))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn reserves_hold_back_the_less_urgent() {
+        let t = Instant::now();
+        let mut budget = Budget::new(10.0, 10.0, t);
+        assert!(budget.take(5.0, Urgent::Last, t).is_err() || budget.held >= 5.0);
+        let mut budget = Budget::new(10.0, 10.0, t);
+        assert!(budget.take(8.0, Urgent::Second, t).is_ok());
+        assert!(budget.take(1.0, Urgent::Second, t).is_err(), "the reserve is kept");
+        assert!(budget.take(2.0, Urgent::First, t).is_ok(), "for the urgent");
+        let wait = budget.take(1.0, Urgent::First, t).unwrap_err();
+        assert_eq!(wait, Duration::from_millis(100));
+        assert!(budget.take(1.0, Urgent::First, t + wait).is_ok());
+        assert!(budget.take(15.0, Urgent::First, t + Duration::from_secs(5)).is_ok());
+        assert!(budget.take(1.0, Urgent::First, t + Duration::from_secs(5)).is_err(), "a debt");
+    }
+}
--- /dev/null
+++ b/src/store/client.rs
@@ -0,0 +1,310 @@
+//! Calls to the state service. Every error says whether the call can still take effect.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use hyper::Method;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use super::budget::{Budget, Urgent};
+use crate::wire::{self, CallError, Http};
+
+/// Answers usually take 10 ms and at times a few hundred; past this one is not waited for.
+const ANSWER_WITHIN: Duration = Duration::from_millis(1500);
+const PAGE: u64 = 1000;
+/// Longest wait for this controller's own share of the limits.
+const BUDGET_WAIT: Duration = Duration::from_millis(2000);
+
+#[derive(Debug, thiserror::Error, PartialEq, Eq, Clone)]
+pub enum StoreError {
+    /// Refused or never sent: not executed, now or later.
+    #[error("the state service refused or could not be reached (status {0})")]
+    Unavailable(u16),
+    /// Executed, not executed, or executed later.
+    #[error("the state service did not answer")]
+    Unanswered,
+    /// An answer that makes no sense.
+    #[error("the state service answered {0}")]
+    Malformed(String),
+    /// The watch begins before what the service still keeps.
+    #[error("the revision is too old to follow")]
+    TooOld,
+}
+
+#[derive(Debug, Clone, Serialize, PartialEq, Eq)]
+pub struct Condition {
+    pub path: String,
+    pub stamp: u64,
+}
+
+impl Condition {
+    pub fn at(path: impl Into<String>, stamp: u64) -> Self {
+        Self { path: path.into(), stamp }
+    }
+    pub fn absent(path: impl Into<String>) -> Self {
+        Self::at(path, 0)
+    }
+}
+
+#[derive(Debug, Clone, Serialize, PartialEq)]
+#[serde(untagged)]
+pub enum Change {
+    Write {
+        write: String,
+        value: Value,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        permit: Option<u64>,
+    },
+    Drop {
+        drop: String,
+    },
+}
+
+impl Change {
+    pub fn write(path: impl Into<String>, value: Value) -> Self {
+        Self::Write { write: path.into(), value, permit: None }
+    }
+}
+
+#[derive(Serialize)]
+struct Txn<'a> {
+    #[serde(rename = "if")]
+    conditions: &'a [Condition],
+    apply: &'a [Change],
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TxnOutcome {
+    Applied(u64),
+    /// These keys had other versions than asked.
+    Failed(Vec<String>),
+    NoSuchLease,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Item {
+    pub path: String,
+    pub value: Value,
+    pub stamp: u64,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Page {
+    pub items: Vec<Item>,
+    pub more: bool,
+    #[serde(rename = "ledgerRev")]
+    pub revision: u64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Event {
+    #[serde(default)]
+    pub write: Option<String>,
+    #[serde(default)]
+    pub drop: Option<String>,
+    #[serde(default)]
+    pub value: Value,
+    pub stamp: u64,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Followed {
+    #[serde(rename = "ledgerRev")]
+    pub revision: u64,
+    pub log: Vec<Event>,
+}
+
+#[derive(Deserialize)]
+struct Revised {
+    #[serde(rename = "ledgerRev")]
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct Refused {
+    failed: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Granted {
+    permit: u64,
+}
+
+pub struct StateClient {
+    http: Http,
+    addr: String,
+    requests: Mutex<Budget>,
+    writes: Mutex<Budget>,
+    /// When the service last served this controller, and when it last failed to.
+    health: Mutex<Health>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Health {
+    pub served: Option<Instant>,
+    pub failed: Option<Instant>,
+}
+
+impl Health {
+    /// Failing for this long without a single answer in between.
+    pub fn failing_for(&self, now: Instant) -> Duration {
+        match (self.served, self.failed) {
+            (Some(served), Some(failed)) if failed > served => now.saturating_duration_since(served),
+            _ => Duration::ZERO,
+        }
+    }
+}
+
+fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
+    wire::decode(body).map_err(|e| StoreError::Malformed(e.to_string()))
+}
+
+impl StateClient {
+    pub fn new(http: Http, addr: String, requests: Budget, writes: Budget) -> Self {
+        Self {
+            http,
+            addr,
+            requests: Mutex::new(requests),
+            writes: Mutex::new(writes),
+            health: Mutex::default(),
+        }
+    }
+
+    pub fn health(&self) -> Health {
+        *crate::node::lock(&self.health)
+    }
+
+    /// Replaces the shares, when this controller begins or ends owning.
+    pub fn set_budgets(&self, requests: Budget, writes: Budget) {
+        *crate::node::lock(&self.requests) = requests;
+        *crate::node::lock(&self.writes) = writes;
+    }
+
+    async fn budgeted(budget: &Mutex<Budget>, n: f64, urgent: Urgent) -> Result<(), StoreError> {
+        let begun = Instant::now();
+        loop {
+            let wait = match crate::node::lock(budget).take(n, urgent, Instant::now()) {
+                Ok(()) => return Ok(()),
+                Err(wait) => wait,
+            };
+            if begun.elapsed() + wait > BUDGET_WAIT && urgent == Urgent::First {
+                return Err(StoreError::Unavailable(429));
+            }
+            tokio::time::sleep(wait.clamp(Duration::from_millis(2), Duration::from_millis(500))).await;
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        within: Duration,
+        urgent: Urgent,
+    ) -> Result<(u16, bytes::Bytes), StoreError> {
+        Self::budgeted(&self.requests, 1.0, urgent).await?;
+        let outcome = self.http.call(method, &self.addr, path, body, within).await;
+        let served = matches!(outcome, Ok((status, _)) if status != 503);
+        {
+            let mut health = crate::node::lock(&self.health);
+            let at = Some(Instant::now());
+            if served {
+                health.served = at;
+            } else {
+                health.failed = at;
+            }
+        }
+        match outcome {
+            Ok((status @ (429 | 503), _)) => Err(StoreError::Unavailable(status)),
+            Ok(answer) => Ok(answer),
+            Err(CallError::NotSent) => Err(StoreError::Unavailable(0)),
+            Err(CallError::Unanswered) => Err(StoreError::Unanswered),
+        }
+    }
+
+    pub async fn txn(
+        &self,
+        conditions: &[Condition],
+        apply: &[Change],
+        urgent: Urgent,
+    ) -> Result<TxnOutcome, StoreError> {
+        if !apply.is_empty() {
+            Self::budgeted(&self.writes, apply.len() as f64, urgent).await?;
+        }
+        let body = wire::encode(&Txn { conditions, apply });
+        let (status, body) =
+            self.call(Method::POST, "/txn", Some(body), ANSWER_WITHIN, urgent).await?;
+        match status {
+            200 => Ok(TxnOutcome::Applied(parse::<Revised>(&body)?.revision)),
+            409 => Ok(TxnOutcome::Failed(parse::<Refused>(&body)?.failed)),
+            400 if apply.iter().any(|c| matches!(c, Change::Write { permit: Some(_), .. })) => {
+                Ok(TxnOutcome::NoSuchLease)
+            }
+            other => Err(StoreError::Malformed(format!("{other} to a transaction"))),
+        }
+    }
+
+    /// The value and version of a key, or none.
+    pub async fn get(&self, key: &str) -> Result<Option<Item>, StoreError> {
+        let path = format!("/keys/{key}");
+        match self.call(Method::GET, &path, None, ANSWER_WITHIN, Urgent::First).await? {
+            (200, body) => Ok(Some(parse(&body)?)),
+            (404, _) => Ok(None),
+            (other, _) => Err(StoreError::Malformed(format!("{other} to a read"))),
+        }
+    }
+
+    pub async fn page(&self, prefix: &str, since: Option<&str>) -> Result<Page, StoreError> {
+        let mut path = format!("/keys?prefix={prefix}&most={PAGE}");
+        if let Some(since) = since {
+            path.push_str("&since=");
+            path.push_str(since);
+        }
+        match self.call(Method::GET, &path, None, ANSWER_WITHIN * 2, Urgent::First).await? {
+            (200, body) => parse(&body),
+            (other, _) => Err(StoreError::Malformed(format!("{other} to a listing"))),
+        }
+    }
+
+    /// All keys under a prefix, and the revision of the first page: what has changed since then
+    /// may or may not be included.
+    pub async fn list(&self, prefix: &str) -> Result<(Vec<Item>, u64), StoreError> {
+        let mut page = self.page(prefix, None).await?;
+        let (mut items, revision) = (std::mem::take(&mut page.items), page.revision);
+        while page.more {
+            let Some(last) = items.last().map(|i| i.path.clone()) else { break };
+            page = self.page(prefix, Some(&last)).await?;
+            items.append(&mut page.items);
+        }
+        Ok((items, revision))
+    }
+
+    pub async fn follow(&self, prefix: &str, since: u64, wait: Duration) -> Result<Followed, StoreError> {
+        let path = format!("/follow?prefix={prefix}&since={since}&waitMs={}", wait.as_millis());
+        let within = wait + ANSWER_WITHIN;
+        match self.call(Method::GET, &path, None, within, Urgent::First).await? {
+            (200, body) => parse(&body),
+            (410, _) => Err(StoreError::TooOld),
+            (other, _) => Err(StoreError::Malformed(format!("{other} to a watch"))),
+        }
+    }
+
+    pub async fn grant(&self, life: Duration) -> Result<u64, StoreError> {
+        let body = wire::encode(&serde_json::json!({"lifeMs": life.as_millis() as u64}));
+        match self.call(Method::POST, "/grants", Some(body), ANSWER_WITHIN, Urgent::First).await? {
+            (200, body) => Ok(parse::<Granted>(&body)?.permit),
+            (other, _) => Err(StoreError::Malformed(format!("{other} to a lease"))),
+        }
+    }
+
+    /// Whether the lease still lives.
+    pub async fn renew(&self, permit: u64) -> Result<bool, StoreError> {
+        let path = format!("/grants/{permit}/renew");
+        match self.call(Method::POST, &path, Some(wire::encode(&serde_json::json!({}))), ANSWER_WITHIN, Urgent::First).await? {
+            (200, _) => Ok(true),
+            (404, _) => Ok(false),
+            (other, _) => Err(StoreError::Malformed(format!("{other} to a renewal"))),
+        }
+    }
+}
--- /dev/null
+++ b/src/store/commit.rs
@@ -0,0 +1,212 @@
+//! Group commit: the owner's changes, many per transaction, one transaction at a time.
+//!
+//! Every transaction is conditional on the assignment, on the versions of its chunks and on the
+//! absence of an end for each job it speaks of. One that was not answered is sent again as it
+//! was until an answer is definite: a late copy then fails on the chunk versions.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use tracing::{debug, info, warn};
+
+use super::budget::Urgent;
+use super::follow::jitter;
+use super::{Change, Condition, StoreError, TxnOutcome};
+use crate::jobs::record::{
+    ASSIGNMENT, EndRecord, chunk_key, decode_chunk, encode_chunk, end_key, time_of_day_ms,
+};
+use crate::jobs::{End, JobId};
+use crate::node::{Node, lock};
+use crate::scheduling::book::ChunkWrite;
+
+/// Lets a moment's changes go together; a tenth of what a person would notice.
+const GAP: Duration = Duration::from_millis(40);
+const EVERY: Duration = Duration::from_millis(1000);
+/// Clean-up gives way: placements must not wait behind it.
+const DROP_WITHIN: Duration = Duration::from_millis(400);
+const RETRY: Duration = Duration::from_millis(150);
+/// Room left in a transaction's 64 KiB for conditions and framing.
+const BYTES: usize = 40 * 1024;
+
+struct Batch {
+    ends: Vec<JobId>,
+    chunks: Vec<ChunkWrite>,
+    at_ms: u64,
+}
+
+impl Batch {
+    fn changes(&self) -> Vec<Change> {
+        let end = EndRecord { end: End::Done, at_ms: self.at_ms };
+        let end = serde_json::to_value(end).unwrap_or_default();
+        let ends = self.ends.iter().map(|id| Change::write(end_key(id), end.clone()));
+        let chunks = self.chunks.iter().map(|c| Change::write(chunk_key(&c.job, c.chunk), encode_chunk(&c.tasks)));
+        ends.chain(chunks).collect()
+    }
+
+    fn conditions(&self, token: u64) -> Vec<Condition> {
+        let chunks = self.chunks.iter().map(|c| Condition::at(chunk_key(&c.job, c.chunk), c.stamp));
+        let jobs: BTreeSet<&JobId> = self.ends.iter().chain(self.chunks.iter().map(|c| &c.job)).collect();
+        let ends = jobs.into_iter().map(|id| Condition::absent(end_key(id)));
+        std::iter::once(Condition::at(ASSIGNMENT, token)).chain(chunks).chain(ends).collect()
+    }
+
+    fn is_empty(&self) -> bool {
+        self.ends.is_empty() && self.chunks.is_empty()
+    }
+}
+
+pub async fn run(node: Arc<Node>) {
+    loop {
+        let _ = tokio::time::timeout(EVERY, node.wake.commit.notified()).await;
+        tokio::time::sleep(GAP).await;
+        while let Some(batch) = next(&node) {
+            if !store(&node, batch).await {
+                return;
+            }
+        }
+        drop_some(&node).await;
+    }
+}
+
+fn next(node: &Node) -> Option<Batch> {
+    let most = node.settings.params.state.txn_ops as usize;
+    let mut held = lock(&node.book);
+    let book = held.as_mut().filter(|b| b.loaded)?;
+    if book.anything_to_store() == 0 {
+        return None;
+    }
+    let (ends, mut chunks) = book.next_writes(most);
+    let mut bytes = 0;
+    let keep = chunks
+        .iter()
+        .take_while(|c| {
+            bytes += encode_chunk(&c.tasks).to_string().len() + 200;
+            bytes <= BYTES
+        })
+        .count()
+        .max(1)
+        .min(chunks.len());
+    let rest = chunks.split_off(keep);
+    book.to_store_again(&[], &rest);
+    let batch = Batch { ends, chunks, at_ms: time_of_day_ms() };
+    (!batch.is_empty()).then_some(batch)
+}
+
+/// False once this controller no longer owns.
+async fn store(node: &Arc<Node>, batch: Batch) -> bool {
+    let changes = batch.changes();
+    let urgent = if batch.ends.is_empty() { Urgent::Second } else { Urgent::First };
+    let mut unanswered = false;
+    loop {
+        let Some(token) = lock(&node.book).as_ref().map(|b| b.token) else { return false };
+        match node.store.txn(&batch.conditions(token), &changes, urgent).await {
+            Ok(TxnOutcome::Applied(stamp)) => {
+                stored(node, &batch, stamp);
+                return true;
+            }
+            Ok(TxnOutcome::Failed(keys)) => {
+                debug!(?keys, unanswered, "a transaction did not apply");
+                let now_token = lock(&node.book).as_ref().map(|b| b.token);
+                if keys.iter().any(|k| k == ASSIGNMENT) {
+                    if now_token.is_some_and(|t| t > token) {
+                        continue;
+                    }
+                    // Wait for the mirror to say who owns; it may be this controller itself,
+                    // under a token it has not heard the answer about.
+                    node.fresh.wait().await;
+                    node.check_deposed();
+                    node.wake.membership.notify_one();
+                    tokio::time::sleep(jitter(RETRY)).await;
+                    continue;
+                }
+                return settle(node, batch, keys).await;
+            }
+            Ok(TxnOutcome::NoSuchLease) => {}
+            Err(StoreError::Unanswered) => unanswered = true,
+            Err(error) => debug!(%error, "storing"),
+        }
+        tokio::time::sleep(jitter(RETRY)).await;
+    }
+}
+
+fn stored(node: &Node, batch: &Batch, stamp: u64) {
+    if let Some(book) = lock(&node.book).as_mut() {
+        book.chunks_stored(&batch.chunks, stamp);
+    }
+    for id in &batch.ends {
+        note_end(node, id, End::Done);
+    }
+    node.wake.dispatch.notify_one();
+}
+
+fn note_end(node: &Node, id: &JobId, end: End) {
+    info!(job = %id, ?end, "ended");
+    let news = lock(&node.mirror).note_end(id, end);
+    node.spread(news);
+}
+
+/// Some keys had other versions: each is read, and what it holds decides.
+async fn settle(node: &Arc<Node>, batch: Batch, keys: Vec<String>) -> bool {
+    for key in &keys {
+        let item = loop {
+            if lock(&node.book).is_none() {
+                return false;
+            }
+            match node.store.get(key).await {
+                Ok(item) => break item,
+                Err(error) => {
+                    debug!(%error, key, "settling");
+                    tokio::time::sleep(jitter(RETRY)).await;
+                }
+            }
+        };
+        let job_of_end = batch.ends.iter().chain(batch.chunks.iter().map(|c| &c.job)).find(|id| end_key(id) == *key);
+        if let Some(id) = job_of_end {
+            if let Some(end) = item.and_then(|i| EndRecord::deserialize(&i.value).ok()) {
+                note_end(node, id, end.end);
+            }
+        } else if let Some(write) = batch.chunks.iter().find(|c| chunk_key(&c.job, c.chunk) == *key) {
+            let mut held = lock(&node.book);
+            let Some(book) = held.as_mut() else { return false };
+            let stamp = item.as_ref().map_or(0, |i| i.stamp);
+            let same = item.and_then(|i| decode_chunk(&i.value)).is_some_and(|t| t == write.tasks);
+            if same {
+                // An earlier copy of this transaction did apply.
+                book.chunks_stored(std::slice::from_ref(write), stamp);
+            } else {
+                warn!(key, "tasks in the store differ from the book");
+                book.set_stamp(&write.job, write.chunk, stamp);
+            }
+        }
+    }
+    if let Some(book) = lock(&node.book).as_mut() {
+        book.to_store_again(&batch.ends, &batch.chunks);
+    }
+    node.wake.dispatch.notify_one();
+    true
+}
+
+/// Chunks of jobs that are over, whenever the budget has room.
+async fn drop_some(node: &Arc<Node>) {
+    let most = (node.settings.params.state.txn_ops as usize / 2).max(1);
+    let (drops, token) = match lock(&node.book).as_mut() {
+        Some(book) => (book.next_drops(most), book.token),
+        None => return,
+    };
+    if drops.is_empty() {
+        return;
+    }
+    let changes: Vec<Change> = drops.iter().map(|(id, c)| Change::Drop { drop: chunk_key(id, *c) }).collect();
+    let outcome = tokio::time::timeout(
+        DROP_WITHIN,
+        node.store.txn(&[Condition::at(ASSIGNMENT, token)], &changes, Urgent::Last),
+    )
+    .await;
+    if !matches!(outcome, Ok(Ok(TxnOutcome::Applied(_))))
+        && let Some(book) = lock(&node.book).as_mut()
+    {
+        book.drop_again(drops);
+    }
+}
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,10 @@
+//! The state service: its client, the share of its limits this controller keeps to, and the
+//! mirror of jobs, ends and ownership that every controller holds.
+
+pub mod budget;
+pub mod client;
+pub mod commit;
+pub mod follow;
+pub mod mirror;
+
+pub use client::{Change, Condition, StateClient, StoreError, TxnOutcome};
--- /dev/null
+++ b/src/workers/dispatch.rs
@@ -0,0 +1,57 @@
+//! Commands sent straight to workers. The report's answer is the second way.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hyper::Method;
+use tracing::debug;
+
+use super::{Orders, Report};
+use crate::node::{Node, lock};
+use crate::scheduling::book::{Direct, Via};
+use crate::wire::{self, CallError};
+
+/// Past this a command counts as one that may still arrive.
+const ANSWER_WITHIN: Duration = Duration::from_millis(2500);
+/// Looks again this often for what is due without having been told.
+const EVERY: Duration = Duration::from_millis(1000);
+
+pub async fn run(node: Arc<Node>) {
+    loop {
+        let _ = tokio::time::timeout(EVERY, node.wake.dispatch.notified()).await;
+        let due = match lock(&node.book).as_mut() {
+            Some(book) => book.direct_commands(Instant::now()),
+            None => Vec::new(),
+        };
+        // At most one command per machine is under way, which bounds these.
+        for direct in due {
+            tokio::spawn(send(node.clone(), direct));
+        }
+    }
+}
+
+async fn send(node: Arc<Node>, direct: Direct) {
+    let body = wire::encode(&Orders { token: direct.token, session: Some(direct.session), orders: direct.orders });
+    let outcome = node.http.call(Method::POST, &direct.addr, "/do", Some(body), ANSWER_WITHIN).await;
+    let now = Instant::now();
+    let catalog = node.catalog();
+    {
+        let mut held = lock(&node.book);
+        let Some(book) = held.as_mut() else { return };
+        let report = match &outcome {
+            Ok((200 | 409, body)) => wire::decode::<Report>(body).ok().filter(Report::check),
+            _ => None,
+        };
+        // Only a definite answer, or a connection that never was, settles what was sent.
+        let settled = report.is_some() || matches!(outcome, Err(CallError::NotSent) | Ok((400, _)));
+        if let Err(error) = &outcome {
+            debug!(machine = %direct.machine, %error, "direct command");
+        }
+        book.command_over(&direct.machine, direct.token, settled, now);
+        if let Some(report) = report {
+            book.take_report(report, Via::Command, catalog.as_deref(), now);
+        }
+    }
+    node.wake.commit.notify_one();
+    node.wake.plan.notify_one();
+}
