--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -86,10 +86,10 @@
 }
 
 fn load(files: &Files) -> Result<(Settings, Properties), SettingsError> {
-    let config = files.config.as_deref().ok_or_else(|| SettingsError {
-        file: "--config".into(),
-        problem: "no settings file is given".into(),
-    })?;
+    let config = files
+        .config
+        .as_deref()
+        .ok_or_else(|| SettingsError { file: "--config".into(), problem: "no settings file is given".into() })?;
     let settings = Settings::load(config)?;
     let properties = match &files.properties {
         Some(path) => Properties::load(path)?,
@@ -111,7 +111,12 @@
     let level = std::env::var("LOG_LEVEL").unwrap_or_else(|_| "info".into());
     let filter = EnvFilter::try_new(format!("error,hollylanding={level}"))
         .unwrap_or_else(|_| EnvFilter::new("error,hollylanding=info"));
-    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).without_time().init();
+    tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .with_ansi(false)
+        .without_time()
+        .init();
     match crate::node::serve(settings, properties) {
         Ok(()) => ExitCode::SUCCESS,
         Err(_) => ExitCode::FAILURE,
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -120,9 +120,8 @@
 
 /// `run-` and up to twenty digits: bounded, and free of what a key or a path would trip over.
 pub fn well_formed_id(id: &str) -> bool {
-    id.strip_prefix("run-").is_some_and(|digits| {
-        (1..=20).contains(&digits.len()) && digits.bytes().all(|b| b.is_ascii_digit())
-    })
+    id.strip_prefix("run-")
+        .is_some_and(|digits| (1..=20).contains(&digits.len()) && digits.bytes().all(|b| b.is_ascii_digit()))
 }
 
 /// How a job ended. There is no way back from either.
@@ -187,8 +186,14 @@
     fn missing_and_nullable_fields() {
         let whole = serde_json::to_value(spec()).unwrap();
         for (field, needed) in [
-            ("uid", true), ("legs", true), ("cpus", true), ("borrowed", true), ("stowS", true),
-            ("fleets", false), ("yard", false), ("dueS", false),
+            ("uid", true),
+            ("legs", true),
+            ("cpus", true),
+            ("borrowed", true),
+            ("stowS", true),
+            ("fleets", false),
+            ("yard", false),
+            ("dueS", false),
         ] {
             let mut cut = whole.clone();
             cut.as_object_mut().unwrap().remove(field);
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -81,9 +81,7 @@
             Stored::Untouched => Value::from(0),
             Stored::Done => Value::from(-1),
             Stored::Waiting(attempt) => Value::from(*attempt),
-            Stored::Bound(attempt, machine) => {
-                Value::from(vec![Value::from(*attempt), Value::from(machine.as_str())])
-            }
+            Stored::Bound(attempt, machine) => Value::from(vec![Value::from(*attempt), Value::from(machine.as_str())]),
         })
         .collect();
     Value::Array(items)
@@ -94,10 +92,7 @@
         .as_array()?
         .iter()
         .map(|item| match item {
-            Value::Array(pair) => Some(Stored::Bound(
-                pair.first()?.as_u64()?,
-                pair.get(1)?.as_str()?.to_owned(),
-            )),
+            Value::Array(pair) => Some(Stored::Bound(pair.first()?.as_u64()?, pair.get(1)?.as_str()?.to_owned())),
             other => match other.as_i64()? {
                 -1 => Some(Stored::Done),
                 0 => Some(Stored::Untouched),
@@ -113,12 +108,7 @@
 
     #[test]
     fn chunks_and_keys_read_back() {
-        let tasks = vec![
-            Stored::Untouched,
-            Stored::Waiting(3),
-            Stored::Bound(4, "host-000231".into()),
-            Stored::Done,
-        ];
+        let tasks = vec![Stored::Untouched, Stored::Waiting(3), Stored::Bound(4, "host-000231".into()), Stored::Done];
         assert_eq!(decode_chunk(&encode_chunk(&tasks)).unwrap(), tasks);
         assert_eq!(parse_chunk_key(&chunk_key("run-000012", 7)), Some(("run-000012", 7)));
         for bad in ["c/j/run-1", "t/run-1", "t/run-1/x"] {
--- a/src/node.rs
+++ b/src/node.rs
@@ -232,9 +232,7 @@
     /// Drops the counts of jobs that are over; the mirror answers for those.
     pub fn tidy_counts(&self) {
         let mirror = lock(&self.mirror);
-        lock(&self.heard).counts.retain(|id, _| {
-            !matches!(mirror.job(id), Some(crate::store::mirror::Known::Ended(_)))
-        });
+        lock(&self.heard).counts.retain(|id, _| !matches!(mirror.job(id), Some(crate::store::mirror::Known::Ended(_))));
     }
 }
 
--- a/src/scheduling/book.rs
+++ b/src/scheduling/book.rs
@@ -207,9 +207,7 @@
     /// No launch is under way towards it, so that what it does not report is not there and a
     /// reaped task cannot be started again.
     fn settled(&self) -> bool {
-        !self.command_under_way
-            && self.unsettled.is_none()
-            && self.launched_in.is_none_or(|l| self.newest_report > l)
+        !self.command_under_way && self.unsettled.is_none() && self.launched_in.is_none_or(|l| self.newest_report > l)
     }
 
     /// Live tasks that are not bound here: their room is not free, whoever they belong to.
@@ -682,10 +680,8 @@
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let spec_shape = job.spec().shape;
         if cause == Cause::Done && spec_shape != Shape::Service && job.ended.is_none() {
-            let ran = job
-                .binding(key.index)
-                .and_then(|b| b.running_since)
-                .map(|since| now.saturating_duration_since(since));
+            let ran =
+                job.binding(key.index).and_then(|b| b.running_since).map(|since| now.saturating_duration_since(since));
             let estimate = job.spec().estimate();
             if let Some(ran) = ran.filter(|_| !estimate.is_zero() && job.tasks[key.index as usize].attempt == 1) {
                 let off = (ran.as_secs_f64().max(1.0) / estimate.as_secs_f64()).ln().clamp(-2.0, 2.0);
@@ -826,7 +822,8 @@
             if leg.status == LegStatus::Exited {
                 // A completion is stored before it may be forgotten, and nothing is forgotten
                 // that a command still under way could start again.
-                let unstored = matches!(known, Some((j, t)) if matches!(t.phase, Phase::Done) && !t.stored && j.ended.is_none());
+                let unstored =
+                    matches!(known, Some((j, t)) if matches!(t.phase, Phase::Done) && !t.stored && j.ended.is_none());
                 if binding.is_none() && !unstored && m.settled() {
                     orders.push(Order::Reap { task, attempt });
                 }
@@ -906,7 +903,9 @@
 
     /// Whether commands that may still arrive are to be made void by a higher token.
     pub fn raise_wanted(&self, now: Instant) -> bool {
-        self.raise && self.loaded && now.saturating_duration_since(self.raised) >= RAISE_GAP
+        self.raise
+            && self.loaded
+            && now.saturating_duration_since(self.raised) >= RAISE_GAP
             && self.machines.values().any(|m| m.unsettled.is_some_and(|t| t >= self.token))
     }
 
@@ -1030,7 +1029,16 @@
     // ---- machines
 
     /// A machine that was rented or listed, before it reports.
-    pub fn expect(&mut self, id: &str, type_name: &str, zone: &str, spot: bool, addr: Option<&str>, held: Duration, now: Instant) {
+    pub fn expect(
+        &mut self,
+        id: &str,
+        type_name: &str,
+        zone: &str,
+        spot: bool,
+        addr: Option<&str>,
+        held: Duration,
+        now: Instant,
+    ) {
         let id: MachineId = id.into();
         if self.gone_set.contains(&id) {
             return;
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -226,7 +226,13 @@
 
 /// The machine to take: not one whose accelerators would lie idle for it if another does; then
 /// the highest new return; then one that holds the image; then the tightest.
-fn best(rooms: &[Room], job: &JobState, zones: &Zones, age: Duration, only_zone: Option<&str>) -> Option<(usize, Load)> {
+fn best(
+    rooms: &[Room],
+    job: &JobState,
+    zones: &Zones,
+    age: Duration,
+    only_zone: Option<&str>,
+) -> Option<(usize, Load)> {
     let spec = job.spec();
     let agreement = &job.agreement;
     let finish = age + agreement.run;
@@ -276,7 +282,13 @@
 }
 
 /// Places as many tasks of one job as `rooms` allow; all or none of a gang.
-pub fn place_job(rooms: &mut [Room], job: &JobState, mut zones: Zones, age: Duration, most: usize) -> Vec<(u32, MachineId)> {
+pub fn place_job(
+    rooms: &mut [Room],
+    job: &JobState,
+    mut zones: Zones,
+    age: Duration,
+    most: usize,
+) -> Vec<(u32, MachineId)> {
     if !job.spec().is_gang() {
         let mut placed = Vec::new();
         for index in job.waiting.iter().take(most) {
@@ -327,12 +339,8 @@
     if turns.is_empty() {
         return decisions;
     }
-    let mut rooms: Vec<Room> = book
-        .machines
-        .values()
-        .filter(|m| usable(book, m, now))
-        .filter_map(|m| room(book, m, catalog, now))
-        .collect();
+    let mut rooms: Vec<Room> =
+        book.machines.values().filter(|m| usable(book, m, now)).filter_map(|m| room(book, m, catalog, now)).collect();
     let mut quotas = Quotas::new(book);
     for turn in turns {
         if decisions.len() >= MOST_PLACEMENTS {
@@ -396,7 +404,8 @@
             continue;
         }
         let may_stop = |other: &JobSpec| {
-            other.urgency < spec.urgency || (turn.guaranteed && other.team != spec.team && beyond_guarantee(book, other))
+            other.urgency < spec.urgency
+                || (turn.guaranteed && other.team != spec.team && beyond_guarantee(book, other))
         };
         // Whoever may stop nothing need not look.
         if !book.jobs().any(|(_, other)| !other.bound.is_empty() && may_stop(other.spec())) {
@@ -414,7 +423,9 @@
                     break;
                 }
                 let Some(other) = book.job(&key.job) else { continue };
-                let Some(Phase::Bound(binding)) = other.tasks.get(key.index as usize).map(|t| &t.phase) else { continue };
+                let Some(Phase::Bound(binding)) = other.tasks.get(key.index as usize).map(|t| &t.phase) else {
+                    continue;
+                };
                 if binding.halting.is_some() {
                     // Room is being made here already.
                     room.cpus += other.spec().cpus;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -184,12 +184,9 @@
             return Err("params.zones: [] leaves nowhere to run".into());
         }
         for team in &p.teams {
-            for (field, value) in [
-                ("cpus", team.cpus),
-                ("cpus_max", team.cpus_max),
-                ("gpus", team.gpus),
-                ("gpus_max", team.gpus_max),
-            ] {
+            for (field, value) in
+                [("cpus", team.cpus), ("cpus_max", team.cpus_max), ("gpus", team.gpus), ("gpus_max", team.gpus_max)]
+            {
                 if !(value.is_finite() && value >= 0.0) {
                     return Err(format!("params.teams.{}.{field}: {value} is negative", team.name));
                 }
--- a/src/settings/properties.rs
+++ b/src/settings/properties.rs
@@ -79,8 +79,7 @@
     }
 
     pub fn parse(text: &[u8]) -> Result<Self, String> {
-        let entries: HashMap<String, String> =
-            java_properties::read(text).map_err(|e| e.to_string())?;
+        let entries: HashMap<String, String> = java_properties::read(text).map_err(|e| e.to_string())?;
         let mut properties = Self::default();
         let mut entries: Vec<_> = entries.into_iter().collect();
         entries.sort();
--- a/src/sla/mod.rs
+++ b/src/sla/mod.rs
@@ -45,14 +45,7 @@
         // A task that takes no core still takes its place; it is weighed as a small one.
         let cores = spec.cpus.max(0.1);
         let budget = priority_worth(spec.urgency) * run.as_secs_f64() * cores;
-        Self {
-            hard: spec.due().is_some(),
-            run,
-            deadline,
-            budget,
-            penalty_rate: budget / deadline.as_secs_f64(),
-            cores,
-        }
+        Self { hard: spec.due().is_some(), run, deadline, budget, penalty_rate: budget / deadline.as_secs_f64(), cores }
     }
 
     /// Equation 2, with a finish before the deadline counting as no delay.
@@ -88,11 +81,7 @@
 /// machine look free (the paper assumes exact estimates); it is given half of what it has run.
 pub fn remaining(estimate: Duration, ran: Duration) -> Duration {
     let overrun_guess = ran.mul_f64(0.5);
-    if ran < estimate {
-        (estimate - ran).max(LEAST_RUN)
-    } else {
-        overrun_guess.max(LEAST_RUN)
-    }
+    if ran < estimate { (estimate - ran).max(LEAST_RUN) } else { overrun_guess.max(LEAST_RUN) }
 }
 
 /// A machine as admission sees it: what its tasks share and return.
@@ -107,8 +96,7 @@
 pub fn admit(load: Load, cores: f64, task_share: f64, task_return: f64) -> Option<f64> {
     let new_return = load.total_return + task_return;
     // Work of no return cannot lower the sum and may go wherever it fits.
-    let qualifies = task_return == 0.0
-        || (load.share + task_share <= cores + 1e-9 && new_return >= load.total_return);
+    let qualifies = task_return == 0.0 || (load.share + task_share <= cores + 1e-9 && new_return >= load.total_return);
     qualifies.then_some(new_return)
 }
 
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -162,13 +162,7 @@
 
 impl StateClient {
     pub fn new(http: Http, addr: String, requests: Budget, writes: Budget) -> Self {
-        Self {
-            http,
-            addr,
-            requests: Mutex::new(requests),
-            writes: Mutex::new(writes),
-            health: Mutex::default(),
-        }
+        Self { http, addr, requests: Mutex::new(requests), writes: Mutex::new(writes), health: Mutex::default() }
     }
 
     pub fn health(&self) -> Health {
@@ -233,8 +227,7 @@
             Self::budgeted(&self.writes, apply.len() as f64, urgent).await?;
         }
         let body = wire::encode(&Txn { conditions, apply });
-        let (status, body) =
-            self.call(Method::POST, "/txn", Some(body), ANSWER_WITHIN, urgent).await?;
+        let (status, body) = self.call(Method::POST, "/txn", Some(body), ANSWER_WITHIN, urgent).await?;
         match status {
             200 => Ok(TxnOutcome::Applied(parse::<Revised>(&body)?.revision)),
             409 => Ok(TxnOutcome::Failed(parse::<Refused>(&body)?.failed)),
@@ -301,7 +294,10 @@
     /// Whether the lease still lives.
     pub async fn renew(&self, permit: u64) -> Result<bool, StoreError> {
         let path = format!("/grants/{permit}/renew");
-        match self.call(Method::POST, &path, Some(wire::encode(&serde_json::json!({}))), ANSWER_WITHIN, Urgent::First).await? {
+        match self
+            .call(Method::POST, &path, Some(wire::encode(&serde_json::json!({}))), ANSWER_WITHIN, Urgent::First)
+            .await?
+        {
             (200, _) => Ok(true),
             (404, _) => Ok(false),
             (other, _) => Err(StoreError::Malformed(format!("{other} to a renewal"))),
--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -14,9 +14,7 @@
 use super::budget::Urgent;
 use super::follow::jitter;
 use super::{Change, Condition, StoreError, TxnOutcome};
-use crate::jobs::record::{
-    ASSIGNMENT, EndRecord, chunk_key, decode_chunk, encode_chunk, end_key, time_of_day_ms,
-};
+use crate::jobs::record::{ASSIGNMENT, EndRecord, chunk_key, decode_chunk, encode_chunk, end_key, time_of_day_ms};
 use crate::jobs::{End, JobId};
 use crate::node::{Node, lock};
 use crate::scheduling::book::ChunkWrite;
@@ -199,11 +197,9 @@
         return;
     }
     let changes: Vec<Change> = drops.iter().map(|(id, c)| Change::Drop { drop: chunk_key(id, *c) }).collect();
-    let outcome = tokio::time::timeout(
-        DROP_WITHIN,
-        node.store.txn(&[Condition::at(ASSIGNMENT, token)], &changes, Urgent::Last),
-    )
-    .await;
+    let outcome =
+        tokio::time::timeout(DROP_WITHIN, node.store.txn(&[Condition::at(ASSIGNMENT, token)], &changes, Urgent::Last))
+            .await;
     if !matches!(outcome, Ok(Ok(TxnOutcome::Applied(_))))
         && let Some(book) = lock(&node.book).as_mut()
     {
--- a/src/users/mod.rs
+++ b/src/users/mod.rs
@@ -276,10 +276,7 @@
 /// Listens and serves until the process is killed.
 pub async fn serve(node: Arc<Node>) -> std::io::Result<()> {
     let router = router(&node);
-    let acceptor = TcpListener::new(node.settings.listen.clone())
-        .try_bind()
-        .await
-        .map_err(std::io::Error::other)?;
+    let acceptor = TcpListener::new(node.settings.listen.clone()).try_bind().await.map_err(std::io::Error::other)?;
     info!(addr = node.settings.listen, "serving");
     Server::new(acceptor).serve(router).await;
     Ok(())
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -78,23 +78,17 @@
         body: Option<Vec<u8>>,
         within: Duration,
     ) -> Result<(u16, Bytes), CallError> {
-        let mut request = Request::builder()
-            .method(method)
-            .uri(format!("http://{addr}{path}"));
+        let mut request = Request::builder().method(method).uri(format!("http://{addr}{path}"));
         if body.is_some() {
             request = request.header("content-type", "application/msgpack");
         }
-        let request = request
-            .body(Full::new(Bytes::from(body.unwrap_or_default())))
-            .map_err(|_| CallError::NotSent)?;
+        let request = request.body(Full::new(Bytes::from(body.unwrap_or_default()))).map_err(|_| CallError::NotSent)?;
         let exchange = async {
-            let answer = self.client.request(request).await.map_err(|e| {
-                if e.is_connect() {
-                    CallError::NotSent
-                } else {
-                    CallError::Unanswered
-                }
-            })?;
+            let answer = self
+                .client
+                .request(request)
+                .await
+                .map_err(|e| if e.is_connect() { CallError::NotSent } else { CallError::Unanswered })?;
             let status = answer.status().as_u16();
             let body = Limited::new(answer.into_body(), ANSWER_LIMIT)
                 .collect()
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -207,9 +207,8 @@
         let good = json!({"berth":"host-1","endpoint":"127.0.0.1:9","fleet":"g","yard":"a","borrowed":true,
             "shift":1,"tally":8,"baton":0,"recallS":null,"legs":[
               {"leg":"run-1/3","try":2,"status":"ended","cause":"done"}]});
-        let read = |v: &serde_json::Value| {
-            crate::wire::decode::<Report>(&crate::wire::encode(v)).ok().filter(Report::check)
-        };
+        let read =
+            |v: &serde_json::Value| crate::wire::decode::<Report>(&crate::wire::encode(v)).ok().filter(Report::check);
         assert_eq!(read(&good).unwrap().legs[0].task.index, 3);
         for (pointer, bad) in [
             ("/legs/0/leg", json!("run-1")),
