--- a/src/fleet/rent.rs
+++ b/src/fleet/rent.rs
@@ -201,7 +201,3 @@
     }
     out
 }
-
-#[cfg(test)]
-#[path = "rent_tests.rs"]
-mod tests;
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -454,7 +454,3 @@
     let used = book.usage.get(&spec.team).copied().unwrap_or_default();
     used.0 - spec.cpus >= team.cpus - SLACK && used.1 - spec.gpus >= team.gpus - SLACK
 }
-
-#[cfg(test)]
-#[path = "plan_tests.rs"]
-mod tests;
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -117,10 +117,10 @@
                 news.opened.push(id.clone());
                 self.jobs.insert(id, Known::Open(Arc::new(record)));
             }
-        } else if let Some(id) = path.strip_prefix(ENDS) {
-            if let Some(record) = read::<EndRecord>(path, value) {
-                self.end(id, record.end, news);
-            }
+        } else if let Some(id) = path.strip_prefix(ENDS)
+            && let Some(record) = read::<EndRecord>(path, value)
+        {
+            self.end(id, record.end, news);
         }
     }
 
--- a/src/users/mod.rs
+++ b/src/users/mod.rs
@@ -281,7 +281,3 @@
     Server::new(acceptor).serve(router).await;
     Ok(())
 }
-
-#[cfg(test)]
-#[path = "tests.rs"]
-mod tests;
