--- a/src/fleet/rent.rs
+++ b/src/fleet/rent.rs
@@ -54,11 +54,15 @@
     if spot { of.spot_price } else { of.price }
 }
 
-/// How many tasks of this kind an empty machine holds.
-fn units(of: &MachineType, spec: &JobSpec) -> u64 {
-    let per = |has: f64, needs: f64| if needs > 0.0 { (has + 1e-6) / needs } else { f64::INFINITY };
-    let n = per(of.cpus, spec.cpus).min(per(of.gpus, spec.gpus)).min(per(of.memory_gb, spec.memory_gb));
-    n.min(1e6) as u64
+/// How many tasks of this kind an empty machine holds, up to `most`.
+fn units(of: &MachineType, spec: &JobSpec, beside: Option<(f64, f64)>, most: u64) -> u64 {
+    let mut room = Room::empty("".into(), of, "", false, beside);
+    let mut n = 0;
+    while n < most && room.fits(spec) {
+        room.take(spec);
+        n += 1;
+    }
+    n
 }
 
 /// The cheapest way, per task actually held, to run `count` more tasks like this.
@@ -68,11 +72,12 @@
     count: u64,
     zones: &Zones,
     refusals: &Refusals,
+    beside: Option<(f64, f64)>,
     now: Instant,
 ) -> Option<(&'a MachineType, Kind, u64)> {
     let mut chosen: Option<(f64, &MachineType, Kind, u64)> = None;
     for of in &catalog.types {
-        let held = units(of, spec).min(count);
+        let held = units(of, spec, beside, count);
         if held == 0 {
             continue;
         }
@@ -84,7 +89,7 @@
                 }
                 let cost = price(of, spot) / held as f64;
                 if chosen.as_ref().is_none_or(|(best, ..)| cost < best - 1e-12) {
-                    chosen = Some((cost, of, kind, units(of, spec)));
+                    chosen = Some((cost, of, kind, held));
                 }
             }
         }
@@ -100,6 +105,7 @@
     asked: &HashMap<Kind, u64>,
     now: Instant,
 ) -> Vec<(Kind, u64)> {
+    let beside = book.beside_gpu(now);
     let mut rooms: Vec<Room> = Vec::new();
     let mut total = 0u64;
     for machine in book.machines.values() {
@@ -115,7 +121,7 @@
         total += count;
         let Some(of) = catalog.get(&kind.type_name) else { continue };
         for _ in 0..*count {
-            rooms.push(Room::empty("".into(), of, &kind.zone, kind.spot));
+            rooms.push(Room::empty("".into(), of, &kind.zone, kind.spot, beside));
         }
     }
     let mut wanted: HashMap<Kind, u64> = HashMap::new();
@@ -141,20 +147,20 @@
                 break;
             }
             // A gang that does not fit yet: one machine more until it would.
-            let Some((of, kind, _)) = cheapest(catalog, spec, missing, &zones, refusals, now) else { break };
+            let Some((of, kind, _)) = cheapest(catalog, spec, missing, &zones, refusals, beside, now) else { break };
             if total >= most_machines || total > 10_000 {
                 break;
             }
             if spec.same_zone {
                 zones.take(&kind.zone);
             }
-            rooms.push(Room::empty("".into(), of, &kind.zone, kind.spot));
+            rooms.push(Room::empty("".into(), of, &kind.zone, kind.spot, beside));
             *wanted.entry(kind).or_default() += 1;
             total += 1;
         }
         while missing > 0 && !spec.is_gang() && total < most_machines {
-            let Some((of, kind, held)) = cheapest(catalog, spec, missing, &zones, refusals, now) else { break };
-            let mut bought = Room::empty("".into(), of, &kind.zone, kind.spot);
+            let Some((of, kind, held)) = cheapest(catalog, spec, missing, &zones, refusals, beside, now) else { break };
+            let mut bought = Room::empty("".into(), of, &kind.zone, kind.spot, beside);
             let mut taken = 0;
             while taken < missing.min(held) && bought.fits(spec) && zones.allow(&kind.zone) {
                 bought.take(spec);
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -41,12 +41,18 @@
     pub gpus: f64,
     pub memory_gb: f64,
     pub load: Load,
-    pub has_gpus: bool,
+    pub all_gpus: f64,
+    /// What a task with an accelerator usually takes beside it, as (cpus, GB) per accelerator.
+    beside: Option<(f64, f64)>,
+    pub fetch_gb_per_s: f64,
     images: Vec<String>,
 }
 
+/// Of a machine's accelerators, the part that must stay usable beside work that needs none.
+const KEPT_USABLE: f64 = 0.7;
+
 impl Room {
-    pub fn empty(id: MachineId, of: &MachineType, zone: &str, spot: bool) -> Self {
+    pub fn empty(id: MachineId, of: &MachineType, zone: &str, spot: bool, beside: Option<(f64, f64)>) -> Self {
         Self {
             id,
             type_name: of.name.clone(),
@@ -57,13 +63,33 @@
             gpus: of.gpus,
             memory_gb: of.memory_gb,
             load: Load::default(),
-            has_gpus: of.gpus > 0.0,
+            all_gpus: of.gpus,
+            beside,
+            fetch_gb_per_s: of.fetch_gb_per_s.max(0.001),
             images: Vec::new(),
         }
     }
 
     pub fn fits(&self, spec: &JobSpec) -> bool {
-        spec.cpus <= self.cpus + SLACK && spec.gpus <= self.gpus + SLACK && spec.memory_gb <= self.memory_gb + SLACK
+        spec.cpus <= self.cpus + SLACK
+            && spec.gpus <= self.gpus + SLACK
+            && spec.memory_gb <= self.memory_gb + SLACK
+            && self.leaves_gpus_usable(spec)
+    }
+
+    /// Accelerators are what such a machine is paid for: work that needs none may take what the
+    /// others leave over, but not so much that they could no longer be used.
+    fn leaves_gpus_usable(&self, spec: &JobSpec) -> bool {
+        let Some((cpus, memory_gb)) = self.beside.filter(|_| spec.gpus <= 0.0 && self.all_gpus > 0.0) else {
+            return true;
+        };
+        let by = |left: f64, per: f64| if per > 0.0 { (left / per + SLACK).floor() } else { f64::INFINITY };
+        let usable = by(self.cpus - spec.cpus, cpus).min(by(self.memory_gb - spec.memory_gb, memory_gb)).min(self.gpus);
+        self.all_gpus - self.gpus + usable >= KEPT_USABLE * self.all_gpus - SLACK
+    }
+
+    pub fn holds_image(&self, spec: &JobSpec) -> bool {
+        spec.image_gb <= 0.0 || self.images.contains(&spec.image)
     }
 
     pub fn take(&mut self, spec: &JobSpec) {
@@ -83,7 +109,7 @@
 /// Room on a machine that may take work, or none.
 pub fn room(book: &Book, machine: &Machine, catalog: &Catalog, now: Instant) -> Option<Room> {
     let of = catalog.get(&machine.type_name)?;
-    let mut room = Room::empty(machine.id.clone(), of, &machine.zone, machine.spot);
+    let mut room = Room::empty(machine.id.clone(), of, &machine.zone, machine.spot, book.beside_gpu(now));
     room.images = machine.images.iter().cloned().collect();
     for key in &machine.bound {
         let Some(job) = book.job(&key.job) else { continue };
@@ -224,8 +250,9 @@
     left: f64,
 }
 
-/// The machine to take: not one whose accelerators would lie idle for it if another does; then
-/// the highest new return; then one that holds the image; then the tightest.
+/// The machine to take: not one with accelerators it does not need, if another will do; not one
+/// where it would first hold its place for a fetch; of those left the one with the highest new
+/// return, then the tightest.
 fn best(
     rooms: &[Room],
     job: &JobState,
@@ -256,15 +283,15 @@
         };
         let candidate = Candidate {
             at,
-            wasteful: room.has_gpus && spec.gpus <= 0.0,
+            wasteful: room.all_gpus > 0.0 && spec.gpus <= 0.0,
             new_return,
-            has_image: room.images.contains(&spec.image),
+            has_image: room.holds_image(spec),
             left: room.cpus,
         };
         let better = chosen.as_ref().is_none_or(|c| {
             (c.wasteful.cmp(&candidate.wasteful))
-                .then(candidate.new_return.partial_cmp(&c.new_return).unwrap_or(Ordering::Equal))
                 .then(candidate.has_image.cmp(&c.has_image))
+                .then(candidate.new_return.partial_cmp(&c.new_return).unwrap_or(Ordering::Equal))
                 .then(c.left.partial_cmp(&candidate.left).unwrap_or(Ordering::Equal))
                 == Ordering::Greater
         });
