--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! The machines: what the cloud offers, what to rent, what to return.
 
 pub mod cloud;
+pub mod forecast;
 pub mod rent;
 
 use std::collections::{HashMap, HashSet};
--- a/src/fleet/rent.rs
+++ b/src/fleet/rent.rs
@@ -4,10 +4,11 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
+use super::forecast::{self, Timeline, next_start, slack_s};
 use super::{Catalog, MachineType};
 use crate::jobs::JobSpec;
 use crate::scheduling::book::{Book, MachineId, Standing};
-use crate::scheduling::plan::{Quotas, Room, Zones, allowed, place_job, queue, room};
+use crate::scheduling::plan::{Quotas, Room, Zones, allowed, queue};
 
 /// Grace on top of a type's usual boot time.
 const BOOT_GRACE: Duration = Duration::from_secs(10);
@@ -97,7 +98,15 @@
     chosen.map(|(_, of, kind, units)| (of, kind, units))
 }
 
-/// What waiting work needs beyond the machines there are, booting and asked-for ones included.
+/// Work that can wait does, for this part of its slack, before an ordinary machine is rented.
+const PATIENCE: f64 = 0.3;
+/// Renting must bring the start forward by at least this much.
+const GAIN_S: f64 = 3.0;
+/// Tasks followed through the forecast; more than this wait for the next one.
+const MOST_FORECAST: usize = 600;
+
+/// What to rent so that waiting work starts in time: cheap spot machines as soon as they would
+/// help, ordinary ones when the slack of the work asks for it.
 pub fn plan(
     book: &Book,
     catalog: &Catalog,
@@ -106,75 +115,59 @@
     now: Instant,
 ) -> Vec<(Kind, u64)> {
     let beside = book.beside_gpu(now);
-    let mut rooms: Vec<Room> = Vec::new();
     let mut total = 0u64;
-    for machine in book.machines.values() {
-        if machine.standing == Standing::Condemned {
-            continue;
-        }
+    let mut timelines: Vec<Timeline> = Vec::new();
+    for machine in book.machines.values().filter(|m| m.standing != Standing::Condemned) {
         total += 1;
-        if matches!(machine.standing, Standing::Booting | Standing::Up) && machine.recall.is_none() {
-            rooms.extend(room(book, machine, catalog, now));
+        if machine.standing != Standing::Draining && machine.recall.is_none() {
+            timelines.extend(Timeline::of(book, machine, catalog, now));
         }
     }
+    let new_machine = |of: &MachineType, kind: &Kind| {
+        let room = Room::empty("".into(), of, &kind.zone, kind.spot, beside);
+        Timeline::new(room, Duration::from_secs_f64(of.boot_s))
+    };
     for (kind, count) in asked {
         total += count;
-        let Some(of) = catalog.get(&kind.type_name) else { continue };
-        for _ in 0..*count {
-            rooms.push(Room::empty("".into(), of, &kind.zone, kind.spot, beside));
+        if let Some(of) = catalog.get(&kind.type_name) {
+            timelines.extend((0..*count).map(|_| new_machine(of, kind)));
         }
     }
     let mut wanted: HashMap<Kind, u64> = HashMap::new();
     let mut quotas = Quotas::new(book);
-    let most_machines = book.properties.most_machines as u64;
+    let mut followed = 0;
     for turn in queue(book, now) {
         let Some(job) = book.job(&turn.job) else { continue };
         let spec = job.spec();
-        let mut waiting = job.waiting.len();
         if spec.is_gang() && !quotas.allows(spec, spec.tasks as f64) {
             continue;
         }
-        while !spec.is_gang() && waiting > 0 && !quotas.allows(spec, waiting as f64) {
-            waiting -= 1;
-        }
+        let slack = slack_s(book, job, turn.age);
         let mut zones = Zones::new(book, job);
-        let mut missing = waiting as u64;
-        loop {
-            let placed = place_job(&mut rooms, job, Zones::new(book, job), turn.age, waiting).len() as u64;
-            quotas.take(spec, placed as f64);
-            missing = missing.saturating_sub(placed);
-            if !spec.is_gang() || placed > 0 || missing == 0 {
-                break;
-            }
-            // A gang that does not fit yet: one machine more until it would.
-            let Some((of, kind, _)) = cheapest(catalog, spec, missing, &zones, refusals, beside, now) else { break };
-            if total >= most_machines || total > 10_000 {
-                break;
-            }
-            if spec.same_zone {
-                zones.take(&kind.zone);
-            }
-            rooms.push(Room::empty("".into(), of, &kind.zone, kind.spot, beside));
-            *wanted.entry(kind).or_default() += 1;
-            total += 1;
-        }
-        while missing > 0 && !spec.is_gang() && total < most_machines {
-            let Some((of, kind, held)) = cheapest(catalog, spec, missing, &zones, refusals, beside, now) else { break };
-            let mut bought = Room::empty("".into(), of, &kind.zone, kind.spot, beside);
-            let mut taken = 0;
-            while taken < missing.min(held) && bought.fits(spec) && zones.allow(&kind.zone) {
-                bought.take(spec);
-                zones.take(&kind.zone);
-                taken += 1;
-            }
-            if taken == 0 {
-                break;
-            }
-            quotas.take(spec, taken as f64);
-            rooms.push(bought);
-            missing -= taken;
-            total += 1;
-            *wanted.entry(kind).or_default() += 1;
+        let mut missing = job.waiting.len() as u64;
+        while missing > 0 && followed < MOST_FORECAST && quotas.allows(spec, 1.0) {
+            followed += 1;
+            let existing = next_start(&timelines, job, &zones);
+            let start = existing.map_or(f64::INFINITY, |(at, _)| at);
+            let offer = cheapest(catalog, spec, missing, &zones, refusals, beside, now);
+            let rent = offer.filter(|(of, kind, _)| {
+                let bearable = if kind.spot { 0.0 } else { (PATIENCE * slack).max(0.0) };
+                total < book.properties.most_machines as u64 && start > bearable && of.boot_s + GAIN_S < start
+            });
+            let (at, which) = match (rent, existing) {
+                (Some((of, kind, _)), _) => {
+                    timelines.push(new_machine(of, &kind));
+                    *wanted.entry(kind).or_default() += 1;
+                    total += 1;
+                    (of.boot_s, timelines.len() - 1)
+                }
+                (None, Some(existing)) => existing,
+                (None, None) => break,
+            };
+            zones.take(&timelines[which].room.zone);
+            forecast::take(&mut timelines, which, job, at);
+            quotas.take(spec, 1.0);
+            missing -= 1;
         }
     }
     let mut wanted: Vec<(Kind, u64)> =
@@ -192,7 +185,9 @@
             Standing::Booting => {
                 let usual = catalog.get(&machine.type_name).map_or(60.0, |t| t.boot_s);
                 let patience = Duration::from_secs_f64(usual * book.properties.boot_patience) + BOOT_GRACE;
-                if age > patience {
+                // A new owner has not heard of machines that were up long before it.
+                let known = now.saturating_duration_since(machine.heard);
+                if age > patience && known > book.properties.silence {
                     out.push((machine.id.clone(), "never came up"));
                 }
             }
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -92,6 +92,17 @@
         spec.image_gb <= 0.0 || self.images.contains(&spec.image)
     }
 
+    pub fn add(&mut self, cpus: f64, gpus: f64, memory_gb: f64) {
+        self.cpus += cpus;
+        self.gpus += gpus;
+        self.memory_gb += memory_gb;
+    }
+
+    /// The same amounts without the names, for trying things out.
+    pub fn clone_amounts(&self) -> Self {
+        Self { type_name: String::new(), zone: String::new(), images: Vec::new(), id: self.id.clone(), ..*self }
+    }
+
     pub fn take(&mut self, spec: &JobSpec) {
         self.cpus -= spec.cpus;
         self.gpus -= spec.gpus;
