--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! The machines: what the cloud offers, what to rent, what to return.
 
 pub mod cloud;
+pub mod drain;
 pub mod forecast;
 pub mod rent;
 
@@ -113,6 +114,11 @@
     for (id, why) in rent::to_give_up(book, &catalog, now) {
         book.condemn(&id, why);
     }
+    if let Some(drain) = drain::choose(book, &catalog, now) {
+        book.drain(&drain.machine, &drain.moves, now);
+        book.tick(now);
+        node.wake.dispatch.notify_one();
+    }
     let mut dealings = lock(dealings);
     let wanted = rent::plan(book, &catalog, &dealings.refusals, &dealings.asked, now);
     wanted
--- a/src/scheduling/book.rs
+++ b/src/scheduling/book.rs
@@ -274,6 +274,29 @@
     observed: HashMap<String, (f64, f64)>,
     /// What tasks with accelerators take beside each, averaged, and when one was last accepted.
     beside_gpu: Option<(f64, f64, Instant)>,
+    pub arrivals: BTreeMap<String, Arrivals>,
+}
+
+/// How many tasks of a class have come lately: a count that fades, and one job to stand for all.
+#[derive(Debug)]
+pub struct Arrivals {
+    faded: f64,
+    at: Instant,
+    pub like: Arc<JobRecord>,
+}
+
+/// Arrivals fade over this time: long enough to smooth single jobs, short enough to see an end.
+const ARRIVALS_FADE: Duration = Duration::from_secs(60);
+
+impl Arrivals {
+    fn fade(&self, now: Instant) -> f64 {
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.faded * (-passed / ARRIVALS_FADE.as_secs_f64()).exp()
+    }
+
+    pub fn per_second(&self, now: Instant) -> f64 {
+        self.fade(now) / ARRIVALS_FADE.as_secs_f64()
+    }
 }
 
 /// Work with accelerators is expected for this long after the last of it.
@@ -300,6 +323,7 @@
             raise: false,
             observed: HashMap::new(),
             beside_gpu: None,
+            arrivals: BTreeMap::new(),
         }
     }
 
@@ -333,6 +357,13 @@
     }
 
     pub fn add_job(&mut self, record: Arc<JobRecord>, now: Instant) {
+        if !self.has_job(&record.spec.id) {
+            let arrivals = self.arrivals.entry(record.spec.class.clone());
+            let arrivals = arrivals.or_insert_with(|| Arrivals { faded: 0.0, at: now, like: record.clone() });
+            arrivals.faded = arrivals.fade(now) + record.spec.tasks as f64;
+            arrivals.at = now;
+            arrivals.like = record.clone();
+        }
         self.load_job(record, Vec::new(), now);
     }
 
@@ -1077,6 +1108,16 @@
         }
     }
 
+    /// No new work for a machine that can be spared; these tasks of it save and move.
+    pub fn drain(&mut self, id: &MachineId, moves: &[(TaskKey, u64)], now: Instant) {
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        machine.standing = Standing::Draining;
+        info!(machine = %id, bound = machine.bound.len(), moved = moves.len(), "drained: it can be spared");
+        for (key, grace_s) in moves {
+            self.halt(key, *grace_s, now);
+        }
+    }
+
     /// The cloud has confirmed the return: everything on it is gone.
     pub fn machine_gone(&mut self, id: &MachineId, now: Instant) {
         let Some(machine) = self.machines.get(id) else { return };
--- a/src/settings/properties.rs
+++ b/src/settings/properties.rs
@@ -58,7 +58,7 @@
     /// Seconds without a report after which a machine is given up and returned.
     silence: seconds = 12.0, "machines.silence.seconds", 2.0, 3600.0;
     /// Seconds a machine may stand idle before it is returned.
-    idle: seconds = 40.0, "machines.idle.seconds", 0.0, 86400.0;
+    idle: seconds = 120.0, "machines.idle.seconds", 0.0, 86400.0;
     /// Machine boots longer than this many times the type's usual time are given up.
     boot_patience: number = 4.0, "machines.boot.patience", 1.0, 100.0;
     /// Machines held at the most, booting ones included.
