--- a/src/fleet/rent.rs
+++ b/src/fleet/rent.rs
@@ -56,8 +56,8 @@
 }
 
 /// How many tasks of this kind an empty machine holds, up to `most`.
-fn units(of: &MachineType, spec: &JobSpec, beside: Option<(f64, f64)>, most: u64) -> u64 {
-    let mut room = Room::empty("".into(), of, "", false, beside);
+fn units(of: &MachineType, spec: &JobSpec, most: u64) -> u64 {
+    let mut room = Room::empty("".into(), of, "", false);
     let mut n = 0;
     while n < most && room.fits(spec) {
         room.take(spec);
@@ -73,12 +73,11 @@
     count: u64,
     zones: &Zones,
     refusals: &Refusals,
-    beside: Option<(f64, f64)>,
     now: Instant,
 ) -> Option<(&'a MachineType, Kind, u64)> {
     let mut chosen: Option<(f64, &MachineType, Kind, u64)> = None;
     for of in &catalog.types {
-        let held = units(of, spec, beside, count);
+        let held = units(of, spec, count);
         if held == 0 {
             continue;
         }
@@ -114,7 +113,6 @@
     asked: &HashMap<Kind, u64>,
     now: Instant,
 ) -> Vec<(Kind, u64)> {
-    let beside = book.beside_gpu(now);
     let mut total = 0u64;
     let mut timelines: Vec<Timeline> = Vec::new();
     for machine in book.machines.values().filter(|m| m.standing != Standing::Condemned) {
@@ -124,7 +122,7 @@
         }
     }
     let new_machine = |of: &MachineType, kind: &Kind| {
-        let room = Room::empty("".into(), of, &kind.zone, kind.spot, beside);
+        let room = Room::empty("".into(), of, &kind.zone, kind.spot);
         Timeline::new(room, Duration::from_secs_f64(of.boot_s))
     };
     for (kind, count) in asked {
@@ -149,7 +147,7 @@
             followed += 1;
             let existing = next_start(&timelines, job, &zones);
             let start = existing.map_or(f64::INFINITY, |(at, _)| at);
-            let offer = cheapest(catalog, spec, missing, &zones, refusals, beside, now);
+            let offer = cheapest(catalog, spec, missing, &zones, refusals, now);
             let rent = offer.filter(|(of, kind, _)| {
                 let bearable = if kind.spot { 0.0 } else { (PATIENCE * slack).max(0.0) };
                 total < book.properties.most_machines as u64 && start > bearable && of.boot_s + GAIN_S < start
--- a/src/scheduling/book.rs
+++ b/src/scheduling/book.rs
@@ -272,8 +272,6 @@
     raise: bool,
     /// By class: how observed run times compare with the owners' estimates (sum of logs, count).
     observed: HashMap<String, (f64, f64)>,
-    /// What tasks with accelerators take beside each, averaged, and when one was last accepted.
-    beside_gpu: Option<(f64, f64, Instant)>,
     pub arrivals: BTreeMap<String, Arrivals>,
 }
 
@@ -299,9 +297,6 @@
     }
 }
 
-/// Work with accelerators is expected for this long after the last of it.
-const GPU_WORK_EXPECTED: Duration = Duration::from_secs(120);
-
 impl Book {
     pub fn new(token: u64, settings: Settings, properties: Properties, now: Instant) -> Self {
         Self {
@@ -322,17 +317,10 @@
             raised: now,
             raise: false,
             observed: HashMap::new(),
-            beside_gpu: None,
             arrivals: BTreeMap::new(),
         }
     }
 
-    /// What is to be kept beside each accelerator, while work that needs them is about.
-    pub fn beside_gpu(&self, now: Instant) -> Option<(f64, f64)> {
-        let (cpus, memory_gb, at) = self.beside_gpu?;
-        (now.saturating_duration_since(at) < GPU_WORK_EXPECTED).then_some((cpus, memory_gb))
-    }
-
     // ---- jobs
 
     pub fn jobs(&self) -> impl Iterator<Item = (&JobId, &JobState)> {
@@ -373,12 +361,6 @@
         if self.jobs.contains_key(&id) || self.over.contains(&id) {
             return;
         }
-        if record.spec.gpus > 0.0 {
-            let per = (record.spec.cpus / record.spec.gpus, record.spec.memory_gb / record.spec.gpus);
-            let before = self.beside_gpu.map_or(per, |(c, m, _)| (c, m));
-            let mix = |old: f64, new: f64| old * 0.8 + new * 0.2;
-            self.beside_gpu = Some((mix(before.0, per.0), mix(before.1, per.1), now));
-        }
         let n = record.spec.tasks as usize;
         let age = record.age(time_of_day_ms());
         let mut job = JobState {
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -42,17 +42,12 @@
     pub memory_gb: f64,
     pub load: Load,
     pub all_gpus: f64,
-    /// What a task with an accelerator usually takes beside it, as (cpus, GB) per accelerator.
-    beside: Option<(f64, f64)>,
     pub fetch_gb_per_s: f64,
     images: Vec<String>,
 }
 
-/// Of a machine's accelerators, the part that must stay usable beside work that needs none.
-const KEPT_USABLE: f64 = 0.7;
-
 impl Room {
-    pub fn empty(id: MachineId, of: &MachineType, zone: &str, spot: bool, beside: Option<(f64, f64)>) -> Self {
+    pub fn empty(id: MachineId, of: &MachineType, zone: &str, spot: bool) -> Self {
         Self {
             id,
             type_name: of.name.clone(),
@@ -64,28 +59,13 @@
             memory_gb: of.memory_gb,
             load: Load::default(),
             all_gpus: of.gpus,
-            beside,
             fetch_gb_per_s: of.fetch_gb_per_s.max(0.001),
             images: Vec::new(),
         }
     }
 
     pub fn fits(&self, spec: &JobSpec) -> bool {
-        spec.cpus <= self.cpus + SLACK
-            && spec.gpus <= self.gpus + SLACK
-            && spec.memory_gb <= self.memory_gb + SLACK
-            && self.leaves_gpus_usable(spec)
-    }
-
-    /// Accelerators are what such a machine is paid for: work that needs none may take what the
-    /// others leave over, but not so much that they could no longer be used.
-    fn leaves_gpus_usable(&self, spec: &JobSpec) -> bool {
-        let Some((cpus, memory_gb)) = self.beside.filter(|_| spec.gpus <= 0.0 && self.all_gpus > 0.0) else {
-            return true;
-        };
-        let by = |left: f64, per: f64| if per > 0.0 { (left / per + SLACK).floor() } else { f64::INFINITY };
-        let usable = by(self.cpus - spec.cpus, cpus).min(by(self.memory_gb - spec.memory_gb, memory_gb)).min(self.gpus);
-        self.all_gpus - self.gpus + usable >= KEPT_USABLE * self.all_gpus - SLACK
+        spec.cpus <= self.cpus + SLACK && spec.gpus <= self.gpus + SLACK && spec.memory_gb <= self.memory_gb + SLACK
     }
 
     pub fn holds_image(&self, spec: &JobSpec) -> bool {
@@ -120,7 +100,7 @@
 /// Room on a machine that may take work, or none.
 pub fn room(book: &Book, machine: &Machine, catalog: &Catalog, now: Instant) -> Option<Room> {
     let of = catalog.get(&machine.type_name)?;
-    let mut room = Room::empty(machine.id.clone(), of, &machine.zone, machine.spot, book.beside_gpu(now));
+    let mut room = Room::empty(machine.id.clone(), of, &machine.zone, machine.spot);
     room.images = machine.images.iter().cloned().collect();
     for key in &machine.bound {
         let Some(job) = book.job(&key.job) else { continue };
