--- a/src/fleet/rent.rs
+++ b/src/fleet/rent.rs
@@ -97,8 +97,19 @@
     chosen.map(|(_, of, kind, units)| (of, kind, units))
 }
 
-/// Work that can wait does, for this part of its slack, before an ordinary machine is rented.
-const PATIENCE: f64 = 0.3;
+/// What a task costs per hour on the cheapest kind it may use, whether or not that can be had.
+fn least_cost(catalog: &Catalog, spec: &JobSpec) -> f64 {
+    let kinds = catalog.types.iter().flat_map(|of| of.zones.iter().flat_map(move |z| [(of, z, true), (of, z, false)]));
+    kinds
+        .filter(|(of, zone, spot)| allowed(spec, &of.name, zone, *spot))
+        .map(|(of, _, spot)| price(of, spot) / units(of, spec, spec.tasks) as f64)
+        .fold(f64::INFINITY, f64::min)
+        .max(1e-9)
+}
+
+/// Work waits this part of its slack before the cheapest kind of machine is rented for it, and
+/// the longer the dearer the kind, up to all of its slack.
+const PATIENCE: f64 = 0.15;
 /// Renting must bring the start forward by at least this much.
 const GAIN_S: f64 = 3.0;
 /// Tasks followed through the forecast; more than this wait for the next one.
@@ -141,6 +152,7 @@
             continue;
         }
         let slack = slack_s(book, job, turn.age);
+        let least = least_cost(catalog, spec);
         let mut zones = Zones::new(book, job);
         let mut missing = job.waiting.len() as u64;
         while missing > 0 && followed < MOST_FORECAST && quotas.allows(spec, 1.0) {
@@ -148,8 +160,9 @@
             let existing = next_start(&timelines, job, &zones);
             let start = existing.map_or(f64::INFINITY, |(at, _)| at);
             let offer = cheapest(catalog, spec, missing, &zones, refusals, now);
-            let rent = offer.filter(|(of, kind, _)| {
-                let bearable = if kind.spot { 0.0 } else { (PATIENCE * slack).max(0.0) };
+            let rent = offer.filter(|(of, kind, held)| {
+                let dearer = price(of, kind.spot) / *held as f64 / least;
+                let bearable = (slack * (PATIENCE * dearer).min(1.0)).max(0.0);
                 total < book.properties.most_machines as u64 && start > bearable && of.boot_s + GAIN_S < start
             });
             let (at, which) = match (rent, existing) {
