--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -68,6 +68,17 @@
         spec.cpus <= self.cpus + SLACK && spec.gpus <= self.gpus + SLACK && spec.memory_gb <= self.memory_gb + SLACK
     }
 
+    /// How badly a task uses what this machine is paid for: 0 for what its accelerators, each
+    /// with its fair part of the cores, leave over; 1 for a machine as the task needs it; 2 for
+    /// cores that an accelerator will lack.
+    pub fn waste(&self, spec: &JobSpec) -> u8 {
+        if self.all_gpus <= 0.0 || spec.gpus > 0.0 {
+            return 1;
+        }
+        let kept = self.gpus * self.cores / self.all_gpus;
+        if spec.cpus <= self.cpus - kept + SLACK { 0 } else { 2 }
+    }
+
     pub fn holds_image(&self, spec: &JobSpec) -> bool {
         spec.image_gb <= 0.0 || self.images.contains(&spec.image)
     }
@@ -235,13 +246,14 @@
 
 struct Candidate {
     at: usize,
-    wasteful: bool,
+    waste: u8,
     new_return: f64,
     has_image: bool,
     left: f64,
 }
 
-/// The machine to take: not one with accelerators it does not need, if another will do; not one
+/// The machine to take: first what accelerators leave over, then a machine without any, so that
+/// large work finds whole machines and accelerators their cores; not one
 /// where it would first hold its place for a fetch; of those left the one with the highest new
 /// return, then the tightest.
 fn best(
@@ -272,15 +284,10 @@
             None if hard => room.load.total_return + task_return,
             None => continue,
         };
-        let candidate = Candidate {
-            at,
-            wasteful: room.all_gpus > 0.0 && spec.gpus <= 0.0,
-            new_return,
-            has_image: room.holds_image(spec),
-            left: room.cpus,
-        };
+        let candidate =
+            Candidate { at, waste: room.waste(spec), new_return, has_image: room.holds_image(spec), left: room.cpus };
         let better = chosen.as_ref().is_none_or(|c| {
-            (c.wasteful.cmp(&candidate.wasteful))
+            (c.waste.cmp(&candidate.waste))
                 .then(candidate.has_image.cmp(&c.has_image))
                 .then(candidate.new_return.partial_cmp(&c.new_return).unwrap_or(Ordering::Equal))
                 .then(c.left.partial_cmp(&candidate.left).unwrap_or(Ordering::Equal))
