--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -15,6 +15,8 @@
 pub const ENDS: &str = "c/e/";
 pub const LEADER: &str = "c/leader";
 pub const ASSIGNMENT: &str = "c/owner/0";
+/// Written by a controller that workers turn to because they cannot reach the owner.
+pub const PLEA: &str = "c/plea";
 pub const TASKS: &str = "t/";
 
 /// Tasks of one chunk: a full one takes about 2 KiB, a quarter of the smallest usual value.
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -5,6 +5,7 @@
 //! how soon a new leader comes: a deposed owner is stopped by the stamp, not by the time.
 
 pub mod mesh;
+pub mod stranded;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -31,6 +32,17 @@
     pub teams: Vec<String>,
 }
 
+/// Workers cannot reach the owner of this token, but reach this controller.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Plea {
+    pub node: String,
+    pub token: u64,
+    pub machines: usize,
+}
+
+/// After yielding, the others get this long to take over before this controller tries again.
+const SHY: Duration = Duration::from_secs(10);
+
 /// What this controller is to do next, from what it knows.
 #[derive(Debug, PartialEq, Eq)]
 enum Step {
@@ -56,6 +68,7 @@
     let renew_every = life / 4;
     let mut permit: Option<u64> = None;
     let mut renewed = Instant::now();
+    let mut shy_until = Instant::now();
     loop {
         let _ = tokio::time::timeout(renew_every / 2, node.wake.membership.notified()).await;
         let (ready, leader, assignment) = {
@@ -66,6 +79,19 @@
             continue;
         }
         node.check_deposed();
+        if let Some(lease) = permit
+            && node.should_yield(Instant::now())
+        {
+            warn!("yields: workers reach another controller and not this one");
+            if node.store.release(lease).await.is_ok() {
+                permit = None;
+                shy_until = Instant::now() + SHY;
+            }
+            continue;
+        }
+        if leader.is_none() && Instant::now() < shy_until {
+            continue;
+        }
         let step = next_step(
             &node.incarnation,
             leader.as_ref().map(|(l, _)| l.incarnation.as_str()),
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,14 +10,17 @@
 use crate::fleet::cloud::CloudClient;
 use crate::fleet::{self, Catalog};
 use crate::jobs::JobId;
+use crate::jobs::record::{ASSIGNMENT, PLEA};
+use crate::membership::Plea;
 use crate::membership::mesh::{Counts, Heard};
+use crate::membership::stranded::Stranded;
 use crate::membership::{self, mesh};
 use crate::scheduling::{self, Book};
 use crate::settings::{Properties, Settings};
-use crate::store::budget::Budget;
+use crate::store::budget::{Budget, Urgent};
 use crate::store::follow::Fresh;
 use crate::store::mirror::{Mirror, News};
-use crate::store::{StateClient, commit, follow};
+use crate::store::{Change, Condition, StateClient, commit, follow};
 use crate::wire::Http;
 use crate::workers::dispatch;
 
@@ -52,6 +55,7 @@
     pub book: Mutex<Option<Book>>,
     pub heard: Mutex<Heard>,
     pub wake: Wake,
+    stranded: Mutex<Stranded>,
     owner_tasks: Mutex<Vec<tokio::task::AbortHandle>>,
 }
 
@@ -89,6 +93,7 @@
             book: Mutex::default(),
             heard: Mutex::default(),
             wake: Wake::default(),
+            stranded: Mutex::default(),
             owner_tasks: Mutex::default(),
             settings,
             properties,
@@ -186,6 +191,26 @@
         lock(&self.book).as_ref().is_some_and(|b| b.raise_wanted(Instant::now()))
     }
 
+    /// A worker was sent to the owner. If workers keep coming back, the owner is told through the
+    /// store, which it must still reach since it holds its lease.
+    pub fn note_redirect(self: &Arc<Self>, machine: &str, now: Instant) {
+        let Some(machines) = lock(&self.stranded).note(machine, now) else { return };
+        let Some(token) = lock(&self.mirror).assignment.as_ref().map(|(_, stamp)| *stamp) else { return };
+        warn!(machines, "workers cannot reach the owner");
+        let plea = Plea { node: self.settings.node.clone(), token, machines };
+        let node = self.clone();
+        tokio::spawn(async move {
+            let change = [Change::write(PLEA, serde_json::to_value(&plea).unwrap_or_default())];
+            let _ = node.store.txn(&[Condition::at(ASSIGNMENT, token)], &change, Urgent::First).await;
+        });
+    }
+
+    /// Whether another controller pleads for workers that this owner has indeed lost.
+    pub fn should_yield(&self, now: Instant) -> bool {
+        let Some(plea) = lock(&self.mirror).plea.clone() else { return false };
+        lock(&self.book).as_ref().is_some_and(|b| b.token == plea.token && b.lost_most(now))
+    }
+
     /// The node that workers should report to, as far as known here.
     pub fn owner_node(&self) -> Option<String> {
         let mirror = lock(&self.mirror);
--- a/src/scheduling/book.rs
+++ b/src/scheduling/book.rs
@@ -33,6 +33,8 @@
 const GONE_KEPT: usize = 20_000;
 /// How far into the time allowed for a cancellation a machine that proves nothing is returned.
 const CANCEL_PATIENCE: f64 = 0.45;
+/// Past the end of a silent machine's lease; covers its clock's drift and the way of a report.
+const LEASE_MARGIN: Duration = Duration::from_secs(2);
 /// Longest pause of a job whose tasks fail.
 const LONGEST_PAUSE: Duration = Duration::from_secs(60);
 /// Images a machine is thought to hold.
@@ -1118,12 +1120,36 @@
         }
     }
 
+    /// At least three machines, and a third of those that ever reported, have been silent for
+    /// about as long as the silence that is still tolerated.
+    fn many_silent(&self, silence: Duration, now: Instant) -> bool {
+        let reported = self.machines.values().filter(|m| m.reported());
+        let (mut all, mut silent) = (0, 0);
+        for machine in reported {
+            all += 1;
+            silent += usize::from(now.saturating_duration_since(machine.heard) > silence.mul_f64(0.8));
+        }
+        silent >= 3 && silent * 3 >= all
+    }
+
+    /// Most machines have missed two reports: whoever they talk to, it is not this controller.
+    pub fn lost_most(&self, now: Instant) -> bool {
+        let missed = self.settings.params.workers.report().mul_f64(2.0);
+        self.many_silent(missed, now)
+    }
+
     /// What time alone brings about: silence, overdue proofs, empty machines that drain.
     pub fn tick(&mut self, now: Instant) {
         if !self.loaded {
             return;
         }
-        let silence = self.properties.silence;
+        // Many machines that fall silent together point at the network or at this controller:
+        // returning them all would lose what they run. They get until their leases are over.
+        let silence = if self.many_silent(self.properties.silence, now) {
+            (self.settings.params.workers.lease() + LEASE_MARGIN).max(self.properties.silence)
+        } else {
+            self.properties.silence
+        };
         let cancel = self.settings.params.workers.cancel().mul_f64(CANCEL_PATIENCE);
         let mut condemn: Vec<(MachineId, &str)> = Vec::new();
         for machine in self.machines.values() {
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -291,6 +291,15 @@
         }
     }
 
+    /// Ends a lease at once, with the keys attached to it.
+    pub async fn release(&self, permit: u64) -> Result<(), StoreError> {
+        let path = format!("/grants/{permit}");
+        match self.call(Method::DELETE, &path, None, ANSWER_WITHIN, Urgent::First).await? {
+            (200..=299 | 404, _) => Ok(()),
+            (other, _) => Err(StoreError::Malformed(format!("{other} to the end of a lease"))),
+        }
+    }
+
     /// Whether the lease still lives.
     pub async fn renew(&self, permit: u64) -> Result<bool, StoreError> {
         let path = format!("/grants/{permit}/renew");
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -8,9 +8,9 @@
 use tracing::warn;
 
 use super::client::{Event, Followed, Item};
-use crate::jobs::record::{ASSIGNMENT, ENDS, EndRecord, JOBS, JobRecord, LEADER};
+use crate::jobs::record::{ASSIGNMENT, ENDS, EndRecord, JOBS, JobRecord, LEADER, PLEA};
 use crate::jobs::{End, JobId};
-use crate::membership::{Assignment, Leader};
+use crate::membership::{Assignment, Leader, Plea};
 
 /// A job as far as everybody knows it.
 #[derive(Debug, Clone)]
@@ -29,6 +29,7 @@
     early_ends: HashMap<JobId, End>,
     pub leader: Option<(Leader, u64)>,
     pub assignment: Option<(Assignment, u64)>,
+    pub plea: Option<Plea>,
 }
 
 /// What an update means to the rest of the process.
@@ -105,6 +106,9 @@
         } else if path == ASSIGNMENT {
             self.assignment = read(path, value).map(|a| (a, stamp));
             news.ownership = true;
+        } else if path == PLEA {
+            self.plea = read(path, value);
+            news.ownership = true;
         } else if let Some(id) = path.strip_prefix(JOBS) {
             if self.jobs.contains_key(id) {
                 return;
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -169,6 +169,7 @@
     };
     let now = Instant::now();
     let mut deposed = false;
+    let report_from = report.machine.clone();
     {
         let mut held = lock(&node.book);
         if let Some(book) = held.as_mut() {
@@ -191,8 +192,12 @@
         node.step_down("a worker has seen a higher token");
         return Answer::Nobody;
     }
+    debug!(machine = report_from, owner = node.owner_node(), "a report for the owner");
     match node.owner_node() {
-        Some(owner) if owner != node.settings.node => Answer::Elsewhere(owner),
+        Some(owner) if owner != node.settings.node => {
+            node.note_redirect(&report_from, now);
+            Answer::Elsewhere(owner)
+        }
         _ => Answer::Nobody,
     }
 }
