--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -191,11 +191,33 @@
         .map(|m| m.id.to_string())
         .collect();
     dealings.returning.extend(names.iter().cloned());
-    names.chunks(MOST_RETURNED).map(<[String]>::to_vec).collect()
+    // What is urgent goes by itself, so that it takes nothing else along.
+    let now = Instant::now();
+    let (urgent, rest): (Vec<String>, Vec<String>) =
+        names.into_iter().partition(|n| book.machines.get(n.as_str()).is_some_and(|m| book.overdue(m, now)));
+    urgent.chunks(MOST_RETURNED).chain(rest.chunks(MOST_RETURNED)).map(<[String]>::to_vec).collect()
 }
 
 /// Asked again until answered: only the answer proves that the machines and all on them are gone.
+///
+/// A controller that was deposed without knowing, as after standing still, must not return its
+/// successor's fleet: the store has to confirm the assignment first. Only what a withdrawal
+/// makes urgent goes without, since too late would be worse than too much.
 async fn give_back(node: Arc<Node>, dealings: Shared, names: Vec<String>) {
+    while !node.fresh.wait().await {
+        let now = Instant::now();
+        let urgent = lock(&node.book)
+            .as_ref()
+            .is_some_and(|b| names.iter().any(|n| b.machines.get(n.as_str()).is_some_and(|m| b.overdue(m, now))));
+        if urgent {
+            break;
+        }
+        tokio::time::sleep(jitter(RETRY)).await;
+    }
+    node.check_deposed();
+    if lock(&node.book).is_none() {
+        return;
+    }
     while let Err(error) = node.cloud.give_back(names.clone()).await {
         debug!(%error, "returning machines");
         tokio::time::sleep(jitter(RETRY)).await;
--- a/src/scheduling/book.rs
+++ b/src/scheduling/book.rs
@@ -35,6 +35,8 @@
 const CANCEL_PATIENCE: f64 = 0.45;
 /// Past the end of a silent machine's lease; covers its clock's drift and the way of a report.
 const LEASE_MARGIN: Duration = Duration::from_secs(2);
+/// Ticks come at least every second; a longer gap is a pause of this process.
+const LONGEST_TICK: Duration = Duration::from_millis(2500);
 /// Longest pause of a job whose tasks fail.
 const LONGEST_PAUSE: Duration = Duration::from_secs(60);
 /// Images a machine is thought to hold.
@@ -272,6 +274,7 @@
     pub usage: HashMap<String, (f64, f64)>,
     raised: Instant,
     raise: bool,
+    ticked: Instant,
     /// By class: how observed run times compare with the owners' estimates (sum of logs, count).
     observed: HashMap<String, (f64, f64)>,
     pub arrivals: BTreeMap<String, Arrivals>,
@@ -318,6 +321,7 @@
             usage: HashMap::new(),
             raised: now,
             raise: false,
+            ticked: now,
             observed: HashMap::new(),
             arrivals: BTreeMap::new(),
         }
@@ -1120,6 +1124,19 @@
         }
     }
 
+    /// A controller that stood still has not listened: the machines were not silent for that
+    /// long, and what it missed may still be on its way.
+    fn forgive_own_pause(&mut self, now: Instant) {
+        let pause = now.saturating_duration_since(self.ticked);
+        self.ticked = now;
+        if pause > LONGEST_TICK {
+            warn!(pause_s = pause.as_secs_f64(), "stood still");
+            for machine in self.machines.values_mut() {
+                machine.heard = (machine.heard + pause).min(now);
+            }
+        }
+    }
+
     /// At least three machines, and a third of those that ever reported, have been silent for
     /// about as long as the silence that is still tolerated.
     fn many_silent(&self, silence: Duration, now: Instant) -> bool {
@@ -1138,11 +1155,19 @@
         self.many_silent(missed, now)
     }
 
+    /// Holds a task of a job that is over, and has not proven it gone for too long.
+    pub fn overdue(&self, machine: &Machine, now: Instant) -> bool {
+        let patience = self.settings.params.workers.cancel().mul_f64(CANCEL_PATIENCE);
+        let ended = machine.bound.iter().filter_map(|k| self.jobs.get(&k.job)?.ended);
+        ended.into_iter().any(|at| now.saturating_duration_since(at) > patience)
+    }
+
     /// What time alone brings about: silence, overdue proofs, empty machines that drain.
     pub fn tick(&mut self, now: Instant) {
         if !self.loaded {
             return;
         }
+        self.forgive_own_pause(now);
         // Many machines that fall silent together point at the network or at this controller:
         // returning them all would lose what they run. They get until their leases are over.
         let silence = if self.many_silent(self.properties.silence, now) {
@@ -1150,7 +1175,6 @@
         } else {
             self.properties.silence
         };
-        let cancel = self.settings.params.workers.cancel().mul_f64(CANCEL_PATIENCE);
         let mut condemn: Vec<(MachineId, &str)> = Vec::new();
         for machine in self.machines.values() {
             let quiet = now.saturating_duration_since(machine.heard);
@@ -1160,9 +1184,7 @@
                 condemn.push((machine.id.clone(), "holds tasks and was never heard of"));
             } else if machine.standing == Standing::Draining && machine.bound.is_empty() {
                 condemn.push((machine.id.clone(), "drained"));
-            } else if machine.bound.iter().any(|k| {
-                self.jobs.get(&k.job).and_then(|j| j.ended).is_some_and(|at| now.saturating_duration_since(at) > cancel)
-            }) {
+            } else if self.overdue(machine, now) {
                 condemn.push((machine.id.clone(), "a withdrawn task is not proven gone"));
             }
         }
