Seeded interleavings drive the real book, placement and transactions

The model checks: no task on two machines, no start again after a reap, completions stored before reap and before done, nothing left of a withdrawn job after the time allowed, and that everything ends once trouble is over.

--- /dev/null
+++ b/src/scheduling/interleavings.rs
@@ -0,0 +1,645 @@
+//! Seeded interleavings: the real book, placement and transactions in a small model of store,
+//! workers and cloud where messages and transactions come late or are lost, owners go on after
+//! being deposed, machines hang, and jobs are withdrawn. The model checks the rules itself.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::Value;
+
+use super::book::{Book, MachineId, Standing, Via};
+use super::plan;
+use crate::fleet::{Catalog, MachineType};
+use crate::jobs::record::{
+    ASSIGNMENT, CHUNK, JobRecord, Stored, TASKS, decode_chunk, end_key, parse_chunk_key, time_of_day_ms,
+};
+use crate::jobs::tests::spec;
+use crate::jobs::{JobId, Shape};
+use crate::settings::Properties;
+use crate::settings::tests::example;
+use crate::store::commit::Batch;
+use crate::store::{Change, Condition};
+use crate::workers::{Cause, Leg, LegStatus, Order, Report, TaskKey};
+
+const STEP: Duration = Duration::from_millis(100);
+const LEASE: Duration = Duration::from_secs(24);
+const CANCEL: Duration = Duration::from_secs(49);
+const ANSWER_TAKEN: Duration = Duration::from_secs(4);
+const COMMAND_WAITED: Duration = Duration::from_millis(2500);
+
+#[derive(Default)]
+struct Store {
+    keys: BTreeMap<String, (Value, u64)>,
+    revision: u64,
+}
+
+impl Store {
+    fn txn(&mut self, conditions: &[Condition], changes: &[Change]) -> Result<u64, Vec<String>> {
+        let stamp = |key: &str| self.keys.get(key).map_or(0, |(_, s)| *s);
+        let failed: Vec<String> =
+            conditions.iter().filter(|c| stamp(&c.path) != c.stamp).map(|c| c.path.clone()).collect();
+        if !failed.is_empty() {
+            return Err(failed);
+        }
+        self.revision += 1;
+        for change in changes {
+            match change {
+                Change::Write { write, value, .. } => {
+                    self.keys.insert(write.clone(), (value.clone(), self.revision));
+                }
+                Change::Drop { drop } => {
+                    self.keys.remove(drop);
+                }
+            }
+        }
+        Ok(self.revision)
+    }
+}
+
+struct Worker {
+    id: String,
+    session: u64,
+    seq: u64,
+    token: u64,
+    legs: Vec<Leg>,
+    ends_at: HashMap<TaskKey, Instant>,
+    /// Forgotten in this session: a launch of these would start them again.
+    reaped: HashSet<(TaskKey, u64)>,
+    renewed: Instant,
+    next_report: Instant,
+    waits_until: Option<Instant>,
+    hangs_until: Instant,
+    gone: bool,
+}
+
+impl Worker {
+    fn new(n: usize, now: Instant) -> Self {
+        Self {
+            id: format!("host-{n:06}"),
+            session: 1,
+            seq: 0,
+            token: 0,
+            legs: Vec::new(),
+            ends_at: HashMap::new(),
+            reaped: HashSet::new(),
+            renewed: now,
+            next_report: now,
+            waits_until: None,
+            hangs_until: now,
+            gone: false,
+        }
+    }
+
+    fn report(&mut self) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.id.clone(),
+            addr: "127.0.0.1:9".into(),
+            type_name: "t".into(),
+            zone: "a".into(),
+            spot: false,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            legs: self.legs.clone(),
+        }
+    }
+
+    fn live(&self, task: &TaskKey) -> bool {
+        !self.gone && self.legs.iter().any(|l| l.task == *task && l.status != LegStatus::Exited)
+    }
+}
+
+struct Owner {
+    book: Book,
+    batch: Option<(Batch, Instant)>,
+    /// Ends it will learn of, and when.
+    news: Vec<(Instant, JobId)>,
+    returning: HashSet<MachineId>,
+}
+
+enum Message {
+    Report { to: usize, report: Report, sent: Instant },
+    Answer { worker: usize, session: u64, sent: Instant, token: u64, orders: Vec<Order> },
+    Command { id: u64, worker: usize, from: usize, token: u64, session: u64, orders: Vec<Order> },
+    Reply { id: u64, to: usize, machine: MachineId, token: u64, report: Report },
+    GivenUp { id: u64, to: usize, machine: MachineId, token: u64 },
+    Txn { conditions: Vec<Condition>, changes: Vec<Change> },
+    Return { from: usize, machine: MachineId },
+    Returned { to: usize, machine: MachineId },
+}
+
+struct World {
+    rng: StdRng,
+    start: Instant,
+    now: Instant,
+    store: Store,
+    workers: Vec<Worker>,
+    owners: Vec<Option<Owner>>,
+    owner: usize,
+    messages: Vec<(Instant, Message)>,
+    /// Direct commands that were answered or given up, whichever came first.
+    over: HashSet<u64>,
+    commands: u64,
+    records: BTreeMap<JobId, Arc<JobRecord>>,
+    withdrawn: HashMap<JobId, Instant>,
+    completed: HashSet<TaskKey>,
+    catalog: Catalog,
+    starts: usize,
+    quiet: bool,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let start = Instant::now() + Duration::from_secs(3600);
+        let of = MachineType {
+            name: "t".into(),
+            cpus: 4.0,
+            gpus: 0.0,
+            memory_gb: 64.0,
+            fetch_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: 0.5,
+            boot_s: 10.0,
+            zones: vec!["a".into()],
+        };
+        let mut world = Self {
+            rng: StdRng::seed_from_u64(seed),
+            start,
+            now: start,
+            store: Store::default(),
+            workers: (0..6).map(|n| Worker::new(n, start)).collect(),
+            owners: Vec::new(),
+            owner: 0,
+            messages: Vec::new(),
+            over: HashSet::new(),
+            commands: 0,
+            records: BTreeMap::new(),
+            withdrawn: HashMap::new(),
+            completed: HashSet::new(),
+            catalog: Catalog { types: vec![of] },
+            starts: 0,
+            quiet: false,
+        };
+        world.take_over();
+        world
+    }
+
+    /// Mostly prompt; now and then held back for up to a minute.
+    fn delay(&mut self) -> Duration {
+        let held = !self.quiet && self.rng.random_bool(0.12);
+        Duration::from_millis(if held { self.rng.random_range(500..60_000) } else { self.rng.random_range(1..150) })
+    }
+
+    fn send(&mut self, message: Message) {
+        let mut due = self.now + self.delay();
+        // Direct commands are what may come late and still be carried out: more of them do.
+        if !self.quiet && matches!(message, Message::Command { .. }) && self.rng.random_bool(0.3) {
+            due += Duration::from_millis(self.rng.random_range(1000..15_000));
+        }
+        self.messages.push((due, message));
+    }
+
+    fn take_over(&mut self) {
+        let stamp = self.store.keys.get(ASSIGNMENT).map_or(0, |(_, s)| *s);
+        let token = self
+            .store
+            .txn(&[Condition::at(ASSIGNMENT, stamp)], &[Change::write(ASSIGNMENT, Value::from(self.owners.len()))])
+            .expect("the model's leader knows the stamp");
+        let mut book = Book::new(token, example(), Properties::default(), self.now);
+        let mut chunks: HashMap<JobId, Vec<_>> = HashMap::new();
+        for (key, (value, stamp)) in self.store.keys.range(TASKS.to_owned()..).filter(|(k, _)| k.starts_with(TASKS)) {
+            let (id, chunk) = parse_chunk_key(key).expect("own keys");
+            chunks.entry(id.into()).or_default().push((chunk, *stamp, decode_chunk(value).expect("own values")));
+        }
+        for (id, record) in &self.records {
+            let over = self.store.keys.contains_key(&end_key(id));
+            let stored = chunks.remove(id).unwrap_or_default();
+            if !over || !stored.is_empty() {
+                book.load_job(record.clone(), stored, self.now);
+            }
+            if over {
+                book.end_job(id, self.now);
+            }
+        }
+        book.loaded = true;
+        self.owner = self.owners.len();
+        self.owners.push(Some(Owner { book, batch: None, news: Vec::new(), returning: HashSet::new() }));
+    }
+
+    fn submit(&mut self) {
+        let n = self.records.len() as u64;
+        let mut job = spec();
+        job.id = format!("run-{n:06}").into();
+        job.team = "blue".into();
+        job.shape = if n % 3 == 0 { Shape::Gang } else { Shape::Array };
+        job.tasks = if job.is_gang() { 2 } else { [1, 3, CHUNK + 2][n as usize % 3] };
+        job.estimate_s = 5.0;
+        let record = Arc::new(JobRecord { spec: job, at_ms: time_of_day_ms() });
+        self.records.insert(record.spec.id.clone(), record.clone());
+        for owner in self.owners.iter_mut().flatten() {
+            owner.book.add_job(record.clone(), self.now);
+        }
+    }
+
+    fn end_known(&mut self, id: &JobId) {
+        for i in 0..self.owners.len() {
+            let due = self.now + self.delay();
+            if let Some(owner) = self.owners[i].as_mut() {
+                owner.news.push((due, id.clone()));
+            }
+        }
+    }
+
+    fn withdraw(&mut self) {
+        let open: Vec<JobId> =
+            self.records.keys().filter(|id| !self.store.keys.contains_key(&end_key(id))).cloned().collect();
+        if open.is_empty() {
+            return;
+        }
+        let id = open[self.rng.random_range(0..open.len())].clone();
+        let change = Change::write(end_key(&id), serde_json::json!({"end": "withdrawn"}));
+        if self.store.txn(&[Condition::absent(end_key(&id))], &[change]).is_ok() {
+            self.withdrawn.insert(id.clone(), self.now);
+            self.end_known(&id);
+        }
+    }
+
+    fn execute(&mut self, w: usize, orders: Vec<Order>) {
+        for order in orders {
+            match order {
+                Order::Launch { task, attempt } => self.launch(w, task, attempt),
+                Order::Halt { task, attempt, .. } => {
+                    for leg in &mut self.workers[w].legs {
+                        if leg.task == task && leg.attempt == attempt && leg.status != LegStatus::Exited {
+                            (leg.status, leg.cause) = (LegStatus::Exited, Some(Cause::Stopped));
+                        }
+                    }
+                }
+                Order::Reap { task, attempt } => {
+                    let exited = |l: &Leg| l.task == task && l.attempt == attempt && l.status == LegStatus::Exited;
+                    let Some(at) = self.workers[w].legs.iter().position(exited) else { continue };
+                    let leg = self.workers[w].legs.remove(at);
+                    if leg.cause == Some(Cause::Done) {
+                        self.check_reap(&task);
+                    }
+                    self.workers[w].reaped.insert((task, attempt));
+                }
+            }
+        }
+    }
+
+    fn launch(&mut self, w: usize, task: TaskKey, attempt: u64) {
+        if self.workers[w].legs.iter().any(|l| l.task == task && l.attempt == attempt) {
+            return;
+        }
+        let mut leg = Leg { task: task.clone(), attempt, status: LegStatus::Running, cause: None, saved: None };
+        if self.workers[w].live(&task) {
+            (leg.status, leg.cause) = (LegStatus::Exited, Some(Cause::Busy));
+            self.workers[w].legs.push(leg);
+            return;
+        }
+        // The rules, at the moment of a start.
+        let elsewhere = self.workers.iter().find(|o| o.live(&task));
+        assert!(elsewhere.is_none(), "ran twice: {task:?} on {} and {}", self.workers[w].id, elsewhere.unwrap().id);
+        if let Some(at) = self.withdrawn.get(&task.job) {
+            assert!(self.now - *at < CANCEL, "started {task:?} long after its withdrawal");
+        }
+        let again = self.workers[w].reaped.contains(&(task.clone(), attempt));
+        assert!(!again, "started again after its reap: {task:?} attempt {attempt}");
+        self.starts += 1;
+        let run = Duration::from_millis(self.rng.random_range(100..6000));
+        self.workers[w].ends_at.insert(task, self.now + run);
+        self.workers[w].legs.push(leg);
+    }
+
+    /// A completion is stored, or its job over, before a worker may forget it.
+    fn check_reap(&self, task: &TaskKey) {
+        let chunk = crate::jobs::record::chunk_key(&task.job, u64::from(task.index) / CHUNK);
+        let stored = self.store.keys.get(&chunk).and_then(|(v, _)| decode_chunk(v));
+        let done = stored.is_some_and(|t| t[task.index as usize % CHUNK as usize] == Stored::Done);
+        assert!(done || self.store.keys.contains_key(&end_key(&task.job)), "reaped before it was stored: {task:?}");
+    }
+
+    fn run_workers(&mut self) {
+        for w in 0..self.workers.len() {
+            if self.workers[w].gone || self.workers[w].hangs_until > self.now {
+                continue;
+            }
+            let now = self.now;
+            let worker = &mut self.workers[w];
+            if now - worker.renewed > LEASE {
+                worker.session += 1;
+                worker.legs.clear();
+                worker.reaped.clear();
+                (worker.renewed, worker.waits_until) = (now, None);
+            }
+            for leg in worker.legs.iter_mut().filter(|l| l.status == LegStatus::Running) {
+                if worker.ends_at.get(&leg.task).is_some_and(|t| *t <= now) {
+                    (leg.status, leg.cause) = (LegStatus::Exited, Some(Cause::Done));
+                    self.completed.insert(leg.task.clone());
+                }
+            }
+            if worker.waits_until.is_some_and(|t| t <= now) {
+                worker.waits_until = None;
+            }
+            if worker.waits_until.is_none() && worker.next_report <= now {
+                worker.waits_until = Some(now + ANSWER_TAKEN);
+                worker.next_report = now + Duration::from_secs(3);
+                let report = worker.report();
+                // Some workers still know only the deposed owner.
+                let back = if self.quiet { 0 } else { usize::from(self.rng.random_bool(0.2)) };
+                self.send(Message::Report { to: self.owner.saturating_sub(back), report, sent: now });
+            }
+        }
+    }
+
+    fn run_owner(&mut self, i: usize) {
+        let now = self.now;
+        let Some(mut owner) = self.owners[i].take() else { return };
+        let (due, later) = owner.news.drain(..).partition(|(at, _)| *at <= now);
+        owner.news = later;
+        for (_, id) in due {
+            owner.book.end_job(&id, now);
+        }
+        owner.book.tick(now);
+        let decisions = plan::place(&owner.book, &self.catalog, now);
+        owner.book.bind_all(decisions, now);
+        let mut deposed = false;
+        if owner.batch.is_none() {
+            let (ends, chunks) = owner.book.next_writes(12);
+            let batch = Batch { ends, chunks, at_ms: 0 };
+            if !batch.is_empty() {
+                owner.batch = Some((batch, now));
+            }
+        }
+        if let Some((batch, at)) = owner.batch.take() {
+            if at > now {
+                owner.batch = Some((batch, at));
+            } else {
+                deposed = self.store_batch(&mut owner, batch);
+            }
+        }
+        for direct in owner.book.direct_commands(now) {
+            let w = self.workers.iter().position(|w| *w.id == *direct.machine).expect("known");
+            let (token, session, machine) = (direct.token, direct.session, direct.machine);
+            self.commands += 1;
+            let id = self.commands;
+            self.messages.push((now + COMMAND_WAITED, Message::GivenUp { id, to: i, machine, token }));
+            self.send(Message::Command { id, worker: w, from: i, token, session, orders: direct.orders });
+        }
+        let condemned: Vec<MachineId> =
+            owner.book.machines.values().filter(|m| m.standing == Standing::Condemned).map(|m| m.id.clone()).collect();
+        for machine in condemned {
+            if owner.returning.insert(machine.clone()) {
+                self.send(Message::Return { from: i, machine });
+            }
+        }
+        if !deposed {
+            self.owners[i] = Some(owner);
+        }
+    }
+
+    /// True if the owner learned that it is one no longer.
+    fn store_batch(&mut self, owner: &mut Owner, batch: Batch) -> bool {
+        let (conditions, changes) = (batch.conditions(owner.book.token), batch.changes());
+        let fate = if self.quiet { 1.0 } else { self.rng.random::<f64>() };
+        if fate < 0.05 {
+            // Not answered, and applied some time later; asked again as it was.
+            let due = self.now + self.delay() * 3;
+            self.messages.push((due, Message::Txn { conditions, changes }));
+            owner.batch = Some((batch, self.now + Duration::from_millis(1500)));
+            return false;
+        }
+        let outcome = self.apply(&conditions, &changes);
+        if fate < 0.1 {
+            // Applied, and the answer lost.
+            owner.batch = Some((batch, self.now + Duration::from_millis(1500)));
+            return false;
+        }
+        match outcome {
+            Ok(stamp) => {
+                owner.book.chunks_stored(&batch.chunks, stamp);
+                for id in &batch.ends {
+                    owner.book.end_job(id, self.now);
+                }
+            }
+            Err(keys) if keys.iter().any(|k| k == ASSIGNMENT) => return true,
+            Err(_) => {
+                for id in batch.ends.iter().chain(batch.chunks.iter().map(|c| &c.job)) {
+                    if self.store.keys.contains_key(&end_key(id)) {
+                        owner.book.end_job(id, self.now);
+                    }
+                }
+                for write in &batch.chunks {
+                    let key = crate::jobs::record::chunk_key(&write.job, write.chunk);
+                    let item = self.store.keys.get(&key);
+                    let stamp = item.map_or(0, |(_, s)| *s);
+                    if item.and_then(|(v, _)| decode_chunk(v)).is_some_and(|t| t == write.tasks) {
+                        owner.book.chunks_stored(std::slice::from_ref(write), stamp);
+                    } else {
+                        owner.book.set_stamp(&write.job, write.chunk, stamp);
+                    }
+                }
+                owner.book.to_store_again(&batch.ends, &batch.chunks);
+            }
+        }
+        false
+    }
+
+    /// Applies a transaction; a job must not be stored as done before all its tasks are.
+    fn apply(&mut self, conditions: &[Condition], changes: &[Change]) -> Result<u64, Vec<String>> {
+        let stamp = self.store.txn(conditions, changes)?;
+        for change in changes {
+            let Change::Write { write, .. } = change else { continue };
+            if let Some((id, record)) = self.records.iter().find(|(id, _)| end_key(id) == *write) {
+                let done = |index: u64| self.completed.contains(&TaskKey { job: id.clone(), index: index as u32 });
+                let gang = record.spec.is_gang();
+                let enough = if gang { (0..record.spec.tasks).any(done) } else { (0..record.spec.tasks).all(done) };
+                assert!(enough, "{id} is stored as done before its tasks are");
+                let id = id.clone();
+                self.end_known(&id);
+            }
+        }
+        Ok(stamp)
+    }
+
+    fn deliver(&mut self, message: Message) {
+        let now = self.now;
+        match message {
+            Message::Report { to, report, sent } => {
+                let Some(w) = self.workers.iter().position(|w| w.id == report.machine) else { return };
+                let Some(owner) = self.owners.get_mut(to).and_then(Option::as_mut) else { return };
+                if report.token > owner.book.token {
+                    self.owners[to] = None;
+                    return;
+                }
+                let session = report.session;
+                owner.book.take_report(report, Via::Report, Some(&self.catalog), now);
+                let id = self.workers[w].id.clone();
+                let (orders, token) = (owner.book.orders_in_answer(&id, now), owner.book.token);
+                self.send(Message::Answer { worker: w, session, sent, token, orders });
+            }
+            Message::Answer { worker, session, sent, token, orders } => {
+                let w = &mut self.workers[worker];
+                let late = now - sent > ANSWER_TAKEN || w.waits_until.is_none();
+                if w.gone || w.hangs_until > now || late || w.session != session || token < w.token {
+                    return;
+                }
+                (w.token, w.renewed, w.waits_until) = (token, sent, None);
+                self.execute(worker, orders);
+            }
+            Message::Command { id, worker, from, token, session, orders } => {
+                let w = &mut self.workers[worker];
+                if w.gone {
+                    return;
+                }
+                if w.hangs_until > now {
+                    // Executed once the machine goes on.
+                    let due = w.hangs_until;
+                    self.messages.push((due, Message::Command { id, worker, from, token, session, orders }));
+                    return;
+                }
+                if token >= w.token && session == w.session {
+                    w.token = token;
+                    self.execute(worker, orders);
+                }
+                let report = self.workers[worker].report();
+                let machine: MachineId = report.machine.as_str().into();
+                self.send(Message::Reply { id, to: from, machine, token, report });
+            }
+            Message::Reply { id, to, machine, token, report } => {
+                let first = self.over.insert(id);
+                if let Some(owner) = self.owners.get_mut(to).and_then(Option::as_mut).filter(|_| first) {
+                    owner.book.command_over(&machine, token, true, now);
+                    owner.book.take_report(report, Via::Command, Some(&self.catalog), now);
+                }
+            }
+            Message::GivenUp { id, to, machine, token } => {
+                let first = self.over.insert(id);
+                if let Some(owner) = self.owners.get_mut(to).and_then(Option::as_mut).filter(|_| first) {
+                    owner.book.command_over(&machine, token, false, now);
+                }
+            }
+            Message::Txn { conditions, changes } => {
+                let _ = self.apply(&conditions, &changes);
+            }
+            Message::Return { from, machine } => {
+                if let Some(w) = self.workers.iter_mut().find(|w| *w.id == *machine) {
+                    w.gone = true;
+                }
+                self.send(Message::Returned { to: from, machine });
+            }
+            Message::Returned { to, machine } => {
+                if let Some(owner) = self.owners.get_mut(to).and_then(Option::as_mut) {
+                    owner.book.machine_gone(&machine, now);
+                }
+            }
+        }
+    }
+
+    fn check_withdrawn(&self) {
+        for (id, at) in &self.withdrawn {
+            if self.now - *at > CANCEL {
+                let live = self.workers.iter().flat_map(|w| w.legs.iter().filter(move |_| !w.gone));
+                let left: Vec<_> = live.filter(|l| l.task.job == *id && l.status != LegStatus::Exited).collect();
+                assert!(left.is_empty(), "withdrawn and still there: {left:?}");
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        let (due, later) = std::mem::take(&mut self.messages).into_iter().partition(|(at, _)| *at <= self.now);
+        self.messages = later;
+        for (_, message) in due {
+            self.deliver(message);
+        }
+        self.run_workers();
+        for i in 0..self.owners.len() {
+            self.run_owner(i);
+        }
+        // One whose book is raised writes the assignment again, as the leader would.
+        let owner = self.owner;
+        if self.owners[owner].is_none() {
+            self.take_over();
+        } else if self.owners[owner].as_ref().is_some_and(|o| o.book.raise_wanted(self.now) && o.batch.is_none()) {
+            let stamp = self.store.keys.get(ASSIGNMENT).map_or(0, |(_, s)| *s);
+            let change = Change::write(ASSIGNMENT, Value::from(owner));
+            if let Ok(token) = self.store.txn(&[Condition::at(ASSIGNMENT, stamp)], &[change])
+                && let Some(o) = self.owners[owner].as_mut()
+            {
+                o.book.raise_token(token);
+            }
+        }
+        self.check_withdrawn();
+    }
+
+    fn trouble(&mut self, step: usize) {
+        if step % 60 == 0 && self.records.len() < 14 {
+            self.submit();
+        }
+        if self.rng.random_bool(0.004) {
+            self.withdraw();
+        }
+        if self.rng.random_bool(0.006) {
+            // The deposed owner goes on until it learns of it.
+            self.take_over();
+        }
+        if self.rng.random_bool(0.01) {
+            let w = self.rng.random_range(0..self.workers.len());
+            self.workers[w].hangs_until = self.now + Duration::from_secs(self.rng.random_range(1..40));
+        }
+        if self.rng.random_bool(0.05) {
+            let now = self.now;
+            let pick = self.rng.random_range(0..1000usize);
+            if let Some(owner) = self.owners[self.owner].as_mut() {
+                // As preemption and draining do.
+                let bound: Vec<TaskKey> = owner.book.machines.values().flat_map(|m| m.bound.iter().cloned()).collect();
+                if !bound.is_empty() {
+                    owner.book.halt(&bound[pick % bound.len()], 3, now);
+                }
+            }
+        }
+        if self.workers.iter().filter(|w| !w.gone).count() < 6 {
+            let n = self.workers.len();
+            self.workers.push(Worker::new(n, self.now));
+        }
+    }
+
+    /// Two minutes of trouble, then as long as it takes without any.
+    fn play(&mut self) {
+        for step in 0..1200 {
+            self.trouble(step);
+            self.step();
+        }
+        self.quiet = true;
+        for _ in 0..4000 {
+            self.step();
+            if self.workers.iter().all(|w| w.gone) {
+                let n = self.workers.len();
+                self.workers.push(Worker::new(n, self.now));
+            }
+            if self.records.keys().all(|id| self.store.keys.contains_key(&end_key(id))) {
+                return;
+            }
+        }
+        let open: Vec<_> = self.records.keys().filter(|id| !self.store.keys.contains_key(&end_key(id))).collect();
+        panic!("never ended after {:?}: {open:?}", self.now - self.start);
+    }
+}
+
+#[test]
+fn rules_hold_whatever_the_order() {
+    let mut starts = 0;
+    for seed in 0..40 {
+        let mut world = World::new(seed);
+        world.play();
+        starts += world.starts;
+    }
+    assert!(starts > 5000, "the model has hardly worked: {starts} starts");
+}
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -1,6 +1,8 @@
 //! Which task runs where: the owner's book, the decisions taken on it, and their loop.
 
 pub mod book;
+#[cfg(test)]
+mod interleavings;
 pub mod load;
 pub mod plan;
 
--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -28,14 +28,14 @@
 /// Room left in a transaction's 64 KiB for conditions and framing.
 const BYTES: usize = 40 * 1024;
 
-struct Batch {
-    ends: Vec<JobId>,
-    chunks: Vec<ChunkWrite>,
-    at_ms: u64,
+pub(crate) struct Batch {
+    pub ends: Vec<JobId>,
+    pub chunks: Vec<ChunkWrite>,
+    pub at_ms: u64,
 }
 
 impl Batch {
-    fn changes(&self) -> Vec<Change> {
+    pub fn changes(&self) -> Vec<Change> {
         let end = EndRecord { end: End::Done, at_ms: self.at_ms };
         let end = serde_json::to_value(end).unwrap_or_default();
         let ends = self.ends.iter().map(|id| Change::write(end_key(id), end.clone()));
@@ -43,14 +43,14 @@
         ends.chain(chunks).collect()
     }
 
-    fn conditions(&self, token: u64) -> Vec<Condition> {
+    pub fn conditions(&self, token: u64) -> Vec<Condition> {
         let chunks = self.chunks.iter().map(|c| Condition::at(chunk_key(&c.job, c.chunk), c.stamp));
         let jobs: BTreeSet<&JobId> = self.ends.iter().chain(self.chunks.iter().map(|c| &c.job)).collect();
         let ends = jobs.into_iter().map(|id| Condition::absent(end_key(id)));
         std::iter::once(Condition::at(ASSIGNMENT, token)).chain(chunks).chain(ends).collect()
     }
 
-    fn is_empty(&self) -> bool {
+    pub fn is_empty(&self) -> bool {
         self.ends.is_empty() && self.chunks.is_empty()
     }
 }
