--- a/src/scheduling/interleavings.rs
+++ b/src/scheduling/interleavings.rs
@@ -236,7 +236,7 @@
         let mut job = spec();
         job.id = format!("run-{n:06}").into();
         job.team = "blue".into();
-        job.shape = if n % 3 == 0 { Shape::Gang } else { Shape::Array };
+        job.shape = if n.is_multiple_of(3) { Shape::Gang } else { Shape::Array };
         job.tasks = if job.is_gang() { 2 } else { [1, 3, CHUNK + 2][n as usize % 3] };
         job.estimate_s = 5.0;
         let record = Arc::new(JobRecord { spec: job, at_ms: time_of_day_ms() });
@@ -580,7 +580,7 @@
     }
 
     fn trouble(&mut self, step: usize) {
-        if step % 60 == 0 && self.records.len() < 14 {
+        if step.is_multiple_of(60) && self.records.len() < 14 {
             self.submit();
         }
         if self.rng.random_bool(0.004) {
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -5,6 +5,8 @@
 mod interleavings;
 pub mod load;
 pub mod plan;
+#[cfg(test)]
+mod tests;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
