--- a/src/scheduling/book.rs
+++ b/src/scheduling/book.rs
@@ -33,6 +33,10 @@
 const GONE_KEPT: usize = 20_000;
 /// How far into the time allowed for a cancellation a machine that proves nothing is returned.
 const CANCEL_PATIENCE: f64 = 0.45;
+/// One in so many machines silent at once is no chance of single machines.
+const TOGETHER: usize = 12;
+/// One in so many lost is most of them, as far as handing over is concerned.
+const MOST: usize = 3;
 /// Past the end of a silent machine's lease; covers its clock's drift and the way of a report.
 const LEASE_MARGIN: Duration = Duration::from_secs(2);
 /// Ticks come at least every second; a longer gap is a pause of this process.
@@ -1137,22 +1141,22 @@
         }
     }
 
-    /// At least three machines, and a third of those that ever reported, have been silent for
-    /// about as long as the silence that is still tolerated.
-    fn many_silent(&self, silence: Duration, now: Instant) -> bool {
+    /// At least three machines, and one in `part` of those that ever reported, have been silent
+    /// for about as long as the silence that is still tolerated.
+    fn many_silent(&self, silence: Duration, part: usize, now: Instant) -> bool {
         let reported = self.machines.values().filter(|m| m.reported());
         let (mut all, mut silent) = (0, 0);
         for machine in reported {
             all += 1;
             silent += usize::from(now.saturating_duration_since(machine.heard) > silence.mul_f64(0.8));
         }
-        silent >= 3 && silent * 3 >= all
+        silent >= 3 && silent * part >= all
     }
 
     /// Most machines have missed two reports: whoever they talk to, it is not this controller.
     pub fn lost_most(&self, now: Instant) -> bool {
         let missed = self.settings.params.workers.report().mul_f64(2.0);
-        self.many_silent(missed, now)
+        self.many_silent(missed, MOST, now)
     }
 
     /// Holds a task of a job that is over, and has not proven it gone for too long.
@@ -1170,7 +1174,7 @@
         self.forgive_own_pause(now);
         // Many machines that fall silent together point at the network or at this controller:
         // returning them all would lose what they run. They get until their leases are over.
-        let silence = if self.many_silent(self.properties.silence, now) {
+        let silence = if self.many_silent(self.properties.silence, TOGETHER, now) {
             (self.settings.params.workers.lease() + LEASE_MARGIN).max(self.properties.silence)
         } else {
             self.properties.silence
