--- a/src/fleet/drain.rs
+++ b/src/fleet/drain.rs
@@ -16,6 +16,8 @@
 const RUN_BEFORE_MOVE: Duration = Duration::from_secs(32);
 /// Moving costs saving, fetching and a new start; less than this left is not worth it.
 const WORTH_MOVING: Duration = Duration::from_secs(30);
+/// Work that was started this often stays where it is: each move costs its user time.
+const MOST_TRIES: u64 = 3;
 /// Room kept free, in boot times' worth of the arrivals seen lately.
 const SPARE_BOOTS: f64 = 0.5;
 /// The same for classes whose users are promised a start sooner than a machine boots.
@@ -93,7 +95,8 @@
         let running = binding.running_since.filter(|_| binding.status == Some(LegStatus::Running));
         let ran = running.map_or(Duration::ZERO, |s| now.saturating_duration_since(s));
         let rest = sla::remaining(job.agreement.run, ran);
-        let can_move = spec.checkpoint_s > 0.0 && !(spec.is_gang() && spec.tasks > 1);
+        let tries = job.tasks.get(key.index as usize).map_or(0, |t| t.attempt);
+        let can_move = spec.checkpoint_s > 0.0 && !(spec.is_gang() && spec.tasks > 1) && tries < MOST_TRIES;
         if can_move && rest > WORTH_MOVING {
             // Something on its way, or just begun, is not torn down again.
             if ran < RUN_BEFORE_MOVE || !put(others, spec) {
