--- a/src/fleet/cloud.rs
+++ b/src/fleet/cloud.rs
@@ -36,6 +36,12 @@
     pub zones: Vec<String>,
 }
 
+impl MachineType {
+    pub fn price(&self, spot: bool) -> f64 {
+        if spot { self.spot_price } else { self.price }
+    }
+}
+
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Catalog {
     #[serde(rename = "fleets")]
--- a/src/fleet/drain.rs
+++ b/src/fleet/drain.rs
@@ -31,7 +31,7 @@
 }
 
 fn price(catalog: &Catalog, machine: &Machine) -> f64 {
-    catalog.get(&machine.type_name).map_or(0.0, |t| if machine.spot { t.spot_price } else { t.price })
+    catalog.get(&machine.type_name).map_or(0.0, |t| t.price(machine.spot))
 }
 
 /// Puts one task of this kind into the first room that takes it, the fullest first.
--- a/src/fleet/forecast.rs
+++ b/src/fleet/forecast.rs
@@ -34,9 +34,8 @@
         for key in &machine.bound {
             let Some(job) = book.job(&key.job) else { continue };
             let Some(binding) = job.binding(key.index) else { continue };
-            let ran = binding.running_since.map_or(Duration::ZERO, |s| now.saturating_duration_since(s));
             let rest = match (job.ended, binding.halting) {
-                (None, None) => sla::remaining(job.agreement.run, ran),
+                (None, None) => sla::remaining(job.agreement.run, binding.ran(now)),
                 _ => Duration::ZERO,
             };
             let spec = job.spec();
--- a/src/fleet/rent.rs
+++ b/src/fleet/rent.rs
@@ -51,10 +51,6 @@
     }
 }
 
-fn price(of: &MachineType, spot: bool) -> f64 {
-    if spot { of.spot_price } else { of.price }
-}
-
 /// How many tasks of this kind an empty machine holds, up to `most`.
 fn units(of: &MachineType, spec: &JobSpec, most: u64) -> u64 {
     let mut room = Room::empty("".into(), of, "", false);
@@ -87,7 +83,7 @@
                 if !allowed(spec, &of.name, zone, spot) || !zones.allow(zone) || refusals.refused(&kind, now) {
                     continue;
                 }
-                let cost = price(of, spot) / held as f64;
+                let cost = of.price(spot) / held as f64;
                 if chosen.as_ref().is_none_or(|(best, ..)| cost < best - 1e-12) {
                     chosen = Some((cost, of, kind, held));
                 }
@@ -102,7 +98,7 @@
     let kinds = catalog.types.iter().flat_map(|of| of.zones.iter().flat_map(move |z| [(of, z, true), (of, z, false)]));
     kinds
         .filter(|(of, zone, spot)| allowed(spec, &of.name, zone, *spot))
-        .map(|(of, _, spot)| price(of, spot) / units(of, spec, spec.tasks) as f64)
+        .map(|(of, _, spot)| of.price(spot) / units(of, spec, spec.tasks) as f64)
         .fold(f64::INFINITY, f64::min)
         .max(1e-9)
 }
@@ -115,8 +111,8 @@
 /// Tasks followed through the forecast; more than this wait for the next one.
 const MOST_FORECAST: usize = 600;
 
-/// What to rent so that waiting work starts in time: cheap spot machines as soon as they would
-/// help, ordinary ones when the slack of the work asks for it.
+/// What to rent so that waiting work starts in time: cheap kinds soon, dear ones only when the
+/// slack of the work asks for it.
 pub fn plan(
     book: &Book,
     catalog: &Catalog,
@@ -161,7 +157,7 @@
             let start = existing.map_or(f64::INFINITY, |(at, _)| at);
             let offer = cheapest(catalog, spec, missing, &zones, refusals, now);
             let rent = offer.filter(|(of, kind, held)| {
-                let dearer = price(of, kind.spot) / *held as f64 / least;
+                let dearer = of.price(kind.spot) / *held as f64 / least;
                 let bearable = (slack * (PATIENCE * dearer).min(1.0)).max(0.0);
                 total < book.properties.most_machines as u64 && start > bearable && of.boot_s + GAIN_S < start
             });
--- a/src/scheduling/book.rs
+++ b/src/scheduling/book.rs
@@ -67,6 +67,13 @@
     pub since: Instant,
 }
 
+impl Binding {
+    /// For how long it has been running, as far as was reported.
+    pub fn ran(&self, now: Instant) -> Duration {
+        self.running_since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+}
+
 #[derive(Debug, Clone)]
 pub enum Phase {
     Waiting,
@@ -254,8 +261,6 @@
     pub chunk: u64,
     pub stamp: u64,
     pub tasks: Vec<Stored>,
-    /// Some task of it is bound: the job must not be over.
-    pub binds: bool,
 }
 
 pub struct Book {
@@ -800,8 +805,7 @@
         for key in keys {
             let Some(job) = self.jobs.get(&key.job) else { continue };
             let Some(binding) = job.binding(key.index) else { continue };
-            let ran = binding.running_since.map_or(Duration::ZERO, |s| now.saturating_duration_since(s));
-            let rest = sla::remaining(self.estimate(job.spec()), ran);
+            let rest = sla::remaining(self.estimate(job.spec()), binding.ran(now));
             let save_s = job.spec().save_s;
             let can_save = job.spec().checkpoint_s > 0.0 && save_s + 1.0 < left.as_secs_f64();
             if binding.running_since.is_none() || (can_save && rest > left) {
@@ -1000,7 +1004,6 @@
             chunk,
             stamp: job.stamps.get(chunk as usize).copied()?,
             tasks: tasks.iter().map(Task::as_stored).collect(),
-            binds: true,
         })
     }
 
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -118,8 +118,7 @@
         let Some(binding) = job.binding(key.index) else { continue };
         let spec = job.spec();
         room.take(spec);
-        let ran = binding.running_since.map_or(Duration::ZERO, |s| now.saturating_duration_since(s));
-        let rest = sla::remaining(job.agreement.run, ran);
+        let rest = sla::remaining(job.agreement.run, binding.ran(now));
         let age = now.saturating_duration_since(job.since);
         room.load.share += sla::share(rest, job.agreement.deadline.saturating_sub(age), job.agreement.cores);
         room.load.total_return += job.agreement.task_return(age + rest);
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -119,9 +119,6 @@
     pub fn lease(&self) -> Duration {
         Duration::from_secs_f64(self.lease_s)
     }
-    pub fn gang_peer(&self) -> Duration {
-        Duration::from_secs_f64(self.gang_peer_s)
-    }
 }
 
 impl Settings {
--- a/src/users/mod.rs
+++ b/src/users/mod.rs
@@ -22,7 +22,7 @@
 
 /// When to come again, after a refusal that should soon be over.
 const COME_AGAIN_S: u64 = 1;
-/// The longest a user's connection may stay silent; they poll about every 5 s.
+/// Tries at a write that the limits refused, before its user is told to come again.
 const RETRIES: u32 = 2;
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 
