--- a/src/fleet/drain.rs
+++ b/src/fleet/drain.rs
@@ -44,6 +44,8 @@
     rooms: Vec<Room<'a>>,
     /// Holds work that waits or is expected; not to be spared.
     wanted: Vec<bool>,
+    /// Kinds for which more work waits or is expected than there is room for.
+    short: Vec<bool>,
 }
 
 impl<'a> Pool<'a> {
@@ -61,8 +63,20 @@
             let (a_key, b_key) = (dear(a), dear(b));
             (a_key.0.cmp(&b_key.0)).then(a_key.1.total_cmp(&b_key.1)).then(a.cpus.total_cmp(&b.cpus))
         });
-        let wanted = vec![false; rooms.len()];
-        Self { ground, rooms, wanted }
+        let (wanted, short) = (vec![false; rooms.len()], vec![false; ground.offers.len()]);
+        Self { ground, rooms, wanted, short }
+    }
+
+    /// Keeps room for `n` tasks like this. Where that is not all to be had, no machine that they
+    /// could use is spared, but for accelerators that they have no use for.
+    fn keep(&mut self, spec: &JobSpec, zones: &Zones, n: u64) {
+        let open = self.ground.open_to(spec, zones);
+        if !self.put(spec, &open, n, None, true) {
+            for (at, offer) in self.ground.offers.iter().enumerate() {
+                let apt = offer.is_some_and(|o| spec.gpus > 0.0 || o.of.gpus <= 0.0);
+                self.short[at] |= open[at] && apt;
+            }
+        }
     }
 
     /// Puts up to `n` tasks like this into the first rooms that take them. False if some are left.
@@ -91,9 +105,7 @@
     let mut pool = Pool::new(book, catalog, now);
     // Waiting work, then what is expected while a machine would boot, takes its room first.
     for turn in queue(book, now) {
-        let spec = turn.job.spec();
-        let open = pool.ground.open_to(spec, &Zones::new(book, turn.job));
-        pool.put(spec, &open, turn.job.waiting.len() as u64, None, true);
+        pool.keep(turn.job.spec(), &Zones::new(book, turn.job), turn.job.waiting.len() as u64);
     }
     for (class, expected) in &book.arrivals {
         let spec = &expected.like.spec;
@@ -104,7 +116,7 @@
         let prompt = asked.iter().any(|o| o.kind == "wait" && o.class == *class && o.within_s < boot_s);
         let boots = if prompt { SPARE_BOOTS_PROMPT } else { SPARE_BOOTS };
         let tasks = (expected.per_second(now) * boot_s * boots).round() as u64;
-        pool.put(spec, &open, tasks, None, true);
+        pool.keep(spec, &Zones::none(spec), tasks);
     }
     let most = (pool.rooms.len() / PART).max(1);
     let mut chosen = Vec::new();
@@ -121,7 +133,7 @@
         }
         let Some(machine) = pool.rooms[at].machine else { continue };
         let old_enough = now.saturating_duration_since(machine.since) >= LEAST_CHARGED;
-        if pool.wanted[at] || machine.standing != Standing::Up || !old_enough {
+        if pool.wanted[at] || pool.short[pool.rooms[at].kind] || machine.standing != Standing::Up || !old_enough {
             continue;
         }
         tried += usize::from(!machine.bound.is_empty());
