--- a/src/fleet/rent.rs
+++ b/src/fleet/rent.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::Catalog;
-use super::forecast::{Slots, Timeline, slack_s};
+use super::forecast::{Slots, Timeline, promises_s};
 use crate::jobs::JobSpec;
 use crate::scheduling::book::{Book, MachineId, Standing};
 use crate::scheduling::plan::{Quotas, queue};
@@ -80,8 +80,9 @@
     chosen
 }
 
-/// Work waits this part of its slack before the cheapest kind of machine is rented for it, and
-/// the longer the dearer the kind, up to all of its slack.
+/// The earliest promise that renting can still keep sets the slack of waiting work; work past
+/// all of them waits up to its own run time. It waits this part of its slack before the cheapest
+/// kind of machine is rented for it, and the longer the dearer the kind, up to all of its slack.
 const PATIENCE: f64 = 0.15;
 /// Renting must bring the start forward by at least this much.
 const GAIN_S: f64 = 3.0;
@@ -129,7 +130,7 @@
         if spec.is_gang() && !quotas.allows(spec, spec.tasks as f64) {
             continue;
         }
-        let slack = slack_s(book, job, turn.age);
+        let promises = promises_s(book, job, turn.age);
         let mut zones = Zones::new(book, job);
         let open = ground.open_to(spec, &zones);
         let least = cheapest(&ground, spec, spec.tasks, |at, _| open[at]).map_or(f64::INFINITY, |(.., cost)| cost);
@@ -146,8 +147,11 @@
                 offer = Some(cheapest(&ground, spec, missing, may));
             }
             let rent = offer.flatten().filter(|(_, offer, cost)| {
-                let bearable = (slack * (PATIENCE * cost / least).min(1.0)).max(0.0);
+                // A promise that not even this machine would keep is no reason to pay for it.
                 let boot_s = offer.of.boot_s;
+                let promised = promises.iter().copied().find(|s| *s >= boot_s);
+                let slack = promised.unwrap_or(job.agreement.run.as_secs_f64());
+                let bearable = slack * (PATIENCE * cost / least).min(1.0);
                 total < book.properties.most_machines as u64 && start > bearable && boot_s + GAIN_S < start
             });
             let slot = match (rent, existing) {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -79,6 +79,9 @@
     pub class: String,
     #[serde(default)]
     pub within_s: f64,
+    /// Multiples of a job's own deadline.
+    #[serde(default)]
+    pub times: f64,
 }
 
 #[derive(Debug, Clone, Deserialize)]
