--- a/src/fleet/drain.rs
+++ b/src/fleet/drain.rs
@@ -68,12 +68,12 @@
     }
 
     /// Keeps room for `n` tasks like this. Where that is not all to be had, no machine that they
-    /// could use is spared, but for accelerators that they have no use for.
-    fn keep(&mut self, spec: &JobSpec, zones: &Zones, n: u64) {
+    /// could use is spared; accelerators that they have no use for only for work that waits.
+    fn keep(&mut self, spec: &JobSpec, zones: &Zones, n: u64, waits: bool) {
         let open = self.ground.open_to(spec, zones);
         if !self.put(spec, &open, n, None, true) {
             for (at, offer) in self.ground.offers.iter().enumerate() {
-                let apt = offer.is_some_and(|o| spec.gpus > 0.0 || o.of.gpus <= 0.0);
+                let apt = offer.is_some_and(|o| waits || spec.gpus > 0.0 || o.of.gpus <= 0.0);
                 self.short[at] |= open[at] && apt;
             }
         }
@@ -105,7 +105,7 @@
     let mut pool = Pool::new(book, catalog, now);
     // Waiting work, then what is expected while a machine would boot, takes its room first.
     for turn in queue(book, now) {
-        pool.keep(turn.job.spec(), &Zones::new(book, turn.job), turn.job.waiting.len() as u64);
+        pool.keep(turn.job.spec(), &Zones::new(book, turn.job), turn.job.waiting.len() as u64, true);
     }
     for (class, expected) in &book.arrivals {
         let spec = &expected.like.spec;
@@ -116,7 +116,7 @@
         let prompt = asked.iter().any(|o| o.kind == "wait" && o.class == *class && o.within_s < boot_s);
         let boots = if prompt { SPARE_BOOTS_PROMPT } else { SPARE_BOOTS };
         let tasks = (expected.per_second(now) * boot_s * boots).round() as u64;
-        pool.keep(spec, &Zones::none(spec), tasks);
+        pool.keep(spec, &Zones::none(spec), tasks, false);
     }
     let most = (pool.rooms.len() / PART).max(1);
     let mut chosen = Vec::new();
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,7 +5,7 @@
 pub mod forecast;
 pub mod rent;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -17,6 +17,7 @@
 
 use crate::node::{Node, lock};
 use crate::scheduling::book::Standing;
+use crate::scheduling::room::Ground;
 use crate::store::follow::jitter;
 
 const CATALOG_EVERY: Duration = Duration::from_secs(60);
@@ -27,6 +28,7 @@
 const RENT_GAP: Duration = Duration::from_millis(400);
 /// Between two looks for what can be spared.
 const DRAIN_GAP: Duration = Duration::from_millis(1500);
+const TELL_EVERY: Duration = Duration::from_secs(15);
 /// A look rests this many times as long as it took.
 const REST: u32 = 8;
 /// Rentals of one kind asked for at once, each of up to `MOST_RENTED` machines.
@@ -73,7 +75,7 @@
 
 pub async fn run(node: Arc<Node>) {
     let dealings = Shared::default();
-    let (mut listed, mut drained) = (None::<Instant>, Instant::now());
+    let (mut listed, mut told, mut drained) = (None::<Instant>, None::<Instant>, Instant::now());
     let (mut renting, mut returning) = (tokio::task::JoinSet::new(), tokio::task::JoinSet::new());
     loop {
         let _ = tokio::time::timeout(EVERY, node.wake.fleet.notified()).await;
@@ -93,6 +95,10 @@
         if drained.elapsed() >= DRAIN_GAP {
             drain_some(&node);
             drained = Instant::now();
+            if told.is_none_or(|at| at.elapsed() >= TELL_EVERY) && tracing::enabled!(tracing::Level::DEBUG) {
+                told = Some(Instant::now());
+                tell_fleet(&node);
+            }
         }
         for rental in decide(&node, &dealings) {
             renting.spawn(carry_out(node.clone(), dealings.clone(), rental));
@@ -119,6 +125,34 @@
     node.wake.dispatch.notify_one();
 }
 
+/// What is held of each kind and how full it is, for whoever looks at costs.
+fn tell_fleet(node: &Node) {
+    let (Some(catalog), held) = (node.catalog(), lock(&node.book)) else { return };
+    let Some(book) = held.as_ref() else { return };
+    let ground = Ground::new(book, &catalog);
+    let mut held_of = BTreeMap::<usize, (u32, u32, u32, u32, f64, f64)>::new();
+    for machine in book.machines.values() {
+        let Some(room) = ground.room(machine) else { continue };
+        let of = held_of.entry(room.kind).or_default();
+        match machine.standing {
+            Standing::Booting => of.0 += 1,
+            Standing::Up => of.1 += 1,
+            Standing::Draining | Standing::Condemned => of.2 += 1,
+        }
+        if machine.standing != Standing::Booting {
+            of.3 += u32::from(machine.bound.is_empty());
+            of.4 += machine.taken().cpus / room.of.cpus;
+            of.5 += if room.of.gpus > 0.0 { machine.taken().gpus / room.of.gpus } else { 0.0 };
+        }
+    }
+    for (kind, (booting, up, leaving, empty, cpus, gpus)) in held_of {
+        let n = f64::from((up + leaving).max(1));
+        let (cpus_used, gpus_used) = ((100.0 * cpus / n).round(), (100.0 * gpus / n).round());
+        let kind = &book.kinds()[kind];
+        debug!(%kind, booting, up, leaving, empty, cpus_used, gpus_used, "fleet");
+    }
+}
+
 fn drain_some(node: &Node) {
     let now = Instant::now();
     let Some(catalog) = node.catalog() else { return };
