--- a/src/fleet/drain.rs
+++ b/src/fleet/drain.rs
@@ -68,7 +68,8 @@
     }
 
     /// Keeps room for `n` tasks like this. Where that is not all to be had, no machine that they
-    /// could use is spared; accelerators that they have no use for only for work that waits.
+    /// could use is spared; accelerators that they have no use for only for work that has
+    /// waited long.
     fn keep(&mut self, spec: &JobSpec, zones: &Zones, n: u64, waits: bool) {
         let open = self.ground.open_to(spec, zones);
         if !self.put(spec, &open, n, None, true) {
@@ -105,7 +106,7 @@
     let mut pool = Pool::new(book, catalog, now);
     // Waiting work, then what is expected while a machine would boot, takes its room first.
     for turn in queue(book, now) {
-        pool.keep(turn.job.spec(), &Zones::new(book, turn.job), turn.job.waiting.len() as u64, true);
+        pool.keep(turn.job.spec(), &Zones::new(book, turn.job), turn.job.waiting.len() as u64, turn.age > turn.job.agreement.run);
     }
     for (class, expected) in &book.arrivals {
         let spec = &expected.like.spec;
