--- a/src/fleet/cloud.rs
+++ b/src/fleet/cloud.rs
@@ -26,6 +26,9 @@
     pub memory_gb: f64,
     #[serde(rename = "pullGbPerS")]
     pub fetch_gb_per_s: f64,
+    /// What a machine keeps of the images it has used, if the cloud says.
+    #[serde(rename = "localGb", default)]
+    pub cache_gb: Option<f64>,
     #[serde(rename = "rate")]
     pub price: f64,
     #[serde(rename = "spotPrice")]
--- a/src/scheduling/book/bindings.rs
+++ b/src/scheduling/book/bindings.rs
@@ -34,7 +34,7 @@
         });
         job.waiting.remove(&p.task.index);
         job.bound.insert(p.task.index);
-        machine.remember_image(job.image);
+        machine.remember_image(job.image, job.record.spec.image_gb);
         machine.hold(p.task.clone(), job, now);
         let used = self.usage.entry(job.record.spec.team.clone()).or_default();
         used.0 += job.record.spec.cpus;
--- a/src/scheduling/book/jobs.rs
+++ b/src/scheduling/book/jobs.rs
@@ -114,6 +114,7 @@
         for (machine, key) in inherited {
             let machine = self.machines.entry(machine.clone()).or_insert_with(|| Machine::new(machine, now));
             machine.hold(key, &job, now);
+            machine.remember_image(job.image, job.record.spec.image_gb);
         }
         if job.complete() {
             self.completed.push_back(id.clone());
--- a/src/scheduling/book/machine.rs
+++ b/src/scheduling/book/machine.rs
@@ -24,8 +24,10 @@
 const LEASE_MARGIN: Duration = Duration::from_secs(2);
 /// Ticks come at least every second; a longer gap is a pause of this process.
 const LONGEST_TICK: Duration = Duration::from_millis(2500);
-/// Images a machine is thought to hold.
+/// Images a machine is thought to hold where the cloud does not say how much it keeps.
 const IMAGES_KEPT: usize = 6;
+/// Images remembered of a machine, whatever it keeps.
+const MOST_IMAGES: usize = 64;
 /// Shares and returns move with time; counted again after this long (the design's retest).
 const LOAD_KEPT: Duration = Duration::from_secs(5);
 
@@ -92,7 +94,10 @@
     pub(super) tell: bool,
     pub idle_since: Option<Instant>,
     pub failures: f64,
-    pub(super) images: VecDeque<u64>,
+    /// Images it is thought to hold, the most recently used last, with their sizes.
+    pub(super) images: VecDeque<(u64, f64)>,
+    /// What it keeps of them, if the cloud says.
+    pub(super) cache_gb: Option<f64>,
     /// Type, zone and kind, by their place in the book's list.
     pub kind: Option<usize>,
     /// What the bound tasks take together, kept with every binding.
@@ -130,6 +135,7 @@
             idle_since: None,
             failures: 0.0,
             images: VecDeque::new(),
+            cache_gb: None,
             kind: None,
             taken: Amounts::default(),
             load: Load::default(),
@@ -189,23 +195,27 @@
     }
 
     pub fn holds_image(&self, image: u64) -> bool {
-        self.images.contains(&image)
+        self.images.iter().any(|(i, _)| *i == image)
     }
 
     pub fn reported(&self) -> bool {
         self.newest.0 > 0
     }
 
-    pub(super) fn remember_image(&mut self, image: u64) {
-        self.images.retain(|i| *i != image);
-        self.images.push_back(image);
-        if self.images.len() > IMAGES_KEPT {
-            self.images.pop_front();
+    /// A task with this image comes: the least recently used make room for it, as the worker
+    /// does. What is on its way counts, so that tasks wait for one fetch together.
+    pub(super) fn remember_image(&mut self, image: u64, gb: f64) {
+        let cache_gb = self.cache_gb;
+        self.images.retain(|(i, _)| *i != image);
+        self.images.push_back((image, gb));
+        let mut held: f64 = self.images.iter().map(|(_, gb)| gb).sum();
+        let too_much = |held: f64, n: usize| cache_gb.map_or(n > IMAGES_KEPT, |most| held > most) || n > MOST_IMAGES;
+        while self.images.len() > 1 && too_much(held, self.images.len()) {
+            held -= self.images.pop_front().map_or(0.0, |(_, gb)| gb);
         }
     }
 }
 
-/// A command to be sent straight to a worker.
 /// Share and return of one task, in the paper's terms.
 fn weigh(job: &JobState, binding: Option<&Binding>, now: Instant) -> (f64, f64) {
     let ran = binding.map_or(Duration::ZERO, |b| b.ran(now));
--- a/src/scheduling/book/reports.rs
+++ b/src/scheduling/book/reports.rs
@@ -63,7 +63,9 @@
         let notice = report.notice_s.map(|s| now + Duration::from_secs_f64(s.max(0.0)));
         let news = notice.is_some() && machine.recall.is_none();
         machine.recall = notice.or(machine.recall);
-        if catalog.is_some_and(|c| c.get(&machine.type_name).is_none()) {
+        let of = catalog.and_then(|c| c.get(&machine.type_name));
+        machine.cache_gb = of.and_then(|of| of.cache_gb);
+        if catalog.is_some() && of.is_none() {
             warn!(machine = %id, type_name = machine.type_name, "a machine of no known type");
         }
         self.reconcile(&id, now);
--- a/src/scheduling/interleavings.rs
+++ b/src/scheduling/interleavings.rs
@@ -162,6 +162,7 @@
             gpus: 0.0,
             memory_gb: 64.0,
             fetch_gb_per_s: 1.0,
+            cache_gb: None,
             price: 1.0,
             spot_price: 0.5,
             boot_s: 10.0,
--- a/src/scheduling/tests.rs
+++ b/src/scheduling/tests.rs
@@ -21,6 +21,7 @@
         gpus,
         memory_gb: 64.0,
         fetch_gb_per_s: 1.0,
+        cache_gb: None,
         price,
         spot_price: price / 2.0,
         boot_s: 30.0,
