--- a/src/fleet/forecast.rs
+++ b/src/fleet/forecast.rs
@@ -51,7 +51,7 @@
         Some(timeline)
     }
 
-    fn earliest(&self, spec: &JobSpec) -> Option<f64> {
+    pub fn earliest(&self, spec: &JobSpec) -> Option<f64> {
         if self.room.fits(spec) {
             return Some(self.from_s);
         }
--- a/src/scheduling/book/bindings.rs
+++ b/src/scheduling/book/bindings.rs
@@ -10,6 +10,10 @@
 impl Book {
     pub fn bind_all(&mut self, placements: Vec<Placement>, now: Instant) {
         for placement in placements {
+            // A gang that starts needs nothing held any more.
+            if self.holds.get(&placement.machine).is_some_and(|h| h.job == placement.task.job) {
+                self.holds.retain(|_, hold| hold.job != placement.task.job);
+            }
             self.bind(placement, now);
         }
     }
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -19,6 +19,7 @@
 pub use machine::{Machine, Standing};
 use storing::Dirty;
 
+use super::holds::Hold;
 use crate::fleet::rent::Kind;
 use crate::jobs::record::{JobRecord, Stored};
 use crate::jobs::{JobId, JobSpec};
@@ -184,6 +185,8 @@
     /// By class: how observed run times compare with the owners' estimates (sum of logs, count).
     observed: HashMap<String, (f64, f64)>,
     pub arrivals: BTreeMap<String, Arrivals>,
+    /// Machines kept for gangs that will soon fit.
+    pub holds: HashMap<MachineId, Hold>,
 }
 
 /// How many tasks of a class have come lately: a count that fades, and one job to stand for all.
@@ -232,6 +235,7 @@
             ticked: now,
             observed: HashMap::new(),
             arrivals: BTreeMap::new(),
+            holds: HashMap::new(),
         }
     }
 
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -1,6 +1,7 @@
 //! Which task runs where: the owner's book, the decisions taken on it, and their loop.
 
 pub mod book;
+pub mod holds;
 #[cfg(test)]
 mod interleavings;
 pub mod load;
@@ -24,6 +25,8 @@
 const EVERY: Duration = Duration::from_millis(1000);
 /// What time alone brings about is looked at this often.
 const TICK: Duration = Duration::from_millis(250);
+/// What is held for gangs is chosen anew this often.
+const HOLD_EVERY: Duration = Duration::from_millis(1000);
 /// A plan rests this many times as long as it took, so that reports and users are not kept
 /// waiting however much there is to plan.
 const REST: u32 = 4;
@@ -31,7 +34,7 @@
 /// Reads what is stored, then plans on every event until this controller no longer owns.
 pub async fn run(node: Arc<Node>) {
     load(&node).await;
-    let (mut ticked, mut planned) = (Instant::now(), None::<Instant>);
+    let (mut ticked, mut planned, mut hold_next) = (Instant::now(), None::<Instant>, Instant::now());
     loop {
         let _ = tokio::time::timeout(TICK, node.wake.plan.notified()).await;
         let now = Instant::now();
@@ -41,6 +44,10 @@
                 ticked = now;
                 book.tick(now);
             }
+            if now >= hold_next {
+                book.holds = holds::choose(book, &catalog, now);
+                hold_next = now + HOLD_EVERY.max(now.elapsed() * REST * 2);
+            }
             // Nothing that placement depends on changed: it would decide the same.
             if book.take_stirred() || planned.is_none_or(|at| now.saturating_duration_since(at) >= EVERY) {
                 planned = Some(now);
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -136,7 +136,10 @@
 
 /// A task of one job, as machines are judged by it.
 struct Demand<'a> {
+    id: &'a JobId,
     job: &'a JobState,
+    /// When it would be over; what is held for others is open to what ends in time.
+    over: Instant,
     share: f64,
     task_return: f64,
     hard: bool,
@@ -144,10 +147,13 @@
 }
 
 impl<'a> Demand<'a> {
-    fn new(job: &'a JobState, age: Duration, open: Vec<bool>) -> Self {
+    fn new(turn: &Turn<'a>, open: Vec<bool>, now: Instant) -> Self {
+        let (job, age) = (turn.job, turn.age);
         let agreement = &job.agreement;
         Self {
+            id: turn.id,
             job,
+            over: now + agreement.run,
             share: sla::share(agreement.run, agreement.deadline.saturating_sub(age), agreement.cores),
             task_return: agreement.task_return(age + agreement.run),
             hard: agreement.within_reach(age),
@@ -159,9 +165,13 @@
         self.open.get(kind).copied().unwrap_or(false)
     }
 
+    fn may_use(&self, room: &Room) -> bool {
+        self.is_open(room.kind) && room.hold.is_none_or(|hold| hold.job == *self.id || self.over <= hold.until)
+    }
+
     fn candidate(&self, at: usize, room: &Room) -> Option<Candidate> {
         let spec = self.job.spec();
-        if !room.fits(spec) || !self.is_open(room.kind) {
+        if !room.fits(spec) || !self.may_use(room) {
             return None;
         }
         // Fit-now is the whole test for hard work; soft work must also be admitted.
@@ -190,13 +200,17 @@
 /// least as much, on no other machines, need not look.
 struct Unfit<'a> {
     spec: &'a JobSpec,
+    run: Duration,
     tasks: usize,
     open: Vec<bool>,
 }
 
 impl Unfit<'_> {
-    fn covers(&self, spec: &JobSpec, tasks: usize, open: &[bool]) -> bool {
-        spec.cpus >= self.spec.cpus
+    fn covers(&self, job: &JobState, tasks: usize, open: &[bool]) -> bool {
+        let spec = job.spec();
+        // Shorter work may yet end before what is held is wanted.
+        job.agreement.run >= self.run
+            && spec.cpus >= self.spec.cpus
             && spec.gpus >= self.spec.gpus
             && spec.memory_gb >= self.spec.memory_gb
             && tasks >= self.tasks
@@ -210,6 +224,7 @@
     ground: Ground<'a>,
     rooms: Vec<Room<'a>>,
     unfit: Vec<Unfit<'a>>,
+    now: Instant,
     pub looked: u64,
 }
 
@@ -224,8 +239,9 @@
             .filter(|m| usable(m, suspect, now))
             .filter_map(|m| ground.room(m))
             .filter(|r| r.cpus + SLACK >= least)
+            .map(|r| Room { hold: r.machine.and_then(|m| book.holds.get(&m.id)), ..r })
             .collect();
-        Self { ground, rooms, unfit: Vec::new(), looked: 0 }
+        Self { ground, rooms, unfit: Vec::new(), now, looked: 0 }
     }
 
     /// Places up to `most` tasks, the best machine first, and gives them with their rooms.
@@ -267,18 +283,18 @@
     /// Places as many tasks of one job as there is room for; all or none of a gang.
     pub fn place_job(
         &mut self,
-        job: &'a JobState,
+        turn: &Turn<'a>,
         mut zones: Zones<'a>,
-        age: Duration,
         most: usize,
     ) -> Vec<(u32, MachineId)> {
-        let spec = job.spec();
+        let (job, spec) = (turn.job, turn.job.spec());
         let open = self.ground.open_to(spec, &zones);
         let tasks = if spec.is_gang() { job.waiting.len() } else { 1 };
-        if self.unfit.iter().any(|u| u.covers(spec, tasks, &open)) {
+        let holds = self.rooms.iter().any(|r| r.hold.is_some_and(|h| h.job == *turn.id));
+        if !holds && self.unfit.iter().any(|u| u.covers(job, tasks, &open)) {
             return Vec::new();
         }
-        let demand = Demand::new(job, age, open);
+        let demand = Demand::new(turn, open, self.now);
         let placed = if spec.is_gang() {
             self.place_gang(&demand, &mut zones)
         } else {
@@ -287,7 +303,7 @@
         let short = if spec.is_gang() { placed.is_empty() } else { placed.len() < most.min(job.waiting.len()) };
         // Spread work, and arrays that settled in one zone, were refused rooms that others may use.
         if short && !spec.spread && (spec.is_gang() || !spec.same_zone) {
-            self.unfit.push(Unfit { spec, tasks, open: demand.open });
+            self.unfit.push(Unfit { spec, run: job.agreement.run, tasks, open: demand.open });
         }
         let rooms = &self.rooms;
         placed.into_iter().filter_map(|(index, at)| Some((index, rooms[at].machine?.id.clone()))).collect()
@@ -299,7 +315,7 @@
         let need = demand.job.waiting.len();
         let mut units: HashMap<&str, u64> = HashMap::new();
         self.looked += self.rooms.len() as u64;
-        for room in self.rooms.iter().filter(|r| demand.is_open(r.kind)) {
+        for room in self.rooms.iter().filter(|r| demand.may_use(r)) {
             let zone = if spec.same_zone { self.ground.zone(room.kind) } else { "" };
             *units.entry(zone).or_default() += room.units(spec, need as u64);
         }
@@ -365,7 +381,7 @@
             continue;
         }
         let attempt_of = |index: u32| job.tasks.get(index as usize).map_or(0, |t| t.attempt) + 1;
-        let placed = plan.place_job(job, Zones::new(book, job), turn.age, most);
+        let placed = plan.place_job(&turn, Zones::new(book, job), most);
         if placed.is_empty() {
             continue;
         }
--- a/src/scheduling/room.rs
+++ b/src/scheduling/room.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::book::{Book, JobState, Machine, Standing};
+use super::holds::Hold;
 use crate::fleet::rent::Kind;
 use crate::fleet::{Catalog, MachineType};
 use crate::jobs::JobSpec;
@@ -78,6 +79,7 @@
             gpus: of.gpus - taken.gpus,
             memory_gb: of.memory_gb - taken.memory_gb,
             load: machine.load(),
+            hold: None,
         })
     }
 
@@ -104,11 +106,13 @@
     pub gpus: f64,
     pub memory_gb: f64,
     pub load: Load,
+    /// For whom it is held, if it is.
+    pub hold: Option<&'a Hold>,
 }
 
 impl<'a> Room<'a> {
     pub fn empty(of: &'a MachineType, kind: usize) -> Self {
-        Self { machine: None, of, kind, cpus: of.cpus, gpus: of.gpus, memory_gb: of.memory_gb, load: Load::default() }
+        Self { machine: None, of, kind, cpus: of.cpus, gpus: of.gpus, memory_gb: of.memory_gb, load: Load::default(), hold: None }
     }
 
     pub fn fits(&self, spec: &JobSpec) -> bool {
