--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -21,6 +21,8 @@
 
 /// Placements of one plan: what can be stored in about a second.
 const MOST_PLACEMENTS: usize = 1000;
+/// Hard work that must start within this time to be done in time is not kept waiting for holds.
+const PRESSED_WITHIN: Duration = Duration::from_secs(30);
 /// Work that may preempt waits at least this long for room to come free by itself.
 const PREEMPT_AFTER: Duration = Duration::from_secs(3);
 
@@ -140,6 +142,8 @@
     job: &'a JobState,
     /// When it would be over; what is held for others is open to what ends in time.
     over: Instant,
+    /// Hard work that would be late for waiting; nothing is held against it.
+    pressed: bool,
     share: f64,
     task_return: f64,
     hard: bool,
@@ -154,6 +158,7 @@
             id: turn.id,
             job,
             over: now + agreement.run,
+            pressed: agreement.within_reach(age) && !agreement.within_reach(age + PRESSED_WITHIN),
             share: sla::share(agreement.run, agreement.deadline.saturating_sub(age), agreement.cores),
             task_return: agreement.task_return(age + agreement.run),
             hard: agreement.within_reach(age),
@@ -166,7 +171,7 @@
     }
 
     fn may_use(&self, room: &Room) -> bool {
-        self.is_open(room.kind) && room.hold.is_none_or(|hold| hold.job == *self.id || self.over <= hold.until)
+        self.is_open(room.kind) && room.hold.is_none_or(|hold| self.pressed || hold.job == *self.id || self.over <= hold.until)
     }
 
     fn candidate(&self, at: usize, room: &Room) -> Option<Candidate> {
@@ -291,10 +296,10 @@
         let open = self.ground.open_to(spec, &zones);
         let tasks = if spec.is_gang() { job.waiting.len() } else { 1 };
         let holds = self.rooms.iter().any(|r| r.hold.is_some_and(|h| h.job == *turn.id));
-        if !holds && self.unfit.iter().any(|u| u.covers(job, tasks, &open)) {
+        let demand = Demand::new(turn, open, self.now);
+        if !holds && !demand.pressed && self.unfit.iter().any(|u| u.covers(job, tasks, &demand.open)) {
             return Vec::new();
         }
-        let demand = Demand::new(turn, open, self.now);
         let placed = if spec.is_gang() {
             self.place_gang(&demand, &mut zones)
         } else {
