--- a/src/scheduling/holds.rs
+++ b/src/scheduling/holds.rs
@@ -10,9 +10,11 @@
 use super::plan::{Quotas, Turn, queue};
 use super::room::{Ground, Room, Zones, suspect_after, usable};
 use crate::fleet::Catalog;
-use crate::fleet::forecast::{Slots, Timeline, promises_s};
+use crate::fleet::forecast::{Slots, Timeline};
 use crate::jobs::JobId;
 
+/// A gang waits this long before anything is held for it.
+const HOLD_AFTER: Duration = Duration::from_secs(5);
 /// Nothing is held that is not expected to be enough within this time.
 const HOLD_WITHIN_S: f64 = 60.0;
 /// At most one in so many machines is held.
@@ -29,11 +31,8 @@
 /// What to hold now, by machine.
 pub fn choose(book: &Book, catalog: &Catalog, now: Instant) -> HashMap<MachineId, Hold> {
     let mut holds = HashMap::new();
-    // Nothing is held while the first promise to its user may be kept without.
-    let first = |t: &Turn| promises_s(book, t.job, Duration::ZERO).first().copied().unwrap_or(0.0);
-    let late = |t: &Turn| t.age.as_secs_f64() >= first(t).min(t.job.agreement.run.as_secs_f64());
     let mut turns: Vec<Turn> =
-        queue(book, now).into_iter().filter(|t| t.job.spec().is_gang() && late(t)).collect();
+        queue(book, now).into_iter().filter(|t| t.job.spec().is_gang() && t.age >= HOLD_AFTER).collect();
     if turns.is_empty() {
         return holds;
     }
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -22,7 +22,7 @@
 /// Placements of one plan: what can be stored in about a second.
 const MOST_PLACEMENTS: usize = 1000;
 /// Hard work that must start within this time to be done in time is not kept waiting for holds.
-const PRESSED_WITHIN: Duration = Duration::from_secs(30);
+const PRESSED_WITHIN: Duration = Duration::from_secs(20);
 /// Work that may preempt waits at least this long for room to come free by itself.
 const PREEMPT_AFTER: Duration = Duration::from_secs(3);
 
@@ -108,6 +108,8 @@
 /// machines and accelerators their cores; not one where the task would first hold its place for
 /// a fetch; of those left the one with the highest new return, then the tightest.
 struct Candidate {
+    /// Held for another; taken last.
+    held: bool,
     waste: u8,
     has_image: bool,
     new_return: f64,
@@ -117,7 +119,8 @@
 
 impl Ord for Candidate {
     fn cmp(&self, other: &Self) -> Ordering {
-        (other.waste.cmp(&self.waste))
+        (other.held.cmp(&self.held))
+            .then(other.waste.cmp(&self.waste))
             .then(self.has_image.cmp(&other.has_image))
             .then(self.new_return.total_cmp(&other.new_return))
             .then(other.left.total_cmp(&self.left))
@@ -186,6 +189,7 @@
             None => return None,
         };
         Some(Candidate {
+            held: room.hold.is_some_and(|hold| hold.job != *self.id),
             waste: room.waste(spec),
             has_image: room.holds_image(self.job),
             new_return,
