--- a/src/scheduling/holds.rs
+++ b/src/scheduling/holds.rs
@@ -18,7 +18,7 @@
 /// Nothing is held that is not expected to be enough within this time.
 const HOLD_WITHIN_S: f64 = 60.0;
 /// At most one in so many machines is held.
-const PART: usize = 3;
+const PART: usize = 6;
 /// Gangs held for at once, the longest waiting first.
 const MOST_HOLDERS: usize = 40;
 
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -22,7 +22,7 @@
 /// Placements of one plan: what can be stored in about a second.
 const MOST_PLACEMENTS: usize = 1000;
 /// Hard work that must start within this time to be done in time is not kept waiting for holds.
-const PRESSED_WITHIN: Duration = Duration::from_secs(20);
+const PRESSED_WITHIN: Duration = Duration::from_secs(30);
 /// Work that may preempt waits at least this long for room to come free by itself.
 const PREEMPT_AFTER: Duration = Duration::from_secs(3);
 
--- a/src/settings/properties.rs
+++ b/src/settings/properties.rs
@@ -62,7 +62,7 @@
     /// Machine boots longer than this many times the type's usual time are given up.
     boot_patience: number = 4.0, "machines.boot.patience", 1.0, 100.0;
     /// Machines held at the most, booting ones included.
-    most_machines: number = 1000.0, "machines.most", 1.0, 100000.0;
+    most_machines: number = 5000.0, "machines.most", 1.0, 100000.0;
     /// Seconds to keep from asking again for machines of a type, zone and kind that were refused.
     refusal: seconds = 15.0, "machines.refusal.seconds", 1.0, 3600.0;
     /// Task failures in a row after which a machine is taken out.
