--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -19,8 +19,9 @@
 pub const PLEA: &str = "c/plea";
 pub const TASKS: &str = "t/";
 
-/// Tasks of one chunk: a full one takes about 2 KiB, a quarter of the smallest usual value.
-pub const CHUNK: u64 = 64;
+/// Tasks of one chunk: a full one takes about 4 KiB, half of the smallest usual value, which leaves
+/// room for longer names of machines. Larger chunks mean fewer changes for jobs of hundreds.
+pub const CHUNK: u64 = 192;
 
 pub fn job_key(id: &str) -> String {
     format!("{JOBS}{id}")
--- a/src/node.rs
+++ b/src/node.rs
@@ -59,6 +59,11 @@
     owner_tasks: Mutex<Vec<tokio::task::AbortHandle>>,
 }
 
+/// The owner's part of the state service's limits, and what the others share. Together below
+/// one, for bursts and for the moments in which two believe that they own.
+const OWNERS_PART: f64 = 0.7;
+const OTHERS_PART: f64 = 0.25;
+
 /// An owner writes and reads most; the others keep enough for users and for a campaign.
 fn budgets(settings: &Settings, owner: bool, now: Instant) -> (Budget, Budget) {
     let p = &settings.params.state;
@@ -67,9 +72,9 @@
     let share = if others == 0.0 {
         0.95
     } else if owner {
-        0.5
+        OWNERS_PART
     } else {
-        0.45 / others
+        OTHERS_PART / others
     };
     let make = |limit: f64| Budget::new(limit * share, limit * share, now);
     (make(p.rps), make(p.write_rps))
--- a/src/store/budget.rs
+++ b/src/store/budget.rs
@@ -27,17 +27,31 @@
         Self { per_second: per_second.max(0.01), burst, held: burst, at: now }
     }
 
-    /// Takes `n` or says how long to wait. More than a whole burst is taken once it is full.
-    pub fn take(&mut self, n: f64, urgent: Urgent, now: Instant) -> Result<(), Duration> {
+    /// How much a call of this right could take at once.
+    pub fn ready(&mut self, urgent: Urgent, now: Instant) -> f64 {
+        self.refill(now);
+        self.held - Self::reserve(urgent) * self.burst
+    }
+
+    fn refill(&mut self, now: Instant) {
         let passed = now.saturating_duration_since(self.at).as_secs_f64();
         self.held = (self.held + passed * self.per_second).min(self.burst);
         self.at = now;
-        let reserve = match urgent {
+    }
+
+    /// The part of a burst that calls of this right must leave.
+    fn reserve(urgent: Urgent) -> f64 {
+        match urgent {
             Urgent::First => 0.0,
             Urgent::Second => 0.15,
             Urgent::Last => 0.6,
-        } * self.burst;
-        let needed = (n + reserve).min(self.burst);
+        }
+    }
+
+    /// Takes `n` or says how long to wait. More than a whole burst is taken once it is full.
+    pub fn take(&mut self, n: f64, urgent: Urgent, now: Instant) -> Result<(), Duration> {
+        self.refill(now);
+        let needed = (n + Self::reserve(urgent) * self.burst).min(self.burst);
         if self.held + 1e-9 >= needed {
             self.held -= n;
             return Ok(());
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -175,6 +175,11 @@
         *crate::node::lock(&self.writes) = writes;
     }
 
+    /// How many changes of this right could be written at once.
+    pub fn writes_ready(&self, urgent: Urgent) -> usize {
+        crate::node::lock(&self.writes).ready(urgent, Instant::now()).max(0.0) as usize
+    }
+
     async fn budgeted(budget: &Mutex<Budget>, n: f64, urgent: Urgent) -> Result<(), StoreError> {
         let begun = Instant::now();
         loop {
--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -71,7 +71,8 @@
 }
 
 fn next(node: &Node) -> Option<Batch> {
-    let most = node.settings.params.state.txn_ops as usize;
+    // What the budget holds goes at once: a full batch would wait for a whole burst.
+    let most = (node.settings.params.state.txn_ops as usize).min(node.store.writes_ready(Urgent::Second).max(1));
     let mut held = lock(&node.book);
     let book = held.as_mut().filter(|b| b.loaded)?;
     let now = Instant::now();
@@ -191,7 +192,7 @@
 
 /// Chunks of jobs that are over, whenever the budget has room.
 async fn drop_some(node: &Arc<Node>) {
-    let most = (node.settings.params.state.txn_ops as usize / 2).max(1);
+    let most = node.store.writes_ready(Urgent::Last).min(node.settings.params.state.txn_ops as usize);
     let (drops, token) = match lock(&node.book).as_mut() {
         Some(book) => (book.next_drops(most), book.token),
         None => return,
