--- a/src/fleet/drain.rs
+++ b/src/fleet/drain.rs
@@ -25,7 +25,7 @@
 const SPARE_BOOTS_PROMPT: f64 = 1.0;
 /// One in so many machines is drained at once at the most: a peak passes within a minute, and a
 /// wrong guess costs little.
-const PART: usize = 20;
+const PART: usize = 10;
 /// Machines whose tasks would have to move are looked at up to this many a time.
 const MOST_TRIED: usize = 60;
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -25,9 +25,9 @@
 const LIST_EVERY: Duration = Duration::from_secs(5);
 const EVERY: Duration = Duration::from_millis(500);
 /// Between two looks for what to rent.
-const RENT_GAP: Duration = Duration::from_millis(400);
+const RENT_GAP: Duration = Duration::from_millis(1000);
 /// Between two looks for what can be spared.
-const DRAIN_GAP: Duration = Duration::from_millis(1500);
+const DRAIN_GAP: Duration = Duration::from_millis(3000);
 const TELL_EVERY: Duration = Duration::from_secs(15);
 /// A look rests this many times as long as it took.
 const REST: u32 = 8;
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -161,7 +161,7 @@
     pub loaded: bool,
     pub settings: Settings,
     pub properties: Properties,
-    jobs: BTreeMap<JobId, JobState>,
+    jobs: HashMap<JobId, JobState>,
     /// Jobs whose end is known; their strays are stopped and reaped.
     over: HashSet<JobId>,
     /// Jobs whose end is known and of which something is still bound.
@@ -218,7 +218,7 @@
             loaded: false,
             settings,
             properties,
-            jobs: BTreeMap::new(),
+            jobs: HashMap::new(),
             over: HashSet::new(),
             ending: BTreeSet::new(),
             kinds: Vec::new(),
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -26,7 +26,7 @@
 /// What time alone brings about is looked at this often.
 const TICK: Duration = Duration::from_millis(250);
 /// What is held for gangs is chosen anew this often.
-const HOLD_EVERY: Duration = Duration::from_millis(1000);
+const HOLD_EVERY: Duration = Duration::from_millis(2000);
 /// A plan rests this many times as long as it took, so that reports and users are not kept
 /// waiting however much there is to plan.
 const REST: u32 = 4;
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -64,6 +64,7 @@
         (b.guaranteed.cmp(&a.guaranteed))
             .then(b.task_return.partial_cmp(&a.task_return).unwrap_or(Ordering::Equal))
             .then(b.age.cmp(&a.age))
+            .then(a.id.cmp(b.id))
     });
     turns
 }
