--- a/src/fleet/rent.rs
+++ b/src/fleet/rent.rs
@@ -8,7 +8,7 @@
 use super::forecast::{Slots, Timeline, promises_s};
 use crate::jobs::JobSpec;
 use crate::scheduling::book::{Book, MachineId, Standing};
-use crate::scheduling::plan::{Quotas, queue};
+use crate::scheduling::plan::{Quotas, Turn, queue};
 use crate::scheduling::room::{Ground, Offer, Room, Zones};
 
 /// Grace on top of a type's usual boot time.
@@ -84,6 +84,8 @@
 /// all of them waits up to its own run time. It waits this part of its slack before the cheapest
 /// kind of machine is rented for it, and the longer the dearer the kind, up to all of its slack.
 const PATIENCE: f64 = 0.15;
+/// Work that has waited no longer than this goes before what is yet to come.
+const FRESH: Duration = Duration::from_secs(20);
 /// Renting must bring the start forward by at least this much.
 const GAIN_S: f64 = 3.0;
 /// Tasks and jobs followed through the forecast; more than these wait for the next one.
@@ -124,7 +126,14 @@
     let mut wanted: BTreeMap<Kind, u64> = BTreeMap::new();
     let mut quotas = Quotas::new(book);
     let mut followed = 0;
-    for turn in turns.into_iter().take(MOST_FOLLOWED) {
+    // Work that has waited will have to wait for what is yet to come as well: fresh work has the
+    // higher return. What ends on the machines is not all theirs.
+    let (fresh, waited): (Vec<Turn>, Vec<Turn>) = turns.into_iter().partition(|t| t.age < FRESH);
+    let fresh_ones = fresh.len();
+    for (n, turn) in fresh.into_iter().chain(waited).take(MOST_FOLLOWED).enumerate() {
+        if n == fresh_ones {
+            expect_arrivals(book, &ground, &mut timelines, now);
+        }
         let job = turn.job;
         let spec = job.spec();
         if spec.is_gang() && !quotas.allows(spec, spec.tasks as f64) {
@@ -178,6 +187,28 @@
     wanted.into_iter().collect()
 }
 
+/// Places what is expected to come while a machine would boot, each task when it comes.
+fn expect_arrivals<'a>(book: &'a Book, ground: &Ground<'a>, timelines: &mut [Timeline<'a>], now: Instant) {
+    for arrivals in book.arrivals.values() {
+        let Some(like) = book.like(arrivals) else { continue };
+        let zones = Zones::none(like.spec());
+        let open = ground.open_to(like.spec(), &zones);
+        let boots = ground.offers.iter().zip(&open).filter(|(_, open)| **open).filter_map(|(o, _)| o.as_ref());
+        let within_s = boots.map(|o| o.of.boot_s).fold(0.0, f64::max);
+        let per_second = arrivals.per_second(now);
+        let expected = (per_second * within_s).min(MOST_FORECAST as f64 / 4.0) as u64;
+        let mut slots = Slots::new(timelines, like, &open);
+        for n in 0..expected {
+            let Some(mut slot) = slots.next(timelines, ground, &zones) else { break };
+            slot.at_s = slot.at_s.max(n as f64 / per_second);
+            if slot.at_s > within_s {
+                break;
+            }
+            slots.take(timelines, slot);
+        }
+    }
+}
+
 /// Machines that boot for too long or stand idle for too long.
 pub fn to_give_up(book: &Book, catalog: &Catalog, now: Instant) -> Vec<(MachineId, &'static str)> {
     let mut out = Vec::new();
--- a/src/scheduling/book/jobs.rs
+++ b/src/scheduling/book/jobs.rs
@@ -123,6 +123,14 @@
         self.jobs.insert(id, job);
     }
 
+    /// A job to stand for what is expected of a class, if one is still open.
+    pub fn like(&self, arrivals: &Arrivals) -> Option<&JobState> {
+        self.jobs.get(&arrivals.like.spec.id).or_else(|| {
+            let same = |j: &&JobState| j.record.spec.class == arrivals.like.spec.class;
+            self.jobs.values().filter(same).max_by_key(|j| j.since)
+        })
+    }
+
     fn agreement(&self, spec: &JobSpec) -> Agreement {
         Agreement::of(spec, self.estimate(spec), self.properties.soft_deadline)
     }
