--- a/src/fleet/drain.rs
+++ b/src/fleet/drain.rs
@@ -107,7 +107,12 @@
     let mut pool = Pool::new(book, catalog, now);
     // Waiting work, then what is expected while a machine would boot, takes its room first.
     for turn in queue(book, now) {
-        pool.keep(turn.job.spec(), &Zones::new(book, turn.job), turn.job.waiting.len() as u64, turn.age > turn.job.agreement.run);
+        pool.keep(
+            turn.job.spec(),
+            &Zones::new(book, turn.job),
+            turn.job.waiting.len() as u64,
+            turn.age > turn.job.agreement.run,
+        );
     }
     for (class, expected) in &book.arrivals {
         let spec = &expected.like.spec;
--- a/src/scheduling/book/commands.rs
+++ b/src/scheduling/book/commands.rs
@@ -9,6 +9,8 @@
 const MOST_ORDERS: usize = 400;
 /// Direct commands to one machine are at least this far apart unless something new came up.
 const COMMAND_GAP: Duration = Duration::from_millis(1000);
+/// Direct commands under way may take one in so many of the sockets.
+const COMMANDS_PART: u64 = 8;
 /// Tokens are raised at most this often.
 const RAISE_GAP: Duration = Duration::from_secs(5);
 
@@ -105,16 +107,20 @@
     /// Machines that have something new to be told, or have not yet seen this owner's token.
     pub fn direct_commands(&mut self, now: Instant) -> Vec<Direct> {
         let mut due = Vec::new();
-        let ids: Vec<MachineId> = self
-            .machines
-            .values()
-            .filter(|m| {
-                !m.command_under_way
-                    && m.standing != Standing::Condemned
-                    && (m.tell || (m.token < self.token && now >= m.next_command))
-            })
-            .map(|m| m.id.clone())
-            .collect();
+        let (mut news, mut greetings, mut under_way) = (Vec::new(), Vec::new(), 0);
+        for m in self.machines.values() {
+            if m.command_under_way {
+                under_way += 1;
+            } else if m.standing != Standing::Condemned && m.tell {
+                news.push(m.id.clone());
+            } else if m.standing != Standing::Condemned && m.token < self.token && now >= m.next_command {
+                greetings.push(m.id.clone());
+            }
+        }
+        // Each takes a socket, and reports need as many; what is left over goes with the next.
+        let most = (self.settings.params.limits.max_sockets / COMMANDS_PART).max(4) as usize;
+        let ids = news.into_iter().chain(greetings).take(most.saturating_sub(under_way));
+        let ids: Vec<MachineId> = ids.collect();
         for id in ids {
             let Some(m) = self.machines.get(&id) else { continue };
             let Some(addr) = m.addr.clone() else { continue };
--- a/src/scheduling/interleavings.rs
+++ b/src/scheduling/interleavings.rs
@@ -150,11 +150,13 @@
     completed: HashSet<TaskKey>,
     catalog: Catalog,
     starts: usize,
+    machines: usize,
+    jobs: usize,
     quiet: bool,
 }
 
 impl World {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, machines: usize) -> Self {
         let start = Instant::now() + Duration::from_secs(3600);
         let of = MachineType {
             name: "t".into(),
@@ -173,7 +175,7 @@
             start,
             now: start,
             store: Store::default(),
-            workers: (0..6).map(|n| Worker::new(n, start)).collect(),
+            workers: (0..machines).map(|n| Worker::new(n, start)).collect(),
             owners: Vec::new(),
             owner: 0,
             messages: Vec::new(),
@@ -184,6 +186,8 @@
             completed: HashSet::new(),
             catalog: Catalog { types: vec![of] },
             starts: 0,
+            machines,
+            jobs: machines * 2 + 2,
             quiet: false,
         };
         world.take_over();
@@ -370,6 +374,11 @@
         owner.book.tick(now);
         let decisions = plan::place(&mut owner.book, &self.catalog, now);
         owner.book.bind_all(decisions, now);
+        // What is kept with every binding is what a count afresh gives.
+        for machine in owner.book.machines.values() {
+            let (kept, afresh) = (machine.taken(), owner.book.taken_afresh(machine));
+            assert!((kept.cpus - afresh.cpus).abs() < 1e-6 && (kept.memory_gb - afresh.memory_gb).abs() < 1e-6);
+        }
         let mut deposed = false;
         if owner.batch.is_none() {
             let (ends, chunks) = owner.book.next_writes(12, now);
@@ -581,7 +590,8 @@
     }
 
     fn trouble(&mut self, step: usize) {
-        if step.is_multiple_of(60) && self.records.len() < 14 {
+        let every = 360 / self.machines.clamp(1, 360);
+        if step.is_multiple_of(every) && self.records.len() < self.jobs {
             self.submit();
         }
         if self.rng.random_bool(0.004) {
@@ -606,15 +616,15 @@
                 }
             }
         }
-        if self.workers.iter().filter(|w| !w.gone).count() < 6 {
+        if self.workers.iter().filter(|w| !w.gone).count() < self.machines {
             let n = self.workers.len();
             self.workers.push(Worker::new(n, self.now));
         }
     }
 
     /// Two minutes of trouble, then as long as it takes without any.
-    fn play(&mut self) {
-        for step in 0..1200 {
+    fn play(&mut self, steps: usize) {
+        for step in 0..steps {
             self.trouble(step);
             self.step();
         }
@@ -638,9 +648,17 @@
 fn rules_hold_whatever_the_order() {
     let mut starts = 0;
     for seed in 0..40 {
-        let mut world = World::new(seed);
-        world.play();
+        let mut world = World::new(seed, 6);
+        world.play(1200);
         starts += world.starts;
     }
     assert!(starts > 5000, "the model has hardly worked: {starts} starts");
 }
+
+/// The same at a size where plans, chunks and commands no longer fit one turn.
+#[test]
+fn rules_hold_with_hundreds_of_machines() {
+    let mut world = World::new(7, 200);
+    world.play(300);
+    assert!(world.starts > 5000, "the model has hardly worked: {} starts", world.starts);
+}
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -175,7 +175,8 @@
     }
 
     fn may_use(&self, room: &Room) -> bool {
-        self.is_open(room.kind) && room.hold.is_none_or(|hold| self.pressed || hold.job == *self.id || self.over <= hold.until)
+        self.is_open(room.kind)
+            && room.hold.is_none_or(|hold| self.pressed || hold.job == *self.id || self.over <= hold.until)
     }
 
     fn candidate(&self, at: usize, room: &Room) -> Option<Candidate> {
@@ -291,12 +292,7 @@
     }
 
     /// Places as many tasks of one job as there is room for; all or none of a gang.
-    pub fn place_job(
-        &mut self,
-        turn: &Turn<'a>,
-        mut zones: Zones<'a>,
-        most: usize,
-    ) -> Vec<(u32, MachineId)> {
+    pub fn place_job(&mut self, turn: &Turn<'a>, mut zones: Zones<'a>, most: usize) -> Vec<(u32, MachineId)> {
         let (job, spec) = (turn.job, turn.job.spec());
         let open = self.ground.open_to(spec, &zones);
         let tasks = if spec.is_gang() { job.waiting.len() } else { 1 };
--- a/src/scheduling/room.rs
+++ b/src/scheduling/room.rs
@@ -112,7 +112,16 @@
 
 impl<'a> Room<'a> {
     pub fn empty(of: &'a MachineType, kind: usize) -> Self {
-        Self { machine: None, of, kind, cpus: of.cpus, gpus: of.gpus, memory_gb: of.memory_gb, load: Load::default(), hold: None }
+        Self {
+            machine: None,
+            of,
+            kind,
+            cpus: of.cpus,
+            gpus: of.gpus,
+            memory_gb: of.memory_gb,
+            load: Load::default(),
+            hold: None,
+        }
     }
 
     pub fn fits(&self, spec: &JobSpec) -> bool {
--- a/src/scheduling/tests.rs
+++ b/src/scheduling/tests.rs
@@ -225,3 +225,187 @@
         assert_eq!(drained.first().map(|d| d.moves.len()), want, "{name}");
     }
 }
+
+fn many(n: usize, now: Instant) -> Book {
+    let mut book = Book::new(7, example(), Properties::default(), now);
+    book.loaded = true;
+    for i in 0..n {
+        book.take_report(report(&format!("m{i:04}"), "c8", "a", false, 1, vec![]), Via::Report, None, now);
+    }
+    book
+}
+
+/// The grown deployments: a plan at 1,000 machines with thousands of waiting tasks took most of
+/// the owner's processor time. Counted in rooms looked at, not in time.
+#[test]
+fn the_work_of_a_plan_is_bounded() {
+    let now = Instant::now();
+    let mut book = many(1000, now);
+    for n in 0..100 {
+        add(&mut book, n, now, |j| (j.tasks, j.cpus) = (100, 1.0));
+    }
+    for n in 100..300 {
+        add(&mut book, n, now, |j| (j.shape, j.tasks, j.cpus, j.same_zone) = (Shape::Gang, 6, 8.0, true));
+    }
+    let (first, looked) = plan::place_counted(&mut book, &catalog(), now);
+    assert_eq!(first.len(), 1000, "a plan stops at what can be stored");
+    assert!(looked < 500_000, "{looked}");
+    book.bind_all(first, now);
+    let mut looks = Vec::new();
+    loop {
+        let (more, looked) = plan::place_counted(&mut book, &catalog(), now);
+        looks.push(looked);
+        if more.is_empty() {
+            break;
+        }
+        book.bind_all(more, now);
+    }
+    assert!(looks.iter().all(|l| *l < 500_000), "{looks:?}");
+    let full = looks.last().copied().unwrap_or(0);
+    assert!(full < 10_000, "with nothing free hardly anything is looked at: {full}");
+}
+
+/// Arrays trickle: what has only ended is stored together a little later, and starts at once.
+#[test]
+fn ends_of_tasks_share_a_change() {
+    let now = Instant::now();
+    let mut book = many(20, now);
+    add(&mut book, 1, now, |j| j.tasks = 150);
+    let decisions = plan::place(&mut book, &catalog(), now);
+    book.bind_all(decisions.clone(), now);
+    let (_, chunks) = book.next_writes(10, now);
+    assert_eq!(chunks.len(), 1, "one chunk for all starts, at once");
+    book.chunks_stored(&chunks, 1);
+    let mut writes = 0;
+    for (n, p) in decisions.iter().enumerate().take(100) {
+        let at = now + Duration::from_millis(50 * n as u64);
+        let leg = Leg {
+            task: p.task.clone(),
+            attempt: 1,
+            status: LegStatus::Exited,
+            cause: Some(crate::workers::Cause::Done),
+            saved: None,
+        };
+        book.take_report(report(&p.machine, "c8", "a", false, 2 + n as u64, vec![leg]), Via::Report, None, at);
+        if book.anything_to_store(at) {
+            let (_, chunks) = book.next_writes(10, at);
+            writes += chunks.len();
+            book.chunks_stored(&chunks, 2 + n as u64);
+        }
+    }
+    assert!((1..=4).contains(&writes), "5 s of ends in {writes} changes");
+}
+
+/// A gang of six waited for minutes, since smaller work took each machine as it came free.
+#[test]
+fn room_is_held_for_a_gang_and_pressed_work_goes_before() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(10);
+    let full = |due_s: Option<f64>, estimate_s: f64| {
+        let mut book = many(6, start);
+        // Half of the machines are taken for some 20 s more.
+        for n in 0..3 {
+            add(&mut book, n, start, |j| (j.cpus, j.estimate_s) = (8.0, 30.0));
+        }
+        let first = plan::place(&mut book, &catalog(), start);
+        book.bind_all(first, start);
+        add(&mut book, 9, start, |j| (j.shape, j.tasks, j.cpus, j.estimate_s) = (Shape::Gang, 6, 8.0, 300.0));
+        for i in 0..6 {
+            let name = format!("m{i:04}");
+            book.take_report(report(&name, "c8", "a", false, 2, vec![]), Via::Report, None, now);
+        }
+        book.holds = super::holds::choose(&book, &catalog(), now);
+        add(&mut book, 20, now, |j| (j.cpus, j.estimate_s, j.due_s) = (2.0, estimate_s, due_s));
+        plan::place(&mut book, &catalog(), now).len()
+    };
+    for (name, due_s, estimate_s, want) in [
+        ("what would stay too long waits", None, 100.0, 0),
+        ("what ends in time may go", None, 5.0, 1),
+        ("hard work with time to spare waits", Some(500.0), 100.0, 0),
+        ("hard work that is pressed may go", Some(110.0), 100.0, 1),
+    ] {
+        assert_eq!(full(due_s, estimate_s), want, "{name}");
+    }
+}
+
+/// Found on the grown sites: machines were drained while work that could use them waited, and
+/// rented again a minute later.
+#[test]
+fn nothing_is_spared_while_work_for_it_waits() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(100);
+    for (name, waiting, spared) in [("nothing waits", 0, 1), ("more waits than fits", 20, 0)] {
+        let mut book = many(10, start);
+        for i in 0..10 {
+            let name = format!("m{i:04}");
+            book.take_report(report(&name, "c8", "a", false, 2, vec![]), Via::Report, None, now);
+        }
+        if waiting > 0 {
+            add(&mut book, 1, now, |j| (j.shape, j.tasks, j.cpus) = (Shape::Gang, waiting, 8.0));
+        }
+        book.arrivals.clear();
+        assert_eq!(drain::choose(&book, &catalog(), now).len(), spared, "{name}");
+    }
+}
+
+/// What ends on the machines goes to fresh work; work that has waited is rented for all the same.
+#[test]
+fn renting_counts_with_what_is_yet_to_come() {
+    let start = Instant::now();
+    for (name, arriving, rents) in [("nothing else comes", 0u32, false), ("more keeps coming", 30, true)] {
+        let mut book = many(4, start);
+        for n in 0..4 {
+            add(&mut book, n, start, |j| (j.cpus, j.estimate_s, j.zone) = (8.0, 30.0, Some("a".into())));
+        }
+        let first = plan::place(&mut book, &catalog(), start);
+        book.bind_all(first, start);
+        add(&mut book, 9, start, |j| (j.cpus, j.estimate_s, j.zone) = (8.0, 40.0, Some("a".into())));
+        book.arrivals.clear();
+        let now = start + Duration::from_secs(25);
+        for n in 0..arriving {
+            add(&mut book, 100 + n, now, |j| (j.cpus, j.estimate_s, j.zone) = (8.0, 30.0, Some("a".into())));
+            book.end_job(&format!("run-{:06}", 100 + n).as_str().into(), now);
+        }
+        let wanted = rent::plan(&book, &catalog(), &Refusals::default(), &Default::default(), now);
+        assert_eq!(!wanted.is_empty(), rents, "{name}: {wanted:?}");
+    }
+}
+
+/// The opening of a grown day wants hundreds of machines in one look.
+#[test]
+fn hundreds_of_machines_are_wanted_at_once() {
+    let now = Instant::now();
+    let mut book = many(0, now);
+    for n in 0..50 {
+        add(&mut book, n, now, |j| {
+            (j.shape, j.tasks, j.cpus, j.same_zone, j.estimate_s) = (Shape::Gang, 6, 8.0, true, 100.0);
+        });
+    }
+    let wanted = rent::plan(&book, &catalog(), &Refusals::default(), &Default::default(), now);
+    assert_eq!(wanted.iter().map(|(_, n)| n).sum::<u64>(), 300, "{wanted:?}");
+}
+
+/// A new owner reads thousands of bindings; its sums are what a count afresh gives.
+#[test]
+fn a_takeover_of_thousands_of_tasks() {
+    use crate::jobs::record::{CHUNK, Stored};
+    let now = Instant::now();
+    let mut book = Book::new(9, example(), Properties::default(), now);
+    for n in 0..10u64 {
+        let mut job = spec();
+        (job.id, job.tasks, job.team) = (format!("run-{n:06}").into(), 600, "blue".into());
+        let chunk = |c: u64| {
+            let tasks = c * CHUNK..((c + 1) * CHUNK).min(600);
+            let bound = tasks.map(|i| Stored::Bound(1, format!("host-{:06}", (n * 600 + i) % 1000)));
+            (c, 5, bound.collect())
+        };
+        let chunks = (0..600u64.div_ceil(CHUNK)).map(chunk).collect();
+        book.load_job(Arc::new(JobRecord { spec: job, at_ms: time_of_day_ms() }), chunks, now);
+    }
+    book.loaded = true;
+    assert_eq!((book.machines.len(), book.usage["blue"].0), (1000, 6000.0));
+    assert!(book.machines.values().all(|m| m.taken() == book.taken_afresh(m) && m.bound.len() == 6));
+    assert!(plan::place(&mut book, &catalog(), now).is_empty(), "all are bound, and nobody has reported");
+    let commands = book.direct_commands(now).len();
+    assert!(commands <= 700 / 8, "{commands} commands at once");
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -88,8 +88,6 @@
 pub struct WorkerParams {
     pub report_s: f64,
     pub lease_s: f64,
-    pub gang_wait_s: f64,
-    pub gang_peer_s: f64,
     pub cancel_s: f64,
 }
 
@@ -104,7 +102,6 @@
 #[derive(Debug, Clone, Deserialize)]
 pub struct CloudParams {
     pub rps: f64,
-    pub list_lag_s: f64,
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -155,8 +152,6 @@
         let positive = [
             ("params.workers.report_s", p.workers.report_s),
             ("params.workers.lease_s", p.workers.lease_s),
-            ("params.workers.gang_wait_s", p.workers.gang_wait_s),
-            ("params.workers.gang_peer_s", p.workers.gang_peer_s),
             ("params.workers.cancel_s", p.workers.cancel_s),
             ("params.state.rps", p.state.rps),
             ("params.state.write_rps", p.state.write_rps),
@@ -168,9 +163,6 @@
                 return Err(format!("{field}: {value} is not above 0 and at most 1000000"));
             }
         }
-        if !(0.0..=3600.0).contains(&p.cloud.list_lag_s) {
-            return Err(format!("params.cloud.list_lag_s: {} is not between 0 and 3600", p.cloud.list_lag_s));
-        }
         if p.state.txn_ops < 2 {
             return Err(format!("params.state.txn_ops: {} is below 2", p.state.txn_ops));
         }
--- a/src/settings/properties.rs
+++ b/src/settings/properties.rs
@@ -51,8 +51,6 @@
 properties! {
     /// Seconds after which an unrenewed leadership ends and another controller takes over.
     leader_lease: seconds = 3.0, "leader.lease.seconds", 0.5, 600.0;
-    /// Controllers that share teams and machines.
-    owners: number = 1.0, "controllers.sharing", 1.0, 1.0;
     /// Deadline of a job without one, in estimates.
     soft_deadline: number = 4.0, "sla.soft.deadline.estimates", 1.0, 100.0;
     /// Seconds without a report after which a machine is given up and returned.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -17,7 +17,8 @@
 const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 const IDLE_PER_HOST: usize = 4;
-const IDLE_FOR: Duration = Duration::from_secs(30);
+/// Connections to machines are many; what is not used again soon is closed.
+const IDLE_FOR: Duration = Duration::from_secs(10);
 
 /// Encodes as a map keyed by text, as every interface asks.
 pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
