--- a/src/scheduling/book/jobs.rs
+++ b/src/scheduling/book/jobs.rs
@@ -35,13 +35,6 @@
     }
 
     pub fn add_job(&mut self, record: Arc<JobRecord>, now: Instant) {
-        if !self.has_job(&record.spec.id) {
-            let arrivals = self.arrivals.entry(record.spec.class.clone());
-            let arrivals = arrivals.or_insert_with(|| Arrivals { faded: 0.0, at: now, like: record.clone() });
-            arrivals.faded = arrivals.fade(now) + record.spec.tasks as f64;
-            arrivals.at = now;
-            arrivals.like = record.clone();
-        }
         self.load_job(record, Vec::new(), now);
     }
 
@@ -53,6 +46,10 @@
         }
         let n = record.spec.tasks as usize;
         let age = record.age(time_of_day_ms());
+        // What a new owner reads has come as well, some time ago.
+        let arrivals = self.arrivals.entry(record.spec.class.clone());
+        let arrivals = arrivals.or_insert_with(|| Arrivals { faded: 0.0, at: now, like: record.clone() });
+        arrivals.come(record.clone(), age, now);
         let mut job = JobState {
             agreement: self.agreement(&record.spec),
             since: now.checked_sub(age).unwrap_or(now),
--- a/src/scheduling/book/machine.rs
+++ b/src/scheduling/book/machine.rs
@@ -262,11 +262,9 @@
             return;
         }
         let at = self.kind(&kind.type_name, &kind.zone, kind.spot);
-        let machine = self.machines.entry(id.clone()).or_insert_with(|| {
-            let mut machine = Machine::new(id, now);
-            machine.since = now.checked_sub(held).unwrap_or(now);
-            machine
-        });
+        let machine = self.machines.entry(id.clone()).or_insert_with(|| Machine::new(id, now));
+        // A new owner hears of machines before it is told how long they have been held.
+        machine.since = machine.since.min(now.checked_sub(held).unwrap_or(now));
         if !machine.reported() {
             machine.type_name = kind.type_name.clone();
             machine.zone = kind.zone.clone();
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -206,6 +206,13 @@
         self.faded * (-passed / ARRIVALS_FADE.as_secs_f64()).exp()
     }
 
+    /// A job that came so long ago.
+    fn come(&mut self, record: Arc<JobRecord>, age: Duration, now: Instant) {
+        let gone_by = (-age.as_secs_f64() / ARRIVALS_FADE.as_secs_f64()).exp();
+        self.faded = self.fade(now) + record.spec.tasks as f64 * gone_by;
+        (self.at, self.like) = (now, record);
+    }
+
     pub fn per_second(&self, now: Instant) -> f64 {
         self.fade(now) / ARRIVALS_FADE.as_secs_f64()
     }
--- a/src/scheduling/tests.rs
+++ b/src/scheduling/tests.rs
@@ -409,3 +409,27 @@
     let commands = book.direct_commands(now).len();
     assert!(commands <= 700 / 8, "{commands} commands at once");
 }
+
+/// Found on fa-lima-grown: for a minute after a takeover nothing was drained, since every machine
+/// counted as new, and renting knew of no arrivals.
+#[test]
+fn a_new_owner_knows_how_old_things_are() {
+    let now = Instant::now();
+    let s = Duration::from_secs;
+    let mut book = many(2, now);
+    let kind = Kind { type_name: "c8".into(), zone: "a".into(), spot: false };
+    book.expect("m0000", &kind, None, s(300), now);
+    book.expect("m0001", &kind, None, s(10), now);
+    let drained: Vec<String> =
+        drain::choose(&book, &catalog(), now).into_iter().map(|d| d.machine.to_string()).collect();
+    assert_eq!(drained, ["m0000"], "only what has been held for long enough");
+    for (n, age_s, at_least) in [(1, 0, 0.9), (2, 60, 0.3), (3, 6000, 0.0)] {
+        let mut book = many(0, now);
+        let mut job = spec();
+        (job.id, job.tasks) = (format!("run-{n:06}").into(), 60);
+        let at_ms = time_of_day_ms() - age_s * 1000;
+        book.load_job(Arc::new(JobRecord { spec: job, at_ms }), Vec::new(), now);
+        let seen = book.arrivals["c"].per_second(now);
+        assert!((at_least..=at_least + 0.1).contains(&seen), "{age_s} s ago: {seen}");
+    }
+}
