--- a/src/fleet/drain.rs
+++ b/src/fleet/drain.rs
@@ -72,19 +72,15 @@
     /// could use is spared; accelerators that they have no use for only for work that has
     /// waited long.
     fn keep(&mut self, spec: &JobSpec, zones: &Zones, n: u64, waits: bool) {
-        let open = self.open_to(spec, zones, waits);
+        let open = self.ground.open_to(spec, zones);
         if !self.put(spec, &open, n, None, true) {
-            for (short, open) in self.short.iter_mut().zip(open) {
-                *short |= open;
+            for (at, offer) in self.ground.offers.iter().enumerate() {
+                let apt = offer.is_some_and(|o| waits || spec.gpus > 0.0 || o.of.gpus <= 0.0);
+                self.short[at] |= open[at] && apt;
             }
         }
     }
 
-    fn open_to(&self, spec: &JobSpec, zones: &Zones, waits: bool) -> Vec<bool> {
-        let open = self.ground.open_to(spec, zones).into_iter().zip(&self.ground.offers);
-        open.map(|(open, o)| open && o.is_some_and(|o| waits || spec.gpus > 0.0 || o.of.gpus <= 0.0)).collect()
-    }
-
     /// Puts up to `n` tasks like this into the first rooms that take them. False if some are left.
     fn put(&mut self, spec: &JobSpec, open: &[bool], mut n: u64, except: Option<usize>, mark: bool) -> bool {
         for (at, room) in self.rooms.iter_mut().enumerate() {
@@ -120,7 +116,7 @@
     }
     for (class, expected) in &book.arrivals {
         let spec = &expected.like.spec;
-        let open = pool.open_to(spec, &Zones::none(spec), false);
+        let open = pool.ground.open_to(spec, &Zones::none(spec));
         let boot_s = pool.ground.offers.iter().zip(&open).filter(|(_, open)| **open).filter_map(|(o, _)| o.as_ref());
         let boot_s = boot_s.map(|o| o.of.boot_s).fold(0.0, f64::max);
         let asked = &book.settings.params.objectives;
