--- a/src/scheduling/load.rs
+++ b/src/scheduling/load.rs
@@ -31,7 +31,10 @@
         records.extend(mirror.open_jobs().map(|(_, record)| (record.clone(), None)));
         for id in chunks.keys() {
             if let Some(Known::Ended(end)) = mirror.job(id) {
-                over.push((id.clone(), *end));
+                match mirror.ended_record(id) {
+                    Some(record) => records.push((record, Some(*end))),
+                    None => over.push((id.clone(), *end)),
+                }
             }
         }
     }
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -1,6 +1,6 @@
 //! What every controller knows of jobs, ends and ownership, as of one revision.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
 use serde::de::DeserializeOwned;
@@ -12,6 +12,9 @@
 use crate::jobs::{End, JobId};
 use crate::membership::{Assignment, Leader, Plea};
 
+/// Descriptions kept of jobs that are over: about half a KiB each.
+const ENDED_KEPT: usize = 2000;
+
 /// A job as far as everybody knows it.
 #[derive(Debug, Clone)]
 pub enum Known {
@@ -27,6 +30,10 @@
     jobs: HashMap<JobId, Known>,
     /// Ends seen before their jobs (pages are read in key order, and ends come first).
     early_ends: HashMap<JobId, End>,
+    /// Descriptions of jobs that ended last: a new owner needs them for tasks not yet proven gone,
+    /// and reading them one by one took it seconds.
+    ended: HashMap<JobId, Arc<JobRecord>>,
+    ended_order: VecDeque<JobId>,
     pub leader: Option<(Leader, u64)>,
     pub assignment: Option<(Assignment, u64)>,
     pub plea: Option<Plea>,
@@ -116,6 +123,7 @@
             let Some(record) = read::<JobRecord>(path, value) else { return };
             let id: JobId = id.into();
             if let Some(end) = self.early_ends.remove(&id) {
+                self.keep_ended(&id, Arc::new(record));
                 self.jobs.insert(id, Known::Ended(end));
             } else {
                 news.opened.push(id.clone());
@@ -128,12 +136,30 @@
         }
     }
 
-    /// Ends are final: the first one heard of stays, and the description is no longer needed.
+    /// What was kept of a job that ended lately.
+    pub fn ended_record(&self, id: &str) -> Option<Arc<JobRecord>> {
+        self.ended.get(id).cloned()
+    }
+
+    fn keep_ended(&mut self, id: &JobId, record: Arc<JobRecord>) {
+        if self.ended.insert(id.clone(), record).is_none() {
+            self.ended_order.push_back(id.clone());
+        }
+        if self.ended_order.len() > ENDED_KEPT
+            && let Some(oldest) = self.ended_order.pop_front()
+        {
+            self.ended.remove(&oldest);
+        }
+    }
+
+    /// Ends are final: the first one heard of stays. The description is kept for a while.
     fn end(&mut self, id: &str, end: End, news: &mut News) {
         match self.jobs.get_mut(id) {
             Some(Known::Ended(_)) => {}
             Some(known) => {
-                *known = Known::Ended(end);
+                if let Known::Open(record) = std::mem::replace(known, Known::Ended(end)) {
+                    self.keep_ended(&id.into(), record);
+                }
                 news.ended.push(id.into());
             }
             None => {
@@ -193,6 +219,7 @@
         assert_eq!(mirror.revision, 2);
         mirror.apply(&followed(vec![end_event("withdrawn", 3)], 3));
         assert!(matches!(mirror.job("run-000001"), Some(Known::Ended(End::Done))), "ends are final");
+        assert!(mirror.ended_record("run-000001").is_some(), "a new owner needs no reading for it");
     }
 
     #[test]
@@ -202,5 +229,6 @@
         let news = mirror.load(&[item(end_event("withdrawn", 4)), item(job_event(1))], 9);
         assert!(matches!(mirror.job("run-000001"), Some(Known::Ended(End::Withdrawn))));
         assert!(news.opened.is_empty() && mirror.ready);
+        assert!(mirror.ended_record("run-000001").is_some(), "a new owner needs no reading for it");
     }
 }
