Tidy after rereading: one longest boot, one test of aptness, no idle parameter, holds asked last

Ground::longest_boot_s serves drain and rent, Offer::apt drain and holds; Pool::put lost a parameter that was always true; a plan looks for a job's holds only where work like it found no room before.

--- a/src/fleet/drain.rs
+++ b/src/fleet/drain.rs
@@ -73,16 +73,16 @@
     /// waited long.
     fn keep(&mut self, spec: &JobSpec, zones: &Zones, n: u64, waits: bool) {
         let open = self.ground.open_to(spec, zones);
-        if !self.put(spec, &open, n, None, true) {
+        if !self.put(spec, &open, n, None) {
             for (at, offer) in self.ground.offers.iter().enumerate() {
-                let apt = offer.is_some_and(|o| waits || spec.gpus > 0.0 || o.of.gpus <= 0.0);
+                let apt = offer.is_some_and(|o| waits || o.apt(spec));
                 self.short[at] |= open[at] && apt;
             }
         }
     }
 
     /// Puts up to `n` tasks like this into the first rooms that take them. False if some are left.
-    fn put(&mut self, spec: &JobSpec, open: &[bool], mut n: u64, except: Option<usize>, mark: bool) -> bool {
+    fn put(&mut self, spec: &JobSpec, open: &[bool], mut n: u64, except: Option<usize>) -> bool {
         for (at, room) in self.rooms.iter_mut().enumerate() {
             if n == 0 {
                 break;
@@ -94,7 +94,7 @@
             if units > 0 {
                 let k = units as f64;
                 room.add(-k * spec.cpus, -k * spec.gpus, -k * spec.memory_gb);
-                self.wanted[at] |= mark;
+                self.wanted[at] = true;
                 n -= units;
             }
         }
@@ -117,8 +117,7 @@
     for (class, expected) in &book.arrivals {
         let spec = &expected.like.spec;
         let open = pool.ground.open_to(spec, &Zones::none(spec));
-        let boot_s = pool.ground.offers.iter().zip(&open).filter(|(_, open)| **open).filter_map(|(o, _)| o.as_ref());
-        let boot_s = boot_s.map(|o| o.of.boot_s).fold(0.0, f64::max);
+        let boot_s = pool.ground.longest_boot_s(&open);
         let asked = &book.settings.params.objectives;
         let prompt = asked.iter().any(|o| o.kind == "wait" && o.class == *class && o.within_s < boot_s);
         let boots = if prompt { SPARE_BOOTS_PROMPT } else { SPARE_BOOTS };
@@ -187,7 +186,7 @@
     for (key, _) in &moves {
         let Some(job) = book.job(&key.job) else { continue };
         let open = pool.ground.open_to(job.spec(), &Zones::none(job.spec()));
-        if !pool.put(job.spec(), &open, 1, Some(at), true) {
+        if !pool.put(job.spec(), &open, 1, Some(at)) {
             pool.rooms = before;
             return None;
         }
--- a/src/fleet/rent.rs
+++ b/src/fleet/rent.rs
@@ -195,8 +195,7 @@
         let Some(like) = book.like(arrivals) else { continue };
         let zones = Zones::none(like.spec());
         let open = ground.open_to(like.spec(), &zones);
-        let boots = ground.offers.iter().zip(&open).filter(|(_, open)| **open).filter_map(|(o, _)| o.as_ref());
-        let within_s = boots.map(|o| o.of.boot_s).fold(0.0, f64::max);
+        let within_s = ground.longest_boot_s(&open);
         let per_second = arrivals.per_second(now) * EXPECTED_PART;
         let expected = (per_second * within_s).min(MOST_FORECAST as f64 / 4.0) as u64;
         let mut slots = Slots::new(timelines, like, &open);
--- a/src/scheduling/holds.rs
+++ b/src/scheduling/holds.rs
@@ -73,7 +73,7 @@
     let (job, spec) = (turn.job, turn.job.spec());
     let need = job.waiting.len();
     let open = ground.open_to(spec, &Zones::new(book, job));
-    let apt = |kind: usize| ground.offers[kind].is_some_and(|o| spec.gpus > 0.0 || o.of.gpus <= 0.0);
+    let apt = |kind: usize| ground.offers[kind].is_some_and(|o| o.apt(spec));
     let zones: Vec<&str> = if spec.same_zone {
         let mut zones: Vec<&str> = ground.offers.iter().flatten().map(|o| o.zone).collect();
         zones.sort_unstable();
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -296,9 +296,12 @@
         let (job, spec) = (turn.job, turn.job.spec());
         let open = self.ground.open_to(spec, &zones);
         let tasks = if spec.is_gang() { job.waiting.len() } else { 1 };
-        let holds = self.rooms.iter().any(|r| r.hold.is_some_and(|h| h.job == *turn.id));
         let demand = Demand::new(turn, open, self.now);
-        if !holds && !demand.pressed && self.unfit.iter().any(|u| u.covers(job, tasks, &demand.open)) {
+        let holds = |room: &Room| room.hold.is_some_and(|h| h.job == *turn.id);
+        if !demand.pressed
+            && self.unfit.iter().any(|u| u.covers(job, tasks, &demand.open))
+            && !self.rooms.iter().any(holds)
+        {
             return Vec::new();
         }
         let placed = if spec.is_gang() {
--- a/src/scheduling/room.rs
+++ b/src/scheduling/room.rs
@@ -29,6 +29,11 @@
         self.of.price(self.spot)
     }
 
+    /// Has nothing dear that such a task has no use for.
+    pub fn apt(&self, spec: &JobSpec) -> bool {
+        spec.gpus > 0.0 || self.of.gpus <= 0.0
+    }
+
     pub fn kind(&self) -> Kind {
         Kind { type_name: self.of.name.clone(), zone: self.zone.to_owned(), spot: self.spot }
     }
@@ -87,6 +92,12 @@
         self.offers.get(kind).copied().flatten().map_or("", |o| o.zone)
     }
 
+    /// The longest usual boot among the kinds that are open.
+    pub fn longest_boot_s(&self, open: &[bool]) -> f64 {
+        let boots = self.offers.iter().zip(open).filter(|(_, open)| **open).filter_map(|(o, _)| o.as_ref());
+        boots.map(|o| o.of.boot_s).fold(0.0, f64::max)
+    }
+
     /// Which of the kinds a job's own words and where its other tasks are allow.
     pub fn open_to(&self, spec: &JobSpec, zones: &Zones) -> Vec<bool> {
         let open =
