--- a/src/fleet/cloud.rs
+++ b/src/fleet/cloud.rs
@@ -139,7 +139,7 @@
         match self.http.call(method, &self.addr, path, body, ANSWER_WITHIN).await {
             Ok(answer) => Ok(answer),
             Err(wire::CallError::NotSent) => Err(CloudError::Refused(0)),
-            Err(wire::CallError::Unanswered) => Err(CloudError::Unanswered),
+            Err(wire::CallError::Unanswered | wire::CallError::TooLarge) => Err(CloudError::Unanswered),
         }
     }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -57,6 +57,7 @@
             }
         };
         node.tidy_counts();
+        node.tell_held();
         tokio::time::sleep(jitter(pause)).await;
     }
 }
@@ -234,6 +235,7 @@
     if let Some(asked) = dealings.asked.get_mut(&kind) {
         *asked = asked.saturating_sub(rental.count);
     }
+    dealings.asked.retain(|_, n| *n > 0);
     if short {
         dealings.refusals.note(kind, node.properties.refusal, now);
     } else {
--- a/src/fleet/rent.rs
+++ b/src/fleet/rent.rs
@@ -14,6 +14,7 @@
 /// Grace on top of a type's usual boot time.
 const BOOT_GRACE: Duration = Duration::from_secs(10);
 /// Longest memory of a refusal.
+const REFUSAL_KEPT: Duration = Duration::from_secs(3600);
 const LONGEST_REFUSAL: Duration = Duration::from_secs(120);
 
 /// What can be rented: a type, in a zone, ordinary or spot.
@@ -40,6 +41,8 @@
     pub fn note(&mut self, kind: Kind, base: Duration, now: Instant) {
         let times = self.until.get(&kind).map_or(0, |(_, n)| *n).min(3);
         let pause = (base * 2u32.pow(times)).min(LONGEST_REFUSAL);
+        // Kinds come and go over months; what was refused long ago starts afresh.
+        self.until.retain(|_, (until, _)| now.saturating_duration_since(*until) < REFUSAL_KEPT);
         self.until.insert(kind, (now + pause, times + 1));
     }
 
--- /dev/null
+++ b/src/history/desk.rs
@@ -0,0 +1,234 @@
+//! Questions about jobs that are not known to be open, and the ends that were told lately.
+//!
+//! Pure: questions and answers go in, batches and verdicts come out. A question joins another about
+//! the same job only while that one has not been sent: what the store said before a question was
+//! asked must not answer it, since the job may have been accepted in between.
+
+use std::collections::{HashMap, VecDeque};
+use std::num::NonZeroUsize;
+use std::time::{Duration, Instant};
+
+use lru::LruCache;
+
+use super::moves::{Place, place_of};
+use crate::jobs::{End, JobId};
+
+/// Ends kept at hand: final, so never out of date. Some 100 bytes each.
+const ENDS_KEPT: NonZeroUsize = NonZeroUsize::new(8192).unwrap();
+/// Questions that wait, of all jobs together; each also holds a connection.
+const MOST_WAITING: usize = 1024;
+/// Jobs asked about that wait for their turn, in batches: about what one controller's share of the
+/// requests answers within a second.
+const MOST_BATCHES: usize = 8;
+/// A question that has waited this long is not worth sending any more: its user has given up, or
+/// is about to.
+const WORTH_ASKING: Duration = Duration::from_millis(1200);
+
+/// What the store said of a job, as of some moment after the question.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    Never,
+    Open,
+    Ended(End),
+    /// Cannot be said now: the limits are used up, or the store did not answer.
+    Later,
+}
+
+/// More is asked than can be answered.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Full;
+
+pub struct Desk<W> {
+    ends: LruCache<JobId, End>,
+    /// Jobs in the order in which they were first asked about, and who waits for each.
+    queue: VecDeque<(JobId, Instant)>,
+    waiting: HashMap<JobId, Vec<W>>,
+    waiters: usize,
+    batch: usize,
+}
+
+/// Jobs that are being asked about, and who waits for each.
+pub struct Batch<W> {
+    asked: Vec<(JobId, Vec<W>)>,
+}
+
+impl<W> Batch<W> {
+    pub fn ids(&self) -> impl Iterator<Item = &JobId> {
+        self.asked.iter().map(|(id, _)| id)
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.asked.is_empty()
+    }
+
+    pub fn into_asked(self) -> Vec<(JobId, Vec<W>)> {
+        self.asked
+    }
+
+    /// Every waiter with the same verdict.
+    pub fn all(self, verdict: Verdict) -> Vec<(W, Verdict)> {
+        self.asked.into_iter().flat_map(|(_, waiters)| waiters).map(|w| (w, verdict)).collect()
+    }
+}
+
+impl<W> Desk<W> {
+    /// `batch` jobs at the most are asked about at once.
+    pub fn new(batch: usize) -> Self {
+        Self {
+            ends: LruCache::new(ENDS_KEPT),
+            queue: VecDeque::new(),
+            waiting: HashMap::new(),
+            waiters: 0,
+            batch: batch.max(1),
+        }
+    }
+
+    /// How a job ended, if that was told lately.
+    pub fn ended(&mut self, id: &str) -> Option<End> {
+        self.ends.get(id).copied()
+    }
+
+    /// An end that stands in the store.
+    pub fn note_end(&mut self, id: JobId, end: End) {
+        self.ends.put(id, end);
+    }
+
+    pub fn ask(&mut self, id: &JobId, waiter: W, now: Instant) -> Result<(), Full> {
+        let full = self.waiters >= MOST_WAITING;
+        if let Some(others) = self.waiting.get_mut(id).filter(|_| !full) {
+            others.push(waiter);
+        } else if full || self.queue.len() >= self.batch * MOST_BATCHES {
+            return Err(Full);
+        } else {
+            self.queue.push_back((id.clone(), now));
+            self.waiting.insert(id.clone(), vec![waiter]);
+        }
+        self.waiters += 1;
+        Ok(())
+    }
+
+    pub fn anything_to_ask(&self) -> bool {
+        !self.queue.is_empty()
+    }
+
+    /// The next jobs to ask about, and those whose waiters have waited for too long.
+    pub fn next_batch(&mut self, now: Instant) -> (Batch<W>, Batch<W>) {
+        let (mut fresh, mut stale) = (Vec::new(), Vec::new());
+        while fresh.len() < self.batch {
+            let Some((id, since)) = self.queue.pop_front() else { break };
+            let waiters = self.waiting.remove(&id).unwrap_or_default();
+            self.waiters -= waiters.len();
+            let worth = now.saturating_duration_since(since) <= WORTH_ASKING;
+            if worth { &mut fresh } else { &mut stale }.push((id, waiters));
+        }
+        (Batch { asked: fresh }, Batch { asked: stale })
+    }
+
+    /// What the failed keys of a comparison say of each job of a batch. Those found under an
+    /// earlier build's key are left over: they have to be looked at one by one.
+    pub fn answered(&mut self, batch: Batch<W>, failed: &[String]) -> (Vec<(W, Verdict)>, Batch<W>) {
+        let mut places: HashMap<&str, Place> = HashMap::new();
+        for (id, place) in failed.iter().filter_map(|key| place_of(key)) {
+            // An earlier build's key says least.
+            if place != Place::Old || !places.contains_key(id) {
+                places.insert(id, place);
+            }
+        }
+        let (mut answers, mut old) = (Vec::new(), Vec::new());
+        for (id, waiters) in batch.asked {
+            let verdict = match places.get(&*id) {
+                Some(Place::Old) => {
+                    old.push((id, waiters));
+                    continue;
+                }
+                Some(Place::Ended(end)) => {
+                    self.note_end(id, *end);
+                    Verdict::Ended(*end)
+                }
+                Some(Place::Open) => Verdict::Open,
+                None => Verdict::Never,
+            };
+            answers.extend(waiters.into_iter().map(|w| (w, verdict)));
+        }
+        (answers, Batch { asked: old })
+    }
+
+    /// Ends at hand, jobs asked about, questions waiting.
+    pub fn held(&self) -> [usize; 3] {
+        [self.ends.len(), self.queue.len(), self.waiters]
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn id(n: usize) -> JobId {
+        format!("run-{n}").into()
+    }
+
+    #[test]
+    fn like_questions_go_together_unless_already_sent() {
+        let now = Instant::now();
+        let mut desk = Desk::new(4);
+        for (waiter, n) in [('a', 1), ('b', 1), ('c', 2), ('d', 3), ('e', 4), ('f', 5)] {
+            desk.ask(&id(n), waiter, now).unwrap();
+        }
+        let (first, stale) = desk.next_batch(now);
+        assert_eq!(first.ids().cloned().collect::<Vec<_>>(), [id(1), id(2), id(3), id(4)], "a batch, in order");
+        assert!(stale.is_empty());
+        // The store may have looked before this one asked.
+        desk.ask(&id(1), 'g', now).unwrap();
+        let failed = ["c/o/run-2", "h/d/run-3", "h/w/run-4", "c/j/run-3"].map(str::to_owned);
+        let (answers, old) = desk.answered(first, &failed);
+        let ended = |end| Verdict::Ended(end);
+        assert_eq!(
+            answers,
+            [
+                ('a', Verdict::Never),
+                ('b', Verdict::Never),
+                ('c', Verdict::Open),
+                ('d', ended(End::Done)),
+                ('e', ended(End::Withdrawn)),
+            ]
+        );
+        assert!(old.is_empty(), "its own end goes before an earlier build's key");
+        assert_eq!((desk.ended("run-3"), desk.ended("run-1")), (Some(End::Done), None));
+        let (second, _) = desk.next_batch(now);
+        assert_eq!(second.ids().cloned().collect::<Vec<_>>(), [id(5), id(1)], "asked anew");
+        assert_eq!(second.all(Verdict::Later), [('f', Verdict::Later), ('g', Verdict::Later)]);
+        assert_eq!(desk.held(), [2, 0, 0]);
+    }
+
+    /// What cannot be answered in time is refused at once, and what nobody waits for any more
+    /// costs no request.
+    #[test]
+    fn a_flood_is_bounded_and_the_stale_are_dropped() {
+        let now = Instant::now();
+        let mut desk = Desk::new(10);
+        let taken = (0..10_000).filter(|n| desk.ask(&id(*n), (), now).is_ok()).count();
+        assert_eq!(taken, 10 * MOST_BATCHES);
+        let joined = (0..10_000).filter(|_| desk.ask(&id(3), (), now).is_ok()).count();
+        assert_eq!(joined, MOST_WAITING - taken, "many may ask about one job, within the bound");
+        let later = now + WORTH_ASKING + Duration::from_millis(1);
+        let (fresh, stale) = desk.next_batch(later);
+        assert!(fresh.is_empty() && stale.ids().count() == taken);
+        assert_eq!(desk.held(), [0, 0, 0]);
+        for n in 0..20_000 {
+            desk.note_end(id(n), End::Done);
+        }
+        assert_eq!(desk.held()[0], ENDS_KEPT.get(), "the cache is bounded");
+        assert_eq!(desk.ended("run-19999"), Some(End::Done));
+    }
+
+    #[test]
+    fn what_an_earlier_build_left_is_looked_at_by_itself() {
+        let now = Instant::now();
+        let mut desk = Desk::new(4);
+        desk.ask(&id(1), 'a', now).unwrap();
+        let (batch, _) = desk.next_batch(now);
+        let (answers, old) = desk.answered(batch, &["c/j/run-1".to_owned()]);
+        assert!(answers.is_empty());
+        assert_eq!(old.ids().collect::<Vec<_>>(), [&id(1)]);
+    }
+}
--- /dev/null
+++ b/src/history/reader.rs
@@ -0,0 +1,154 @@
+//! Asks the store about jobs that are not known to be open, many in one comparison.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use serde::Deserialize;
+use tokio::sync::{Notify, Semaphore, oneshot};
+use tracing::{debug, warn};
+
+use super::desk::{Batch, Desk, Verdict};
+use super::moves::{self, not_there};
+use crate::jobs::record::{JobRecord, OldEnd, old_end_key, old_job_key};
+use crate::jobs::{End, JobId};
+use crate::node::{Node, lock};
+use crate::settings::Settings;
+use crate::store::budget::Urgent;
+use crate::store::{StoreError, TxnOutcome};
+
+type Waiter = oneshot::Sender<Verdict>;
+
+/// Lets a moment's questions go together; hardly noticed by whoever asks.
+const GATHER: Duration = Duration::from_millis(15);
+/// Comparisons under way: a slow answer does not keep the others waiting.
+const UNDER_WAY: usize = 4;
+/// Whoever asks hears by then, whatever became of it: users wait for 2 s.
+const ANSWER_WITHIN: Duration = Duration::from_millis(1500);
+/// Conditions a job takes in a comparison, at the most.
+const CONDITIONS: usize = 4;
+
+/// The questions of one controller.
+pub struct History {
+    desk: Mutex<Desk<Waiter>>,
+    wanted: Notify,
+}
+
+impl History {
+    pub fn new(settings: &Settings) -> Self {
+        // Four conditions for each change that a transaction may hold.
+        let batch = settings.params.state.txn_ops as usize * 4 / CONDITIONS;
+        Self { desk: Mutex::new(Desk::new(batch)), wanted: Notify::new() }
+    }
+
+    /// How a job ended, if this controller has lately seen it stored.
+    pub fn ended(&self, id: &str) -> Option<End> {
+        lock(&self.desk).ended(id)
+    }
+
+    pub fn note_end(&self, id: &JobId, end: End) {
+        lock(&self.desk).note_end(id.clone(), end);
+    }
+
+    /// What the store says of a job, as of some moment after this call.
+    pub async fn ask(&self, id: &JobId) -> Verdict {
+        let (waiter, answer) = oneshot::channel();
+        if lock(&self.desk).ask(id, waiter, Instant::now()).is_err() {
+            return Verdict::Later;
+        }
+        self.wanted.notify_one();
+        match tokio::time::timeout(ANSWER_WITHIN, answer).await {
+            Ok(Ok(verdict)) => verdict,
+            _ => Verdict::Later,
+        }
+    }
+
+    pub fn held(&self) -> [usize; 3] {
+        lock(&self.desk).held()
+    }
+}
+
+/// Asks for ever, as the questions come.
+pub async fn run(node: Arc<Node>) {
+    let free = Arc::new(Semaphore::new(UNDER_WAY));
+    loop {
+        if !lock(&node.history.desk).anything_to_ask() {
+            node.history.wanted.notified().await;
+        }
+        tokio::time::sleep(GATHER).await;
+        let Ok(turn) = free.clone().acquire_owned().await else { return };
+        // The batch is filled only once it may go: until then more questions can join it.
+        if let Err(error) = node.store.reserve(Urgent::Asked).await {
+            debug!(%error, "questions wait");
+        }
+        let (batch, stale) = lock(&node.history.desk).next_batch(Instant::now());
+        tell(stale.all(Verdict::Later));
+        if !batch.is_empty() {
+            let node = node.clone();
+            tokio::spawn(async move {
+                look_up(&node, batch).await;
+                drop(turn);
+            });
+        }
+    }
+}
+
+fn tell(answers: Vec<(Waiter, Verdict)>) {
+    for (waiter, verdict) in answers {
+        // One that has given up is no concern.
+        let _ = waiter.send(verdict);
+    }
+}
+
+async fn look_up(node: &Node, batch: Batch<Waiter>) {
+    let old_kept = lock(&node.mirror).old_kept();
+    let conditions: Vec<_> = batch.ids().flat_map(|id| not_there(id, old_kept)).collect();
+    match node.store.compare_reserved(&conditions).await {
+        Ok(failed) => {
+            let (answers, old) = lock(&node.history.desk).answered(batch, &failed);
+            tell(answers);
+            if !old.is_empty() {
+                look_up_old(node, old).await;
+            }
+        }
+        Err(error) => {
+            debug!(%error, jobs = batch.ids().count(), "asking about jobs");
+            tell(batch.all(Verdict::Later));
+        }
+    }
+}
+
+/// Jobs found under an earlier build's key, one by one.
+async fn look_up_old(node: &Node, batch: Batch<Waiter>) {
+    for (id, waiters) in batch.into_asked() {
+        let verdict = match old_verdict(node, &id).await {
+            Ok(verdict) => verdict,
+            Err(error) => {
+                debug!(%error, job = %id, "asking about a job of an earlier build");
+                Verdict::Later
+            }
+        };
+        if let Verdict::Ended(end) = verdict {
+            node.history.note_end(&id, end);
+        }
+        tell(waiters.into_iter().map(|w| (w, verdict)).collect());
+    }
+}
+
+async fn old_verdict(node: &Node, id: &JobId) -> Result<Verdict, StoreError> {
+    if let Some(item) = node.store.get(&old_end_key(id), Urgent::Asked).await? {
+        let end = OldEnd::deserialize(&item.value).map_err(|e| StoreError::Malformed(e.to_string()))?;
+        return Ok(Verdict::Ended(end.end));
+    }
+    // An acceptance that the earlier build never heard the answer of, applied after the upgrade.
+    let Some(item) = node.store.get(&old_job_key(id), Urgent::Asked).await? else { return Ok(Verdict::Later) };
+    let record = JobRecord::deserialize(&item.value).map_err(|e| StoreError::Malformed(e.to_string()))?;
+    let adopt = moves::adopt(&record, item.stamp);
+    match node.store.txn(&adopt.conditions, &adopt.changes, Urgent::First).await? {
+        TxnOutcome::Applied(_) => {
+            warn!(job = %id, "an acceptance of an earlier build came late: taken over");
+            Ok(Verdict::Open)
+        }
+        // Somebody else was faster; the next question finds where it is.
+        _ => Ok(Verdict::Later),
+    }
+}
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -1,7 +1,9 @@
 //! Keys and values in the store, and the compact form of a job's tasks.
 //!
-//! `c/` is what every controller mirrors: jobs (`c/j/`), ends (`c/e/`), the leader and the
-//! assignment. `t/` holds the tasks of a job in chunks and is read by owners only.
+//! A job has exactly one key from its acceptance on: `c/o/ID` while it is open, then `h/d/ID` once
+//! done or `h/w/ID` once withdrawn, for ever. Every controller mirrors `c/` from `c/k` on: open
+//! jobs, the leader, the assignment. `h/` is read only when somebody asks. `t/` holds the tasks of
+//! open jobs in chunks and is read by owners only.
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -11,8 +13,16 @@
 use super::{End, JobSpec};
 
 pub const MIRRORED: &str = "c/";
-pub const JOBS: &str = "c/j/";
-pub const ENDS: &str = "c/e/";
+/// Listings of what is mirrored begin after this, past all that earlier builds have left.
+pub const MIRRORED_AFTER: &str = "c/k";
+pub const OPEN: &str = "c/o/";
+pub const DONE: &str = "h/d/";
+pub const WITHDRAWN: &str = "h/w/";
+/// Jobs and ends as builds before 0.2 kept them; ended ones stay there and are read when asked for.
+pub const OLD_JOBS: &str = "c/j/";
+pub const OLD_ENDS: &str = "c/e/";
+/// Written once nothing open is left under `OLD_JOBS`.
+pub const UPGRADED: &str = "c/upgraded";
 pub const LEADER: &str = "c/leader";
 pub const ASSIGNMENT: &str = "c/owner/0";
 /// Written by a controller that workers turn to because they cannot reach the owner.
@@ -23,11 +33,24 @@
 /// room for longer names of machines. Larger chunks mean fewer changes for jobs of hundreds.
 pub const CHUNK: u64 = 192;
 
-pub fn job_key(id: &str) -> String {
-    format!("{JOBS}{id}")
+pub fn open_key(id: &str) -> String {
+    format!("{OPEN}{id}")
 }
-pub fn end_key(id: &str) -> String {
-    format!("{ENDS}{id}")
+pub fn ended_key(id: &str, end: End) -> String {
+    match end {
+        End::Done => format!("{DONE}{id}"),
+        End::Withdrawn => format!("{WITHDRAWN}{id}"),
+    }
+}
+/// Both keys that a job may have ended under; none of them exists while it is open.
+pub fn ended_keys(id: &str) -> [String; 2] {
+    [End::Done, End::Withdrawn].map(|end| ended_key(id, end))
+}
+pub fn old_job_key(id: &str) -> String {
+    format!("{OLD_JOBS}{id}")
+}
+pub fn old_end_key(id: &str) -> String {
+    format!("{OLD_ENDS}{id}")
 }
 pub fn chunk_key(id: &str, chunk: u64) -> String {
     format!("{TASKS}{id}/{chunk:05}")
@@ -53,12 +76,27 @@
     }
 }
 
-/// When it ended tells how soon a withdrawn job's tasks must be gone.
+/// What is kept of a job for ever: its description, and when it ended by the writer's time of day.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct EndedRecord {
+    #[serde(flatten)]
+    pub job: JobRecord,
+    pub ended_ms: u64,
+}
+
+/// Room that `ended_ms` takes beyond the job's own record, in bytes of JSON.
+pub const ENDED_EXTRA: usize = 40;
+
+/// The end of a job as builds before 0.2 kept it.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-pub struct EndRecord {
+pub struct OldEnd {
     pub end: End,
-    #[serde(default)]
-    pub at_ms: u64,
+}
+
+/// That a store holds no open job of an earlier build any more, and whether it holds ended ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Upgraded {
+    pub old_kept: bool,
 }
 
 pub fn time_of_day_ms() -> u64 {
--- a/src/membership/mesh.rs
+++ b/src/membership/mesh.rs
@@ -19,6 +19,8 @@
 const WRITE_WITHIN: Duration = Duration::from_secs(2);
 /// Counts told per line, the most recently changed first.
 const MOST_COUNTS: usize = 2000;
+/// Counts kept before those of ended jobs are looked for; open jobs are what remains.
+const MOST_HEARD: usize = 10_000;
 /// What was heard longer ago says nothing.
 const STALE: Duration = Duration::from_secs(4);
 
@@ -79,9 +81,17 @@
             return;
         }
         let Ok(line) = serde_json::from_str::<Line>(&text) else { return };
-        let mut heard = lock(&node.heard);
-        heard.peers.insert(line.node, (line.store_serves, Instant::now()));
-        heard.counts.extend(line.counts);
+        let many = {
+            let mut heard = lock(&node.heard);
+            if node.settings.peers.iter().any(|p| p.node == line.node) {
+                heard.peers.insert(line.node, (line.store_serves, Instant::now()));
+            }
+            heard.counts.extend(line.counts);
+            heard.counts.len() > MOST_HEARD
+        };
+        if many {
+            node.tidy_counts();
+        }
     }
 }
 
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -73,7 +73,7 @@
         let _ = tokio::time::timeout(renew_every / 2, node.wake.membership.notified()).await;
         let (ready, leader, assignment) = {
             let mirror = lock(&node.mirror);
-            (mirror.ready, mirror.leader.clone(), mirror.assignment.clone())
+            (mirror.ready, mirror.leader().cloned(), mirror.assignment().cloned())
         };
         if !ready {
             continue;
@@ -136,7 +136,7 @@
     match node.store.txn(&[Condition::absent(LEADER)], &[change], Urgent::First).await? {
         TxnOutcome::Applied(stamp) => {
             info!(stamp, "leads");
-            lock(&node.mirror).leader = Some((me, stamp));
+            lock(&node.mirror).note_leader(me, stamp);
             node.wake.membership.notify_one();
         }
         TxnOutcome::Failed(_) => {
@@ -159,7 +159,7 @@
     let change = Change::write(ASSIGNMENT, serde_json::to_value(&record).unwrap_or_default());
     match node.store.txn(&conditions, &[change], Urgent::First).await? {
         TxnOutcome::Applied(token) => {
-            lock(&node.mirror).assignment = Some((record, token));
+            lock(&node.mirror).note_assignment(record, token);
             node.owns(token);
         }
         outcome => {
--- a/src/membership/stranded.rs
+++ b/src/membership/stranded.rs
@@ -21,6 +21,11 @@
 }
 
 impl Stranded {
+    /// Machines remembered.
+    pub fn len(&self) -> usize {
+        self.seen.len()
+    }
+
     /// Notes a redirect. Gives the number of stranded workers when it is time for a plea.
     pub fn note(&mut self, machine: &str, now: Instant) -> Option<usize> {
         self.seen.retain(|_, (at, _)| now.saturating_duration_since(*at) < BACK_WITHIN);
--- a/src/node.rs
+++ b/src/node.rs
@@ -5,10 +5,11 @@
 use std::time::{Duration, Instant};
 
 use tokio::sync::Notify;
-use tracing::{error, info, warn};
+use tracing::{debug, error, info, warn};
 
 use crate::fleet::cloud::CloudClient;
 use crate::fleet::{self, Catalog};
+use crate::history::reader::{self, History};
 use crate::jobs::JobId;
 use crate::jobs::record::{ASSIGNMENT, PLEA};
 use crate::membership::Plea;
@@ -50,6 +51,7 @@
     pub cloud: CloudClient,
     pub mirror: Mutex<Mirror>,
     pub fresh: Fresh,
+    pub history: History,
     pub catalog: Mutex<Option<Arc<Catalog>>>,
     /// The book of tasks and machines, while this controller owns them.
     pub book: Mutex<Option<Book>>,
@@ -94,6 +96,7 @@
             cloud,
             mirror: Mutex::default(),
             fresh: Fresh::default(),
+            history: History::new(&settings),
             catalog: Mutex::default(),
             book: Mutex::default(),
             heard: Mutex::default(),
@@ -109,6 +112,7 @@
     pub fn start(self: &Arc<Self>) {
         tokio::spawn(follow::run(self.clone()));
         tokio::spawn(follow::run_fresh(self.clone()));
+        tokio::spawn(reader::run(self.clone()));
         tokio::spawn(membership::run(self.clone()));
         tokio::spawn(mesh::listen(self.clone()));
         for peer in &self.settings.peers {
@@ -134,7 +138,7 @@
         if let Some(book) = held.as_mut().filter(|b| b.loaded) {
             let now = Instant::now();
             for id in &news.opened {
-                if let Some(crate::store::mirror::Known::Open(record)) = mirror.job(id) {
+                if let Some(record) = mirror.open(id) {
                     book.add_job(record.clone(), now);
                 }
             }
@@ -179,11 +183,8 @@
 
     /// Compares the book's token with the assignment as mirrored.
     pub fn check_deposed(&self) {
-        let newer = lock(&self.mirror)
-            .assignment
-            .as_ref()
-            .filter(|(a, _)| a.incarnation != self.incarnation)
-            .map(|(_, stamp)| *stamp);
+        let newer =
+            lock(&self.mirror).assignment().filter(|(a, _)| a.incarnation != self.incarnation).map(|(_, stamp)| *stamp);
         let token = lock(&self.book).as_ref().map(|b| b.token);
         if let (Some(newer), Some(token)) = (newer, token)
             && newer > token
@@ -200,7 +201,7 @@
     /// store, which it must still reach since it holds its lease.
     pub fn note_redirect(self: &Arc<Self>, machine: &str, now: Instant) {
         let Some(machines) = lock(&self.stranded).note(machine, now) else { return };
-        let Some(token) = lock(&self.mirror).assignment.as_ref().map(|(_, stamp)| *stamp) else { return };
+        let Some(token) = lock(&self.mirror).assignment().map(|(_, stamp)| *stamp) else { return };
         warn!(machines, "workers cannot reach the owner");
         let plea = Plea { node: self.settings.node.clone(), token, machines };
         let node = self.clone();
@@ -212,15 +213,15 @@
 
     /// Whether another controller pleads for workers that this owner has indeed lost.
     pub fn should_yield(&self, now: Instant) -> bool {
-        let Some(plea) = lock(&self.mirror).plea.clone() else { return false };
+        let Some(plea) = lock(&self.mirror).plea().cloned() else { return false };
         lock(&self.book).as_ref().is_some_and(|b| b.token == plea.token && b.lost_most(now))
     }
 
     /// The node that workers should report to, as far as known here.
     pub fn owner_node(&self) -> Option<String> {
         let mirror = lock(&self.mirror);
-        mirror.leader.as_ref()?;
-        mirror.assignment.as_ref().map(|(a, _)| a.node.clone())
+        mirror.leader()?;
+        mirror.assignment().map(|(a, _)| a.node.clone())
     }
 
     pub fn store_serves(&self) -> bool {
@@ -259,10 +260,38 @@
         changed
     }
 
-    /// Drops the counts of jobs that are over; the mirror answers for those.
+    /// Drops the counts of jobs that are not open.
     pub fn tidy_counts(&self) {
         let mirror = lock(&self.mirror);
-        lock(&self.heard).counts.retain(|id, _| !matches!(mirror.job(id), Some(crate::store::mirror::Known::Ended(_))));
+        lock(&self.heard).counts.retain(|id, _| mirror.open(id).is_some());
+    }
+
+    /// Entries of everything held that could grow, for operators and for tests: each follows open
+    /// work, machines or a fixed bound (docs/history.md).
+    pub fn held(&self) -> Vec<(&'static str, usize)> {
+        let mut held = Vec::new();
+        {
+            let mirror = lock(&self.mirror);
+            held.push(("open_jobs", mirror.open_jobs().count()));
+            held.push(("open_tasks", mirror.held().tasks as usize));
+            held.push(("descriptions", mirror.ended_kept()));
+        }
+        let [ends, asked, waiting] = self.history.held();
+        held.extend([("ends", ends), ("asked", asked), ("waiting", waiting)]);
+        held.push(("counts_heard", lock(&self.heard).counts.len()));
+        held.push(("stranded", lock(&self.stranded).len()));
+        if let Some(book) = lock(&self.book).as_ref() {
+            held.extend(book.held());
+        }
+        held
+    }
+
+    /// Tells at `debug` what `held` gives.
+    pub fn tell_held(&self) {
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            let held: Vec<String> = self.held().iter().map(|(what, n)| format!("{what}={n}")).collect();
+            debug!(held = held.join(" "), "held");
+        }
     }
 }
 
--- a/src/scheduling/book/bindings.rs
+++ b/src/scheduling/book/bindings.rs
@@ -27,15 +27,7 @@
         let Some(machine) = self.machines.get_mut(&p.machine) else { return };
         task.attempt = p.attempt;
         task.stored = false;
-        task.phase = Phase::Bound(Binding {
-            machine: p.machine,
-            told: None,
-            inherited: false,
-            status: None,
-            running_since: None,
-            halting: None,
-            since: now,
-        });
+        task.phase = Phase::Bound(Box::new(Binding::new(p.machine, false, now)));
         job.waiting.remove(&p.task.index);
         job.bound.insert(p.task.index);
         machine.remember_image(job.image, job.record.spec.image_gb);
--- a/src/scheduling/book/commands.rs
+++ b/src/scheduling/book/commands.rs
@@ -54,10 +54,9 @@
         }
         for leg in &m.legs {
             let (task, attempt) = (leg.task.clone(), leg.attempt);
+            // A job that is not in a loaded book is over: whatever was ever launched had been
+            // accepted before, and all open jobs are here.
             let job = self.jobs.get(&task.job);
-            if job.is_none() && !self.over.contains(&task.job) {
-                continue;
-            }
             let known = job.and_then(|j| j.tasks.get(task.index as usize).map(|t| (j, t)));
             let binding = known.and_then(|(_, t)| match &t.phase {
                 Phase::Bound(b) if t.attempt == attempt && b.machine == m.id => Some(b),
--- a/src/scheduling/book/jobs.rs
+++ b/src/scheduling/book/jobs.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::machine::image_id;
-use super::{Arrivals, Binding, Book, JobState, Machine, MachineId, Phase, Task};
+use super::{Arrivals, Binding, Book, JobState, MOST_CLASSES, Machine, MachineId, Phase, Task};
 use crate::jobs::record::{CHUNK, JobRecord, Stored, time_of_day_ms};
 use crate::jobs::{JobId, JobSpec};
 use crate::membership::mesh::Counts;
@@ -34,27 +34,32 @@
         self.jobs.iter().map(|(id, job)| (id, count(job)))
     }
 
-    pub fn add_job(&mut self, record: Arc<JobRecord>, now: Instant) {
-        self.load_job(record, Vec::new(), now);
+    /// Begins to load afresh, after a reading that was broken off. Machines that have reported
+    /// meanwhile stay known.
+    pub fn forget_all(&mut self) {
+        self.jobs.clear();
+        self.ending.clear();
+        self.drops.clear();
+        self.usage.clear();
+        for machine in self.machines.values_mut() {
+            machine.hold_nothing();
+        }
     }
 
-    /// A job with what is stored of its tasks, as (chunk, stamp, tasks).
-    pub fn load_job(&mut self, record: Arc<JobRecord>, chunks: Vec<(u64, u64, Vec<Stored>)>, now: Instant) {
+    /// A job of which nothing is stored yet, or whose chunks are loaded next.
+    pub fn add_job(&mut self, record: Arc<JobRecord>, now: Instant) {
         let id = record.spec.id.clone();
-        if self.jobs.contains_key(&id) || self.over.contains(&id) {
+        if self.jobs.contains_key(&id) {
             return;
         }
         let n = record.spec.tasks as usize;
         let age = record.age(time_of_day_ms());
-        // What a new owner reads has come as well, some time ago.
-        let arrivals = self.arrivals.entry(record.spec.class.clone());
-        let arrivals = arrivals.or_insert_with(|| Arrivals { faded: 0.0, at: now, like: record.clone() });
-        arrivals.come(record.clone(), age, now);
-        let mut job = JobState {
+        self.note_arrival(&record, age, now);
+        let job = JobState {
             agreement: self.agreement(&record.spec),
             since: now.checked_sub(age).unwrap_or(now),
             tasks: vec![Task { attempt: 0, phase: Phase::Waiting, stored: true }; n],
-            waiting: BTreeSet::new(),
+            waiting: (0..n as u32).collect(),
             bound: BTreeSet::new(),
             done: 0,
             stamps: vec![0; n.div_ceil(CHUNK as usize)],
@@ -66,58 +71,78 @@
             last_end: None,
             record,
         };
-        for (chunk, stamp, stored) in chunks {
-            if let Some(slot) = job.stamps.get_mut(chunk as usize) {
-                *slot = stamp;
-            }
-            for (i, item) in stored.into_iter().enumerate() {
-                let Some(task) = job.tasks.get_mut(chunk as usize * CHUNK as usize + i) else { break };
-                match item {
-                    Stored::Untouched => {}
-                    Stored::Waiting(attempt) => task.attempt = attempt,
-                    Stored::Done => task.phase = Phase::Done,
-                    Stored::Bound(attempt, machine) => {
-                        task.attempt = attempt;
-                        let machine: MachineId = machine.into();
-                        task.phase = Phase::Bound(Binding {
-                            machine,
-                            told: None,
-                            inherited: true,
-                            status: None,
-                            running_since: None,
-                            halting: None,
-                            since: now,
-                        });
-                    }
-                }
-            }
-        }
+        self.stirred = true;
+        self.jobs.insert(id, job);
+    }
+
+    /// What is stored of one chunk of a job that was just added: at a takeover, before anything
+    /// is decided.
+    pub fn load_chunk(&mut self, id: &JobId, chunk: u64, stamp: u64, stored: Vec<Stored>, now: Instant) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Some(slot) = job.stamps.get_mut(chunk as usize) else { return };
+        *slot = stamp;
+        let first = chunk as usize * CHUNK as usize;
         let mut inherited = Vec::new();
-        for (index, task) in (0u32..).zip(&job.tasks) {
-            match &task.phase {
-                Phase::Waiting => {
-                    job.waiting.insert(index);
+        for (index, item) in (first as u32..).zip(stored) {
+            let Some(task) = job.tasks.get_mut(index as usize) else { break };
+            match item {
+                Stored::Untouched => {}
+                Stored::Waiting(attempt) => task.attempt = attempt,
+                Stored::Done => {
+                    task.phase = Phase::Done;
+                    job.waiting.remove(&index);
+                    job.done += 1;
                 }
-                Phase::Done => job.done += 1,
-                Phase::Bound(binding) => {
+                Stored::Bound(attempt, machine) => {
+                    task.attempt = attempt;
+                    let machine: MachineId = machine.into();
+                    task.phase = Phase::Bound(Box::new(Binding::new(machine.clone(), true, now)));
+                    job.waiting.remove(&index);
                     job.bound.insert(index);
-                    inherited.push((binding.machine.clone(), TaskKey { job: id.clone(), index }));
-                    let used = self.usage.entry(job.record.spec.team.clone()).or_default();
-                    used.0 += job.record.spec.cpus;
-                    used.1 += job.record.spec.gpus;
+                    inherited.push((machine, index));
                 }
             }
         }
-        for (machine, key) in inherited {
+        for (machine, index) in inherited {
             let machine = self.machines.entry(machine.clone()).or_insert_with(|| Machine::new(machine, now));
-            machine.hold(key, &job, now);
+            machine.hold(TaskKey { job: id.clone(), index }, job, now);
             machine.remember_image(job.image, job.record.spec.image_gb);
+            let used = self.usage.entry(job.record.spec.team.clone()).or_default();
+            used.0 += job.record.spec.cpus;
+            used.1 += job.record.spec.gpus;
         }
-        if job.complete() {
-            self.completed.push_back(id.clone());
+    }
+
+    /// A job with what is stored of its tasks, as (chunk, stamp, tasks).
+    pub fn load_job(&mut self, record: Arc<JobRecord>, chunks: Vec<(u64, u64, Vec<Stored>)>, now: Instant) {
+        let id = record.spec.id.clone();
+        self.add_job(record, now);
+        for (chunk, stamp, stored) in chunks {
+            self.load_chunk(&id, chunk, stamp, stored, now);
         }
-        self.stirred = true;
-        self.jobs.insert(id, job);
+    }
+
+    /// Everything stored was loaded: from here on the book decides.
+    pub fn finish_load(&mut self, now: Instant) {
+        let complete = self.jobs.iter().filter(|(_, job)| job.ended.is_none() && job.complete());
+        self.completed.extend(complete.map(|(id, _)| id.clone()));
+        self.loaded = true;
+        self.reconcile_all(now);
+    }
+
+    /// What a new owner reads has come as well, some time ago. Classes that have not come for
+    /// longest make room for new ones.
+    fn note_arrival(&mut self, record: &Arc<JobRecord>, age: Duration, now: Instant) {
+        let class = &record.spec.class;
+        if !self.arrivals.contains_key(class)
+            && self.arrivals.len() >= MOST_CLASSES.get()
+            && let Some(oldest) = self.arrivals.iter().min_by_key(|(_, a)| a.at).map(|(class, _)| class.clone())
+        {
+            self.arrivals.remove(&oldest);
+        }
+        let arrivals = self.arrivals.entry(class.clone());
+        let arrivals = arrivals.or_insert_with(|| Arrivals { faded: 0.0, at: now, like: record.clone() });
+        arrivals.come(record.clone(), age, now);
     }
 
     /// A job to stand for what is expected of a class, if one is still open.
@@ -135,14 +160,13 @@
     /// The owner's estimate, corrected by how its class has been off so far. A handful of
     /// finished tasks weigh as much as the owners' word.
     pub fn estimate(&self, spec: &JobSpec) -> Duration {
-        let (logs, n) = self.observed.get(&spec.class).copied().unwrap_or_default();
+        let (logs, n) = self.observed.peek(&spec.class).copied().unwrap_or_default();
         let factor = (logs / (n + 5.0)).exp().clamp(0.25, 4.0);
         spec.estimate().mul_f64(factor)
     }
 
     /// The job's end is stored: nothing of it starts any more, and what runs is stopped.
     pub fn end_job(&mut self, id: &JobId, now: Instant) {
-        self.over.insert(id.clone());
         let Some(job) = self.jobs.get_mut(id) else { return };
         if job.ended.is_some() {
             return;
--- a/src/scheduling/book/machine.rs
+++ b/src/scheduling/book/machine.rs
@@ -194,6 +194,13 @@
         }
     }
 
+    /// What it holds is about to be read again.
+    pub(super) fn hold_nothing(&mut self) {
+        self.bound.clear();
+        self.taken = Amounts::default();
+        self.load_at = None;
+    }
+
     pub fn holds_image(&self, image: u64) -> bool {
         self.images.iter().any(|(i, _)| *i == image)
     }
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -13,9 +13,11 @@
 mod storing;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::num::NonZeroUsize;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use lru::LruCache;
 pub use machine::{Machine, Standing};
 use storing::Dirty;
 
@@ -31,6 +33,8 @@
 
 /// Types, zones and kinds kept apart.
 const MOST_KINDS: usize = 1000;
+/// Classes of jobs of which anything is remembered: users name them as they like.
+const MOST_CLASSES: NonZeroUsize = NonZeroUsize::new(256).unwrap();
 
 /// How a message reached us: only true reports prove that an earlier answer is dead.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -54,6 +58,10 @@
 }
 
 impl Binding {
+    fn new(machine: MachineId, inherited: bool, now: Instant) -> Self {
+        Self { machine, told: None, inherited, status: None, running_since: None, halting: None, since: now }
+    }
+
     /// For how long it has been running, as far as was reported.
     pub fn ran(&self, now: Instant) -> Duration {
         self.running_since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
@@ -63,7 +71,8 @@
 #[derive(Debug, Clone)]
 pub enum Phase {
     Waiting,
-    Bound(Binding),
+    /// Boxed, so that the many that wait take little.
+    Bound(Box<Binding>),
     Done,
 }
 
@@ -162,8 +171,6 @@
     pub settings: Settings,
     pub properties: Properties,
     jobs: HashMap<JobId, JobState>,
-    /// Jobs whose end is known; their strays are stopped and reaped.
-    over: HashSet<JobId>,
     /// Jobs whose end is known and of which something is still bound.
     ending: BTreeSet<JobId>,
     /// Every type, zone and kind that a machine was ever of; machines name theirs by its place.
@@ -183,7 +190,7 @@
     raise: bool,
     ticked: Instant,
     /// By class: how observed run times compare with the owners' estimates (sum of logs, count).
-    observed: HashMap<String, (f64, f64)>,
+    observed: LruCache<String, (f64, f64)>,
     pub arrivals: BTreeMap<String, Arrivals>,
     /// Machines kept for gangs that will soon fit.
     pub holds: HashMap<MachineId, Hold>,
@@ -226,7 +233,6 @@
             settings,
             properties,
             jobs: HashMap::new(),
-            over: HashSet::new(),
             ending: BTreeSet::new(),
             kinds: Vec::new(),
             stirred: true,
@@ -240,7 +246,7 @@
             raised: now,
             raise: false,
             ticked: now,
-            observed: HashMap::new(),
+            observed: LruCache::new(MOST_CLASSES),
             arrivals: BTreeMap::new(),
             holds: HashMap::new(),
         }
@@ -258,6 +264,20 @@
         known
     }
 
+    /// Entries of everything that could grow, by name.
+    pub fn held(&self) -> [(&'static str, usize); 8] {
+        [
+            ("book_jobs", self.jobs.len()),
+            ("ending", self.ending.len()),
+            ("machines", self.machines.len()),
+            ("returned", self.gone.len()),
+            ("kinds", self.kinds.len()),
+            ("classes", self.observed.len().max(self.arrivals.len())),
+            ("to_store", self.dirty.len() + self.completed.len()),
+            ("to_drop", self.drops.len()),
+        ]
+    }
+
     pub fn kinds(&self) -> &[Kind] {
         &self.kinds
     }
--- a/src/scheduling/book/reports.rs
+++ b/src/scheduling/book/reports.rs
@@ -10,6 +10,8 @@
 use crate::sla;
 use crate::workers::{Cause, Leg, LegStatus, Report, TaskKey};
 
+/// A job that has failed on this many machines fails by itself.
+const FAILED_EVERYWHERE: usize = 3;
 /// Longest pause of a job whose tasks fail.
 const LONGEST_PAUSE: Duration = Duration::from_secs(60);
 
@@ -140,9 +142,9 @@
             let estimate = job.spec().estimate();
             if let Some(ran) = ran.filter(|_| !estimate.is_zero() && job.tasks[key.index as usize].attempt == 1) {
                 let off = (ran.as_secs_f64().max(1.0) / estimate.as_secs_f64()).ln().clamp(-2.0, 2.0);
-                let seen = self.observed.entry(job.record.spec.class.clone()).or_default();
-                seen.0 += off;
-                seen.1 += 1.0;
+                let class = &job.record.spec.class;
+                let (logs, n) = self.observed.get(class).copied().unwrap_or_default();
+                self.observed.put(class.clone(), (logs + off, n + 1.0));
             }
             self.completed_task(key, on, now);
             return;
@@ -180,15 +182,18 @@
     /// A failure counts against its machine, unless the job fails on machine after machine.
     fn failed(&mut self, key: &TaskKey, on: &MachineId, now: Instant) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
-        job.failures += 1;
-        job.failed_on.insert(on.clone());
+        job.failures = job.failures.saturating_add(1);
+        // More machines than this say nothing more.
+        if job.failed_on.len() < FAILED_EVERYWHERE {
+            job.failed_on.insert(on.clone());
+        }
         let elsewhere = job.failed_on.len();
-        if elsewhere >= 3 {
+        if elsewhere >= FAILED_EVERYWHERE {
             let pause = Duration::from_secs(1u64 << job.failures.min(6)).min(LONGEST_PAUSE);
             job.not_before = job.not_before.max(now + pause);
         }
         info!(task = %key.job, index = key.index, machine = %on, elsewhere, "task failed");
-        if elsewhere < 3
+        if elsewhere < FAILED_EVERYWHERE
             && let Some(machine) = self.machines.get_mut(on)
         {
             machine.failures += 1.0;
--- a/src/scheduling/book/storing.rs
+++ b/src/scheduling/book/storing.rs
@@ -1,11 +1,12 @@
 //! Storing: which chunks the store is behind on, and what it is known to hold.
 
 use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::{Book, ChunkWrite, Phase, Task};
 use crate::jobs::JobId;
-use crate::jobs::record::CHUNK;
+use crate::jobs::record::{CHUNK, JobRecord};
 use crate::workers::TaskKey;
 
 /// A chunk in which tasks have only ended or been released is stored this much later: more of
@@ -13,6 +14,9 @@
 /// new owner hears the same from the workers.
 const NEWS_KEPT: Duration = Duration::from_millis(1500);
 
+/// Changes that an end takes: its final key, and the open one gone.
+const END_CHANGES: usize = 2;
+
 /// Chunks the store is behind on. Starts wait for theirs to be stored; news can bear to be late.
 #[derive(Debug, Default)]
 pub(super) struct Dirty {
@@ -23,6 +27,10 @@
 }
 
 impl Dirty {
+    pub(super) fn len(&self) -> usize {
+        self.listed.len()
+    }
+
     fn chunk(key: &TaskKey) -> (JobId, u64) {
         (key.job.clone(), u64::from(key.index) / CHUNK)
     }
@@ -84,17 +92,17 @@
     }
 
     /// The next changes to store: ends first, then starts, then what else has changed, at most
-    /// `most` together.
-    pub fn next_writes(&mut self, most: usize, now: Instant) -> (Vec<JobId>, Vec<ChunkWrite>) {
+    /// `most` together, or one end.
+    pub fn next_writes(&mut self, most: usize, now: Instant) -> (Vec<Arc<JobRecord>>, Vec<ChunkWrite>) {
         let mut ends = Vec::new();
-        while ends.len() < most {
+        while (ends.len() + 1) * END_CHANGES <= most.max(END_CHANGES) {
             let Some(id) = self.completed.pop_front() else { break };
-            if self.jobs.get(&id).is_some_and(|j| j.ended.is_none()) {
-                ends.push(id);
+            if let Some(job) = self.jobs.get(&id).filter(|j| j.ended.is_none()) {
+                ends.push(job.record.clone());
             }
         }
         let mut chunks = Vec::new();
-        while ends.len() + chunks.len() < most {
+        while ends.len() * END_CHANGES + chunks.len() < most {
             let Some((id, chunk)) = self.dirty.next(now) else { break };
             if let Some(write) = self.chunk_write(&id, chunk) {
                 chunks.push(write);
@@ -181,6 +189,10 @@
         self.drops.drain(..n).collect()
     }
 
+    pub fn drops_waiting(&self) -> usize {
+        self.drops.len()
+    }
+
     pub fn drop_again(&mut self, drops: Vec<(JobId, u64)>) {
         self.drops.extend(drops);
     }
--- a/src/scheduling/interleavings.rs
+++ b/src/scheduling/interleavings.rs
@@ -13,11 +13,13 @@
 use super::book::{Book, MachineId, Standing, Via};
 use super::plan;
 use crate::fleet::{Catalog, MachineType};
+use crate::history::moves::{self, Move, Place, end_among, place_of};
 use crate::jobs::record::{
-    ASSIGNMENT, CHUNK, JobRecord, Stored, TASKS, decode_chunk, end_key, parse_chunk_key, time_of_day_ms,
+    ASSIGNMENT, CHUNK, JobRecord, Stored, TASKS, chunk_key, decode_chunk, ended_keys, open_key, parse_chunk_key,
+    time_of_day_ms,
 };
 use crate::jobs::tests::spec;
-use crate::jobs::{JobId, Shape};
+use crate::jobs::{End, JobId, Shape};
 use crate::settings::Properties;
 use crate::settings::tests::example;
 use crate::store::commit::Batch;
@@ -37,6 +39,14 @@
 }
 
 impl Store {
+    fn ended(&self, id: &str) -> bool {
+        ended_keys(id).iter().any(|key| self.keys.contains_key(key))
+    }
+
+    fn open(&self, id: &str) -> bool {
+        self.keys.contains_key(&open_key(id))
+    }
+
     fn txn(&mut self, conditions: &[Condition], changes: &[Change]) -> Result<u64, Vec<String>> {
         let stamp = |key: &str| self.keys.get(key).map_or(0, |(_, s)| *s);
         let failed: Vec<String> =
@@ -117,8 +127,8 @@
 struct Owner {
     book: Book,
     batch: Option<(Batch, Instant)>,
-    /// Ends it will learn of, and when.
-    news: Vec<(Instant, JobId)>,
+    /// What its watch will tell, and when: jobs opened and ended.
+    news: Vec<(Instant, JobId, bool)>,
     returning: HashSet<MachineId>,
 }
 
@@ -222,16 +232,16 @@
             chunks.entry(id.into()).or_default().push((chunk, *stamp, decode_chunk(value).expect("own values")));
         }
         for (id, record) in &self.records {
-            let over = self.store.keys.contains_key(&end_key(id));
+            let over = self.store.ended(id);
             let stored = chunks.remove(id).unwrap_or_default();
-            if !over || !stored.is_empty() {
+            if self.store.open(id) || !stored.is_empty() {
                 book.load_job(record.clone(), stored, self.now);
             }
             if over {
                 book.end_job(id, self.now);
             }
         }
-        book.loaded = true;
+        book.finish_load(self.now);
         self.owner = self.owners.len();
         self.owners.push(Some(Owner { book, batch: None, news: Vec::new(), returning: HashSet::new() }));
     }
@@ -246,32 +256,38 @@
         job.estimate_s = 5.0;
         let record = Arc::new(JobRecord { spec: job, at_ms: time_of_day_ms() });
         self.records.insert(record.spec.id.clone(), record.clone());
-        for owner in self.owners.iter_mut().flatten() {
-            owner.book.add_job(record.clone(), self.now);
+        self.send_move(moves::accept(&record, false));
+    }
+
+    /// A user's transaction: applied, and at times again much later, as a copy that was held back.
+    fn send_move(&mut self, sent: Move) {
+        let copies = if !self.quiet && self.rng.random_bool(0.2) { 2 } else { 1 };
+        for _ in 0..copies {
+            let due = self.now + self.delay();
+            let (conditions, changes) = (sent.conditions.clone(), sent.changes.clone());
+            self.messages.push((due, Message::Txn { conditions, changes }));
         }
     }
 
-    fn end_known(&mut self, id: &JobId) {
+    /// Every watch tells in the order of the changes, sooner or later.
+    fn tell(&mut self, id: &JobId, opened: bool) {
         for i in 0..self.owners.len() {
             let due = self.now + self.delay();
             if let Some(owner) = self.owners[i].as_mut() {
-                owner.news.push((due, id.clone()));
+                let after = owner.news.last().map_or(due, |(at, ..)| due.max(*at));
+                owner.news.push((after, id.clone(), opened));
             }
         }
     }
 
     fn withdraw(&mut self) {
-        let open: Vec<JobId> =
-            self.records.keys().filter(|id| !self.store.keys.contains_key(&end_key(id))).cloned().collect();
+        let open: Vec<JobId> = self.records.keys().filter(|id| self.store.open(id)).cloned().collect();
         if open.is_empty() {
             return;
         }
         let id = open[self.rng.random_range(0..open.len())].clone();
-        let change = Change::write(end_key(&id), serde_json::json!({"end": "withdrawn"}));
-        if self.store.txn(&[Condition::absent(end_key(&id))], &[change]).is_ok() {
-            self.withdrawn.insert(id.clone(), self.now);
-            self.end_known(&id);
-        }
+        let withdrawal = moves::withdraw(&self.records[&id], 0);
+        self.send_move(withdrawal);
     }
 
     fn execute(&mut self, w: usize, orders: Vec<Order>) {
@@ -324,10 +340,10 @@
 
     /// A completion is stored, or its job over, before a worker may forget it.
     fn check_reap(&self, task: &TaskKey) {
-        let chunk = crate::jobs::record::chunk_key(&task.job, u64::from(task.index) / CHUNK);
+        let chunk = chunk_key(&task.job, u64::from(task.index) / CHUNK);
         let stored = self.store.keys.get(&chunk).and_then(|(v, _)| decode_chunk(v));
         let done = stored.is_some_and(|t| t[task.index as usize % CHUNK as usize] == Stored::Done);
-        assert!(done || self.store.keys.contains_key(&end_key(&task.job)), "reaped before it was stored: {task:?}");
+        assert!(done || self.store.ended(&task.job), "reaped before it was stored: {task:?}");
     }
 
     fn run_workers(&mut self) {
@@ -366,10 +382,14 @@
     fn run_owner(&mut self, i: usize) {
         let now = self.now;
         let Some(mut owner) = self.owners[i].take() else { return };
-        let (due, later) = owner.news.drain(..).partition(|(at, _)| *at <= now);
+        let (due, later): (Vec<_>, Vec<_>) = owner.news.drain(..).partition(|(at, ..)| *at <= now);
         owner.news = later;
-        for (_, id) in due {
-            owner.book.end_job(&id, now);
+        for (_, id, opened) in due {
+            if opened {
+                owner.book.add_job(self.records[&id].clone(), now);
+            } else {
+                owner.book.end_job(&id, now);
+            }
         }
         owner.book.tick(now);
         let decisions = plan::place(&mut owner.book, &self.catalog, now);
@@ -434,19 +454,19 @@
         match outcome {
             Ok(stamp) => {
                 owner.book.chunks_stored(&batch.chunks, stamp);
-                for id in &batch.ends {
-                    owner.book.end_job(id, self.now);
+                for job in &batch.ends {
+                    owner.book.end_job(&job.spec.id, self.now);
                 }
             }
             Err(keys) if keys.iter().any(|k| k == ASSIGNMENT) => return true,
-            Err(_) => {
-                for id in batch.ends.iter().chain(batch.chunks.iter().map(|c| &c.job)) {
-                    if self.store.keys.contains_key(&end_key(id)) {
+            Err(keys) => {
+                for id in batch.jobs() {
+                    if end_among(&keys, id).is_some() {
                         owner.book.end_job(id, self.now);
                     }
                 }
                 for write in &batch.chunks {
-                    let key = crate::jobs::record::chunk_key(&write.job, write.chunk);
+                    let key = chunk_key(&write.job, write.chunk);
                     let item = self.store.keys.get(&key);
                     let stamp = item.map_or(0, |(_, s)| *s);
                     if item.and_then(|(v, _)| decode_chunk(v)).is_some_and(|t| t == write.tasks) {
@@ -455,24 +475,38 @@
                         owner.book.set_stamp(&write.job, write.chunk, stamp);
                     }
                 }
-                owner.book.to_store_again(&batch.ends, &batch.chunks);
+                owner.book.to_store_again(&batch.ended_ids(), &batch.chunks);
             }
         }
         false
     }
 
-    /// Applies a transaction; a job must not be stored as done before all its tasks are.
+    /// Applies a transaction. A job has one key at any time, and leaves none that it had once; it
+    /// must not be stored as done before all its tasks are.
     fn apply(&mut self, conditions: &[Condition], changes: &[Change]) -> Result<u64, Vec<String>> {
         let stamp = self.store.txn(conditions, changes)?;
         for change in changes {
             let Change::Write { write, .. } = change else { continue };
-            if let Some((id, record)) = self.records.iter().find(|(id, _)| end_key(id) == *write) {
-                let done = |index: u64| self.completed.contains(&TaskKey { job: id.clone(), index: index as u32 });
-                let gang = record.spec.is_gang();
-                let enough = if gang { (0..record.spec.tasks).any(done) } else { (0..record.spec.tasks).all(done) };
-                assert!(enough, "{id} is stored as done before its tasks are");
-                let id = id.clone();
-                self.end_known(&id);
+            let Some((id, place)) = place_of(write) else { continue };
+            let (id, record) = self.records.get_key_value(id).expect("a job that was submitted");
+            let (id, record) = (id.clone(), record.clone());
+            let [done, withdrawn] = ended_keys(&id).map(|key| self.store.keys.contains_key(&key));
+            let keys = usize::from(self.store.open(&id)) + usize::from(done) + usize::from(withdrawn);
+            assert_eq!(keys, 1, "{id} has {keys} keys: came back, or ended twice");
+            match place {
+                Place::Open => self.tell(&id, true),
+                Place::Ended(End::Done) => {
+                    let done = |index: u64| self.completed.contains(&TaskKey { job: id.clone(), index: index as u32 });
+                    let gang = record.spec.is_gang();
+                    let enough = if gang { (0..record.spec.tasks).any(done) } else { (0..record.spec.tasks).all(done) };
+                    assert!(enough, "{id} is stored as done before its tasks are");
+                    self.tell(&id, false);
+                }
+                Place::Ended(End::Withdrawn) => {
+                    self.withdrawn.insert(id.clone(), self.now);
+                    self.tell(&id, false);
+                }
+                Place::Old => unreachable!("nothing writes earlier builds' keys"),
             }
         }
         Ok(stamp)
@@ -635,11 +669,11 @@
                 let n = self.workers.len();
                 self.workers.push(Worker::new(n, self.now));
             }
-            if self.records.keys().all(|id| self.store.keys.contains_key(&end_key(id))) {
+            if self.records.keys().all(|id| self.store.ended(id)) {
                 return;
             }
         }
-        let open: Vec<_> = self.records.keys().filter(|id| !self.store.keys.contains_key(&end_key(id))).collect();
+        let open: Vec<_> = self.records.keys().filter(|id| !self.store.ended(id)).collect();
         panic!("never ended after {:?}: {open:?}", self.now - self.start);
     }
 }
--- a/src/scheduling/load.rs
+++ b/src/scheduling/load.rs
@@ -1,82 +1,152 @@
-//! Takeover: from what is stored to a book.
+//! Takeover: from what is stored to a book, a page at a time.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Instant;
 
 use serde::Deserialize;
+use tokio::task::JoinSet;
 use tracing::{error, info};
 
-use crate::jobs::record::{JobRecord, Stored, decode_chunk, job_key, parse_chunk_key};
-use crate::jobs::{End, JobId};
+use crate::jobs::JobId;
+use crate::jobs::record::{JobRecord, Stored, TASKS, decode_chunk, ended_keys, old_job_key, parse_chunk_key};
 use crate::node::{Node, lock};
+use crate::store::StoreError;
+use crate::store::budget::Urgent;
 use crate::store::client::Item;
-use crate::store::mirror::Known;
 
-/// False if something could not be read and all has to be read again.
-pub async fn fill(node: &Arc<Node>, items: Vec<Item>) -> bool {
-    let mut chunks: HashMap<JobId, Vec<(u64, u64, Vec<Stored>)>> = HashMap::new();
-    for item in items {
+/// Descriptions of ended jobs asked for at once.
+const ASKED_AT_ONCE: usize = 8;
+
+/// One chunk as it was read.
+struct Chunk {
+    job: JobId,
+    number: u64,
+    stamp: u64,
+    tasks: Vec<Stored>,
+}
+
+impl Chunk {
+    fn read(item: Item) -> Option<Self> {
         let read = parse_chunk_key(&item.path).zip(decode_chunk(&item.value));
-        let Some(((id, chunk), tasks)) = read else {
+        if read.is_none() {
             error!(path = item.path, "unreadable tasks in the store");
-            continue;
-        };
-        chunks.entry(id.into()).or_default().push((chunk, item.stamp, tasks));
+        }
+        let ((job, number), tasks) = read?;
+        Some(Self { job: job.into(), number, stamp: item.stamp, tasks })
     }
-    let mut records: Vec<(Arc<JobRecord>, Option<End>)> = Vec::new();
-    let mut over = Vec::new();
+
+    /// Whether a machine may still hold a task of it.
+    fn anything_bound(&self) -> bool {
+        self.tasks.iter().any(|t| matches!(t, Stored::Bound(..)))
+    }
+}
+
+/// Reads every page of tasks into the book, which decides nothing until the last one is in.
+pub async fn fill(node: &Arc<Node>) -> Result<(), StoreError> {
+    let begun = Instant::now();
+    // Open jobs first: the mirror was proven fresh after this controller's assignment stood.
     {
         let mirror = lock(&node.mirror);
-        records.extend(mirror.open_jobs().map(|(_, record)| (record.clone(), None)));
-        for id in chunks.keys() {
-            if let Some(Known::Ended(end)) = mirror.job(id) {
-                match mirror.ended_record(id) {
-                    Some(record) => records.push((record, Some(*end))),
-                    None => over.push((id.clone(), *end)),
-                }
-            }
+        let mut held = lock(&node.book);
+        let Some(book) = held.as_mut() else { return Ok(()) };
+        book.forget_all();
+        for (_, record) in mirror.open_jobs() {
+            book.add_job(record.clone(), begun);
         }
     }
-    // Tasks of jobs that are over may still be on machines: they count until proven gone.
-    for (id, end) in over {
-        match node.store.get(&job_key(&id)).await {
-            Ok(Some(item)) => match JobRecord::deserialize(&item.value) {
-                Ok(record) => records.push((Arc::new(record), Some(end))),
-                Err(error) => error!(%error, path = item.path, "unreadable job in the store"),
-            },
-            Ok(None) => {}
-            Err(_) => return false,
-        }
+    let mut ended = HashSet::new();
+    let mut pages = node.store.pages(TASKS, None);
+    let (mut chunks, mut read) = (0usize, 0usize);
+    while let Some(page) = pages.next().await? {
+        read += 1;
+        let page: Vec<Chunk> = page.items.into_iter().filter_map(Chunk::read).collect();
+        chunks += page.len();
+        take_page(node, page, &mut ended).await?;
     }
     let now = Instant::now();
     {
         let mirror = lock(&node.mirror);
         let mut held = lock(&node.book);
-        let Some(book) = held.as_mut() else { return true };
-        for (record, end) in records {
-            let id = record.spec.id.clone();
-            // It may have ended while the others were being read.
-            let end = end.or(match mirror.job(&id) {
-                Some(Known::Ended(end)) => Some(*end),
-                _ => None,
-            });
-            book.load_job(record, chunks.remove(&id).unwrap_or_default(), now);
-            if end.is_some() {
-                book.end_job(&id, now);
-            }
+        let Some(book) = held.as_mut() else { return Ok(()) };
+        // What came and what ended while the tasks were being read.
+        for (_, record) in mirror.open_jobs() {
+            book.add_job(record.clone(), now);
         }
-        for (id, record) in mirror.open_jobs() {
-            if !book.has_job(id) {
-                book.add_job(record.clone(), now);
-            }
+        ended.extend(book.jobs().map(|(id, _)| id).filter(|id| mirror.open(id).is_none()).cloned());
+        for id in &ended {
+            book.end_job(id, now);
         }
-        book.loaded = true;
-        book.reconcile_all(now);
-        info!(jobs = book.job_count(), machines = book.machines.len(), "took over");
+        book.finish_load(now);
+        let (jobs, machines) = (book.job_count(), book.machines.len());
+        info!(jobs, machines, chunks, pages = read, took_ms = (now - begun).as_millis() as u64, "took over");
     }
     node.wake.plan.notify_one();
     node.wake.dispatch.notify_one();
     node.wake.fleet.notify_one();
-    true
+    Ok(())
+}
+
+/// Chunks of jobs that are over may still be on machines: those count until proven gone. What has
+/// nothing bound is only dropped.
+async fn take_page(node: &Arc<Node>, page: Vec<Chunk>, ended: &mut HashSet<JobId>) -> Result<(), StoreError> {
+    let mut records: HashMap<JobId, Arc<JobRecord>> = HashMap::new();
+    let mut unknown: HashSet<JobId> = HashSet::new();
+    {
+        let (mirror, held) = (lock(&node.mirror), lock(&node.book));
+        let Some(book) = held.as_ref() else { return Ok(()) };
+        for chunk in page.iter().filter(|c| !book.has_job(&c.job) && c.anything_bound()) {
+            match mirror.ended_record(&chunk.job) {
+                Some(record) => drop(records.insert(chunk.job.clone(), record)),
+                None => drop(unknown.insert(chunk.job.clone())),
+            }
+        }
+    }
+    let unknown: Vec<JobId> = unknown.into_iter().collect();
+    for ids in unknown.chunks(ASKED_AT_ONCE) {
+        let mut asked = JoinSet::new();
+        for id in ids.iter().cloned() {
+            let node = node.clone();
+            asked.spawn(async move { (id.clone(), ended_record(&node, &id).await) });
+        }
+        while let Some(answer) = asked.join_next().await {
+            let Ok((id, record)) = answer else { continue };
+            if let Some(record) = record? {
+                records.insert(id, Arc::new(record));
+            }
+        }
+    }
+    let now = Instant::now();
+    let mut held = lock(&node.book);
+    let Some(book) = held.as_mut() else { return Ok(()) };
+    for (id, record) in records {
+        book.add_job(record, now);
+        ended.insert(id);
+    }
+    for chunk in page {
+        if book.has_job(&chunk.job) {
+            book.load_chunk(&chunk.job, chunk.number, chunk.stamp, chunk.tasks, now);
+        } else if chunk.anything_bound() {
+            error!(job = %chunk.job, chunk = chunk.number, "tasks of a job that is not in the store");
+        } else {
+            book.drop_again(vec![(chunk.job, chunk.number)]);
+        }
+    }
+    Ok(())
+}
+
+/// The description of a job that has ended, wherever it is kept.
+async fn ended_record(node: &Node, id: &str) -> Result<Option<JobRecord>, StoreError> {
+    for key in ended_keys(id).into_iter().chain([old_job_key(id)]) {
+        if let Some(item) = node.store.get(&key, Urgent::First).await? {
+            return match JobRecord::deserialize(&item.value) {
+                Ok(record) => Ok(Some(record)),
+                Err(error) => {
+                    error!(%error, key, "unreadable job in the store");
+                    Ok(None)
+                }
+            };
+        }
+    }
+    Ok(None)
 }
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -17,7 +17,6 @@
 
 pub use book::Book;
 
-use crate::jobs::record::TASKS;
 use crate::node::{Node, lock};
 
 /// Placement follows events; this bounds how often, so that a burst is planned as one.
@@ -76,12 +75,8 @@
 async fn load(node: &Arc<Node>) {
     loop {
         if node.fresh.wait().await {
-            match node.store.list(TASKS).await {
-                Ok((items, _)) => {
-                    if load::fill(node, items).await {
-                        return;
-                    }
-                }
+            match load::fill(node).await {
+                Ok(()) => return,
                 Err(error) => debug!(%error, "reading tasks"),
             }
         }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -106,6 +106,9 @@
 
 #[derive(Debug, Clone, Deserialize)]
 pub struct Limits {
+    /// Megabytes a controller may take; none: open work is not limited by it.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
     pub max_sockets: u64,
 }
 
@@ -163,6 +166,9 @@
                 return Err(format!("{field}: {value} is not above 0 and at most 1000000"));
             }
         }
+        if let Some(mb) = p.limits.memory_mb.filter(|mb| !(*mb > 0.0 && *mb <= 1e9)) {
+            return Err(format!("params.resources.memory_mb: {mb} is not above 0 and at most 1000000000"));
+        }
         if p.state.txn_ops < 2 {
             return Err(format!("params.state.txn_ops: {} is below 2", p.state.txn_ops));
         }
@@ -219,6 +225,7 @@
         for (from, to, want) in [
             ("127.0.0.1:4", "cloud.example:4", "endpoints.cloud: \"cloud.example:4\""),
             ("\"report_s\":3", "\"report_s\":-3", "params.workers.report_s: -3"),
+            ("\"memory_mb\":100", "\"memory_mb\":-1", "params.resources.memory_mb: -1"),
             ("\"txn_ops\":24", "\"txn_ops\":1", "params.state.txn_ops: 1"),
             ("\"cpus_max\":20", "\"cpus_max\":-20", "params.teams.red.cpus_max: -20"),
             ("\"zones\":[\"a\",\"b\"]", "\"zones\":[]", "params.zones"),
--- a/src/store/budget.rs
+++ b/src/store/budget.rs
@@ -9,6 +9,8 @@
     First,
     /// Placements.
     Second,
+    /// Users' questions about what is not open: a flood of them leaves the rest its burst.
+    Asked,
     /// Clean-up.
     Last,
 }
@@ -44,6 +46,7 @@
         match urgent {
             Urgent::First => 0.0,
             Urgent::Second => 0.15,
+            Urgent::Asked => 0.4,
             Urgent::Last => 0.6,
         }
     }
@@ -72,6 +75,7 @@
         let mut budget = Budget::new(10.0, 10.0, t);
         assert!(budget.take(8.0, Urgent::Second, t).is_ok());
         assert!(budget.take(1.0, Urgent::Second, t).is_err(), "the reserve is kept");
+        assert!(budget.take(0.1, Urgent::Asked, t).is_err(), "and more of it from questions");
         assert!(budget.take(2.0, Urgent::First, t).is_ok(), "for the urgent");
         let wait = budget.take(1.0, Urgent::First, t).unwrap_err();
         assert_eq!(wait, Duration::from_millis(100));
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -12,7 +12,10 @@
 
 /// Answers usually take 10 ms and at times a few hundred; past this one is not waited for.
 const ANSWER_WITHIN: Duration = Duration::from_millis(1500);
-const PAGE: u64 = 1000;
+/// Keys of one page. A page is all that is held of a listing.
+const PAGE: u64 = 250;
+/// Stands in place of a status where an answer was larger than can be read.
+const TOO_LARGE: u16 = 0;
 /// Longest wait for this controller's own share of the limits.
 const BUDGET_WAIT: Duration = Duration::from_millis(2000);
 
@@ -27,7 +30,7 @@
     /// An answer that makes no sense.
     #[error("the state service answered {0}")]
     Malformed(String),
-    /// The watch begins before what the service still keeps.
+    /// The watch begins before what the service still keeps, or has more to tell than can be read.
     #[error("the revision is too old to follow")]
     TooOld,
 }
@@ -131,6 +134,35 @@
     permit: u64,
 }
 
+/// A listing under way. Each page is as of its own moment, none older than the one before.
+pub struct Pages<'a> {
+    client: &'a StateClient,
+    prefix: &'a str,
+    since: Option<String>,
+    more: bool,
+}
+
+impl Pages<'_> {
+    /// The next page, or none after the last. After an error the same page can be asked for again.
+    pub async fn next(&mut self) -> Result<Option<Page>, StoreError> {
+        if !self.more {
+            return Ok(None);
+        }
+        let mut path = format!("/keys?prefix={}&most={PAGE}", self.prefix);
+        if let Some(since) = &self.since {
+            path.push_str("&since=");
+            path.push_str(since);
+        }
+        let page: Page = match self.client.call(Method::GET, &path, None, ANSWER_WITHIN * 2, Urgent::First).await? {
+            (200, body) => parse(&body)?,
+            (other, _) => return Err(StoreError::Malformed(format!("{other} to a listing"))),
+        };
+        self.more = page.more && !page.items.is_empty();
+        self.since = page.items.last().map(|i| i.path.clone());
+        Ok(Some(page))
+    }
+}
+
 pub struct StateClient {
     http: Http,
     addr: String,
@@ -202,9 +234,24 @@
         within: Duration,
         urgent: Urgent,
     ) -> Result<(u16, bytes::Bytes), StoreError> {
-        Self::budgeted(&self.requests, 1.0, urgent).await?;
+        self.reserve(urgent).await?;
+        self.call_reserved(method, path, body, within).await
+    }
+
+    /// Waits until one request of this right may be sent, and counts it as sent.
+    pub async fn reserve(&self, urgent: Urgent) -> Result<(), StoreError> {
+        Self::budgeted(&self.requests, 1.0, urgent).await
+    }
+
+    async fn call_reserved(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        within: Duration,
+    ) -> Result<(u16, bytes::Bytes), StoreError> {
         let outcome = self.http.call(method, &self.addr, path, body, within).await;
-        let served = matches!(outcome, Ok((status, _)) if status != 503);
+        let served = matches!(outcome, Ok((status, _)) if status != 503) || outcome == Err(CallError::TooLarge);
         {
             let mut health = crate::node::lock(&self.health);
             let at = Some(Instant::now());
@@ -218,6 +265,7 @@
             Ok((status @ (429 | 503), _)) => Err(StoreError::Unavailable(status)),
             Ok(answer) => Ok(answer),
             Err(CallError::NotSent) => Err(StoreError::Unavailable(0)),
+            Err(CallError::TooLarge) => Ok((TOO_LARGE, bytes::Bytes::new())),
             Err(CallError::Unanswered) => Err(StoreError::Unanswered),
         }
     }
@@ -244,38 +292,29 @@
     }
 
     /// The value and version of a key, or none.
-    pub async fn get(&self, key: &str) -> Result<Option<Item>, StoreError> {
+    pub async fn get(&self, key: &str, urgent: Urgent) -> Result<Option<Item>, StoreError> {
         let path = format!("/keys/{key}");
-        match self.call(Method::GET, &path, None, ANSWER_WITHIN, Urgent::First).await? {
+        match self.call(Method::GET, &path, None, ANSWER_WITHIN, urgent).await? {
             (200, body) => Ok(Some(parse(&body)?)),
             (404, _) => Ok(None),
             (other, _) => Err(StoreError::Malformed(format!("{other} to a read"))),
         }
     }
 
-    pub async fn page(&self, prefix: &str, since: Option<&str>) -> Result<Page, StoreError> {
-        let mut path = format!("/keys?prefix={prefix}&most={PAGE}");
-        if let Some(since) = since {
-            path.push_str("&since=");
-            path.push_str(since);
-        }
-        match self.call(Method::GET, &path, None, ANSWER_WITHIN * 2, Urgent::First).await? {
-            (200, body) => parse(&body),
-            (other, _) => Err(StoreError::Malformed(format!("{other} to a listing"))),
+    /// Compares without changing anything, with a request that was reserved before: the keys that
+    /// had other versions than asked, all as of one moment.
+    pub async fn compare_reserved(&self, conditions: &[Condition]) -> Result<Vec<String>, StoreError> {
+        let body = wire::encode(&Txn { conditions, apply: &[] });
+        match self.call_reserved(Method::POST, "/txn", Some(body), ANSWER_WITHIN).await? {
+            (200, _) => Ok(Vec::new()),
+            (409, body) => Ok(parse::<Refused>(&body)?.failed),
+            (other, _) => Err(StoreError::Malformed(format!("{other} to a comparison"))),
         }
     }
 
-    /// All keys under a prefix, and the revision of the first page: what has changed since then
-    /// may or may not be included.
-    pub async fn list(&self, prefix: &str) -> Result<(Vec<Item>, u64), StoreError> {
-        let mut page = self.page(prefix, None).await?;
-        let (mut items, revision) = (std::mem::take(&mut page.items), page.revision);
-        while page.more {
-            let Some(last) = items.last().map(|i| i.path.clone()) else { break };
-            page = self.page(prefix, Some(&last)).await?;
-            items.append(&mut page.items);
-        }
-        Ok((items, revision))
+    /// Keys under a prefix, a page at a time, beginning after a key if one is given.
+    pub fn pages<'a>(&'a self, prefix: &'a str, since: Option<&str>) -> Pages<'a> {
+        Pages { client: self, prefix, since: since.map(str::to_owned), more: true }
     }
 
     pub async fn follow(&self, prefix: &str, since: u64, wait: Duration) -> Result<Followed, StoreError> {
@@ -283,7 +322,7 @@
         let within = wait + ANSWER_WITHIN;
         match self.call(Method::GET, &path, None, within, Urgent::First).await? {
             (200, body) => parse(&body),
-            (410, _) => Err(StoreError::TooOld),
+            (410 | TOO_LARGE, _) => Err(StoreError::TooOld),
             (other, _) => Err(StoreError::Malformed(format!("{other} to a watch"))),
         }
     }
--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -2,20 +2,21 @@
 //!
 //! Every transaction is conditional on the assignment, on the versions of its chunks and on the
 //! absence of an end for each job it speaks of. One that was not answered is sent again as it
-//! was until an answer is definite: a late copy then fails on the chunk versions.
+//! was until an answer is definite: a late copy then fails on the chunk versions, or on the end.
+//! An end takes its job from the open ones in the same transaction.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use serde::Deserialize;
 use tracing::{debug, info, warn};
 
 use super::budget::Urgent;
 use super::follow::jitter;
 use super::{Change, Condition, StoreError, TxnOutcome};
+use crate::history::moves::{end_among, end_changes, not_ended};
 use crate::jobs::record::{
-    ASSIGNMENT, EndRecord, chunk_key, chunk_size, decode_chunk, encode_chunk, end_key, time_of_day_ms,
+    ASSIGNMENT, ENDED_EXTRA, JobRecord, chunk_key, chunk_size, decode_chunk, encode_chunk, time_of_day_ms,
 };
 use crate::jobs::{End, JobId};
 use crate::node::{Node, lock};
@@ -29,34 +30,59 @@
 const RETRY: Duration = Duration::from_millis(150);
 /// Room left in a transaction's 64 KiB for conditions and framing.
 const BYTES: usize = 40 * 1024;
+/// Keys and conditions of one change, in bytes.
+const FRAME: usize = 200;
+/// This many chunks of ended jobs are too many for clean-up to wait: a new owner reads them all.
+const DROPS_PRESSED: usize = 48;
 
 pub(crate) struct Batch {
-    pub ends: Vec<JobId>,
+    pub ends: Vec<Arc<JobRecord>>,
     pub chunks: Vec<ChunkWrite>,
     pub at_ms: u64,
 }
 
 impl Batch {
     pub fn changes(&self) -> Vec<Change> {
-        let end = EndRecord { end: End::Done, at_ms: self.at_ms };
-        let end = serde_json::to_value(end).unwrap_or_default();
-        let ends = self.ends.iter().map(|id| Change::write(end_key(id), end.clone()));
+        let ends = self.ends.iter().flat_map(|job| end_changes(job, End::Done, self.at_ms));
         let chunks = self.chunks.iter().map(|c| Change::write(chunk_key(&c.job, c.chunk), encode_chunk(&c.tasks)));
         ends.chain(chunks).collect()
     }
 
     pub fn conditions(&self, token: u64) -> Vec<Condition> {
         let chunks = self.chunks.iter().map(|c| Condition::at(chunk_key(&c.job, c.chunk), c.stamp));
-        let jobs: BTreeSet<&JobId> = self.ends.iter().chain(self.chunks.iter().map(|c| &c.job)).collect();
-        let ends = jobs.into_iter().map(|id| Condition::absent(end_key(id)));
+        let jobs: BTreeSet<&JobId> = self.jobs().collect();
+        let ends = jobs.into_iter().flat_map(|id| not_ended(id));
         std::iter::once(Condition::at(ASSIGNMENT, token)).chain(chunks).chain(ends).collect()
     }
 
+    /// Every job it speaks of.
+    pub fn jobs(&self) -> impl Iterator<Item = &JobId> {
+        self.ends.iter().map(|job| &job.spec.id).chain(self.chunks.iter().map(|c| &c.job))
+    }
+
+    pub fn ended_ids(&self) -> Vec<JobId> {
+        self.ends.iter().map(|job| job.spec.id.clone()).collect()
+    }
+
     pub fn is_empty(&self) -> bool {
         self.ends.is_empty() && self.chunks.is_empty()
     }
 }
 
+/// How many of these fit into a transaction that has taken `bytes` so far; at least one if it is
+/// empty.
+fn fitting(bytes: &mut usize, sizes: impl Iterator<Item = usize>) -> usize {
+    let mut n = 0;
+    for size in sizes {
+        if *bytes > 0 && *bytes + size > BYTES {
+            break;
+        }
+        *bytes += size;
+        n += 1;
+    }
+    n
+}
+
 pub async fn run(node: Arc<Node>) {
     loop {
         let _ = tokio::time::timeout(EVERY, node.wake.commit.notified()).await;
@@ -65,8 +91,11 @@
             if !store(&node, batch).await {
                 return;
             }
+            if lock(&node.book).as_ref().is_some_and(|b| b.drops_waiting() >= DROPS_PRESSED) {
+                drop_some(&node, Urgent::Second).await;
+            }
         }
-        drop_some(&node).await;
+        drop_some(&node, Urgent::Last).await;
     }
 }
 
@@ -79,19 +108,13 @@
     if !book.anything_to_store(now) {
         return None;
     }
-    let (ends, mut chunks) = book.next_writes(most, now);
+    let (mut ends, mut chunks) = book.next_writes(most, now);
     let mut bytes = 0;
-    let keep = chunks
-        .iter()
-        .take_while(|c| {
-            bytes += chunk_size(&c.tasks) + 200;
-            bytes <= BYTES
-        })
-        .count()
-        .max(1)
-        .min(chunks.len());
-    let rest = chunks.split_off(keep);
-    book.to_store_again(&[], &rest);
+    let size = |job: &Arc<JobRecord>| serde_json::to_vec(&**job).map_or(0, |v| v.len()) + ENDED_EXTRA + FRAME;
+    let late_ends = ends.split_off(fitting(&mut bytes, ends.iter().map(size)));
+    let rest = chunks.split_off(fitting(&mut bytes, chunks.iter().map(|c| chunk_size(&c.tasks) + FRAME)));
+    let late_ends: Vec<JobId> = late_ends.iter().map(|job| job.spec.id.clone()).collect();
+    book.to_store_again(&late_ends, &rest);
     let batch = Batch { ends, chunks, at_ms: time_of_day_ms() };
     (!batch.is_empty()).then_some(batch)
 }
@@ -137,26 +160,39 @@
     if let Some(book) = lock(&node.book).as_mut() {
         book.chunks_stored(&batch.chunks, stamp);
     }
-    for id in &batch.ends {
-        note_end(node, id, End::Done);
+    for job in &batch.ends {
+        note_end(node, &job.spec.id, End::Done);
     }
     node.wake.dispatch.notify_one();
 }
 
+/// An end stands in the store: the book acts on it at once, ahead of the watch.
 fn note_end(node: &Node, id: &JobId, end: End) {
     info!(job = %id, ?end, "ended");
-    let news = lock(&node.mirror).note_end(id, end);
-    node.spread(news);
+    node.history.note_end(id, end);
+    if let Some(book) = lock(&node.book).as_mut() {
+        book.end_job(id, Instant::now());
+    }
+    node.wake.plan.notify_one();
 }
 
 /// Some keys had other versions: each is read, and what it holds decides.
 async fn settle(node: &Arc<Node>, batch: Batch, keys: Vec<String>) -> bool {
-    for key in &keys {
+    for id in batch.jobs() {
+        if let Some(end) = end_among(&keys, id) {
+            note_end(node, id, end);
+        }
+    }
+    for write in &batch.chunks {
+        let key = &chunk_key(&write.job, write.chunk);
+        if !keys.contains(key) {
+            continue;
+        }
         let item = loop {
             if lock(&node.book).is_none() {
                 return false;
             }
-            match node.store.get(key).await {
+            match node.store.get(key, Urgent::First).await {
                 Ok(item) => break item,
                 Err(error) => {
                     debug!(%error, key, "settling");
@@ -164,35 +200,28 @@
                 }
             }
         };
-        let job_of_end = batch.ends.iter().chain(batch.chunks.iter().map(|c| &c.job)).find(|id| end_key(id) == *key);
-        if let Some(id) = job_of_end {
-            if let Some(end) = item.and_then(|i| EndRecord::deserialize(&i.value).ok()) {
-                note_end(node, id, end.end);
-            }
-        } else if let Some(write) = batch.chunks.iter().find(|c| chunk_key(&c.job, c.chunk) == *key) {
-            let mut held = lock(&node.book);
-            let Some(book) = held.as_mut() else { return false };
-            let stamp = item.as_ref().map_or(0, |i| i.stamp);
-            let same = item.and_then(|i| decode_chunk(&i.value)).is_some_and(|t| t == write.tasks);
-            if same {
-                // An earlier copy of this transaction did apply.
-                book.chunks_stored(std::slice::from_ref(write), stamp);
-            } else {
-                warn!(key, "tasks in the store differ from the book");
-                book.set_stamp(&write.job, write.chunk, stamp);
-            }
+        let mut held = lock(&node.book);
+        let Some(book) = held.as_mut() else { return false };
+        let stamp = item.as_ref().map_or(0, |i| i.stamp);
+        let same = item.and_then(|i| decode_chunk(&i.value)).is_some_and(|t| t == write.tasks);
+        if same {
+            // An earlier copy of this transaction did apply.
+            book.chunks_stored(std::slice::from_ref(write), stamp);
+        } else {
+            warn!(key, "tasks in the store differ from the book");
+            book.set_stamp(&write.job, write.chunk, stamp);
         }
     }
     if let Some(book) = lock(&node.book).as_mut() {
-        book.to_store_again(&batch.ends, &batch.chunks);
+        book.to_store_again(&batch.ended_ids(), &batch.chunks);
     }
     node.wake.dispatch.notify_one();
     true
 }
 
 /// Chunks of jobs that are over, whenever the budget has room.
-async fn drop_some(node: &Arc<Node>) {
-    let most = node.store.writes_ready(Urgent::Last).min(node.settings.params.state.txn_ops as usize);
+async fn drop_some(node: &Arc<Node>, urgent: Urgent) {
+    let most = node.store.writes_ready(urgent).min(node.settings.params.state.txn_ops as usize);
     let (drops, token) = match lock(&node.book).as_mut() {
         Some(book) => (book.next_drops(most), book.token),
         None => return,
@@ -202,8 +231,7 @@
     }
     let changes: Vec<Change> = drops.iter().map(|(id, c)| Change::Drop { drop: chunk_key(id, *c) }).collect();
     let outcome =
-        tokio::time::timeout(DROP_WITHIN, node.store.txn(&[Condition::at(ASSIGNMENT, token)], &changes, Urgent::Last))
-            .await;
+        tokio::time::timeout(DROP_WITHIN, node.store.txn(&[Condition::at(ASSIGNMENT, token)], &changes, urgent)).await;
     if !matches!(outcome, Ok(Ok(TxnOutcome::Applied(_))))
         && let Some(book) = lock(&node.book).as_mut()
     {
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -7,7 +7,8 @@
 use tracing::{debug, warn};
 
 use super::StoreError;
-use crate::jobs::record::MIRRORED;
+use crate::history::upgrade;
+use crate::jobs::record::{MIRRORED, MIRRORED_AFTER};
 use crate::node::{Node, lock};
 
 const WATCH: Duration = Duration::from_secs(20);
@@ -20,9 +21,18 @@
     base.mul_f64(rand::rng().random_range(0.5..1.5))
 }
 
+/// Reads page by page into what is kept; what an earlier build has left is taken over first.
 async fn reload(node: &Node) -> Result<(), StoreError> {
-    let (items, revision) = node.store.list(MIRRORED).await?;
-    let news = lock(&node.mirror).load(&items, revision);
+    let mut loading = lock(&node.mirror).load();
+    let mut pages = node.store.pages(MIRRORED, Some(MIRRORED_AFTER));
+    while let Some(page) = pages.next().await? {
+        let news = lock(&node.mirror).take_page(&mut loading, &page);
+        node.spread(news);
+    }
+    if !loading.upgraded() {
+        return upgrade::run(&node.store).await;
+    }
+    let news = lock(&node.mirror).loaded(loading);
     node.spread(news);
     Ok(())
 }
@@ -30,17 +40,13 @@
 /// The watch: one at a time, for ever.
 pub async fn run(node: Arc<Node>) {
     loop {
-        let (ready, revision) = {
-            let mirror = lock(&node.mirror);
-            (mirror.ready, mirror.revision)
-        };
-        let outcome = if ready {
-            node.store.follow(MIRRORED, revision, WATCH).await.map(|followed| {
-                let news = lock(&node.mirror).apply(&followed);
+        let asking = lock(&node.mirror).asking();
+        let outcome = match asking {
+            Some((revision, epoch)) => node.store.follow(MIRRORED, revision, WATCH).await.map(|followed| {
+                let (_, news) = lock(&node.mirror).apply(&followed, epoch);
                 node.spread(news);
-            })
-        } else {
-            reload(&node).await
+            }),
+            None => reload(&node).await,
         };
         match outcome {
             Ok(()) => {}
@@ -58,20 +64,21 @@
     loop {
         node.fresh.wanted.notified().await;
         let ticket = node.fresh.ticket();
-        let revision = {
-            let mirror = lock(&node.mirror);
-            if !mirror.ready {
-                continue;
-            }
-            mirror.revision
+        let asking = lock(&node.mirror).asking();
+        let Some((revision, epoch)) = asking else {
+            node.fresh.failed.send_replace(ticket);
+            continue;
         };
         match node.store.follow(MIRRORED, revision, Duration::ZERO).await {
             Ok(followed) => {
-                let news = lock(&node.mirror).apply(&followed);
+                let (taken, news) = lock(&node.mirror).apply(&followed, epoch);
                 node.spread(news);
-                node.fresh.proven.send_replace(ticket);
+                if taken { &node.fresh.proven } else { &node.fresh.failed }.send_replace(ticket);
+            }
+            Err(StoreError::TooOld) => {
+                lock(&node.mirror).ready = false;
+                node.fresh.failed.send_replace(ticket);
             }
-            Err(StoreError::TooOld) => lock(&node.mirror).ready = false,
             Err(error) => {
                 node.fresh.failed.send_replace(ticket);
                 debug!(%error, "no proof of freshness");
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -1,42 +1,87 @@
-//! What every controller knows of jobs, ends and ownership, as of one revision.
+//! What every controller knows of open jobs and of ownership, as of one revision.
+//!
+//! It changes by what the store lists and tells, and by nothing else: what this controller has
+//! itself seen stored ahead of its watch is kept elsewhere (`history`), so that no late answer can
+//! bring back an older state. Its size follows open work.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet};
+use std::num::NonZeroUsize;
 use std::sync::Arc;
 
+use lru::LruCache;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use tracing::warn;
 
-use super::client::{Event, Followed, Item};
-use crate::jobs::record::{ASSIGNMENT, ENDS, EndRecord, JOBS, JobRecord, LEADER, PLEA};
-use crate::jobs::{End, JobId};
+use super::client::{Event, Followed, Page};
+use crate::jobs::JobId;
+use crate::jobs::limits::{self, Held};
+use crate::jobs::record::{ASSIGNMENT, JobRecord, LEADER, OPEN, PLEA, UPGRADED, Upgraded};
 use crate::membership::{Assignment, Leader, Plea};
 
 /// Descriptions kept of jobs that are over: about half a KiB each.
-const ENDED_KEPT: usize = 2000;
+const ENDED_KEPT: NonZeroUsize = NonZeroUsize::new(2000).unwrap();
 
-/// A job as far as everybody knows it.
-#[derive(Debug, Clone)]
-pub enum Known {
-    Open(Arc<JobRecord>),
-    Ended(End),
+/// The few keys that are not jobs.
+#[derive(Debug, Default)]
+struct Control {
+    leader: Option<(Leader, u64)>,
+    assignment: Option<(Assignment, u64)>,
+    plea: Option<Plea>,
+    upgraded: Option<Upgraded>,
 }
 
-#[derive(Debug, Default)]
+impl Control {
+    /// False if the key is none of these.
+    fn put(&mut self, path: &str, value: &Value, stamp: u64) -> bool {
+        match path {
+            LEADER => self.leader = read(path, value).map(|l| (l, stamp)),
+            ASSIGNMENT => self.assignment = read(path, value).map(|a| (a, stamp)),
+            PLEA => self.plea = read(path, value),
+            UPGRADED => self.upgraded = read(path, value),
+            _ => return false,
+        }
+        true
+    }
+
+    fn drop(&mut self, path: &str) -> bool {
+        match path {
+            LEADER => self.leader = None,
+            ASSIGNMENT => self.assignment = None,
+            PLEA => self.plea = None,
+            _ => return false,
+        }
+        true
+    }
+}
+
+#[derive(Debug)]
 pub struct Mirror {
     pub revision: u64,
-    /// False until read whole once, and again after falling too far behind.
+    /// False until read whole once, and again while it is read anew after falling too far behind.
     pub ready: bool,
-    jobs: HashMap<JobId, Known>,
-    /// Ends seen before their jobs (pages are read in key order, and ends come first).
-    early_ends: HashMap<JobId, End>,
+    /// How often it was begun to be read: answers to questions asked before say nothing any more.
+    epoch: u64,
+    open: HashMap<JobId, Arc<JobRecord>>,
+    held: Held,
     /// Descriptions of jobs that ended last: a new owner needs them for tasks not yet proven gone,
     /// and reading them one by one took it seconds.
-    ended: HashMap<JobId, Arc<JobRecord>>,
-    ended_order: VecDeque<JobId>,
-    pub leader: Option<(Leader, u64)>,
-    pub assignment: Option<(Assignment, u64)>,
-    pub plea: Option<Plea>,
+    ended: LruCache<JobId, Arc<JobRecord>>,
+    control: Control,
+}
+
+/// A reading under way, page by page.
+pub struct Loading {
+    revision: Option<u64>,
+    seen: HashSet<JobId>,
+    control: Control,
+}
+
+impl Loading {
+    /// What an earlier build left was taken over, as far as the pages tell.
+    pub fn upgraded(&self) -> bool {
+        self.control.upgraded.is_some()
+    }
 }
 
 /// What an update means to the rest of the process.
@@ -57,178 +102,243 @@
     T::deserialize(value).map_err(|e| warn!(path, %e, "unreadable value in the store")).ok()
 }
 
+impl Default for Mirror {
+    fn default() -> Self {
+        Self {
+            revision: 0,
+            ready: false,
+            epoch: 0,
+            open: HashMap::new(),
+            held: Held::default(),
+            ended: LruCache::new(ENDED_KEPT),
+            control: Control::default(),
+        }
+    }
+}
+
 impl Mirror {
-    pub fn job(&self, id: &str) -> Option<&Known> {
-        self.jobs.get(id)
+    /// An open job's description.
+    pub fn open(&self, id: &str) -> Option<&Arc<JobRecord>> {
+        self.open.get(id)
     }
 
     pub fn open_jobs(&self) -> impl Iterator<Item = (&JobId, &Arc<JobRecord>)> {
-        self.jobs.iter().filter_map(|(id, known)| match known {
-            Known::Open(record) => Some((id, record)),
-            Known::Ended(_) => None,
-        })
+        self.open.iter()
     }
 
-    /// Takes in a whole reading. Jobs and ends are never removed, so merging is enough; whoever
-    /// led or owned is replaced.
-    pub fn load(&mut self, items: &[Item], revision: u64) -> News {
-        let mut news = News { ownership: true, ..News::default() };
-        (self.leader, self.assignment) = (None, None);
-        for item in items {
-            self.put(&item.path, &item.value, item.stamp, &mut news);
-        }
-        self.revision = self.revision.max(revision);
-        self.ready = true;
-        news
+    /// What all open jobs together make an owner hold.
+    pub fn held(&self) -> Held {
+        self.held
     }
 
-    /// Applies what a watch told; what is already known is passed over.
-    pub fn apply(&mut self, followed: &Followed) -> News {
-        let mut news = News::default();
-        let known = self.revision;
-        for event in followed.log.iter().filter(|e| e.stamp > known) {
-            self.event(event, &mut news);
-        }
-        self.revision = self.revision.max(followed.revision);
-        news
+    /// What was kept of a job that ended lately.
+    pub fn ended_record(&self, id: &str) -> Option<Arc<JobRecord>> {
+        self.ended.peek(id).cloned()
     }
 
-    fn event(&mut self, event: &Event, news: &mut News) {
-        if let Some(path) = &event.write {
-            self.put(path, &event.value, event.stamp, news);
-        } else if let Some(path) = &event.drop {
-            match path.as_str() {
-                LEADER => self.leader = None,
-                ASSIGNMENT => self.assignment = None,
-                _ => return,
-            }
-            news.ownership = true;
-        }
+    pub fn ended_kept(&self) -> usize {
+        self.ended.len()
+    }
+
+    pub fn leader(&self) -> Option<&(Leader, u64)> {
+        self.control.leader.as_ref()
+    }
+
+    pub fn assignment(&self) -> Option<&(Assignment, u64)> {
+        self.control.assignment.as_ref()
+    }
+
+    pub fn plea(&self) -> Option<&Plea> {
+        self.control.plea.as_ref()
     }
 
-    fn put(&mut self, path: &str, value: &Value, stamp: u64, news: &mut News) {
-        if path == LEADER {
-            self.leader = read(path, value).map(|l| (l, stamp));
-            news.ownership = true;
-        } else if path == ASSIGNMENT {
-            self.assignment = read(path, value).map(|a| (a, stamp));
-            news.ownership = true;
-        } else if path == PLEA {
-            self.plea = read(path, value);
-            news.ownership = true;
-        } else if let Some(id) = path.strip_prefix(JOBS) {
-            if self.jobs.contains_key(id) {
-                return;
+    /// Whether jobs may stand under an earlier build's keys; true as long as that is not known.
+    pub fn old_kept(&self) -> bool {
+        self.control.upgraded.is_none_or(|u| u.old_kept)
+    }
+
+    /// This controller has itself been seen to lead, ahead of its watch.
+    pub fn note_leader(&mut self, leader: Leader, stamp: u64) {
+        self.control.leader = Some((leader, stamp));
+    }
+
+    /// The same of its assignment.
+    pub fn note_assignment(&mut self, assignment: Assignment, stamp: u64) {
+        self.control.assignment = Some((assignment, stamp));
+    }
+
+    /// The question that a watch is: from which revision on, and in which epoch.
+    pub fn asking(&self) -> Option<(u64, u64)> {
+        self.ready.then_some((self.revision, self.epoch))
+    }
+
+    /// Begins to read anew. Until `loaded`, what watches tell is passed over: a page may be older
+    /// than what such an answer has already told, and would bring it back.
+    pub fn load(&mut self) -> Loading {
+        self.ready = false;
+        self.epoch += 1;
+        Loading { revision: None, seen: HashSet::new(), control: Control::default() }
+    }
+
+    /// Takes in one page. What has changed since the first one may or may not be included.
+    pub fn take_page(&mut self, loading: &mut Loading, page: &Page) -> News {
+        let mut news = News::default();
+        loading.revision.get_or_insert(page.revision);
+        for item in &page.items {
+            if loading.control.put(&item.path, &item.value, item.stamp) {
+                continue;
             }
-            let Some(record) = read::<JobRecord>(path, value) else { return };
-            let id: JobId = id.into();
-            if let Some(end) = self.early_ends.remove(&id) {
-                self.keep_ended(&id, Arc::new(record));
-                self.jobs.insert(id, Known::Ended(end));
-            } else {
-                news.opened.push(id.clone());
-                self.jobs.insert(id, Known::Open(Arc::new(record)));
+            let Some(id) = item.path.strip_prefix(OPEN) else { continue };
+            self.put(id, &item.path, &item.value, &mut news);
+            if let Some((id, _)) = self.open.get_key_value(id) {
+                loading.seen.insert(id.clone());
             }
-        } else if let Some(id) = path.strip_prefix(ENDS)
-            && let Some(record) = read::<EndRecord>(path, value)
-        {
-            self.end(id, record.end, news);
         }
+        news
     }
 
-    /// What was kept of a job that ended lately.
-    pub fn ended_record(&self, id: &str) -> Option<Arc<JobRecord>> {
-        self.ended.get(id).cloned()
+    /// The last page was taken in: whatever was not among them has ended.
+    pub fn loaded(&mut self, loading: Loading) -> News {
+        let gone: Vec<JobId> = self.open.keys().filter(|id| !loading.seen.contains(*id)).cloned().collect();
+        let mut news = News { ownership: true, ..News::default() };
+        for id in gone {
+            self.end(&id, &mut news);
+        }
+        self.control = loading.control;
+        self.revision = loading.revision.unwrap_or_default();
+        self.ready = true;
+        news
     }
 
-    fn keep_ended(&mut self, id: &JobId, record: Arc<JobRecord>) {
-        if self.ended.insert(id.clone(), record).is_none() {
-            self.ended_order.push_back(id.clone());
+    /// Applies what a watch told that was asked in this epoch; what is already known is passed
+    /// over. False if it was asked before the last reading.
+    pub fn apply(&mut self, followed: &Followed, epoch: u64) -> (bool, News) {
+        let mut news = News::default();
+        if !self.ready || epoch != self.epoch {
+            return (false, news);
         }
-        if self.ended_order.len() > ENDED_KEPT
-            && let Some(oldest) = self.ended_order.pop_front()
-        {
-            self.ended.remove(&oldest);
+        let known = self.revision;
+        for event in followed.log.iter().filter(|e| e.stamp > known) {
+            self.event(event, &mut news);
         }
+        self.revision = self.revision.max(followed.revision);
+        (true, news)
     }
 
-    /// Ends are final: the first one heard of stays. The description is kept for a while.
-    fn end(&mut self, id: &str, end: End, news: &mut News) {
-        match self.jobs.get_mut(id) {
-            Some(Known::Ended(_)) => {}
-            Some(known) => {
-                if let Known::Open(record) = std::mem::replace(known, Known::Ended(end)) {
-                    self.keep_ended(&id.into(), record);
-                }
-                news.ended.push(id.into());
+    fn event(&mut self, event: &Event, news: &mut News) {
+        if let Some(path) = &event.write {
+            if self.control.put(path, &event.value, event.stamp) {
+                news.ownership = true;
+            } else if let Some(id) = path.strip_prefix(OPEN) {
+                self.put(id, path, &event.value, news);
             }
-            None => {
-                self.early_ends.insert(id.into(), end);
+        } else if let Some(path) = &event.drop {
+            if self.control.drop(path) {
+                news.ownership = true;
+            } else if let Some(id) = path.strip_prefix(OPEN) {
+                self.end(id, news);
             }
         }
     }
 
-    /// What this controller has itself seen stored, ahead of its watch.
-    pub fn note_end(&mut self, id: &str, end: End) -> News {
-        let mut news = News::default();
-        self.end(id, end, &mut news);
-        news
+    fn put(&mut self, id: &str, path: &str, value: &Value, news: &mut News) {
+        if self.open.contains_key(id) {
+            return;
+        }
+        let Some(record) = read::<JobRecord>(path, value) else { return };
+        let id: JobId = id.into();
+        self.held += limits::cost(&record.spec);
+        news.opened.push(id.clone());
+        self.open.insert(id, Arc::new(record));
     }
 
-    pub fn note_job(&mut self, record: JobRecord) -> News {
-        let id = record.spec.id.clone();
-        let mut news = News::default();
-        if !self.jobs.contains_key(&id) {
-            let known = match self.early_ends.remove(&id) {
-                Some(end) => Known::Ended(end),
-                None => Known::Open(Arc::new(record)),
-            };
-            self.jobs.insert(id.clone(), known);
-            news.opened.push(id);
+    /// A job leaves its open key only by ending. The description is kept for a while.
+    fn end(&mut self, id: &str, news: &mut News) {
+        if let Some((id, record)) = self.open.remove_entry(id) {
+            self.held -= limits::cost(&record.spec);
+            self.ended.put(id.clone(), record);
+            news.ended.push(id);
         }
-        news
     }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::jobs::record::{end_key, job_key};
+    use crate::jobs::record::open_key;
     use crate::jobs::tests::spec;
+    use crate::store::client::Item;
     use serde_json::json;
 
-    fn job_event(stamp: u64) -> Event {
-        let record = JobRecord { spec: spec(), at_ms: 5 };
-        Event { write: Some(job_key("run-000001")), drop: None, value: serde_json::to_value(record).unwrap(), stamp }
+    fn opened(n: u64, stamp: u64) -> Event {
+        let id = format!("run-{n:06}");
+        let record = JobRecord { spec: crate::jobs::JobSpec { id: id.as_str().into(), ..spec() }, at_ms: 5 };
+        Event { write: Some(open_key(&id)), drop: None, value: serde_json::to_value(record).unwrap(), stamp }
     }
-    fn end_event(end: &str, stamp: u64) -> Event {
-        Event { write: Some(end_key("run-000001")), drop: None, value: json!({"end": end}), stamp }
+    fn ended(n: u64, stamp: u64) -> Event {
+        Event { write: None, drop: Some(open_key(&format!("run-{n:06}"))), value: Value::Null, stamp }
     }
     fn followed(log: Vec<Event>, revision: u64) -> Followed {
         Followed { revision, log }
     }
+    fn page(events: Vec<Event>, revision: u64) -> Page {
+        let item = |e: Event| Item { path: e.write.unwrap(), value: e.value, stamp: e.stamp };
+        Page { items: events.into_iter().map(item).collect(), more: false, revision }
+    }
+    fn read_whole(mirror: &mut Mirror, pages: Vec<Page>) -> News {
+        let mut loading = mirror.load();
+        for page in &pages {
+            mirror.take_page(&mut loading, page);
+        }
+        mirror.loaded(loading)
+    }
 
     /// Two watches answer in either order; an older one must not bring back an older state.
     #[test]
     fn answers_may_overlap_and_come_in_any_order() {
         let mut mirror = Mirror::default();
-        mirror.apply(&followed(vec![job_event(1), end_event("done", 2)], 2));
-        let news = mirror.apply(&followed(vec![job_event(1)], 1));
+        read_whole(&mut mirror, vec![]);
+        let (_, epoch) = mirror.asking().unwrap();
+        mirror.apply(&followed(vec![opened(1, 1), ended(1, 2), opened(2, 2)], 2), epoch);
+        let (_, news) = mirror.apply(&followed(vec![opened(1, 1)], 1), epoch);
         assert!(news.is_empty());
-        assert!(matches!(mirror.job("run-000001"), Some(Known::Ended(End::Done))));
-        assert_eq!(mirror.revision, 2);
-        mirror.apply(&followed(vec![end_event("withdrawn", 3)], 3));
-        assert!(matches!(mirror.job("run-000001"), Some(Known::Ended(End::Done))), "ends are final");
+        assert!(mirror.open("run-000001").is_none(), "ended");
+        assert_eq!((mirror.revision, mirror.held().jobs), (2, 1));
         assert!(mirror.ended_record("run-000001").is_some(), "a new owner needs no reading for it");
     }
 
+    /// A page that was read before an end must not outlive a watch that has told of the end: the
+    /// job would stay open here for ever.
     #[test]
-    fn a_whole_reading_finds_ends_before_jobs() {
-        let item = |e: Event| Item { path: e.write.unwrap(), value: e.value, stamp: e.stamp };
+    fn a_watch_answered_while_reading_anew_is_passed_over() {
         let mut mirror = Mirror::default();
-        let news = mirror.load(&[item(end_event("withdrawn", 4)), item(job_event(1))], 9);
-        assert!(matches!(mirror.job("run-000001"), Some(Known::Ended(End::Withdrawn))));
-        assert!(news.opened.is_empty() && mirror.ready);
-        assert!(mirror.ended_record("run-000001").is_some(), "a new owner needs no reading for it");
+        read_whole(&mut mirror, vec![page(vec![opened(1, 1)], 1)]);
+        let (_, epoch) = mirror.asking().unwrap();
+        let mut loading = mirror.load();
+        let (taken, _) = mirror.apply(&followed(vec![ended(1, 5)], 5), epoch);
+        assert!(!taken && mirror.asking().is_none());
+        mirror.take_page(&mut loading, &page(vec![opened(1, 1)], 4));
+        mirror.loaded(loading);
+        let (revision, later) = mirror.asking().unwrap();
+        assert_eq!(revision, 4, "followed from the first page on");
+        assert!(!mirror.apply(&followed(vec![ended(1, 5)], 5), epoch).0, "asked before the reading");
+        assert!(mirror.open("run-000001").is_some());
+        let (taken, news) = mirror.apply(&followed(vec![ended(1, 5)], 5), later);
+        assert!(taken && news.ended.len() == 1 && mirror.open("run-000001").is_none());
+    }
+
+    #[test]
+    fn reading_anew_finds_what_has_ended_and_holds_no_more_than_is_open() {
+        let mut mirror = Mirror::default();
+        read_whole(&mut mirror, vec![page((0..50).map(|n| opened(n, n + 1)).collect(), 50)]);
+        let news =
+            read_whole(&mut mirror, vec![page(vec![opened(7, 8)], 90), page(vec![opened(8, 9), opened(70, 95)], 96)]);
+        assert_eq!(news.ended.len(), 48);
+        assert_eq!((mirror.open_jobs().count(), mirror.held().jobs, mirror.revision), (3, 3, 90));
+        let control =
+            Event { write: Some("c/upgraded".into()), drop: None, value: json!({"old_kept": false}), stamp: 9 };
+        assert!(mirror.old_kept(), "not known yet");
+        read_whole(&mut mirror, vec![page(vec![control], 97)]);
+        assert!(!mirror.old_kept());
     }
 }
--- a/src/users/mod.rs
+++ b/src/users/mod.rs
@@ -10,13 +10,15 @@
 use tracing::{debug, info};
 
 use crate::fleet::Catalog;
-use crate::jobs::record::{EndRecord, JobRecord, end_key, job_key, time_of_day_ms};
+use crate::history::desk::Verdict;
+use crate::history::moves::{self, end_among};
+use crate::jobs::limits::can_hold;
+use crate::jobs::record::{ENDED_EXTRA, JobRecord, time_of_day_ms};
 use crate::jobs::{End, JobId, JobSpec, well_formed_id};
 use crate::node::{Node, lock};
 use crate::settings::Settings;
 use crate::store::budget::Urgent;
-use crate::store::mirror::Known;
-use crate::store::{Change, Condition, StoreError, TxnOutcome};
+use crate::store::{StoreError, TxnOutcome};
 use crate::wire::{self, BODY_LIMIT};
 use crate::workers::{self, Answer};
 
@@ -56,39 +58,54 @@
     }
 }
 
-fn answer(node: &Node, id: &JobId, known: &Known) -> JobAnswer {
-    let (status, counts) = match known {
-        Known::Ended(End::Done) => (Status::Done, Default::default()),
-        Known::Ended(End::Withdrawn) => (Status::Withdrawn, Default::default()),
-        Known::Open(record) => {
-            let counts = node.counts(id);
-            // Counts may run ahead of what is stored; the status must not.
-            let done = counts.done.min(record.spec.tasks);
-            let status = if counts.running > 0 { Status::Running } else { Status::Pending };
-            (status, crate::membership::mesh::Counts { done, ..counts })
-        }
+fn ended(id: &str, end: End) -> Reply {
+    let status = match end {
+        End::Done => Status::Done,
+        End::Withdrawn => Status::Withdrawn,
     };
-    JobAnswer { id: id.to_string(), status, done: counts.done, running: counts.running }
+    Reply::Job(200, JobAnswer { id: id.to_owned(), status, done: 0, running: 0 })
+}
+
+/// An open job; its counts are for display and may run ahead of what is stored.
+fn open(node: &Node, id: &JobId, tasks: u64) -> Reply {
+    let counts = node.counts(id);
+    let status = if counts.running > 0 { Status::Running } else { Status::Pending };
+    Reply::Job(200, JobAnswer { id: id.to_string(), status, done: counts.done.min(tasks), running: counts.running })
 }
 
-fn known(node: &Node, id: &str) -> Option<Known> {
-    lock(&node.mirror).job(id).cloned()
+fn open_tasks(node: &Node, id: &str) -> Option<u64> {
+    lock(&node.mirror).open(id).map(|record| record.spec.tasks)
 }
 
-/// The state of a job, no older than the moment of asking. Ends are final and told from memory.
+/// The state of a job, no older than the moment of asking. Ends are final and told from memory;
+/// an open job is told from the mirror once that is proven fresh; all else the store is asked for,
+/// which looks at every key that the job may have at one moment.
 async fn look_up(node: &Node, id: &str) -> Reply {
-    if let Some(ended @ Known::Ended(_)) = known(node, id) {
-        return Reply::Job(200, answer(node, &id.into(), &ended));
-    }
     if !well_formed_id(id) {
         return Reply::Problem(404, "no such job".into());
     }
-    if !node.fresh.wait().await {
-        return Reply::later("the state service cannot be asked");
+    if let Some(end) = node.history.ended(id) {
+        return ended(id, end);
     }
-    match known(node, id) {
-        Some(known) => Reply::Job(200, answer(node, &id.into(), &known)),
-        None => Reply::Problem(404, "no such job".into()),
+    if !lock(&node.mirror).ready {
+        return Reply::later("the state service has not been read yet");
+    }
+    let id: JobId = id.into();
+    if open_tasks(node, &id).is_some() {
+        if !node.fresh.wait().await {
+            return Reply::later("the state service cannot be asked");
+        }
+        if let Some(tasks) = open_tasks(node, &id) {
+            return open(node, &id, tasks);
+        }
+        // It has ended in between: how, the store says.
+    }
+    match node.history.ask(&id).await {
+        Verdict::Ended(end) => ended(&id, end),
+        Verdict::Never => Reply::Problem(404, "no such job".into()),
+        // Accepted so lately that the mirror has not heard.
+        Verdict::Open => open(node, &id, u64::MAX),
+        Verdict::Later => Reply::later("the state service cannot be asked, or too much is asked at once"),
     }
 }
 
@@ -127,7 +144,7 @@
         return Reply::later("the state service has not been read yet");
     }
     let id = spec.id.clone();
-    if known(node, &id).is_some() {
+    if open_tasks(node, &id).is_some() || node.history.ended(&id).is_some() {
         return look_up(node, &id).await;
     }
     let Some(catalog) = node.catalog() else {
@@ -145,26 +162,40 @@
 
 async fn accept(node: &Node, spec: JobSpec) -> Reply {
     let id = spec.id.clone();
+    let limits = &node.settings.params;
+    let (open, old_kept) = {
+        let mirror = lock(&node.mirror);
+        (mirror.held(), mirror.old_kept())
+    };
     let record = JobRecord { spec, at_ms: time_of_day_ms() };
-    let value = serde_json::to_value(&record).unwrap_or_default();
-    if value.to_string().len() as f64 > node.settings.params.state.value_kb * 1024.0 {
+    let size = serde_json::to_vec(&record).map_or(usize::MAX, |v| v.len().saturating_add(ENDED_EXTRA));
+    if size as f64 > limits.state.value_kb * 1024.0 {
         return Reply::Problem(400, "the job is larger than can be kept".into());
     }
-    let change = [Change::write(job_key(&id), value)];
-    let condition = [Condition::absent(job_key(&id))];
+    if !can_hold(&record.spec, open, limits.limits.memory_mb) {
+        // A retry of a job that is already held must not be told so.
+        return match look_up(node, &id).await {
+            Reply::Problem(404, _) => Reply::later("more work is open than can be held"),
+            other => other,
+        };
+    }
+    let accept = moves::accept(&record, old_kept);
     for _ in 0..RETRIES {
-        match node.store.txn(&condition, &change, Urgent::First).await {
+        match node.store.txn(&accept.conditions, &accept.changes, Urgent::First).await {
             Ok(TxnOutcome::Applied(_)) => {
                 info!(job = %id, class = record.spec.class, tasks = record.spec.tasks, "accepted");
-                let news = lock(&node.mirror).note_job(record);
-                node.spread(news);
                 let job = JobAnswer { id: id.to_string(), status: Status::Pending, done: 0, running: 0 };
                 return Reply::Job(201, job);
             }
-            Ok(_) => return look_up(node, &id).await,
+            Ok(TxnOutcome::Failed(keys)) => {
+                if let Some(end) = end_among(&keys, &id) {
+                    node.history.note_end(&id, end);
+                }
+                return look_up(node, &id).await;
+            }
             Err(StoreError::Unavailable(429)) => tokio::time::sleep(RETRY_PAUSE).await,
-            Err(error) => {
-                debug!(%error, job = %id, "accepting");
+            outcome => {
+                debug!(?outcome, job = %id, "accepting");
                 return Reply::later("the state service cannot be written");
             }
         }
@@ -178,18 +209,35 @@
         return found;
     };
     let id: JobId = id.into();
-    let end = EndRecord { end: End::Withdrawn, at_ms: time_of_day_ms() };
-    let change = [Change::write(end_key(&id), serde_json::to_value(end).unwrap_or_default())];
-    match node.store.txn(&[Condition::absent(end_key(&id))], &change, Urgent::First).await {
+    // It may have been found open before the mirror heard of it.
+    if open_tasks(node, &id).is_none() {
+        node.fresh.wait().await;
+    }
+    let record = lock(&node.mirror).open(&id).cloned();
+    let Some(record) = record else {
+        return match look_up(node, &id).await {
+            Reply::Job(_, JobAnswer { status: Status::Pending | Status::Running, .. }) => {
+                Reply::later("the job has not been read yet")
+            }
+            other => other,
+        };
+    };
+    let withdrawal = moves::withdraw(&record, time_of_day_ms());
+    match node.store.txn(&withdrawal.conditions, &withdrawal.changes, Urgent::First).await {
         Ok(TxnOutcome::Applied(_)) => {
             info!(job = %id, "withdrawn");
-            let news = lock(&node.mirror).note_end(&id, End::Withdrawn);
-            node.spread(news);
-            Reply::Job(200, JobAnswer { id: id.to_string(), status: Status::Withdrawn, done: 0, running: 0 })
+            node.history.note_end(&id, End::Withdrawn);
+            ended(&id, End::Withdrawn)
         }
-        Ok(_) => look_up(node, &id).await,
-        Err(error) => {
-            debug!(%error, job = %id, "withdrawing");
+        Ok(TxnOutcome::Failed(keys)) => match end_among(&keys, &id) {
+            Some(end) => {
+                node.history.note_end(&id, end);
+                ended(&id, end)
+            }
+            None => look_up(node, &id).await,
+        },
+        outcome => {
+            debug!(?outcome, job = %id, "withdrawing");
             Reply::later("the state service cannot be written")
         }
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{Method, Request};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -13,8 +13,9 @@
 
 /// The limit for request bodies and for answers to workers and users.
 pub const BODY_LIMIT: usize = 64 * 1024;
-/// Follow answers have no size limit of their own; this bounds what one answer may cost us.
-const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
+/// Watch answers have no size limit of their own; this bounds what one answer may cost us. Read
+/// into values it takes some ten times as much. Listings stay below half of it by themselves.
+const ANSWER_LIMIT: usize = 1024 * 1024;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 const IDLE_PER_HOST: usize = 4;
 /// Connections to machines are many; what is not used again soon is closed.
@@ -48,6 +49,8 @@
     NotSent,
     #[error("no answer; it may have been, or may yet be, carried out")]
     Unanswered,
+    #[error("carried out, but the answer is larger than can be read")]
+    TooLarge,
 }
 
 #[derive(Clone)]
@@ -91,11 +94,10 @@
                 .await
                 .map_err(|e| if e.is_connect() { CallError::NotSent } else { CallError::Unanswered })?;
             let status = answer.status().as_u16();
-            let body = Limited::new(answer.into_body(), ANSWER_LIMIT)
-                .collect()
-                .await
-                .map_err(|_| CallError::Unanswered)?
-                .to_bytes();
+            let body = Limited::new(answer.into_body(), ANSWER_LIMIT).collect().await;
+            let body =
+                body.map_err(|e| if e.is::<LengthLimitError>() { CallError::TooLarge } else { CallError::Unanswered })?;
+            let body = body.to_bytes();
             Ok((status, body))
         };
         match tokio::time::timeout(within, exchange).await {
