--- a/src/membership/stranded.rs
+++ b/src/membership/stranded.rs
@@ -22,7 +22,7 @@
 
 impl Stranded {
     /// Machines remembered.
-    pub fn len(&self) -> usize {
+    pub fn remembered(&self) -> usize {
         self.seen.len()
     }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -279,7 +279,7 @@
         let [ends, asked, waiting] = self.history.held();
         held.extend([("ends", ends), ("asked", asked), ("waiting", waiting)]);
         held.push(("counts_heard", lock(&self.heard).counts.len()));
-        held.push(("stranded", lock(&self.stranded).len()));
+        held.push(("stranded", lock(&self.stranded).remembered()));
         if let Some(book) = lock(&self.book).as_ref() {
             held.extend(book.held());
         }
--- a/src/scheduling/load.rs
+++ b/src/scheduling/load.rs
@@ -105,8 +105,8 @@
     let unknown: Vec<JobId> = unknown.into_iter().collect();
     for ids in unknown.chunks(ASKED_AT_ONCE) {
         let mut asked = JoinSet::new();
-        for id in ids.iter().cloned() {
-            let node = node.clone();
+        for id in ids {
+            let (node, id) = (node.clone(), id.clone());
             asked.spawn(async move { (id.clone(), ended_record(&node, &id).await) });
         }
         while let Some(answer) = asked.join_next().await {
