Proofs and watches leave requests for questions about ended jobs

Change: proofs and a follower's watch are at least the time apart in which its share grows by four requests; of the requests (not the changes) the owner has 0.5 instead of 0.7 and the others share 0.45.

--- a/src/node.rs
+++ b/src/node.rs
@@ -61,25 +61,38 @@
     owner_tasks: Mutex<Vec<tokio::task::AbortHandle>>,
 }
 
-/// The owner's part of the state service's limits, and what the others share. Together below
-/// one, for bursts and for the moments in which two believe that they own.
-const OWNERS_PART: f64 = 0.7;
-const OTHERS_PART: f64 = 0.25;
+/// A part of one of the state service's limits for the owner, and one that the others share.
+/// Together below one, for bursts and for the moments in which two believe that they own.
+struct Parts {
+    owner: f64,
+    others: f64,
+}
+
+/// An owner writes most; the others keep enough for users and for a campaign.
+const WRITES: Parts = Parts { owner: 0.7, others: 0.25 };
+/// Users ask every controller alike; an owner needs few requests more than the others, since its
+/// writes go many at a time.
+const REQUESTS: Parts = Parts { owner: 0.5, others: 0.45 };
+
+impl Parts {
+    /// This controller's share of a limit, per second.
+    fn share(&self, limit: f64, others: usize, owner: bool) -> f64 {
+        match (others, owner) {
+            (0, _) => limit * 0.95,
+            (_, true) => limit * self.owner,
+            (n, false) => limit * self.others / n as f64,
+        }
+    }
+}
 
-/// An owner writes and reads most; the others keep enough for users and for a campaign.
+/// Below the limits even when every share is used up at once: bursts are bounded likewise.
 fn budgets(settings: &Settings, owner: bool, now: Instant) -> (Budget, Budget) {
-    let p = &settings.params.state;
-    let others = settings.peers.len() as f64;
-    // Below the limits even when every share is used up at once: bursts are bounded likewise.
-    let share = if others == 0.0 {
-        0.95
-    } else if owner {
-        OWNERS_PART
-    } else {
-        OTHERS_PART / others
+    let (limits, others) = (&settings.params.state, settings.peers.len());
+    let make = |parts: Parts, limit: f64| {
+        let share = parts.share(limit, others, owner);
+        Budget::new(share, share, now)
     };
-    let make = |limit: f64| Budget::new(limit * share, limit * share, now);
-    (make(p.rps), make(p.write_rps))
+    (make(REQUESTS, limits.rps), make(WRITES, limits.write_rps))
 }
 
 impl Node {
--- a/src/store/budget.rs
+++ b/src/store/budget.rs
@@ -29,6 +29,11 @@
         Self { per_second: per_second.max(0.01), burst, held: burst, at: now }
     }
 
+    /// The time in which it grows by `n`.
+    pub fn time_for(&self, n: f64) -> Duration {
+        Duration::from_secs_f64(n / self.per_second)
+    }
+
     /// How much a call of this right could take at once.
     pub fn ready(&mut self, urgent: Urgent, now: Instant) -> f64 {
         self.refill(now);
@@ -46,7 +51,7 @@
         match urgent {
             Urgent::First => 0.0,
             Urgent::Second => 0.15,
-            Urgent::Asked => 0.4,
+            Urgent::Asked => 0.3,
             Urgent::Last => 0.6,
         }
     }
@@ -76,6 +81,7 @@
         assert!(budget.take(8.0, Urgent::Second, t).is_ok());
         assert!(budget.take(1.0, Urgent::Second, t).is_err(), "the reserve is kept");
         assert!(budget.take(0.1, Urgent::Asked, t).is_err(), "and more of it from questions");
+        assert_eq!(budget.time_for(5.0), Duration::from_millis(500));
         assert!(budget.take(2.0, Urgent::First, t).is_ok(), "for the urgent");
         let wait = budget.take(1.0, Urgent::First, t).unwrap_err();
         assert_eq!(wait, Duration::from_millis(100));
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -207,6 +207,11 @@
         *crate::node::lock(&self.writes) = writes;
     }
 
+    /// The time in which this controller's share of the requests grows by `n`.
+    pub fn time_for(&self, n: f64) -> Duration {
+        crate::node::lock(&self.requests).time_for(n)
+    }
+
     /// How many changes of this right could be written at once.
     pub fn writes_ready(&self, urgent: Urgent) -> usize {
         crate::node::lock(&self.writes).ready(urgent, Instant::now()).max(0.0) as usize
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -12,8 +12,13 @@
 use crate::node::{Node, lock};
 
 const WATCH: Duration = Duration::from_secs(20);
-/// Between two proofs of freshness, so that polls share them.
+/// Between two proofs of freshness, so that polls share them: at least this, and at least the time
+/// in which the share of requests grows by so many, since other questions need theirs.
 const FRESH_GAP: Duration = Duration::from_millis(80);
+const FRESH_COST: f64 = 4.0;
+/// The same between an answer to the watch and its next question: changes come many a second.
+const WATCH_GAP: Duration = Duration::from_millis(10);
+const WATCH_COST: f64 = 4.0;
 /// A poll is waited for 2 s; past this, 503 tells its user to come again.
 const FRESH_WITHIN: Duration = Duration::from_millis(1500);
 
@@ -49,7 +54,9 @@
             None => reload(&node).await,
         };
         match outcome {
-            Ok(()) => {}
+            // The owner acts on what it hears; the others only have to know it soon.
+            Ok(()) if lock(&node.book).is_some() => tokio::time::sleep(WATCH_GAP).await,
+            Ok(()) => tokio::time::sleep(WATCH_GAP.max(node.store.time_for(WATCH_COST))).await,
             Err(StoreError::TooOld) => lock(&node.mirror).ready = false,
             Err(error) => {
                 debug!(%error, "watching the store");
@@ -84,7 +91,7 @@
                 debug!(%error, "no proof of freshness");
             }
         }
-        tokio::time::sleep(FRESH_GAP).await;
+        tokio::time::sleep(FRESH_GAP.max(node.store.time_for(FRESH_COST))).await;
         if node.fresh.ticket() > ticket {
             node.fresh.wanted.notify_one();
         }
