Seeded interleavings of users, controllers and the store through a job's keys

Need: that no user is told less than before must hold through late copies of every transaction, controllers that start, read anew and end between any two steps, and a store of an earlier build taken over by two controllers at once.

Change: a model that drives the real mirror, desk and moves and judges every answer by what was told before it was asked; the model of tasks sends acceptances and withdrawals late and twice too. The mirror no longer counts readings: an answer asked for before one begins no later than it, which the model confirms.

--- a/src/history/mod.rs
+++ b/src/history/mod.rs
@@ -5,6 +5,8 @@
 //! over what earlier builds have stored. The argument is in docs/history.md.
 
 pub mod desk;
+#[cfg(test)]
+mod interleavings;
 pub mod moves;
 pub mod reader;
 pub mod upgrade;
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -47,8 +47,8 @@
     loop {
         let asking = lock(&node.mirror).asking();
         let outcome = match asking {
-            Some((revision, epoch)) => node.store.follow(MIRRORED, revision, WATCH).await.map(|followed| {
-                let (_, news) = lock(&node.mirror).apply(&followed, epoch);
+            Some(revision) => node.store.follow(MIRRORED, revision, WATCH).await.map(|followed| {
+                let (_, news) = lock(&node.mirror).apply(&followed);
                 node.spread(news);
             }),
             None => reload(&node).await,
@@ -72,13 +72,13 @@
         node.fresh.wanted.notified().await;
         let ticket = node.fresh.ticket();
         let asking = lock(&node.mirror).asking();
-        let Some((revision, epoch)) = asking else {
+        let Some(revision) = asking else {
             node.fresh.failed.send_replace(ticket);
             continue;
         };
         match node.store.follow(MIRRORED, revision, Duration::ZERO).await {
             Ok(followed) => {
-                let (taken, news) = lock(&node.mirror).apply(&followed, epoch);
+                let (taken, news) = lock(&node.mirror).apply(&followed);
                 node.spread(news);
                 if taken { &node.fresh.proven } else { &node.fresh.failed }.send_replace(ticket);
             }
