--- a/src/history/interleavings.rs
+++ b/src/history/interleavings.rs
@@ -107,7 +107,7 @@
     /// Answers to controllers, by when they come, to whom and to which of its lives.
     answers: Vec<(u64, usize, u64, Answer)>,
     /// Transactions still to be applied: who asked, and what it is then told.
-    moves: Vec<(u64, Move, Option<(usize, u64, Waiting)>)>,
+    moves: Vec<(u64, Move, Option<Waits>)>,
     questions: BTreeMap<usize, (usize, Question)>,
     asked: usize,
     submitted: HashMap<JobId, JobRecord>,
@@ -116,6 +116,9 @@
     tally: [usize; 4],
 }
 
+/// The controller that waits for an answer, in which of its lives, and what for.
+type Waits = (usize, u64, Waiting);
+
 /// What an answer to a transaction is for.
 enum Waiting {
     Question(usize, Told),
