--- a/src/users/mod.rs
+++ b/src/users/mod.rs
@@ -22,8 +22,10 @@
 use crate::wire::{self, BODY_LIMIT};
 use crate::workers::{self, Answer};
 
-/// When to come again, after a refusal that should soon be over.
+/// When to come again, after a refusal that should soon be over, in seconds.
 const COME_AGAIN_S: u64 = 1;
+/// The same where work has to end first.
+const COME_AGAIN_LATER_S: u64 = 15;
 /// Tries at a write that the limits refused, before its user is told to come again.
 const RETRIES: u32 = 2;
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
@@ -50,11 +52,13 @@
 enum Reply {
     Job(u16, JobAnswer),
     Problem(u16, String),
+    /// 503: what cannot be answered now, and after how many seconds to come again.
+    Later(String, u64),
 }
 
 impl Reply {
     fn later(why: &str) -> Self {
-        Self::Problem(503, why.to_owned())
+        Self::Later(why.to_owned(), COME_AGAIN_S)
     }
 }
 
@@ -175,7 +179,7 @@
     if !can_hold(&record.spec, open, limits.limits.memory_mb) {
         // A retry of a job that is already held must not be told so.
         return match look_up(node, &id).await {
-            Reply::Problem(404, _) => Reply::later("more work is open than can be held"),
+            Reply::Problem(404, _) => Reply::Later("more work is open than can be held".into(), COME_AGAIN_LATER_S),
             other => other,
         };
     }
@@ -258,10 +262,14 @@
     Report,
 }
 
+fn come_again(res: &mut Response, after_s: u64) {
+    let _ = res.add_header("retry-after", after_s.to_string(), true);
+}
+
 fn render(res: &mut Response, status: u16, body: Vec<u8>) {
     res.status_code(StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
-    if status == 503 || status == 429 {
-        let _ = res.add_header("retry-after", COME_AGAIN_S.to_string(), true);
+    if status == 503 {
+        come_again(res, COME_AGAIN_S);
     }
     if !body.is_empty() {
         let _ = res.add_header("content-type", "application/msgpack", true);
@@ -273,6 +281,10 @@
     match reply {
         Reply::Job(status, job) => render(res, status, wire::encode(&job)),
         Reply::Problem(status, problem) => render(res, status, wire::encode(&serde_json::json!({"error": problem}))),
+        Reply::Later(why, after_s) => {
+            render(res, 503, wire::encode(&serde_json::json!({"error": why})));
+            come_again(res, after_s);
+        }
     }
 }
 
