--- a/tests/history.rs
+++ b/tests/history.rs
@@ -209,6 +209,29 @@
     among_ended_jobs(1_000_000, 500, 5_000, Some(500.0));
 }
 
+/// A watch that has more to tell than a controller can take in is given up for a reading in pages:
+/// without that it would be asked again and again, or end the process for memory.
+#[test]
+fn a_watch_may_have_any_amount_to_tell() {
+    let outside = Runtime::new().unwrap();
+    let (world, door) = outside.block_on(World::open());
+    let http = Http::default();
+    world.state.lock().unwrap().page_most = 1000;
+    let follower = Controller::start(&world, &settings("node-a", &["node-b"], &door));
+    outside.block_on(async {
+        until("healthy", || async { ask(&http, Method::GET, &follower.addr, "/healthz", None).await.0 == 200 }).await;
+        let many = |n: u64| (format!("c/o/{}", id(n)), open_record(n));
+        world.state.lock().unwrap().write_all((OPEN..OPEN + 4000).map(many));
+        until("all are known", || async { follower.held("open_jobs") == 4000 }).await;
+        let largest = std::mem::take(&mut world.state.lock().unwrap().largest);
+        assert!(largest > 1024 * 1024, "the watch would have told them in {largest} bytes");
+        // It goes on with the watch from there.
+        world.state.lock().unwrap().write_all((OPEN + 4000..OPEN + 4001).map(many));
+        until("the next is known", || async { follower.held("open_jobs") == 4001 }).await;
+        assert!(world.state.lock().unwrap().largest < 600 * 1024);
+    });
+}
+
 fn old_keys(world: &World, n: u64, end: Option<&str>) {
     let mut state = world.state.lock().unwrap();
     state.put(format!("c/j/{}", id(n)), &open_record(n));
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -80,6 +80,14 @@
         self.keys.get(key).map(|(value, ..)| wire::decode(value).unwrap_or_default())
     }
 
+    /// The same as changes that watches tell of, all under one lock.
+    pub fn write_all(&mut self, items: impl Iterator<Item = (String, Value)>) {
+        for (key, value) in items {
+            self.put(key.clone(), &value);
+            self.log.push((self.revision, key, Some(value)));
+        }
+    }
+
     /// How many keys there are under a prefix.
     pub fn count(&self, prefix: &str) -> usize {
         self.keys.range(prefix.to_owned()..).take_while(|(k, _)| k.starts_with(prefix)).count()
