A workspace; the MessagePack form and the HTTP client move to crates/wire

Need: the emulator and later packages must share the daemon's messages instead of writing them again.

Change: the repository is a workspace whose default member is the daemon; src/wire.rs moves as it is to crates/wire, and the daemon names it as before.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod sla;
 pub mod store;
 pub mod users;
-pub mod wire;
 pub mod workers;
+
+pub use hollylanding_wire as wire;
