--- /dev/null
+++ b/crates/wire/src/http.rs
@@ -0,0 +1,83 @@
+//! The HTTP client that every outgoing call uses.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{Method, Request};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+/// Watch answers have no size limit of their own; this bounds what one answer may cost us. Read
+/// into values it takes some ten times as much. Listings stay below half of it by themselves.
+const ANSWER_LIMIT: usize = 1024 * 1024;
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+const IDLE_PER_HOST: usize = 4;
+/// Connections to machines are many; what is not used again soon is closed.
+const IDLE_FOR: Duration = Duration::from_secs(10);
+
+/// Why a call has no answer. Only `NotSent` says that the other side cannot have acted on it.
+#[derive(Debug, thiserror::Error, PartialEq, Eq, Clone, Copy)]
+pub enum CallError {
+    #[error("could not connect")]
+    NotSent,
+    #[error("no answer; it may have been, or may yet be, carried out")]
+    Unanswered,
+    #[error("carried out, but the answer is larger than can be read")]
+    TooLarge,
+}
+
+#[derive(Clone)]
+pub struct Http {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for Http {
+    fn default() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_FOR)
+            .pool_max_idle_per_host(IDLE_PER_HOST)
+            .build(connector);
+        Self { client }
+    }
+}
+
+impl Http {
+    /// One request with one deadline over connecting, sending and the whole answer.
+    pub async fn call(
+        &self,
+        method: Method,
+        addr: &str,
+        path: &str,
+        body: Option<Vec<u8>>,
+        within: Duration,
+    ) -> Result<(u16, Bytes), CallError> {
+        let mut request = Request::builder().method(method).uri(format!("http://{addr}{path}"));
+        if body.is_some() {
+            request = request.header("content-type", "application/msgpack");
+        }
+        let request = request.body(Full::new(Bytes::from(body.unwrap_or_default()))).map_err(|_| CallError::NotSent)?;
+        let exchange = async {
+            let answer = self
+                .client
+                .request(request)
+                .await
+                .map_err(|e| if e.is_connect() { CallError::NotSent } else { CallError::Unanswered })?;
+            let status = answer.status().as_u16();
+            let body = Limited::new(answer.into_body(), ANSWER_LIMIT).collect().await;
+            let body =
+                body.map_err(|e| if e.is::<LengthLimitError>() { CallError::TooLarge } else { CallError::Unanswered })?;
+            let body = body.to_bytes();
+            Ok((status, body))
+        };
+        match tokio::time::timeout(within, exchange).await {
+            Ok(outcome) => outcome,
+            Err(_) => Err(CallError::Unanswered),
+        }
+    }
+}
--- a/src/fleet/cloud.rs
+++ b/src/fleet/cloud.rs
@@ -4,11 +4,12 @@
 use std::time::{Duration, Instant};
 
 use hyper::Method;
-use serde::{Deserialize, Serialize};
 
 use crate::node::lock;
 use crate::settings::Settings;
 use crate::store::budget::{Budget, Urgent};
+pub use crate::wire::cloud::{Catalog, Listed, MachineType, Rental};
+use crate::wire::cloud::{ListPage, Names};
 use crate::wire::{self, Http};
 
 const ANSWER_WITHIN: Duration = Duration::from_secs(4);
@@ -16,91 +17,6 @@
 pub const MOST_RETURNED: usize = 100;
 const MOST_LISTED: u64 = 500;
 
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct MachineType {
-    pub name: String,
-    pub cpus: f64,
-    #[serde(rename = "accelerators", default)]
-    pub gpus: f64,
-    #[serde(rename = "memGb")]
-    pub memory_gb: f64,
-    #[serde(rename = "pullGbPerS")]
-    pub fetch_gb_per_s: f64,
-    /// What a machine keeps of the images it has used, if the cloud says.
-    #[serde(rename = "localGb", default)]
-    pub cache_gb: Option<f64>,
-    #[serde(rename = "rate")]
-    pub price: f64,
-    #[serde(rename = "spotPrice")]
-    pub spot_price: f64,
-    #[serde(rename = "startupS")]
-    pub boot_s: f64,
-    #[serde(rename = "yards")]
-    pub zones: Vec<String>,
-}
-
-impl MachineType {
-    pub fn price(&self, spot: bool) -> f64 {
-        if spot { self.spot_price } else { self.price }
-    }
-}
-
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Catalog {
-    #[serde(rename = "fleets")]
-    pub types: Vec<MachineType>,
-}
-
-impl Catalog {
-    pub fn get(&self, name: &str) -> Option<&MachineType> {
-        self.types.iter().find(|t| t.name == name)
-    }
-}
-
-#[derive(Debug, Clone, Serialize)]
-pub struct Rental {
-    #[serde(rename = "charter")]
-    pub request: String,
-    #[serde(rename = "fleet")]
-    pub type_name: String,
-    #[serde(rename = "yard")]
-    pub zone: String,
-    #[serde(rename = "borrowed")]
-    pub spot: bool,
-    pub count: u64,
-}
-
-#[derive(Debug, Deserialize)]
-pub struct Listed {
-    #[serde(rename = "uid")]
-    pub id: String,
-    #[serde(rename = "endpoint", default)]
-    pub addr: Option<String>,
-    #[serde(rename = "fleet")]
-    pub type_name: String,
-    #[serde(rename = "yard")]
-    pub zone: String,
-    #[serde(rename = "borrowed")]
-    pub spot: bool,
-    #[serde(rename = "status")]
-    pub state: String,
-    #[serde(rename = "heldS", default)]
-    pub held_s: f64,
-}
-
-#[derive(Deserialize)]
-struct ListPage {
-    #[serde(rename = "berths")]
-    machines: Vec<Listed>,
-    more: bool,
-}
-
-#[derive(Serialize, Deserialize)]
-struct Names {
-    #[serde(rename = "berths")]
-    machines: Vec<String>,
-}
-
 #[derive(Debug, thiserror::Error, PartialEq, Eq)]
 pub enum CloudError {
     #[error("no capacity")]
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -3,12 +3,11 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use hyper::Method;
-use serde::{Deserialize, Serialize};
-use serde_json::Value;
-
 use super::budget::{Budget, Urgent};
+pub use crate::wire::state::{Change, Condition, Event, Followed, Item, Page};
+use crate::wire::state::{Granted, Refused, Revised, Txn};
 use crate::wire::{self, CallError, Http};
+use hyper::Method;
 
 /// Answers usually take 10 ms and at times a few hundred; past this one is not waited for.
 const ANSWER_WITHIN: Duration = Duration::from_millis(1500);
@@ -35,48 +34,6 @@
     TooOld,
 }
 
-#[derive(Debug, Clone, Serialize, PartialEq, Eq)]
-pub struct Condition {
-    pub path: String,
-    pub stamp: u64,
-}
-
-impl Condition {
-    pub fn at(path: impl Into<String>, stamp: u64) -> Self {
-        Self { path: path.into(), stamp }
-    }
-    pub fn absent(path: impl Into<String>) -> Self {
-        Self::at(path, 0)
-    }
-}
-
-#[derive(Debug, Clone, Serialize, PartialEq)]
-#[serde(untagged)]
-pub enum Change {
-    Write {
-        write: String,
-        value: Value,
-        #[serde(skip_serializing_if = "Option::is_none")]
-        permit: Option<u64>,
-    },
-    Drop {
-        drop: String,
-    },
-}
-
-impl Change {
-    pub fn write(path: impl Into<String>, value: Value) -> Self {
-        Self::Write { write: path.into(), value, permit: None }
-    }
-}
-
-#[derive(Serialize)]
-struct Txn<'a> {
-    #[serde(rename = "if")]
-    conditions: &'a [Condition],
-    apply: &'a [Change],
-}
-
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TxnOutcome {
     Applied(u64),
@@ -85,55 +42,6 @@
     NoSuchLease,
 }
 
-#[derive(Debug, Clone, Deserialize)]
-pub struct Item {
-    pub path: String,
-    pub value: Value,
-    pub stamp: u64,
-}
-
-#[derive(Debug, Deserialize)]
-pub struct Page {
-    pub items: Vec<Item>,
-    pub more: bool,
-    #[serde(rename = "ledgerRev")]
-    pub revision: u64,
-}
-
-#[derive(Debug, Clone, Deserialize)]
-pub struct Event {
-    #[serde(default)]
-    pub write: Option<String>,
-    #[serde(default)]
-    pub drop: Option<String>,
-    #[serde(default)]
-    pub value: Value,
-    pub stamp: u64,
-}
-
-#[derive(Debug, Deserialize)]
-pub struct Followed {
-    #[serde(rename = "ledgerRev")]
-    pub revision: u64,
-    pub log: Vec<Event>,
-}
-
-#[derive(Deserialize)]
-struct Revised {
-    #[serde(rename = "ledgerRev")]
-    revision: u64,
-}
-
-#[derive(Deserialize)]
-struct Refused {
-    failed: Vec<String>,
-}
-
-#[derive(Deserialize)]
-struct Granted {
-    permit: u64,
-}
-
 /// A listing under way. Each page is as of its own moment, none older than the one before.
 pub struct Pages<'a> {
     client: &'a StateClient,
--- a/src/users/mod.rs
+++ b/src/users/mod.rs
@@ -6,7 +6,6 @@
 use salvo::conn::tcp::TcpListener;
 use salvo::http::StatusCode;
 use salvo::prelude::*;
-use serde::{Deserialize, Serialize};
 use tracing::{debug, info};
 
 use crate::fleet::Catalog;
@@ -19,6 +18,7 @@
 use crate::settings::Settings;
 use crate::store::budget::Urgent;
 use crate::store::{StoreError, TxnOutcome};
+use crate::wire::users::{JobAnswer, Status};
 use crate::wire::{self, BODY_LIMIT};
 use crate::workers::{self, Answer};
 
@@ -30,24 +30,6 @@
 const RETRIES: u32 = 2;
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Status {
-    Pending,
-    Running,
-    Done,
-    Withdrawn,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-pub struct JobAnswer {
-    #[serde(rename = "uid")]
-    pub id: String,
-    pub status: Status,
-    pub done: u64,
-    pub running: u64,
-}
-
 /// An answer to a user, without the framework.
 enum Reply {
     Job(u16, JobAnswer),
