--- a/crates/wire/src/cloud.rs
+++ b/crates/wire/src/cloud.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+/// A type of machines: prices an hour, sizes in GB, the usual boot in seconds.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct MachineType {
     pub name: String,
@@ -31,6 +32,7 @@
     }
 }
 
+/// What the cloud offers.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Catalog {
     #[serde(rename = "fleets")]
@@ -43,7 +45,8 @@
     }
 }
 
-#[derive(Debug, Clone, Serialize)]
+/// Machines asked for. The name is used once only: asked again, it gets the same machines.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Rental {
     #[serde(rename = "charter")]
     pub request: String,
@@ -56,7 +59,8 @@
     pub count: u64,
 }
 
-#[derive(Debug, Deserialize)]
+/// A machine as the cloud lists it; `held_s` is its age in seconds as of the time the list describes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Listed {
     #[serde(rename = "uid")]
     pub id: String,
@@ -74,14 +78,16 @@
     pub held_s: f64,
 }
 
-#[derive(Deserialize)]
+/// A part of the list, in the order of the names.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ListPage {
     #[serde(rename = "berths")]
     pub machines: Vec<Listed>,
     pub more: bool,
 }
 
-#[derive(Serialize, Deserialize)]
+/// Machines rented, or to be returned.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Names {
     #[serde(rename = "berths")]
     pub machines: Vec<String>,
