The emulator's workers: sessions, leases, tokens, images, checkpoints, gangs

Need: what a scheduler is told and how late, and what survives of a task, is decided by the workers; rehearsals need all of it without machines.

Change: the fleet of crates/emulator as a state machine with a table of cases: refused starts, tokens and sessions, answers that come too late, leases that run from when a report was sent, images fetched once and given up, checkpoints and saves, results kept, machines that hang and go on, gangs that start, end, break and stop together. Orders read both ways.

--- /dev/null
+++ b/crates/emulator/src/world/fleet.rs
@@ -0,0 +1,874 @@
+//! The workers: sessions, leases, tokens, images, tasks that run, save and end, and gangs.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollylanding_wire::cloud::MachineType;
+use hollylanding_wire::jobs::{JobId, JobSpec};
+use hollylanding_wire::workers::{Cause, Leg, LegStatus, Order, Orders, Report, TaskKey};
+
+/// An answer that comes later than this after its report is dropped.
+pub const ANSWER_TAKEN: Duration = Duration::from_secs(4);
+/// Gigabytes of images kept where a type says nothing.
+const CACHE_GB: f64 = 100.0;
+
+/// The workers' part of the settings.
+#[derive(Debug, Clone, Copy)]
+pub struct Params {
+    pub lease: Duration,
+    pub gang_wait: Duration,
+    pub gang_peer: Duration,
+}
+
+/// A job as its user uploaded it for the workers: its description, and what only they find out.
+#[derive(Debug, Clone)]
+pub struct Upload {
+    pub spec: JobSpec,
+    /// How long a task really runs on a machine of ordinary speed.
+    pub run: Duration,
+    /// Submitted with a mistake: fails everywhere.
+    pub broken: bool,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+enum Doing {
+    Fetching,
+    /// Of a gang, waiting for the others since then.
+    Gathering(Duration),
+    Running,
+    /// Told to stop, and saved by then.
+    Saving(Duration),
+    Ended(Cause, bool),
+}
+
+#[derive(Debug)]
+struct Task {
+    key: TaskKey,
+    attempt: u64,
+    job: Arc<Upload>,
+    doing: Doing,
+    /// Run time done so far, what was saved before included.
+    progress: Duration,
+}
+
+impl Task {
+    fn live(&self) -> bool {
+        !matches!(self.doing, Doing::Ended(..))
+    }
+
+    fn holds(&self, key: &TaskKey, attempt: u64) -> bool {
+        self.key == *key && self.attempt == attempt
+    }
+}
+
+/// A machine as its worker sees it.
+#[derive(Debug, Clone)]
+pub struct Machine {
+    /// Where its worker listens.
+    pub addr: String,
+    pub of: MachineType,
+    pub zone: String,
+    pub spot: bool,
+    /// 1 for a machine of ordinary speed.
+    pub speed: f64,
+}
+
+#[derive(Debug)]
+struct Worker {
+    machine: Machine,
+    session: u64,
+    seq: u64,
+    token: u64,
+    /// When the last answered report was sent, or the session began.
+    renewed: Duration,
+    recall: Option<Duration>,
+    tasks: Vec<Task>,
+    /// Starts refused since there is no such job or task, until they are reaped.
+    unknown: BTreeSet<(TaskKey, u64)>,
+    /// Images held, the most recently used last, and what is left to fetch of each.
+    images: VecDeque<(String, f64, f64)>,
+    hangs_until: Duration,
+    /// Fails every task that it starts.
+    sick: bool,
+}
+
+/// A task began to run, or the workers' verdict on it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Happening {
+    /// It has its image and is on its machine from now on.
+    Started {
+        task: TaskKey,
+        attempt: u64,
+        machine: String,
+    },
+    Ended {
+        task: TaskKey,
+        attempt: u64,
+        machine: String,
+        cause: Cause,
+    },
+}
+
+/// An orderly stop of a gang's attempt: since when, and whom it was told in time.
+#[derive(Debug)]
+struct Stop {
+    first: Duration,
+    told: BTreeSet<u32>,
+}
+
+/// All workers, and what outlives them: uploads, results, checkpoints. Times are since the world
+/// began.
+#[derive(Debug)]
+pub struct Fleet {
+    params: Params,
+    workers: BTreeMap<String, Worker>,
+    uploads: HashMap<JobId, Arc<Upload>>,
+    results: HashSet<TaskKey>,
+    saved: HashMap<TaskKey, Duration>,
+    stops: HashMap<(JobId, u64), Stop>,
+    /// Gangs that run and of which somebody is gone or hangs, and since when.
+    broken: HashMap<(JobId, u64), Duration>,
+    /// Gangs that are done: if one task is, all are.
+    gangs_done: HashSet<JobId>,
+    happened: Vec<Happening>,
+    at: Duration,
+}
+
+/// Where checkpoints of a task are kept: a gang has one for all.
+fn save_key(task: &Task) -> TaskKey {
+    let index = if task.job.spec.is_gang() { 0 } else { task.key.index };
+    TaskKey { job: task.key.job.clone(), index }
+}
+
+/// The last checkpoint that a task took by itself.
+fn checkpoint(spec: &JobSpec, progress: Duration) -> Duration {
+    if spec.checkpoint_s <= 0.0 {
+        return Duration::ZERO;
+    }
+    Duration::from_secs_f64((progress.as_secs_f64() / spec.checkpoint_s).floor() * spec.checkpoint_s)
+}
+
+impl Fleet {
+    pub fn new(params: Params) -> Self {
+        Self {
+            params,
+            workers: BTreeMap::new(),
+            uploads: HashMap::new(),
+            results: HashSet::new(),
+            saved: HashMap::new(),
+            stops: HashMap::new(),
+            broken: HashMap::new(),
+            gangs_done: HashSet::new(),
+            happened: Vec::new(),
+            at: Duration::ZERO,
+        }
+    }
+
+    /// A user uploads a job's description, before or after submitting it.
+    pub fn upload(&mut self, upload: Upload) {
+        self.uploads.insert(upload.spec.id.clone(), Arc::new(upload));
+    }
+
+    /// A machine is up: its worker begins its first session.
+    pub fn up(&mut self, name: &str, machine: Machine, now: Duration) {
+        let worker = Worker {
+            machine,
+            session: 1,
+            seq: 0,
+            token: 0,
+            renewed: now,
+            recall: None,
+            tasks: Vec::new(),
+            unknown: BTreeSet::new(),
+            images: VecDeque::new(),
+            hangs_until: Duration::ZERO,
+            sick: false,
+        };
+        self.workers.insert(name.to_owned(), worker);
+    }
+
+    /// A machine and everything on it is gone.
+    pub fn gone(&mut self, name: &str, now: Duration) {
+        self.tick(now);
+        if let Some(mut worker) = self.workers.remove(name) {
+            for task in worker.tasks.drain(..) {
+                self.lose(&task);
+            }
+        }
+    }
+
+    pub fn names(&self) -> impl Iterator<Item = &String> {
+        self.workers.keys()
+    }
+
+    /// It does nothing until then, and goes on after that.
+    pub fn hang(&mut self, name: &str, until: Duration) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.hangs_until = until;
+        }
+    }
+
+    pub fn set_sick(&mut self, name: &str, sick: bool) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.sick = sick;
+        }
+    }
+
+    /// The cloud's notice: taken away at that time.
+    pub fn recall(&mut self, name: &str, at: Duration) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.recall = Some(at);
+        }
+    }
+
+    /// Tasks whose results are kept.
+    pub fn results(&self) -> &HashSet<TaskKey> {
+        &self.results
+    }
+
+    /// What has happened since the last call, for whoever judges.
+    pub fn happened(&mut self) -> Vec<Happening> {
+        std::mem::take(&mut self.happened)
+    }
+
+    /// What is lost of a task that ends without having saved.
+    fn lose(&mut self, task: &Task) {
+        if matches!(task.doing, Doing::Running | Doing::Saving(_)) {
+            let kept = checkpoint(&task.job.spec, task.progress);
+            let saved = self.saved.entry(save_key(task)).or_default();
+            *saved = (*saved).max(kept);
+        }
+    }
+
+    /// A report of a worker that answers, and the session it is of.
+    pub fn report(&mut self, name: &str, now: Duration) -> Option<Report> {
+        self.tick(now);
+        let worker = self.workers.get_mut(name).filter(|w| w.hangs_until <= now)?;
+        worker.seq += 1;
+        let status = |doing: &Doing| match doing {
+            Doing::Fetching => (LegStatus::Fetching, None, None),
+            Doing::Gathering(_) => (LegStatus::Waiting, None, None),
+            Doing::Running => (LegStatus::Running, None, None),
+            Doing::Saving(_) => (LegStatus::Saving, None, None),
+            Doing::Ended(cause, kept) => (LegStatus::Exited, Some(*cause), kept.then_some(true)),
+        };
+        let leg = |task: &Task| {
+            let (status, cause, saved) = status(&task.doing);
+            Leg { task: task.key.clone(), attempt: task.attempt, status, cause, saved }
+        };
+        let refused = |(task, attempt): &(TaskKey, u64)| Leg {
+            task: task.clone(),
+            attempt: *attempt,
+            status: LegStatus::Exited,
+            cause: Some(Cause::Unknown),
+            saved: None,
+        };
+        Some(Report {
+            machine: name.to_owned(),
+            addr: worker.machine.addr.clone(),
+            type_name: worker.machine.of.name.clone(),
+            zone: worker.machine.zone.clone(),
+            spot: worker.machine.spot,
+            session: worker.session,
+            seq: worker.seq,
+            token: worker.token,
+            notice_s: worker.recall.map(|at| at.saturating_sub(now).as_secs_f64()),
+            legs: worker.tasks.iter().map(leg).chain(worker.unknown.iter().map(refused)).collect(),
+        })
+    }
+
+    /// An answer to a report of this session, sent then. False if it was dropped.
+    pub fn answer(&mut self, name: &str, session: u64, sent: Duration, orders: &Orders, now: Duration) -> bool {
+        self.tick(now);
+        let Some(worker) = self.workers.get_mut(name) else { return false };
+        let late = now.saturating_sub(sent) > ANSWER_TAKEN || worker.hangs_until > now;
+        if late || worker.session != session || orders.token < worker.token {
+            return false;
+        }
+        worker.token = orders.token;
+        worker.renewed = worker.renewed.max(sent);
+        self.execute(name, &orders.orders, now);
+        true
+    }
+
+    /// A direct command, of whatever age: whether it was executed, and the report after it.
+    pub fn command(&mut self, name: &str, orders: &Orders, now: Duration) -> Option<(bool, Report)> {
+        self.tick(now);
+        let worker = self.workers.get_mut(name).filter(|w| w.hangs_until <= now)?;
+        let taken = orders.token >= worker.token && orders.session == Some(worker.session);
+        if taken {
+            worker.token = orders.token;
+            self.execute(name, &orders.orders, now);
+        }
+        Some((taken, self.report(name, now)?))
+    }
+
+    fn execute(&mut self, name: &str, orders: &[Order], now: Duration) {
+        for order in orders {
+            match order {
+                Order::Launch { task, attempt } => self.launch(name, task, *attempt),
+                Order::Halt { task, attempt, grace_s } => self.halt(name, task, *attempt, *grace_s, now),
+                Order::Reap { task, attempt } => {
+                    if let Some(worker) = self.workers.get_mut(name) {
+                        worker.tasks.retain(|t| t.live() || !t.holds(task, *attempt));
+                        worker.unknown.remove(&(task.clone(), *attempt));
+                    }
+                }
+            }
+        }
+    }
+
+    fn launch(&mut self, name: &str, key: &TaskKey, attempt: u64) {
+        let upload = self.uploads.get(&key.job).cloned();
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if worker.tasks.iter().any(|t| t.holds(key, attempt)) || worker.unknown.contains(&(key.clone(), attempt)) {
+            return;
+        }
+        let known = upload.filter(|u| u64::from(key.index) < u.spec.tasks);
+        let Some(job) = known else {
+            worker.unknown.insert((key.clone(), attempt));
+            return;
+        };
+        let taken = |f: fn(&JobSpec) -> f64| -> f64 {
+            worker.tasks.iter().filter(|t| t.live()).map(|t| f(&t.job.spec)).sum::<f64>() + f(&job.spec)
+        };
+        let full = taken(|s| s.cpus) > worker.machine.of.cpus + 1e-6
+            || taken(|s| s.gpus) > worker.machine.of.gpus + 1e-6
+            || taken(|s| s.memory_gb) > worker.machine.of.memory_gb + 1e-6;
+        let doing = if worker.tasks.iter().any(|t| t.key == *key && t.live()) {
+            Doing::Ended(Cause::Busy, false)
+        } else if full {
+            Doing::Ended(Cause::NoRoom, false)
+        } else {
+            let image = &job.spec.image;
+            match worker.images.iter().position(|(i, ..)| i == image) {
+                // Used again: the last to make room.
+                Some(at) => {
+                    if let Some(held) = worker.images.remove(at) {
+                        worker.images.push_back(held);
+                    }
+                }
+                None => worker.images.push_back((image.clone(), job.spec.image_gb, job.spec.image_gb)),
+            }
+            Doing::Fetching
+        };
+        worker.tasks.push(Task { key: key.clone(), attempt, job, doing, progress: Duration::ZERO });
+    }
+
+    fn halt(&mut self, name: &str, key: &TaskKey, attempt: u64, grace_s: u64, now: Duration) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        let Some(task) = worker.tasks.iter_mut().find(|t| t.holds(key, attempt) && t.live()) else { return };
+        let spec = &task.job.spec;
+        let can_save = spec.checkpoint_s > 0.0 && grace_s as f64 >= spec.save_s;
+        let ends = match task.doing {
+            Doing::Running if can_save => {
+                task.doing = Doing::Saving(now + Duration::from_secs_f64(spec.save_s));
+                if spec.is_gang() {
+                    let stop = self.stops.entry((key.job.clone(), attempt));
+                    let stop = stop.or_insert_with(|| Stop { first: now, told: BTreeSet::new() });
+                    stop.told.insert(key.index);
+                }
+                false
+            }
+            // Only a second one without any time ends what is being saved.
+            Doing::Saving(_) => grace_s == 0,
+            _ => true,
+        };
+        if ends {
+            let task = worker.tasks.iter().position(|t| t.holds(key, attempt) && t.live());
+            if let Some(at) = task {
+                self.end(name, at, Cause::Stopped, false);
+            }
+        }
+    }
+
+    /// A task exits. What it has not saved by itself is lost unless it has `kept` it.
+    fn end(&mut self, name: &str, at: usize, cause: Cause, kept: bool) {
+        let Some(mut task) = self.workers.get_mut(name).and_then(|w| (at < w.tasks.len()).then(|| w.tasks.remove(at)))
+        else {
+            return;
+        };
+        if kept {
+            self.saved.insert(save_key(&task), task.progress);
+        } else if cause == Cause::Done {
+            self.results.insert(task.key.clone());
+        } else {
+            self.lose(&task);
+        }
+        task.doing = Doing::Ended(cause, kept);
+        let (key, attempt) = (task.key.clone(), task.attempt);
+        self.happened.push(Happening::Ended { task: key, attempt, machine: name.to_owned(), cause });
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.tasks.insert(at, task);
+        }
+    }
+
+    /// All that time has brought about since the last call.
+    pub fn tick(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.at);
+        self.at = self.at.max(now);
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in &names {
+            self.expire(name, now);
+            self.fetch(name, passed, now);
+        }
+        self.gangs(passed, now);
+        for name in &names {
+            self.run(name, passed, now);
+        }
+    }
+
+    /// A lease that is over ends the session and all that runs in it, once the machine can act.
+    fn expire(&mut self, name: &str, now: Duration) {
+        let lease = self.params.lease;
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if worker.hangs_until > now || now.saturating_sub(worker.renewed) <= lease {
+            return;
+        }
+        worker.session += 1;
+        worker.renewed = now;
+        worker.unknown.clear();
+        let killed = std::mem::take(&mut worker.tasks);
+        for task in killed {
+            self.lose(&task);
+        }
+    }
+
+    /// Images are fetched together; tasks that have theirs start, or wait for their gang.
+    fn fetch(&mut self, name: &str, passed: Duration, now: Duration) {
+        let Some(worker) = self.workers.get_mut(name).filter(|w| w.hangs_until <= now) else { return };
+        let wanted: HashSet<String> =
+            worker.tasks.iter().filter(|t| t.doing == Doing::Fetching).map(|t| t.job.spec.image.clone()).collect();
+        // A fetch that nobody waits for any more is given up.
+        worker.images.retain(|(image, _, left)| *left <= 0.0 || wanted.contains(image));
+        let under_way = worker.images.iter().filter(|(.., left)| *left > 0.0).count().max(1);
+        let share = worker.machine.of.fetch_gb_per_s * passed.as_secs_f64() / under_way as f64;
+        for (_, _, left) in &mut worker.images {
+            *left -= share;
+        }
+        let most = worker.machine.of.cache_gb.unwrap_or(CACHE_GB);
+        while worker.images.len() > 1 && worker.images.iter().map(|(_, gb, _)| gb).sum::<f64>() > most {
+            let idle = worker.images.iter().position(|(image, _, left)| *left <= 0.0 && !wanted.contains(image));
+            let Some(idle) = idle else { break };
+            worker.images.remove(idle);
+        }
+        let images: HashSet<&String> =
+            worker.images.iter().filter(|(.., left)| *left <= 0.0).map(|(i, ..)| i).collect();
+        let mut started = Vec::new();
+        for task in worker.tasks.iter_mut().filter(|t| t.doing == Doing::Fetching && images.contains(&t.job.spec.image))
+        {
+            started.push(Happening::Started {
+                task: task.key.clone(),
+                attempt: task.attempt,
+                machine: name.to_owned(),
+            });
+            let key = save_key(task);
+            task.progress = self.saved.get(&key).copied().unwrap_or_default();
+            task.doing = if task.job.spec.is_gang() { Doing::Gathering(now) } else { Doing::Running };
+        }
+        self.happened.extend(started);
+    }
+
+    /// Gangs start once all are there, and notice who is missing.
+    fn gangs(&mut self, passed: Duration, now: Duration) {
+        let mut attempts: BTreeMap<(JobId, u64), Vec<(String, usize)>> = BTreeMap::new();
+        for (name, worker) in &self.workers {
+            for (at, task) in worker.tasks.iter().enumerate().filter(|(_, t)| t.live() && t.job.spec.is_gang()) {
+                attempts.entry((task.key.job.clone(), task.attempt)).or_default().push((name.clone(), at));
+            }
+        }
+        self.stops.retain(|key, _| attempts.contains_key(key));
+        self.broken.retain(|key, _| attempts.contains_key(key));
+        for (key, members) in attempts {
+            self.gang(&key, &members, passed, now);
+        }
+    }
+
+    fn task(&self, (name, at): &(String, usize)) -> Option<(&Worker, &Task)> {
+        let worker = self.workers.get(name)?;
+        Some((worker, worker.tasks.get(*at)?))
+    }
+
+    fn gang(&mut self, key: &(JobId, u64), members: &[(String, usize)], passed: Duration, now: Duration) {
+        let found: Vec<(&Worker, &Task)> = members.iter().filter_map(|m| self.task(m)).collect();
+        let Some(size) = found.first().map(|(_, t)| t.job.spec.tasks as usize) else { return };
+        let awake = found.iter().filter(|(w, _)| w.hangs_until <= now).count();
+        let begun = found.iter().any(|(_, t)| matches!(t.doing, Doing::Running | Doing::Saving(_)));
+        let gathered = found.iter().filter(|(_, t)| matches!(t.doing, Doing::Gathering(_))).count();
+        let done = self.gangs_done.contains(&key.0);
+        let speed = found.iter().map(|(w, _)| w.machine.speed).fold(f64::INFINITY, f64::min);
+        let progress = self.saved.get(&TaskKey { job: key.0.clone(), index: 0 }).copied().unwrap_or_default();
+        if !begun {
+            let together = gathered == size && awake == size;
+            for member in members {
+                let Some(task) = self.workers.get_mut(&member.0).and_then(|w| w.tasks.get_mut(member.1)) else {
+                    continue;
+                };
+                if (together || done) && matches!(task.doing, Doing::Gathering(_)) {
+                    (task.doing, task.progress) = (Doing::Running, progress);
+                } else if let Doing::Gathering(since) = task.doing
+                    && now.saturating_sub(since) > self.params.gang_wait
+                {
+                    self.end(&member.0, member.1, Cause::Alone, false);
+                }
+            }
+            return;
+        }
+        let stop = self.stops.get(key).map(|s| (s.first, s.told.len()));
+        if let Some((first, told)) = stop {
+            // Progress stands still. In time and all told, it is kept; otherwise the save fails.
+            let saved = members
+                .iter()
+                .filter_map(|m| self.task(m))
+                .all(|(_, t)| matches!(t.doing, Doing::Saving(at) if at <= now));
+            let late = now.saturating_sub(first) > self.params.gang_peer;
+            if (told == size && saved) || late {
+                for member in members {
+                    let was_told = matches!(self.task(member), Some((_, t)) if matches!(t.doing, Doing::Saving(_)));
+                    let cause = if was_told { Cause::Stopped } else { Cause::Peers };
+                    self.end(&member.0, member.1, cause, told == size && saved);
+                }
+            }
+        } else if members.len() < size || awake < members.len() {
+            // Somebody is gone or hangs: noticed after a while by those who can.
+            let missing = *self.broken.entry(key.clone()).or_insert(now);
+            if now.saturating_sub(missing) >= self.params.gang_peer {
+                for member in members {
+                    if self.task(member).is_some_and(|(w, _)| w.hangs_until <= now) {
+                        self.end(&member.0, member.1, Cause::Peers, false);
+                    }
+                }
+            }
+        } else {
+            self.broken.remove(key);
+            let more = passed.mul_f64(speed);
+            for member in members {
+                if let Some(task) = self.workers.get_mut(&member.0).and_then(|w| w.tasks.get_mut(member.1)) {
+                    task.progress += more;
+                }
+            }
+        }
+    }
+
+    /// Whether its result is kept already.
+    fn finished(&self, task: &Task) -> bool {
+        self.results.contains(&task.key) || self.gangs_done.contains(&task.key.job)
+    }
+
+    /// What runs goes on by itself, and ends; a gang's progress has been counted with the gang.
+    fn run(&mut self, name: &str, passed: Duration, now: Duration) {
+        let Some(worker) = self.workers.get_mut(name).filter(|w| w.hangs_until <= now) else { return };
+        let (more, sick) = (passed.mul_f64(worker.machine.speed), worker.sick);
+        for task in worker.tasks.iter_mut().filter(|t| t.doing == Doing::Running && !t.job.spec.is_gang()) {
+            task.progress += more;
+        }
+        let mut ends = Vec::new();
+        if let Some(worker) = self.workers.get(name) {
+            for (at, task) in worker.tasks.iter().enumerate() {
+                match task.doing {
+                    Doing::Running if self.finished(task) => ends.push((at, Cause::Done, false)),
+                    Doing::Running if sick || task.job.broken => ends.push((at, Cause::Error, false)),
+                    // Services run until they are stopped.
+                    Doing::Running if task.progress >= task.job.run && !task.job.run.is_zero() => {
+                        ends.push((at, Cause::Done, false));
+                    }
+                    Doing::Saving(at_time) if at_time <= now && !task.job.spec.is_gang() => {
+                        ends.push((at, Cause::Stopped, true));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        for (at, cause, kept) in ends {
+            let gang = self.workers.get(name).and_then(|w| w.tasks.get(at)).filter(|t| t.job.spec.is_gang());
+            if let Some(job) = gang.map(|t| t.key.job.clone()).filter(|_| cause == Cause::Done) {
+                self.gangs_done.insert(job);
+            }
+            self.end(name, at, cause, kept);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hollylanding_wire::jobs::{Shape, Urgency};
+
+    const PARAMS: Params = Params {
+        lease: Duration::from_secs(24),
+        gang_wait: Duration::from_secs(35),
+        gang_peer: Duration::from_secs(8),
+    };
+
+    fn s(seconds: f64) -> Duration {
+        Duration::from_secs_f64(seconds)
+    }
+
+    fn key(job: &str, index: u32) -> TaskKey {
+        TaskKey { job: job.into(), index }
+    }
+
+    fn upload(id: &str, change: impl Fn(&mut Upload)) -> Upload {
+        let spec = JobSpec {
+            id: id.into(),
+            class: "c".into(),
+            team: "t".into(),
+            shape: Shape::Array,
+            urgency: Urgency::Normal,
+            tasks: 4,
+            cpus: 1.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            image: "i".into(),
+            image_gb: 2.0,
+            types: None,
+            zone: None,
+            same_zone: false,
+            spread: false,
+            spot: true,
+            estimate_s: 100.0,
+            checkpoint_s: 10.0,
+            save_s: 3.0,
+            due_s: None,
+        };
+        let mut upload = Upload { spec, run: s(100.0), broken: false };
+        change(&mut upload);
+        upload
+    }
+
+    fn gang(id: &str) -> Upload {
+        upload(id, |u| (u.spec.shape, u.spec.tasks) = (Shape::Gang, 2))
+    }
+
+    /// Machines of two cores that fetch a gigabyte a second.
+    fn fleet(machines: usize, uploads: Vec<Upload>) -> Fleet {
+        let mut fleet = Fleet::new(PARAMS);
+        let of = MachineType {
+            name: "m".into(),
+            cpus: 2.0,
+            gpus: 0.0,
+            memory_gb: 8.0,
+            fetch_gb_per_s: 1.0,
+            cache_gb: Some(4.0),
+            price: 1.0,
+            spot_price: 0.5,
+            boot_s: 1.0,
+            zones: vec!["a".into()],
+        };
+        for n in 0..machines {
+            let machine =
+                Machine { addr: "127.0.0.1:9".into(), of: of.clone(), zone: "a".into(), spot: false, speed: 1.0 };
+            fleet.up(&format!("m{n}"), machine, s(0.0));
+        }
+        uploads.into_iter().for_each(|u| fleet.upload(u));
+        fleet
+    }
+
+    fn launch(job: &str, index: u32, attempt: u64) -> Order {
+        Order::Launch { task: key(job, index), attempt }
+    }
+
+    fn halt(job: &str, index: u32, attempt: u64, grace_s: u64) -> Order {
+        Order::Halt { task: key(job, index), attempt, grace_s }
+    }
+
+    fn command(fleet: &mut Fleet, name: &str, token: u64, session: u64, orders: Vec<Order>, at: f64) -> (bool, Report) {
+        fleet.command(name, &Orders { token, session: Some(session), orders }, s(at)).expect("it answers")
+    }
+
+    /// Reported and answered every second, so that leases live.
+    fn keep(fleet: &mut Fleet, from: f64, to: f64) {
+        let mut at = from;
+        while at <= to {
+            for name in fleet.names().cloned().collect::<Vec<_>>() {
+                if let Some(report) = fleet.report(&name, s(at)) {
+                    let nothing = Orders { token: report.token, session: None, orders: vec![] };
+                    fleet.answer(&name, report.session, s(at), &nothing, s(at));
+                }
+            }
+            at += 1.0;
+        }
+    }
+
+    fn state(fleet: &mut Fleet, name: &str, index: u32, at: f64) -> Option<(LegStatus, Option<Cause>, Option<bool>)> {
+        let report = fleet.report(name, s(at))?;
+        report.legs.iter().rev().find(|l| l.task.index == index).map(|l| (l.status, l.cause, l.saved))
+    }
+
+    fn ended(cause: Cause) -> Option<(LegStatus, Option<Cause>, Option<bool>)> {
+        Some((LegStatus::Exited, Some(cause), None))
+    }
+
+    #[test]
+    fn starts_are_refused_by_cases() {
+        let mut fleet = fleet(1, vec![upload("run-1", |_| ()), upload("run-2", |u| u.spec.cpus = 2.0)]);
+        command(&mut fleet, "m0", 1, 1, vec![launch("run-1", 0, 1)], 0.0);
+        for (name, order, want) in [
+            ("the same attempt again", launch("run-1", 0, 1), None),
+            ("another attempt of it", launch("run-1", 0, 2), Some(Cause::Busy)),
+            ("no room left", launch("run-2", 0, 1), Some(Cause::NoRoom)),
+            ("no such job", launch("run-9", 0, 1), Some(Cause::Unknown)),
+            ("no such task", launch("run-1", 9, 1), Some(Cause::Unknown)),
+        ] {
+            let Order::Launch { task, attempt } = &order else { unreachable!() };
+            let (_, report) = command(&mut fleet, "m0", 1, 1, vec![order.clone()], 0.0);
+            let leg = report.legs.iter().find(|l| l.task == *task && l.attempt == *attempt).expect(name);
+            assert_eq!(leg.cause, want, "{name}");
+            let reap = Order::Reap { task: task.clone(), attempt: *attempt };
+            let (_, report) = command(&mut fleet, "m0", 1, 1, vec![reap], 0.0);
+            assert_eq!(report.legs.len(), 1, "{name}: only what has exited is reaped");
+        }
+    }
+
+    #[test]
+    fn tokens_sessions_and_late_answers() {
+        let mut fleet = fleet(1, vec![upload("run-1", |_| ())]);
+        for (name, token, session, taken) in [
+            ("the first", 5, 1, true),
+            ("a lower token", 4, 1, false),
+            ("an equal one", 5, 1, true),
+            ("another session", 6, 2, false),
+        ] {
+            assert_eq!(command(&mut fleet, "m0", token, session, vec![], 1.0).0, taken, "{name}");
+        }
+        let orders = |token| Orders { token, session: None, orders: vec![launch("run-1", 0, 1)] };
+        for (name, session, sent, at, token, taken) in [
+            ("a lower token", 1, 2.0, 2.0, 4, false),
+            ("an earlier session", 0, 2.0, 2.0, 5, false),
+            ("too late", 1, 2.0, 6.5, 5, false),
+            ("in time", 1, 3.0, 6.5, 5, true),
+        ] {
+            assert_eq!(fleet.answer("m0", session, s(sent), &orders(token), s(at)), taken, "{name}");
+        }
+        // The lease runs from when the answered report was sent; direct commands do not renew it.
+        command(&mut fleet, "m0", 5, 1, vec![], 26.0);
+        assert_eq!(fleet.report("m0", s(27.0)).map(|r| (r.session, r.legs.len())), Some((1, 1)));
+        assert_eq!(
+            fleet.report("m0", s(27.1)).map(|r| (r.session, r.legs.len())),
+            Some((2, 0)),
+            "killed and forgotten"
+        );
+    }
+
+    #[test]
+    fn tasks_fetch_run_save_and_keep_their_results() {
+        let mut fleet = fleet(2, vec![upload("run-1", |_| ()), upload("run-2", |u| u.broken = true)]);
+        command(&mut fleet, "m0", 1, 1, vec![launch("run-1", 0, 1), launch("run-2", 1, 1)], 0.0);
+        assert_eq!(state(&mut fleet, "m0", 0, 1.0).unwrap().0, LegStatus::Fetching);
+        keep(&mut fleet, 2.0, 32.0);
+        assert_eq!(state(&mut fleet, "m0", 0, 32.0).unwrap().0, LegStatus::Running);
+        assert_eq!(state(&mut fleet, "m0", 1, 32.0), ended(Cause::Error));
+        // 30 s done and the time to save them.
+        command(&mut fleet, "m0", 1, 1, vec![halt("run-1", 0, 1, 3)], 32.0);
+        assert_eq!(state(&mut fleet, "m0", 0, 34.0).unwrap().0, LegStatus::Saving);
+        keep(&mut fleet, 35.0, 36.0);
+        assert_eq!(state(&mut fleet, "m0", 0, 36.0), Some((LegStatus::Exited, Some(Cause::Stopped), Some(true))));
+        // Elsewhere it goes on from there, and loses what it had not saved when its machine is gone.
+        command(&mut fleet, "m1", 1, 1, vec![launch("run-1", 0, 2)], 36.0);
+        keep(&mut fleet, 37.0, 55.0);
+        fleet.gone("m1", s(55.0));
+        command(&mut fleet, "m0", 1, 1, vec![launch("run-1", 0, 3)], 55.0);
+        keep(&mut fleet, 56.0, 108.0);
+        assert_eq!(state(&mut fleet, "m0", 0, 108.0).unwrap().0, LegStatus::Running, "40 of 100 s were kept");
+        keep(&mut fleet, 109.0, 117.0);
+        assert_eq!(state(&mut fleet, "m0", 0, 117.0), ended(Cause::Done));
+        assert!(fleet.results().contains(&key("run-1", 0)));
+        command(&mut fleet, "m0", 1, 1, vec![launch("run-1", 0, 4)], 117.0);
+        keep(&mut fleet, 118.0, 120.0);
+        assert_eq!(state(&mut fleet, "m0", 0, 120.0), ended(Cause::Done), "its result is kept");
+    }
+
+    #[test]
+    fn what_is_saving_is_ended_by_a_second_halt_without_time() {
+        for (name, graces, want) in [
+            ("time to save", vec![3], Some(true)),
+            ("too little", vec![2], None),
+            ("a second one with time", vec![5, 5], Some(true)),
+            ("a second one without", vec![5, 0], None),
+        ] {
+            let mut fleet = fleet(1, vec![upload("run-1", |_| ())]);
+            command(&mut fleet, "m0", 1, 1, vec![launch("run-1", 0, 1)], 0.0);
+            keep(&mut fleet, 1.0, 14.0);
+            for grace in graces {
+                command(&mut fleet, "m0", 1, 1, vec![halt("run-1", 0, 1, grace)], 14.0);
+            }
+            keep(&mut fleet, 15.0, 18.0);
+            assert_eq!(
+                state(&mut fleet, "m0", 0, 18.0),
+                Some((LegStatus::Exited, Some(Cause::Stopped), want)),
+                "{name}"
+            );
+        }
+    }
+
+    #[test]
+    fn a_hanging_machine_goes_on_within_its_lease_and_forgets_after_it() {
+        for (hangs_s, session) in [(20.0, 1), (40.0, 2)] {
+            let mut fleet = fleet(1, vec![upload("run-1", |_| ())]);
+            command(&mut fleet, "m0", 1, 1, vec![launch("run-1", 0, 1)], 0.0);
+            keep(&mut fleet, 1.0, 10.0);
+            fleet.hang("m0", s(10.0 + hangs_s));
+            assert!(fleet.report("m0", s(15.0)).is_none());
+            let report = fleet.report("m0", s(10.5 + hangs_s)).unwrap();
+            assert_eq!((report.session, report.legs.len()), (session, 2 - session as usize), "{hangs_s}");
+        }
+    }
+
+    #[test]
+    fn gangs_start_end_and_break_together() {
+        type Play = fn(&mut Fleet);
+        let started = |fleet: &mut Fleet| {
+            command(fleet, "m0", 1, 1, vec![launch("run-1", 0, 1)], 0.0);
+            command(fleet, "m1", 1, 1, vec![launch("run-1", 1, 1)], 5.0);
+            keep(fleet, 5.0, 30.0);
+        };
+        type Row = (&'static str, Play, f64, Option<(LegStatus, Option<Cause>, Option<bool>)>);
+        let running = Some((LegStatus::Running, None, None));
+        let rows: [Row; 7] = [
+            ("goes on", |_| (), 31.0, running),
+            ("completes together", |_| (), 110.0, ended(Cause::Done)),
+            ("a machine is gone, not noticed yet", |f| f.gone("m1", s(30.0)), 37.0, running),
+            ("noticed", |f| f.gone("m1", s(30.0)), 40.0, ended(Cause::Peers)),
+            ("a machine hangs", |f| f.hang("m1", s(50.0)), 40.0, ended(Cause::Peers)),
+            (
+                "told together, and kept",
+                |f| {
+                    command(f, "m0", 1, 1, vec![halt("run-1", 0, 1, 5)], 30.0);
+                    command(f, "m1", 1, 1, vec![halt("run-1", 1, 1, 5)], 33.0);
+                },
+                37.0,
+                Some((LegStatus::Exited, Some(Cause::Stopped), Some(true))),
+            ),
+            (
+                "one is not told in time",
+                |f| drop(command(f, "m0", 1, 1, vec![halt("run-1", 0, 1, 5)], 30.0)),
+                40.0,
+                ended(Cause::Stopped),
+            ),
+        ];
+        for (name, play, until, want) in rows {
+            let mut fleet = fleet(2, vec![gang("run-1")]);
+            started(&mut fleet);
+            play(&mut fleet);
+            keep(&mut fleet, 31.0, until);
+            assert_eq!(state(&mut fleet, "m0", 0, until), want, "{name}");
+            if name == "one is not told in time" {
+                assert_eq!(state(&mut fleet, "m1", 1, until), ended(Cause::Peers), "{name}");
+            }
+        }
+        // One of a gang that is done exits as soon as it has its image, alone as it is.
+        let mut again = fleet(2, vec![gang("run-1")]);
+        started(&mut again);
+        keep(&mut again, 31.0, 110.0);
+        command(&mut again, "m0", 1, 1, vec![launch("run-1", 0, 2)], 110.0);
+        keep(&mut again, 111.0, 114.0);
+        assert_eq!(state(&mut again, "m0", 0, 114.0), ended(Cause::Done));
+        let mut alone = fleet(2, vec![gang("run-1")]);
+        command(&mut alone, "m0", 1, 1, vec![launch("run-1", 0, 1)], 0.0);
+        keep(&mut alone, 1.0, 36.0);
+        assert_eq!(state(&mut alone, "m0", 0, 36.0).unwrap().0, LegStatus::Waiting);
+        keep(&mut alone, 37.0, 39.0);
+        assert_eq!(state(&mut alone, "m0", 0, 39.0), ended(Cause::Alone));
+    }
+}
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod bucket;
 pub mod cloud;
+pub mod fleet;
 pub mod store;
--- a/crates/wire/src/workers.rs
+++ b/crates/wire/src/workers.rs
@@ -105,7 +105,8 @@
     }
 }
 
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+/// What a worker is to do; it executes them in order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "verb", rename_all = "lowercase")]
 pub enum Order {
     Launch {
@@ -130,11 +131,12 @@
     },
 }
 
-#[derive(Serialize)]
+/// Orders under a token: in the answer to a report, or sent directly to a session.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Orders {
     #[serde(rename = "baton")]
     pub token: u64,
-    #[serde(rename = "shift", skip_serializing_if = "Option::is_none")]
+    #[serde(default, rename = "shift", skip_serializing_if = "Option::is_none")]
     pub session: Option<u64>,
     pub orders: Vec<Order>,
 }
