The flood is measured once the open jobs are placed

Cause: with the emulator's workers a job submitted in the first flood was done after 20 s in one run; the 500 open jobs of the test were being placed, a change each at 28 a second, and it waited behind them.

--- a/tests/history.rs
+++ b/tests/history.rs
@@ -158,6 +158,8 @@
                 assert!(code == 200 && (answer["status"] == "pending" || answer["status"] == "running"), "{answer}");
             }
         }
+        // One change each, within the limit: what comes in the floods must not wait behind them.
+        until("the open ones are placed", || async { world.starts.lock().unwrap().len() as u64 >= open }).await;
         // Work comes and ends while both are flooded.
         let (from, old) = (world.state.lock().unwrap().requests, ended - 1);
         for (what, ids, want) in [
