Tidy after rereading: one answer for a job that moved on, no idle constant, arrivals read once

Found on rereading the change: acceptance and withdrawal each noted an end among the failed keys by themselves; a batch was reckoned as four conditions over four; a constant stood between another and its comment; and a takeover whose reading was broken off counted the arrivals of open jobs once more when it began again.

Change: moved_on serves both; the batch is the number of changes of a transaction, as before; the constant has a comment of its own; forget_all forgets arrivals too.

--- a/src/fleet/rent.rs
+++ b/src/fleet/rent.rs
@@ -14,8 +14,9 @@
 /// Grace on top of a type's usual boot time.
 const BOOT_GRACE: Duration = Duration::from_secs(10);
 /// Longest memory of a refusal.
-const REFUSAL_KEPT: Duration = Duration::from_secs(3600);
 const LONGEST_REFUSAL: Duration = Duration::from_secs(120);
+/// A refusal is remembered for this long after its pause.
+const REFUSAL_KEPT: Duration = Duration::from_secs(3600);
 
 /// What can be rented: a type, in a zone, ordinary or spot.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/src/history/reader.rs
+++ b/src/history/reader.rs
@@ -24,8 +24,6 @@
 const UNDER_WAY: usize = 4;
 /// Whoever asks hears by then, whatever became of it: users wait for 2 s.
 const ANSWER_WITHIN: Duration = Duration::from_millis(1500);
-/// Conditions a job takes in a comparison, at the most.
-const CONDITIONS: usize = 4;
 
 /// The questions of one controller.
 pub struct History {
@@ -35,8 +33,8 @@
 
 impl History {
     pub fn new(settings: &Settings) -> Self {
-        // Four conditions for each change that a transaction may hold.
-        let batch = settings.params.state.txn_ops as usize * 4 / CONDITIONS;
+        // A transaction may hold four conditions for each change, and a job takes four at the most.
+        let batch = settings.params.state.txn_ops as usize;
         Self { desk: Mutex::new(Desk::new(batch)), wanted: Notify::new() }
     }
 
--- a/src/scheduling/book/jobs.rs
+++ b/src/scheduling/book/jobs.rs
@@ -41,6 +41,7 @@
         self.ending.clear();
         self.drops.clear();
         self.usage.clear();
+        self.arrivals.clear();
         for machine in self.machines.values_mut() {
             machine.hold_nothing();
         }
--- a/src/users/mod.rs
+++ b/src/users/mod.rs
@@ -146,6 +146,14 @@
     accept(node, spec).await
 }
 
+/// A transaction found the job further on; an end among the failed keys needs no question.
+async fn moved_on(node: &Node, id: &JobId, keys: &[String]) -> Reply {
+    if let Some(end) = end_among(keys, id) {
+        node.history.note_end(id, end);
+    }
+    look_up(node, id).await
+}
+
 async fn accept(node: &Node, spec: JobSpec) -> Reply {
     let id = spec.id.clone();
     let limits = &node.settings.params;
@@ -173,12 +181,7 @@
                 let job = JobAnswer { id: id.to_string(), status: Status::Pending, done: 0, running: 0 };
                 return Reply::Job(201, job);
             }
-            Ok(TxnOutcome::Failed(keys)) => {
-                if let Some(end) = end_among(&keys, &id) {
-                    node.history.note_end(&id, end);
-                }
-                return look_up(node, &id).await;
-            }
+            Ok(TxnOutcome::Failed(keys)) => return moved_on(node, &id, &keys).await,
             Err(StoreError::Unavailable(429)) => tokio::time::sleep(RETRY_PAUSE).await,
             outcome => {
                 debug!(?outcome, job = %id, "accepting");
@@ -215,13 +218,7 @@
             node.history.note_end(&id, End::Withdrawn);
             ended(&id, End::Withdrawn)
         }
-        Ok(TxnOutcome::Failed(keys)) => match end_among(&keys, &id) {
-            Some(end) => {
-                node.history.note_end(&id, end);
-                ended(&id, end)
-            }
-            None => look_up(node, &id).await,
-        },
+        Ok(TxnOutcome::Failed(keys)) => moved_on(node, &id, &keys).await,
         outcome => {
             debug!(?outcome, job = %id, "withdrawing");
             Reply::later("the state service cannot be written")
