--- /dev/null
+++ b/crates/emulator/src/lib.rs
@@ -0,0 +1,6 @@
+//! What hollylanding runs against, emulated: state and time in, state and answers out.
+//!
+//! The [`world`] is pure. It has no clock and does no I/O: time is the time since the world began,
+//! and whoever drives it says what it is. So far it holds the state service.
+
+pub mod world;
--- /dev/null
+++ b/crates/emulator/src/world/mod.rs
@@ -0,0 +1,4 @@
+//! The emulated services as state machines.
+
+pub mod bucket;
+pub mod store;
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -1,9 +1,12 @@
 //! What the state service is asked and answers.
 
+use std::borrow::Cow;
+
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-#[derive(Debug, Clone, Serialize, PartialEq, Eq)]
+/// That a key has this version; 0: that it does not exist.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq)]
 pub struct Condition {
     pub path: String,
     pub stamp: u64,
@@ -18,13 +21,14 @@
     }
 }
 
-#[derive(Debug, Clone, Serialize, PartialEq)]
+/// A key written, on a lease if one is named, or dropped.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
 #[serde(untagged)]
 pub enum Change {
     Write {
         write: String,
         value: Value,
-        #[serde(skip_serializing_if = "Option::is_none")]
+        #[serde(default, skip_serializing_if = "Option::is_none")]
         permit: Option<u64>,
     },
     Drop {
@@ -38,21 +42,31 @@
     }
 }
 
-#[derive(Serialize)]
+/// A transaction: all changes at once if every condition holds. Without changes it compares.
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Txn<'a> {
-    #[serde(rename = "if")]
-    pub conditions: &'a [Condition],
-    pub apply: &'a [Change],
+    #[serde(default, rename = "if")]
+    pub conditions: Cow<'a, [Condition]>,
+    #[serde(default)]
+    pub apply: Cow<'a, [Change]>,
+}
+
+impl<'a> Txn<'a> {
+    pub fn new(conditions: &'a [Condition], apply: &'a [Change]) -> Self {
+        Self { conditions: conditions.into(), apply: apply.into() }
+    }
 }
 
-#[derive(Debug, Clone, Deserialize)]
+/// A key as it stands: the stamp is the revision of its last change.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
 pub struct Item {
     pub path: String,
     pub value: Value,
     pub stamp: u64,
 }
 
-#[derive(Debug, Deserialize)]
+/// A part of a listing in the order of the keys, as of one revision.
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Page {
     pub items: Vec<Item>,
     pub more: bool,
@@ -60,36 +74,50 @@
     pub revision: u64,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+/// One change as a watch tells it: a key written or dropped.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
 pub struct Event {
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub write: Option<String>,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub drop: Option<String>,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Value::is_null")]
     pub value: Value,
     pub stamp: u64,
 }
 
-#[derive(Debug, Deserialize)]
+impl Event {
+    /// The key that changed.
+    pub fn path(&self) -> &str {
+        self.write.as_deref().or(self.drop.as_deref()).unwrap_or_default()
+    }
+}
+
+/// All changes since the revision asked for, up to this one.
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Followed {
     #[serde(rename = "ledgerRev")]
     pub revision: u64,
     pub log: Vec<Event>,
 }
 
-#[derive(Deserialize)]
+/// The revision after a transaction, or the present one.
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Revised {
     #[serde(rename = "ledgerRev")]
     pub revision: u64,
 }
 
-#[derive(Deserialize)]
+/// The keys that had other versions than asked.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refused {
     pub failed: Vec<String>,
+    #[serde(default, rename = "ledgerRev")]
+    pub revision: u64,
 }
 
-#[derive(Deserialize)]
+/// A lease.
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Granted {
     pub permit: u64,
 }
--- a/src/history/interleavings.rs
+++ b/src/history/interleavings.rs
@@ -7,6 +7,7 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
+use hollylanding_emulator::world::store::Store;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::json;
@@ -21,7 +22,6 @@
 use crate::jobs::{End, JobId, JobSpec};
 use crate::store::client::{Followed, Page};
 use crate::store::mirror::{Loading, Mirror};
-use crate::store::stand_in::Store;
 use crate::store::{Change, Condition};
 
 const JOBS: usize = 60;
@@ -178,15 +178,15 @@
                 self.moves.push((due, accept, None));
                 continue;
             }
-            self.store.txn(&accept.conditions, &accept.changes).unwrap();
+            self.store.apply_if(&accept.conditions, &accept.changes).unwrap();
             self.told.push((id.clone(), 0, Told::Open));
             // A copy that finds its key free again once the job was taken over.
             let due = self.rng.random_range(0..300);
             self.moves.push((due, accept, None));
             let late = end("withdrawn");
             match n {
-                0 => drop(self.store.txn(&end("done").conditions, &end("done").changes)),
-                1 => drop(self.store.txn(&late.conditions, &late.changes)),
+                0 => drop(self.store.apply_if(&end("done").conditions, &end("done").changes)),
+                1 => drop(self.store.apply_if(&late.conditions, &late.changes)),
                 2 => self.moves.push((self.rng.random_range(0..300), late, None)),
                 _ => {}
             }
@@ -326,7 +326,7 @@
     }
 
     fn apply(&mut self, sent: &Move) -> Result<u64, Vec<String>> {
-        let stamp = self.store.txn(&sent.conditions, &sent.changes)?;
+        let stamp = self.store.apply_if(&sent.conditions, &sent.changes).map_err(|refused| refused.failed)?;
         for change in &sent.changes {
             let Change::Write { write, value, .. } = change else { continue };
             assert!(value.to_string().len() < 1024 + ENDED_EXTRA);
@@ -348,12 +348,12 @@
         match controller.mirror.asking() {
             Some(revision) if !controller.asked_watch => {
                 controller.asked_watch = true;
-                let followed = self.store.follow(MIRRORED, revision);
+                let followed = self.store.follow(MIRRORED, revision).unwrap();
                 self.answer(at, Answer::Watch { asked: now, followed });
             }
             Some(revision) if self.rng.random_bool(0.3) => {
                 // A proof of freshness beside the watch; the two may answer in either order.
-                let followed = self.store.follow(MIRRORED, revision);
+                let followed = self.store.follow(MIRRORED, revision).unwrap();
                 self.answer(at, Answer::Watch { asked: now, followed });
             }
             None if controller.loading.is_none() => {
@@ -406,7 +406,7 @@
             }
         } else {
             let value = json!({"old_kept": true});
-            let _ = self.store.txn(&[Condition::absent(UPGRADED)], &[Change::write(UPGRADED, value)]);
+            let _ = self.store.apply_if(&[Condition::absent(UPGRADED)], &[Change::write(UPGRADED, value)]);
             return;
         }
         self.controllers[at].upgrade = Some(up);
@@ -464,7 +464,7 @@
                 }
                 for (job, waiters) in old.into_asked() {
                     // Looked at at a moment of its own.
-                    let end = self.store.keys.get(&old_end_key(&job)).map(|(v, _)| v["end"] == "done");
+                    let end = self.store.value(&old_end_key(&job)).map(|v| v["end"] == "done");
                     let told = match end {
                         Some(done) => Some(Told::Ended(if done { End::Done } else { End::Withdrawn })),
                         None => {
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -192,7 +192,7 @@
         if !apply.is_empty() {
             Self::budgeted(&self.writes, apply.len() as f64, urgent).await?;
         }
-        let body = wire::encode(&Txn { conditions, apply });
+        let body = wire::encode(&Txn::new(conditions, apply));
         let (status, body) = self.call(Method::POST, "/txn", Some(body), ANSWER_WITHIN, urgent).await?;
         match status {
             200 => Ok(TxnOutcome::Applied(parse::<Revised>(&body)?.revision)),
@@ -217,7 +217,7 @@
     /// Compares without changing anything, with a request that was reserved before: the keys that
     /// had other versions than asked, all as of one moment.
     pub async fn compare_reserved(&self, conditions: &[Condition]) -> Result<Vec<String>, StoreError> {
-        let body = wire::encode(&Txn { conditions, apply: &[] });
+        let body = wire::encode(&Txn::new(conditions, &[]));
         match self.call_reserved(Method::POST, "/txn", Some(body), ANSWER_WITHIN).await? {
             (200, _) => Ok(Vec::new()),
             (409, body) => Ok(parse::<Refused>(&body)?.failed),
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -6,7 +6,5 @@
 pub mod commit;
 pub mod follow;
 pub mod mirror;
-#[cfg(test)]
-pub(crate) mod stand_in;
 
 pub use client::{Change, Condition, StateClient, StoreError, TxnOutcome};
