--- a/crates/emulator/src/world/fleet.rs
+++ b/crates/emulator/src/world/fleet.rs
@@ -222,6 +222,11 @@
         }
     }
 
+    /// Tasks of a job that are on some machine and have not ended.
+    pub fn live(&self, job: &str) -> usize {
+        self.workers.values().flat_map(|w| &w.tasks).filter(|t| t.live() && *t.key.job == *job).count()
+    }
+
     /// Tasks whose results are kept.
     pub fn results(&self) -> &HashSet<TaskKey> {
         &self.results
