--- a/src/fleet/cloud.rs
+++ b/src/fleet/cloud.rs
@@ -1,6 +1,6 @@
 //! The cloud's API.
 
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use hyper::Method;
@@ -8,6 +8,7 @@
 use crate::node::lock;
 use crate::settings::Settings;
 use crate::store::budget::{Budget, Urgent};
+use crate::traffic::{Passage, Traffic};
 pub use crate::wire::cloud::{Catalog, Listed, MachineType, Rental};
 use crate::wire::cloud::{ListPage, Names};
 use crate::wire::{self, Http};
@@ -35,13 +36,15 @@
     http: Http,
     addr: String,
     budget: Mutex<Budget>,
+    traffic: Arc<Traffic>,
 }
 
 impl CloudClient {
-    pub fn new(http: Http, settings: &Settings, now: Instant) -> Self {
+    pub fn new(http: Http, settings: &Settings, traffic: Arc<Traffic>, now: Instant) -> Self {
         // The owner calls nearly alone; the others only ask for the catalog now and then.
         let rps = settings.params.cloud.rps * 0.8;
-        Self { http, addr: settings.endpoints.cloud.clone(), budget: Mutex::new(Budget::new(rps, rps, now)) }
+        let budget = Mutex::new(Budget::new(rps, rps, now));
+        Self { http, addr: settings.endpoints.cloud.clone(), budget, traffic }
     }
 
     async fn call(&self, method: Method, path: &str, body: Option<Vec<u8>>) -> Result<(u16, bytes::Bytes), CloudError> {
@@ -52,6 +55,7 @@
             };
             tokio::time::sleep(wait).await;
         }
+        self.traffic.count(Passage::CloudCall);
         match self.http.call(method, &self.addr, path, body, ANSWER_WITHIN).await {
             Ok(answer) => Ok(answer),
             Err(wire::CallError::NotSent) => Err(CloudError::Refused(0)),
--- a/src/node.rs
+++ b/src/node.rs
@@ -22,6 +22,7 @@
 use crate::store::follow::Fresh;
 use crate::store::mirror::{Mirror, News};
 use crate::store::{Change, Condition, StateClient, commit, follow};
+use crate::traffic::Traffic;
 use crate::wire::Http;
 use crate::workers::dispatch;
 
@@ -47,6 +48,7 @@
     /// Names this process among all that ever ran; rental names are made from it.
     pub incarnation: String,
     pub http: Http,
+    pub traffic: Arc<Traffic>,
     pub store: StateClient,
     pub cloud: CloudClient,
     pub mirror: Mutex<Mirror>,
@@ -99,12 +101,15 @@
     pub fn new(settings: Settings, properties: Properties) -> Arc<Self> {
         let now = Instant::now();
         let http = Http::default();
+        let traffic = Arc::<Traffic>::default();
         let (requests, writes) = budgets(&settings, false, now);
-        let store = StateClient::new(http.clone(), settings.endpoints.state.clone(), requests, writes);
-        let cloud = CloudClient::new(http.clone(), &settings, now);
+        let state = settings.endpoints.state.clone();
+        let store = StateClient::new(http.clone(), state, requests, writes, traffic.clone());
+        let cloud = CloudClient::new(http.clone(), &settings, traffic.clone(), now);
         Arc::new(Self {
             incarnation: format!("{:016x}", rand::random::<u64>()),
             http,
+            traffic,
             store,
             cloud,
             mirror: Mutex::default(),
@@ -132,6 +137,8 @@
             tokio::spawn(mesh::tell(self.clone(), peer.addr.clone()));
         }
         tokio::spawn(fleet::learn_catalog(self.clone()));
+        let traffic = self.traffic.clone();
+        tokio::spawn(async move { traffic.run().await });
     }
 
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -1,9 +1,10 @@
 //! Calls to the state service. Every error says whether the call can still take effect.
 
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use super::budget::{Budget, Urgent};
+use crate::traffic::{Passage, Traffic};
 pub use crate::wire::state::{Change, Condition, Event, Followed, Item, Page};
 use crate::wire::state::{Granted, Refused, Revised, Txn};
 use crate::wire::{self, CallError, Http};
@@ -78,6 +79,7 @@
     writes: Mutex<Budget>,
     /// When the service last served this controller, and when it last failed to.
     health: Mutex<Health>,
+    traffic: Arc<Traffic>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -101,8 +103,9 @@
 }
 
 impl StateClient {
-    pub fn new(http: Http, addr: String, requests: Budget, writes: Budget) -> Self {
-        Self { http, addr, requests: Mutex::new(requests), writes: Mutex::new(writes), health: Mutex::default() }
+    pub fn new(http: Http, addr: String, requests: Budget, writes: Budget, traffic: Arc<Traffic>) -> Self {
+        let (requests, writes) = (Mutex::new(requests), Mutex::new(writes));
+        Self { http, addr, requests, writes, health: Mutex::default(), traffic }
     }
 
     pub fn health(&self) -> Health {
@@ -163,7 +166,11 @@
         body: Option<Vec<u8>>,
         within: Duration,
     ) -> Result<(u16, bytes::Bytes), StoreError> {
+        self.traffic.count(Passage::StoreRequest);
         let outcome = self.http.call(method, &self.addr, path, body, within).await;
+        if !matches!(outcome, Ok((status, _)) if status != 429 && status != 503) {
+            self.traffic.count(Passage::StoreRefused);
+        }
         let served = matches!(outcome, Ok((status, _)) if status != 503) || outcome == Err(CallError::TooLarge);
         {
             let mut health = crate::node::lock(&self.health);
@@ -191,6 +198,7 @@
     ) -> Result<TxnOutcome, StoreError> {
         if !apply.is_empty() {
             Self::budgeted(&self.writes, apply.len() as f64, urgent).await?;
+            self.traffic.add(Passage::StoreChange, apply.len() as u64);
         }
         let body = wire::encode(&Txn::new(conditions, apply));
         let (status, body) = self.call(Method::POST, "/txn", Some(body), ANSWER_WITHIN, urgent).await?;
--- /dev/null
+++ b/src/traffic.rs
@@ -0,0 +1,92 @@
+//! What passes through this controller, counted and told at `debug` once a second: after an
+//! incident an operator sees whether clients, workers or controllers came back all at once.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tracing::debug;
+
+const EVERY: Duration = Duration::from_secs(1);
+
+macro_rules! passages {
+    ($($(#[doc = $doc:literal])+ $variant:ident = $name:literal,)+) => {
+        /// Kinds of calls, in the order in which they are told.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        pub enum Passage { $($(#[doc = $doc])+ $variant,)+ }
+
+        const NAMES: &[&str] = &[$($name,)+];
+    };
+}
+
+passages! {
+    /// Requests sent to the state service.
+    StoreRequest = "store_requests",
+    /// Puts and deletes sent to the state service.
+    StoreChange = "store_changes",
+    /// Requests that the state service refused (429, 503) or did not answer.
+    StoreRefused = "store_refused",
+    /// Requests sent to the cloud.
+    CloudCall = "cloud_calls",
+    /// Commands sent straight to workers.
+    Command = "commands",
+    /// Workers' reports that were taken in.
+    Report = "reports",
+    /// Reports sent on to another controller, or away.
+    ReportElsewhere = "reports_elsewhere",
+    /// Users' requests that got what they asked for.
+    Answered = "answered",
+    /// Users' requests told to come again.
+    Later = "later",
+}
+
+/// Counts since they were last told.
+#[derive(Debug)]
+pub struct Traffic([AtomicU64; NAMES.len()]);
+
+impl Default for Traffic {
+    fn default() -> Self {
+        Self(std::array::from_fn(|_| AtomicU64::new(0)))
+    }
+}
+
+impl Traffic {
+    pub fn count(&self, passage: Passage) {
+        self.add(passage, 1);
+    }
+
+    pub fn add(&self, passage: Passage, n: u64) {
+        self.0[passage as usize].fetch_add(n, Ordering::Relaxed);
+    }
+
+    /// What has passed since the last call, by name; what has not is left out.
+    pub fn take(&self) -> Vec<(&'static str, u64)> {
+        let counts = self.0.iter().map(|count| count.swap(0, Ordering::Relaxed));
+        NAMES.iter().copied().zip(counts).filter(|(_, n)| *n > 0).collect()
+    }
+
+    /// Tells for ever, if anybody listens.
+    pub async fn run(&self) {
+        while tracing::enabled!(tracing::Level::DEBUG) {
+            tokio::time::sleep(EVERY).await;
+            let passed: Vec<String> = self.take().iter().map(|(what, n)| format!("{what}={n}")).collect();
+            if !passed.is_empty() {
+                debug!(passed = passed.join(" "), "traffic");
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_passed_is_told_once() {
+        let traffic = Traffic::default();
+        traffic.count(Passage::Later);
+        traffic.add(Passage::StoreChange, 24);
+        traffic.count(Passage::Later);
+        assert_eq!(traffic.take(), [("store_changes", 24), ("later", 2)]);
+        assert_eq!(traffic.take(), []);
+    }
+}
--- a/src/users/mod.rs
+++ b/src/users/mod.rs
@@ -18,6 +18,7 @@
 use crate::settings::Settings;
 use crate::store::budget::Urgent;
 use crate::store::{StoreError, TxnOutcome};
+use crate::traffic::Passage;
 use crate::wire::users::{JobAnswer, Status};
 use crate::wire::{self, BODY_LIMIT};
 use crate::workers::{self, Answer};
@@ -256,7 +257,9 @@
     }
 }
 
-fn render_reply(res: &mut Response, reply: Reply) {
+fn render_reply(node: &Node, res: &mut Response, reply: Reply) {
+    let later = matches!(reply, Reply::Later(..));
+    node.traffic.count(if later { Passage::Later } else { Passage::Answered });
     match reply {
         Reply::Job(status, job) => render(res, status, wire::encode(&job)),
         Reply::Problem(status, problem) => render(res, status, wire::encode(&serde_json::json!({"error": problem}))),
@@ -276,22 +279,29 @@
             Path::Submit | Path::Report => match req.payload_with_max_size(BODY_LIMIT).await {
                 Ok(body) => body.clone(),
                 Err(error) => {
-                    return render_reply(res, Reply::Problem(400, error.to_string()));
+                    return render_reply(node, res, Reply::Problem(400, error.to_string()));
                 }
             },
             _ => Default::default(),
         };
         match self.path {
-            Path::Submit => render_reply(res, submit(node, &body).await),
-            Path::LookUp => render_reply(res, look_up(node, &id).await),
-            Path::Withdraw => render_reply(res, withdraw(node, &id).await),
+            Path::Submit => render_reply(node, res, submit(node, &body).await),
+            Path::LookUp => render_reply(node, res, look_up(node, &id).await),
+            Path::Withdraw => render_reply(node, res, withdraw(node, &id).await),
             Path::Health => render(res, if node.healthy() { 200 } else { 503 }, Vec::new()),
             Path::Report => match workers::take_report(node, &body) {
-                Answer::Orders(orders) => render(res, 200, wire::encode(&orders)),
+                Answer::Orders(orders) => {
+                    node.traffic.count(Passage::Report);
+                    render(res, 200, wire::encode(&orders));
+                }
                 Answer::Elsewhere(owner) => {
+                    node.traffic.count(Passage::ReportElsewhere);
                     render(res, 421, wire::encode(&serde_json::json!({"dispatcher": owner})));
                 }
-                Answer::Nobody => render(res, 503, Vec::new()),
+                Answer::Nobody => {
+                    node.traffic.count(Passage::ReportElsewhere);
+                    render(res, 503, Vec::new());
+                }
                 Answer::Malformed => render(res, 400, Vec::new()),
             },
         }
--- a/src/workers/dispatch.rs
+++ b/src/workers/dispatch.rs
@@ -9,6 +9,7 @@
 use super::{Orders, Report};
 use crate::node::{Node, lock};
 use crate::scheduling::book::{Direct, Via};
+use crate::traffic::Passage;
 use crate::wire::{self, CallError};
 
 /// Past this a command counts as one that may still arrive.
@@ -32,6 +33,7 @@
 
 async fn send(node: Arc<Node>, direct: Direct) {
     let body = wire::encode(&Orders { token: direct.token, session: Some(direct.session), orders: direct.orders });
+    node.traffic.count(Passage::Command);
     let outcome = node.http.call(Method::POST, &direct.addr, "/do", Some(body), ANSWER_WITHIN).await;
     let now = Instant::now();
     let catalog = node.catalog();
