Machines that an heir has not heard of get the patience of mass silence, and two leases of it

Idle machines that the cloud listed as running were returned as never come up (682).

Now whatever should be heard of counts: machines with tasks and machines listed as running. Many that are silent together get two leases: past one their work is lost, but others would have to boot, and the dead ones the cloud's list tells of. Two tests that fail without it.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -119,8 +119,10 @@
         let age = Duration::try_from_secs_f64(machine.held_s).unwrap_or_default();
         let kind = Kind { type_name: machine.type_name, zone: machine.zone, spot: machine.spot };
         book.expect(&machine.id, &kind, machine.addr.as_deref(), age, now);
-        if machine.state == "failed" {
-            book.condemn(&machine.id, "failed by the cloud's word");
+        match machine.state.as_str() {
+            "failed" => book.condemn(&machine.id, "failed by the cloud's word"),
+            "running" => book.listed_up(&machine.id, now),
+            _ => {}
         }
     }
     node.wake.dispatch.notify_one();
--- a/src/fleet/rent.rs
+++ b/src/fleet/rent.rs
@@ -220,6 +220,8 @@
     for machine in book.machines.values() {
         let age = now.saturating_duration_since(machine.since);
         match machine.standing {
+            // What should be up has its own patience (`Book::tick`).
+            Standing::Booting if machine.awaited() => {}
             Standing::Booting => {
                 let usual = catalog.get(&machine.type_name).map_or(60.0, |t| t.boot_s);
                 let patience = Duration::from_secs_f64(usual * book.properties.boot_patience) + BOOT_GRACE;
--- a/src/scheduling/book/machine.rs
+++ b/src/scheduling/book/machine.rs
@@ -20,7 +20,9 @@
 const TOGETHER: usize = 12;
 /// One in so many lost is most of them, as far as handing over is concerned.
 const MOST: usize = 3;
-/// Past the end of a silent machine's lease; covers its clock's drift and the way of a report.
+/// How many leases many machines that are silent together get.
+const SILENT_LEASES: u32 = 2;
+/// Past the end of these; covers a machine's clock's drift and the way of a report.
 const LEASE_MARGIN: Duration = Duration::from_secs(2);
 /// Ticks come at least every second; a longer gap is a pause of this process.
 const LONGEST_TICK: Duration = Duration::from_millis(2500);
@@ -107,6 +109,8 @@
     load_at: Option<Instant>,
     /// Live tasks were reported that are not bound here.
     strays: bool,
+    /// The cloud says that it is up, whether or not it was heard of here.
+    listed_up: bool,
 }
 
 impl Machine {
@@ -141,6 +145,7 @@
             load: Load::default(),
             load_at: Some(now),
             strays: false,
+            listed_up: false,
         }
     }
 
@@ -209,6 +214,12 @@
         self.newest.0 > 0
     }
 
+    /// Its worker should be heard of: it was, or an earlier owner has given it tasks, or the cloud
+    /// says that it is up.
+    pub fn awaited(&self) -> bool {
+        self.reported() || !self.bound.is_empty() || self.listed_up
+    }
+
     /// A task with this image comes: the least recently used make room for it, as the worker
     /// does. What is on its way counts, so that tasks wait for one fetch together.
     pub(super) fn remember_image(&mut self, image: u64, gb: f64) {
@@ -283,6 +294,14 @@
         }
     }
 
+    /// The cloud says that a machine is up.
+    pub fn listed_up(&mut self, id: &str, now: Instant) {
+        // From now on it should be heard of: until now it was booting, for all that is known here.
+        if let Some(machine) = self.machines.get_mut(id).filter(|m| !m.reported() && !m.listed_up) {
+            (machine.listed_up, machine.heard) = (true, now);
+        }
+    }
+
     pub fn condemn(&mut self, id: &str, why: &str) {
         if let Some(machine) = self.machines.get_mut(id)
             && machine.standing != Standing::Condemned
@@ -333,12 +352,12 @@
         }
     }
 
-    /// At least three machines, and one in `part` of those that ever reported, have been silent
-    /// for about as long as the silence that is still tolerated.
+    /// At least three machines, and one in `part` of those that should be heard of, have been
+    /// silent for about as long as the silence that is still tolerated. Those that a new owner
+    /// inherits count: it may be the one that cannot hear them.
     fn many_silent(&self, silence: Duration, part: usize, now: Instant) -> bool {
-        let reported = self.machines.values().filter(|m| m.reported());
         let (mut all, mut silent) = (0, 0);
-        for machine in reported {
+        for machine in self.machines.values().filter(|m| m.awaited()) {
             all += 1;
             silent += usize::from(now.saturating_duration_since(machine.heard) > silence.mul_f64(0.8));
         }
@@ -369,9 +388,10 @@
         }
         self.forgive_own_pause(now);
         // Many machines that fall silent together point at the network or at this controller:
-        // returning them all would lose what they run. They get until their leases are over.
+        // returning them all would lose what they run, and past their leases still the machines, for
+        // which others would have to boot. Those that have died the cloud's list tells of.
         let silence = if self.many_silent(self.properties.silence, TOGETHER, now) {
-            (self.settings.params.workers.lease() + LEASE_MARGIN).max(self.properties.silence)
+            (self.settings.params.workers.lease() * SILENT_LEASES + LEASE_MARGIN).max(self.properties.silence)
         } else {
             self.properties.silence
         };
@@ -379,10 +399,9 @@
             self.overdue(now).into_iter().map(|id| (id, "a withdrawn task is not proven gone")).collect();
         for machine in self.machines.values() {
             let quiet = now.saturating_duration_since(machine.heard);
-            if machine.reported() && quiet > silence {
-                condemn.push((machine.id.clone(), "silent"));
-            } else if !machine.reported() && !machine.bound.is_empty() && quiet > silence {
-                condemn.push((machine.id.clone(), "holds tasks and was never heard of"));
+            if machine.awaited() && quiet > silence {
+                let why = if machine.reported() { "silent" } else { "should be up and was never heard of" };
+                condemn.push((machine.id.clone(), why));
             } else if machine.standing == Standing::Draining && machine.bound.is_empty() {
                 condemn.push((machine.id.clone(), "drained"));
             }
--- a/src/scheduling/tests.rs
+++ b/src/scheduling/tests.rs
@@ -181,6 +181,61 @@
     }
 }
 
+/// Found on fa-lima-fleet: a zone was cut off when its owner was replaced, and after 12 s the new one
+/// returned all 767 machines there, since only machines that it had heard itself counted as silent
+/// together. Nor did such an owner ever hand over when it was the one cut off.
+#[test]
+fn inherited_machines_that_fall_silent_together_are_not_given_up() {
+    use crate::jobs::record::Stored;
+    let s = Duration::from_secs;
+    // (name, how many of six inherited machines report, who is given up after 13, 27 and 51 s)
+    for (name, reporting, given_up) in [("one of six", 5, [1, 1, 1]), ("half", 3, [0, 0, 3]), ("all", 0, [0, 0, 6])] {
+        let now = Instant::now();
+        let mut book = Book::new(9, example(), Properties::default(), now);
+        let mut job = spec();
+        (job.tasks, job.team) = (6, "blue".into());
+        let bound = (0..6).map(|i| Stored::Bound(1, format!("m{i}"))).collect();
+        book.load_job(Arc::new(JobRecord { spec: job, at_ms: time_of_day_ms() }), vec![(0, 5, bound)], now);
+        book.finish_load(now);
+        let lease = book.settings.params.workers.lease();
+        assert_eq!(lease, s(24));
+        let mut t = 0;
+        for (after, want) in [13, 27, 51].into_iter().zip(given_up) {
+            while t < after {
+                t += 1;
+                for machine in 0..reporting {
+                    let report = report(&format!("m{machine}"), "c8", "a", false, t + 1, vec![]);
+                    book.take_report(report, Via::Report, None, now + s(t));
+                }
+                book.tick(now + s(t));
+            }
+            let condemned = book.machines.values().filter(|m| m.standing == Standing::Condemned).count();
+            assert_eq!(condemned, want, "{name}, after {after} s");
+            assert_eq!(book.lost_most(now + s(after)), reporting < 5, "{name}: would hand over");
+        }
+    }
+}
+
+/// Found on fa-lima-fleet: an owner that nobody could reach returned 682 idle machines as never come
+/// up, though the cloud listed them as running.
+#[test]
+fn what_the_cloud_lists_as_running_has_come_up() {
+    let s = Duration::from_secs;
+    let now = Instant::now();
+    let mut book = Book::new(9, example(), Properties::default(), now);
+    book.loaded = true;
+    let kind = Kind { type_name: "c8".into(), zone: "a".into(), spot: false };
+    for name in ["starting", "running"] {
+        book.expect(name, &kind, None, s(900), now);
+    }
+    book.listed_up("running", now);
+    let given_up: Vec<String> =
+        rent::to_give_up(&book, &catalog(), now + s(13)).into_iter().map(|(id, _)| id.to_string()).collect();
+    assert_eq!(given_up, ["starting"]);
+    (1..=13).for_each(|t| book.tick(now + s(t)));
+    assert_eq!(book.machines["running"].standing, Standing::Condemned, "but it is alone in its silence");
+}
+
 #[test]
 fn renting_by_cases() {
     let now = Instant::now();
