--- a/src/node.rs
+++ b/src/node.rs
@@ -163,7 +163,7 @@
                 }
             }
             for id in &news.ended {
-                book.end_job(id, now);
+                book.end_job(id, self.history.ended(id), now);
             }
             self.wake.plan.notify_one();
             self.wake.dispatch.notify_one();
--- a/src/scheduling/book/jobs.rs
+++ b/src/scheduling/book/jobs.rs
@@ -7,7 +7,7 @@
 use super::machine::image_id;
 use super::{Arrivals, Binding, Book, JobState, MOST_CLASSES, Machine, MachineId, Phase, Task};
 use crate::jobs::record::{CHUNK, JobRecord, Stored, time_of_day_ms};
-use crate::jobs::{JobId, JobSpec};
+use crate::jobs::{End, JobId, JobSpec};
 use crate::membership::mesh::Counts;
 use crate::sla::Agreement;
 use crate::workers::{LegStatus, TaskKey};
@@ -65,6 +65,7 @@
             done: 0,
             stamps: vec![0; n.div_ceil(CHUNK as usize)],
             ended: None,
+            finished: false,
             not_before: now,
             image: image_id(&record.spec.image),
             failed_on: HashSet::new(),
@@ -166,9 +167,11 @@
         spec.estimate().mul_f64(factor)
     }
 
-    /// The job's end is stored: nothing of it starts any more, and what runs is stopped.
-    pub fn end_job(&mut self, id: &JobId, now: Instant) {
+    /// The job's end is stored, if it is known which: nothing of it starts any more, and what runs
+    /// is stopped.
+    pub fn end_job(&mut self, id: &JobId, how: Option<End>, now: Instant) {
         let Some(job) = self.jobs.get_mut(id) else { return };
+        job.finished |= how == Some(End::Done);
         if job.ended.is_some() {
             return;
         }
--- a/src/scheduling/book/machine.rs
+++ b/src/scheduling/book/machine.rs
@@ -370,14 +370,14 @@
         self.many_silent(missed, MOST, now)
     }
 
-    /// Machines that hold a task of a job that is over, and have not proven it gone for too long.
+    /// Machines that hold a task of a job that was withdrawn, and have not proven it gone for too
+    /// long. What is left of a job that is done has exited.
     pub fn overdue(&self, now: Instant) -> BTreeSet<MachineId> {
         let patience = self.settings.params.workers.cancel().mul_f64(CANCEL_PATIENCE);
-        let late = self
-            .ending
-            .iter()
-            .filter_map(|id| self.jobs.get(id))
-            .filter(|job| job.ended.is_some_and(|at| now.saturating_duration_since(at) > patience));
+        let late =
+            self.ending.iter().filter_map(|id| self.jobs.get(id)).filter(|job| {
+                !job.finished && job.ended.is_some_and(|at| now.saturating_duration_since(at) > patience)
+            });
         late.flat_map(|job| job.bound.iter().filter_map(|i| job.binding(*i))).map(|b| b.machine.clone()).collect()
     }
 
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -106,6 +106,8 @@
     pub done: u64,
     stamps: Vec<u64>,
     pub ended: Option<Instant>,
+    /// It ended as done: whatever is left of it needs no proof in time.
+    finished: bool,
     /// Not to be placed before, after failures.
     pub not_before: Instant,
     /// The image's name, digested: what machines hold is compared by this.
--- a/src/scheduling/interleavings.rs
+++ b/src/scheduling/interleavings.rs
@@ -16,8 +16,8 @@
 use crate::fleet::{Catalog, MachineType};
 use crate::history::moves::{self, Move, Place, end_among, place_of};
 use crate::jobs::record::{
-    ASSIGNMENT, CHUNK, JobRecord, Stored, TASKS, chunk_key, decode_chunk, ended_keys, open_key, parse_chunk_key,
-    time_of_day_ms,
+    ASSIGNMENT, CHUNK, JobRecord, Stored, TASKS, chunk_key, decode_chunk, ended_key, ended_keys, open_key,
+    parse_chunk_key, time_of_day_ms,
 };
 use crate::jobs::tests::spec;
 use crate::jobs::{End, JobId, Shape};
@@ -201,12 +201,16 @@
         }
         for (id, record) in &self.records {
             let over = ended(&self.store, id);
-            let stored = chunks.remove(id).unwrap_or_default();
+            let mut stored = chunks.remove(id).unwrap_or_default();
+            if self.store.has(&ended_key(id, End::Done)) {
+                // What is done has exited: its chunks are only dropped.
+                book.drop_again(stored.drain(..).map(|(chunk, ..)| (id.clone(), chunk)).collect());
+            }
             if self.store.has(&open_key(id)) || !stored.is_empty() {
                 book.load_job(record.clone(), stored, self.now);
             }
             if over {
-                book.end_job(id, self.now);
+                book.end_job(id, None, self.now);
             }
         }
         book.finish_load(self.now);
@@ -356,7 +360,7 @@
             if opened {
                 owner.book.add_job(self.records[&id].clone(), now);
             } else {
-                owner.book.end_job(&id, now);
+                owner.book.end_job(&id, None, now);
             }
         }
         owner.book.tick(now);
@@ -423,14 +427,14 @@
             Ok(stamp) => {
                 owner.book.chunks_stored(&batch.chunks, stamp);
                 for job in &batch.ends {
-                    owner.book.end_job(&job.spec.id, self.now);
+                    owner.book.end_job(&job.spec.id, Some(End::Done), self.now);
                 }
             }
             Err(keys) if keys.iter().any(|k| k == ASSIGNMENT) => return true,
             Err(keys) => {
                 for id in batch.jobs() {
-                    if end_among(&keys, id).is_some() {
-                        owner.book.end_job(id, self.now);
+                    if let Some(end) = end_among(&keys, id) {
+                        owner.book.end_job(id, Some(end), self.now);
                     }
                 }
                 for write in &batch.chunks {
--- a/src/scheduling/load.rs
+++ b/src/scheduling/load.rs
@@ -1,6 +1,6 @@
 //! Takeover: from what is stored to a book, a page at a time.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -8,13 +8,17 @@
 use tokio::task::JoinSet;
 use tracing::{error, info};
 
-use crate::jobs::JobId;
-use crate::jobs::record::{JobRecord, Stored, TASKS, decode_chunk, ended_keys, old_job_key, parse_chunk_key};
+use crate::jobs::record::{
+    DONE, JobRecord, Stored, TASKS, decode_chunk, ended_key, ended_keys, old_job_key, parse_chunk_key,
+};
+use crate::jobs::{End, JobId};
 use crate::node::{Node, lock};
-use crate::store::StoreError;
 use crate::store::budget::Urgent;
 use crate::store::client::Item;
+use crate::store::{Condition, StoreError, TxnOutcome};
 
+/// A transaction may have so many conditions for each change that it may have.
+const CONDITIONS_A_CHANGE: usize = 4;
 /// Descriptions of ended jobs asked for at once.
 const ASKED_AT_ONCE: usize = 8;
 
@@ -75,7 +79,7 @@
         }
         ended.extend(book.jobs().map(|(id, _)| id).filter(|id| mirror.open(id).is_none()).cloned());
         for id in &ended {
-            book.end_job(id, now);
+            book.end_job(id, node.history.ended(id), now);
         }
         book.finish_load(now);
         let (jobs, machines) = (book.job_count(), book.machines.len());
@@ -87,15 +91,22 @@
     Ok(())
 }
 
-/// Chunks of jobs that are over may still be on machines: those count until proven gone. What has
-/// nothing bound is only dropped.
+/// Tasks of withdrawn jobs may still be on machines: those count until proven gone. What has
+/// nothing bound is only dropped, and so is what is left of jobs that are done: each of their tasks
+/// was reported to have exited, though the last reports were never written to its chunk.
 async fn take_page(node: &Arc<Node>, page: Vec<Chunk>, ended: &mut HashSet<JobId>) -> Result<(), StoreError> {
+    let over: BTreeSet<JobId> = {
+        let held = lock(&node.book);
+        let Some(book) = held.as_ref() else { return Ok(()) };
+        page.iter().filter(|c| !book.has_job(&c.job) && c.anything_bound()).map(|c| c.job.clone()).collect()
+    };
+    let done = done_among(node, over).await?;
     let mut records: HashMap<JobId, Arc<JobRecord>> = HashMap::new();
     let mut unknown: HashSet<JobId> = HashSet::new();
     {
         let (mirror, held) = (lock(&node.mirror), lock(&node.book));
         let Some(book) = held.as_ref() else { return Ok(()) };
-        for chunk in page.iter().filter(|c| !book.has_job(&c.job) && c.anything_bound()) {
+        for chunk in page.iter().filter(|c| !book.has_job(&c.job) && c.anything_bound() && !done.contains(&c.job)) {
             match mirror.ended_record(&chunk.job) {
                 Some(record) => drop(records.insert(chunk.job.clone(), record)),
                 None => drop(unknown.insert(chunk.job.clone())),
@@ -126,7 +137,7 @@
     for chunk in page {
         if book.has_job(&chunk.job) {
             book.load_chunk(&chunk.job, chunk.number, chunk.stamp, chunk.tasks, now);
-        } else if chunk.anything_bound() {
+        } else if chunk.anything_bound() && !done.contains(&chunk.job) {
             error!(job = %chunk.job, chunk = chunk.number, "tasks of a job that is not in the store");
         } else {
             book.drop_again(vec![(chunk.job, chunk.number)]);
@@ -135,6 +146,20 @@
     Ok(())
 }
 
+/// Which of these jobs, none of them open, are done.
+async fn done_among(node: &Node, ids: BTreeSet<JobId>) -> Result<HashSet<JobId>, StoreError> {
+    let ids: Vec<JobId> = ids.into_iter().collect();
+    let at_once = (node.settings.params.state.txn_ops as usize * CONDITIONS_A_CHANGE).max(1);
+    let mut done = HashSet::new();
+    for ids in ids.chunks(at_once) {
+        let absent: Vec<Condition> = ids.iter().map(|id| Condition::absent(ended_key(id, End::Done))).collect();
+        if let TxnOutcome::Failed(keys) = node.store.txn(&absent, &[], Urgent::First).await? {
+            done.extend(keys.iter().filter_map(|key| key.strip_prefix(DONE)).map(JobId::from));
+        }
+    }
+    Ok(done)
+}
+
 /// The description of a job that has ended, wherever it is kept.
 async fn ended_record(node: &Node, id: &str) -> Result<Option<JobRecord>, StoreError> {
     for key in ended_keys(id).into_iter().chain([old_job_key(id)]) {
--- a/src/scheduling/tests.rs
+++ b/src/scheduling/tests.rs
@@ -419,7 +419,7 @@
         let now = start + Duration::from_secs(25);
         for n in 0..arriving {
             add(&mut book, 100 + n, now, |j| (j.cpus, j.estimate_s, j.zone) = (8.0, 30.0, Some("a".into())));
-            book.end_job(&format!("run-{:06}", 100 + n).as_str().into(), now);
+            book.end_job(&format!("run-{:06}", 100 + n).as_str().into(), None, now);
         }
         let wanted = rent::plan(&book, &catalog(), &Refusals::default(), &Default::default(), now);
         assert_eq!(!wanted.is_empty(), rents, "{name}: {wanted:?}");
--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -171,7 +171,7 @@
     info!(job = %id, ?end, "ended");
     node.history.note_end(id, end);
     if let Some(book) = lock(&node.book).as_mut() {
-        book.end_job(id, Instant::now());
+        book.end_job(id, Some(end), Instant::now());
     }
     node.wake.plan.notify_one();
 }
