Acknowledged writes that the state service has lost are noticed and written again

The emulator can lose writes that it has acknowledged, which breaks the published promise. Until now a lost acceptance was found by nobody, a lost open key made a controller that read anew take the job for ended, and a lost chunk was noticed only when it was next written.

Each controller compares, a batch a second behind everything else, its last 512 acceptances and ends, and as the owner every open job and every chunk that is not on its way. What is missing twice, with a proof of freshness in between, is logged as an error and written again; nothing is ever overwritten.

--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -63,7 +63,7 @@
 }
 
 /// A stored job: what was submitted, and when by the accepting controller's time of day.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobRecord {
     pub spec: JobSpec,
     pub at_ms: u64,
--- a/src/node.rs
+++ b/src/node.rs
@@ -18,6 +18,7 @@
 use crate::membership::{self, mesh};
 use crate::scheduling::{self, Book};
 use crate::settings::{Properties, Settings};
+use crate::store::audit::{self, Audit};
 use crate::store::budget::{Budget, Urgent};
 use crate::store::follow::Fresh;
 use crate::store::mirror::{Mirror, News};
@@ -54,6 +55,7 @@
     pub mirror: Mutex<Mirror>,
     pub fresh: Fresh,
     pub history: History,
+    pub audit: Mutex<Audit>,
     pub catalog: Mutex<Option<Arc<Catalog>>>,
     /// The book of tasks and machines, while this controller owns them.
     pub book: Mutex<Option<Book>>,
@@ -115,6 +117,7 @@
             mirror: Mutex::default(),
             fresh: Fresh::default(),
             history: History::new(&settings),
+            audit: Mutex::default(),
             catalog: Mutex::default(),
             book: Mutex::default(),
             heard: Mutex::default(),
@@ -131,6 +134,7 @@
         tokio::spawn(follow::run(self.clone()));
         tokio::spawn(follow::run_fresh(self.clone()));
         tokio::spawn(reader::run(self.clone()));
+        tokio::spawn(audit::run(self.clone()));
         tokio::spawn(membership::run(self.clone()));
         tokio::spawn(mesh::listen(self.clone()));
         for peer in &self.settings.peers {
@@ -297,6 +301,7 @@
             held.push(("descriptions", mirror.ended_kept()));
         }
         let [ends, asked, waiting] = self.history.held();
+        held.push(("audited", lock(&self.audit).remembered()));
         held.extend([("ends", ends), ("asked", asked), ("waiting", waiting)]);
         held.push(("counts_heard", lock(&self.heard).counts.len()));
         held.push(("stranded", lock(&self.stranded).remembered()));
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -23,7 +23,7 @@
 
 use super::holds::Hold;
 use crate::fleet::rent::Kind;
-use crate::jobs::record::{JobRecord, Stored};
+use crate::jobs::record::{CHUNK, JobRecord, Stored};
 use crate::jobs::{JobId, JobSpec};
 use crate::settings::{Properties, Settings};
 use crate::sla::Agreement;
@@ -122,6 +122,19 @@
         &self.record.spec
     }
 
+    /// Chunks with their versions in the store, of those that the store is not behind on: nothing of
+    /// them is on its way there.
+    pub fn settled_chunks(&self) -> impl Iterator<Item = (u64, u64)> {
+        let settled = |chunk: u64| self.chunk(chunk).iter().all(|t| t.stored);
+        (0u64..).zip(self.stamps.iter().copied()).filter(move |(chunk, stamp)| *stamp > 0 && settled(*chunk))
+    }
+
+    fn chunk(&self, chunk: u64) -> &[Task] {
+        let from = (chunk * CHUNK) as usize;
+        let to = (from + CHUNK as usize).min(self.tasks.len());
+        self.tasks.get(from..to).unwrap_or_default()
+    }
+
     pub fn complete(&self) -> bool {
         self.done == self.tasks.len() as u64 || (self.spec().is_gang() && self.done > 0)
     }
--- a/src/scheduling/book/storing.rs
+++ b/src/scheduling/book/storing.rs
@@ -117,9 +117,7 @@
         if job.ended.is_some() || job.complete() {
             return None;
         }
-        let from = (chunk * CHUNK) as usize;
-        let to = (from + CHUNK as usize).min(job.tasks.len());
-        let tasks = job.tasks.get(from..to)?;
+        let tasks = job.chunk(chunk);
         if tasks.iter().all(|t| t.stored) {
             return None;
         }
@@ -184,6 +182,21 @@
         }
     }
 
+    /// The store has lost this version of a chunk, and has the one that was found: all that is known
+    /// of it is to be stored again, unless it has moved on since.
+    pub fn store_chunk_again(&mut self, id: &JobId, chunk: u64, lost: u64, found: u64) {
+        let Some(job) = self.jobs.get_mut(id).filter(|j| j.ended.is_none()) else { return };
+        if !job.settled_chunks().any(|settled| settled == (chunk, lost)) {
+            return;
+        }
+        let from = (chunk * CHUNK) as usize;
+        for task in job.tasks.iter_mut().skip(from).take(CHUNK as usize) {
+            task.stored = false;
+        }
+        self.set_stamp(id, chunk, found);
+        self.dirty.put_start((id.clone(), chunk), false);
+    }
+
     pub fn next_drops(&mut self, most: usize) -> Vec<(JobId, u64)> {
         let n = self.drops.len().min(most);
         self.drops.drain(..n).collect()
--- /dev/null
+++ b/src/store/audit.rs
@@ -0,0 +1,286 @@
+//! Whether the state service still holds what it has acknowledged.
+//!
+//! Its protocol promises that. Should it break the promise, whatever this controller still knows is
+//! written again: acceptances and ends that it has told users of, and, as the owner, every open
+//! job and what is bound. Nothing is ever overwritten: a job is put back only while it has no key
+//! at all, an end only while there is none, and a chunk by its owner under the version found.
+//!
+//! Each controller compares a batch a second, behind everything else. What is missing must be
+//! missing twice, with a proof of freshness in between: a key that was dropped rightly is told of.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tracing::{debug, error};
+
+use super::budget::Urgent;
+use super::{Condition, StoreError, TxnOutcome};
+use crate::history::moves::{accept, end_changes, not_ended, not_there};
+use crate::jobs::record::{JobRecord, chunk_key, ended_key, open_key, time_of_day_ms};
+use crate::jobs::{End, JobId};
+use crate::node::{Node, lock};
+
+/// Acceptances and ends remembered, the latest: about a KiB each.
+const REMEMBERED: usize = 512;
+/// Between two comparisons: at least this, and at least the time in which the share of requests
+/// grows by so many.
+const GAP: Duration = Duration::from_secs(1);
+const COST: f64 = 8.0;
+/// A transaction may have so many conditions for each change.
+const CONDITIONS_A_CHANGE: usize = 4;
+
+/// What the store has acknowledged.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Held {
+    /// A job that this controller has accepted: open, or ended since.
+    Accepted(Arc<JobRecord>),
+    /// A job that is open, by the owner's watch.
+    Open(JobId),
+    Ended(Arc<JobRecord>, End),
+    /// A chunk of tasks at this version.
+    Chunk(JobId, u64, u64),
+}
+
+impl Held {
+    /// The keys to compare: of all but a chunk at least one must exist.
+    fn conditions(&self) -> Vec<Condition> {
+        match self {
+            Self::Accepted(record) => not_there(&record.spec.id, false).collect(),
+            Self::Open(id) => not_there(id, false).collect(),
+            Self::Ended(record, end) => vec![Condition::absent(ended_key(&record.spec.id, *end))],
+            Self::Chunk(id, chunk, stamp) => vec![Condition::at(chunk_key(id, *chunk), *stamp)],
+        }
+    }
+
+    /// Whether it still stands, by the keys that were not as the conditions have them.
+    fn stands(&self, failed: &HashSet<&str>) -> bool {
+        let any = self.conditions().iter().any(|c| failed.contains(c.path.as_str()));
+        if matches!(self, Self::Chunk(..)) { !any } else { any }
+    }
+
+    fn name(&self) -> String {
+        match self {
+            Self::Accepted(record) => open_key(&record.spec.id),
+            Self::Open(id) => open_key(id),
+            Self::Ended(record, end) => ended_key(&record.spec.id, *end),
+            Self::Chunk(id, chunk, _) => chunk_key(id, *chunk),
+        }
+    }
+}
+
+/// What is yet to be compared, in turns. Pure.
+#[derive(Debug, Default)]
+pub struct Audit {
+    told: VecDeque<Held>,
+    turn: VecDeque<Held>,
+    /// Missing once, by name.
+    suspects: HashMap<String, Held>,
+}
+
+impl Audit {
+    /// Acknowledged just now.
+    pub fn note(&mut self, held: Held) {
+        if self.told.len() >= REMEMBERED {
+            self.told.pop_front();
+        }
+        self.told.push_back(held);
+    }
+
+    /// The next to compare, with `most` conditions at the most: suspects first. `owned` gives what
+    /// the owner holds besides, once a turn.
+    fn next(&mut self, most: usize, owned: impl FnOnce() -> Vec<Held>) -> Vec<Held> {
+        if self.turn.is_empty() {
+            self.turn.extend(self.told.iter().cloned());
+            self.turn.extend(owned());
+        }
+        for suspect in self.suspects.values() {
+            self.turn.push_front(suspect.clone());
+        }
+        let (mut batch, mut conditions) = (Vec::new(), 0);
+        while let Some(held) = self.turn.front() {
+            conditions += held.conditions().len();
+            if conditions > most {
+                break;
+            }
+            batch.extend(self.turn.pop_front());
+        }
+        batch
+    }
+
+    /// What is missing now and was missing before.
+    fn compared(&mut self, batch: Vec<Held>, failed: &[String]) -> Vec<Held> {
+        let failed: HashSet<&str> = failed.iter().map(String::as_str).collect();
+        let mut lost = Vec::new();
+        for held in batch {
+            let before = self.suspects.remove(&held.name());
+            if held.stands(&failed) {
+                continue;
+            }
+            if before.as_ref() == Some(&held) {
+                lost.push(held);
+            } else {
+                self.suspects.insert(held.name(), held);
+            }
+        }
+        lost
+    }
+
+    /// Not lost after all: it has moved on by itself.
+    fn forget(&mut self, held: &Held) {
+        self.told.retain(|told| told != held);
+    }
+
+    pub fn remembered(&self) -> usize {
+        self.told.len() + self.turn.len() + self.suspects.len()
+    }
+}
+
+/// Everything that the owner knows to be stored.
+fn owned(node: &Node) -> Vec<Held> {
+    let held = lock(&node.book);
+    let Some(book) = held.as_ref().filter(|b| b.loaded) else { return Vec::new() };
+    let open = book.jobs().filter(|(_, job)| job.ended.is_none());
+    open.flat_map(|(id, job)| {
+        let chunks = job.settled_chunks().map(|(chunk, stamp)| Held::Chunk(id.clone(), chunk, stamp));
+        std::iter::once(Held::Open(id.clone())).chain(chunks)
+    })
+    .collect()
+}
+
+/// Whether this is still to be expected: what a watch or an answer has told since counts.
+fn still_expected(node: &Node, held: &Held) -> bool {
+    match held {
+        Held::Accepted(record) => node.history.ended(&record.spec.id).is_none(),
+        Held::Open(id) => lock(&node.mirror).open(id).is_some() && node.history.ended(id).is_none(),
+        Held::Ended(..) => true,
+        Held::Chunk(id, chunk, stamp) => {
+            let held = lock(&node.book);
+            let job = held.as_ref().and_then(|b| b.job(id)).filter(|j| j.ended.is_none());
+            job.is_some_and(|j| j.settled_chunks().any(|settled| settled == (*chunk, *stamp)))
+        }
+    }
+}
+
+pub async fn run(node: Arc<Node>) {
+    let most = node.settings.params.state.txn_ops as usize * CONDITIONS_A_CHANGE;
+    loop {
+        tokio::time::sleep(GAP.max(node.store.time_for(COST))).await;
+        let batch = lock(&node.audit).next(most, || owned(&node));
+        if batch.is_empty() || !lock(&node.mirror).ready {
+            continue;
+        }
+        let conditions: Vec<Condition> = batch.iter().flat_map(Held::conditions).collect();
+        let failed = match node.store.txn(&conditions, &[], Urgent::Last).await {
+            Ok(TxnOutcome::Failed(keys)) => keys,
+            Ok(_) => Vec::new(),
+            Err(error) => {
+                debug!(%error, "comparing what is stored");
+                continue;
+            }
+        };
+        let lost = lock(&node.audit).compared(batch, &failed);
+        if lost.is_empty() || !node.fresh.wait().await {
+            continue;
+        }
+        for held in lost {
+            if still_expected(&node, &held) {
+                error!(key = held.name(), "the state service has lost what it had acknowledged");
+                if let Err(error) = mend(&node, &held).await {
+                    debug!(%error, key = held.name(), "mending");
+                }
+            } else {
+                lock(&node.audit).forget(&held);
+            }
+        }
+    }
+}
+
+/// Writes again what was lost, unless it stands elsewhere by now.
+async fn mend(node: &Node, held: &Held) -> Result<(), StoreError> {
+    match held {
+        Held::Accepted(record) => accept_again(node, record).await,
+        Held::Open(id) => {
+            let record = lock(&node.mirror).open(id).cloned();
+            match record {
+                Some(record) => accept_again(node, &record).await,
+                None => Ok(()),
+            }
+        }
+        Held::Ended(record, end) => {
+            let conditions: Vec<Condition> = not_ended(&record.spec.id).collect();
+            let changes = end_changes(record, *end, time_of_day_ms());
+            if let TxnOutcome::Failed(keys) = node.store.txn(&conditions, &changes, Urgent::First).await? {
+                // Another end stands: what was told before cannot be made true any more.
+                error!(?keys, job = %record.spec.id, "lost and ended otherwise since");
+                lock(&node.audit).forget(held);
+            }
+            Ok(())
+        }
+        Held::Chunk(id, chunk, stamp) => {
+            let item = node.store.get(&chunk_key(id, *chunk), Urgent::First).await?;
+            let found = item.map_or(0, |i| i.stamp);
+            if let Some(book) = lock(&node.book).as_mut() {
+                book.store_chunk_again(id, *chunk, *stamp, found);
+            }
+            node.wake.commit.notify_one();
+            Ok(())
+        }
+    }
+}
+
+async fn accept_again(node: &Node, record: &JobRecord) -> Result<(), StoreError> {
+    let again = accept(record, lock(&node.mirror).old_kept());
+    node.store.txn(&again.conditions, &again.changes, Urgent::First).await.map(|_| ())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::jobs::tests::spec;
+
+    fn record(n: u64) -> Arc<JobRecord> {
+        let mut spec = spec();
+        spec.id = format!("run-{n}").into();
+        Arc::new(JobRecord { spec, at_ms: 5 })
+    }
+
+    #[test]
+    fn what_must_stand_by_cases() {
+        let chunk = Held::Chunk("run-1".into(), 0, 9);
+        for (name, held, failed, stands) in [
+            ("accepted, open", Held::Accepted(record(1)), vec!["c/o/run-1"], true),
+            ("accepted, done since", Held::Accepted(record(1)), vec!["h/d/run-1"], true),
+            ("accepted, nowhere", Held::Accepted(record(1)), vec!["c/o/run-2"], false),
+            ("open, withdrawn since", Held::Open("run-1".into()), vec!["h/w/run-1"], true),
+            ("done", Held::Ended(record(1), End::Done), vec!["h/d/run-1"], true),
+            ("done, open again", Held::Ended(record(1), End::Done), vec!["c/o/run-1"], false),
+            ("chunk as it was", chunk.clone(), vec![], true),
+            ("chunk of another version", chunk, vec!["t/run-1/00000"], false),
+        ] {
+            assert_eq!(held.stands(&failed.into_iter().collect()), stands, "{name}");
+        }
+    }
+
+    #[test]
+    fn missing_twice_is_lost_and_everything_is_bounded() {
+        let mut audit = Audit::default();
+        (0..600).for_each(|n| audit.note(Held::Accepted(record(n))));
+        let owned = || vec![Held::Open("run-9000".into())];
+        let first = audit.next(6, owned);
+        assert_eq!(first.len(), 2, "three conditions each");
+        assert_eq!(first[0], Held::Accepted(record(88)), "the oldest were forgotten");
+        assert!(audit.compared(first, &["c/o/run-89".into()]).is_empty(), "missing once");
+        let second = audit.next(6, Vec::new);
+        assert_eq!(second[0], Held::Accepted(record(88)), "suspects go first");
+        assert_eq!(audit.compared(second, &["c/o/run-90".into()]), [Held::Accepted(record(88))]);
+        let mut rest = HashSet::new();
+        while let Some(last) = audit.next(96, Vec::new).into_iter().map(|h| (rest.insert(h.name()), h)).last() {
+            if matches!(last.1, Held::Open(_)) {
+                break;
+            }
+        }
+        assert!(rest.contains("c/o/run-9000"), "what is owned has its turn");
+        assert!(audit.remembered() <= REMEMBERED * 2 + 2);
+    }
+}
--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -11,6 +11,7 @@
 
 use tracing::{debug, info, warn};
 
+use super::audit::Held;
 use super::budget::Urgent;
 use super::follow::jitter;
 use super::{Change, Condition, StoreError, TxnOutcome};
@@ -162,6 +163,7 @@
     }
     for job in &batch.ends {
         note_end(node, &job.spec.id, End::Done);
+        lock(&node.audit).note(Held::Ended(job.clone(), End::Done));
     }
     node.wake.dispatch.notify_one();
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,6 +1,7 @@
 //! The state service: its client, the share of its limits this controller keeps to, and the
 //! mirror of jobs, ends and ownership that every controller holds.
 
+pub mod audit;
 pub mod budget;
 pub mod client;
 pub mod commit;
--- a/src/users/mod.rs
+++ b/src/users/mod.rs
@@ -16,6 +16,7 @@
 use crate::jobs::{End, JobId, JobSpec, well_formed_id};
 use crate::node::{Node, lock};
 use crate::settings::Settings;
+use crate::store::audit::Held;
 use crate::store::budget::Urgent;
 use crate::store::{StoreError, TxnOutcome};
 use crate::traffic::Passage;
@@ -179,6 +180,7 @@
         match node.store.txn(&accept.conditions, &accept.changes, Urgent::First).await {
             Ok(TxnOutcome::Applied(_)) => {
                 info!(job = %id, class = record.spec.class, tasks = record.spec.tasks, "accepted");
+                lock(&node.audit).note(Held::Accepted(Arc::new(record)));
                 let job = JobAnswer { id: id.to_string(), status: Status::Pending, done: 0, running: 0 };
                 return Reply::Job(201, job);
             }
@@ -217,6 +219,7 @@
         Ok(TxnOutcome::Applied(_)) => {
             info!(job = %id, "withdrawn");
             node.history.note_end(&id, End::Withdrawn);
+            lock(&node.audit).note(Held::Ended(record, End::Withdrawn));
             ended(&id, End::Withdrawn)
         }
         Ok(TxnOutcome::Failed(keys)) => moved_on(node, &id, &keys).await,
