--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -163,13 +163,14 @@
 }
 
 /// Faults that a soak draws pairs of, in the words of scenarios.
-const DRAWN: [&str; 18] = [
+const DRAWN: [&str; 19] = [
     "lose_machines(0.5)",
     "lose_holder()",
     "take_spot(1.0)",
     "hang(0.3, 6)",
     "sick(0.2, 8)",
     "slow(0.3, 4)",
+    "drift(0.4, 2)",
     "cut(\"owner\", \"workers\", 9)",
     "cut(\"owner\", \"store\", 6)",
     "reset(\"all\", \"peers\", 5)",
--- a/crates/emulator/src/rehearsal.rs
+++ b/crates/emulator/src/rehearsal.rs
@@ -278,6 +278,10 @@
                 let machines = self.some_machines(*many);
                 self.world.with_fleet(|fleet, _| machines.iter().for_each(|m| fleet.set_speed(m, 1.0 / by)));
             }
+            Fault::Drift(many, by) => {
+                let machines = self.some_machines(*many);
+                self.world.with_fleet(|fleet, _| machines.iter().for_each(|m| fleet.set_clock(m, *by)));
+            }
             Fault::Boots(boots) => lock(&self.world.cloud).set_boots(*boots),
             Fault::StartTwice => self.start_twice(),
             _ => {}
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -44,6 +44,8 @@
     Hang(Many, Duration),
     Sick(Many, Duration),
     Slow(Many, f64),
+    /// Workers' steady clocks run this many times as fast.
+    Drift(Many, f64),
     Boots(Boots),
     Link(Who, Link, Passing, Duration),
     /// All links to the other controllers.
@@ -188,6 +190,7 @@
         .register_fn("hang", |n: Dynamic, s: Dynamic| Told::Ok(Fault::Hang(many(&n)?, seconds(&s)?)))
         .register_fn("sick", |n: Dynamic, s: Dynamic| Told::Ok(Fault::Sick(many(&n)?, seconds(&s)?)))
         .register_fn("slow", |n: Dynamic, by: Dynamic| Told::Ok(Fault::Slow(many(&n)?, number(&by)?.max(1.0))))
+        .register_fn("drift", |n: Dynamic, by: Dynamic| Told::Ok(Fault::Drift(many(&n)?, number(&by)?)))
         .register_fn("start_twice", || Fault::StartTwice)
         .register_fn("boots", |how: &str| {
             Told::Ok(Fault::Boots(match how {
--- a/crates/emulator/src/world/fleet.rs
+++ b/crates/emulator/src/world/fleet.rs
@@ -92,6 +92,8 @@
     hangs_until: Duration,
     /// Fails every task that it starts.
     sick: bool,
+    /// How fast its steady clock runs: 1 for a right one.
+    clock: f64,
 }
 
 /// A task began to run, or the workers' verdict on it.
@@ -191,6 +193,7 @@
             images: VecDeque::new(),
             hangs_until: Duration::ZERO,
             sick: false,
+            clock: 1.0,
         };
         self.workers.insert(name.to_owned(), worker);
     }
@@ -250,6 +253,13 @@
         false
     }
 
+    /// Its steady clock, by which it counts its lease, runs this fast from now on.
+    pub fn set_clock(&mut self, name: &str, clock: f64) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.clock = clock;
+        }
+    }
+
     /// Runs this many times as fast as an ordinary machine.
     pub fn set_speed(&mut self, name: &str, speed: f64) {
         if let Some(worker) = self.workers.get_mut(name) {
@@ -506,7 +516,7 @@
     fn expire(&mut self, name: &str, now: Duration) {
         let lease = self.params.lease;
         let Some(worker) = self.workers.get_mut(name) else { return };
-        if worker.hangs_until > now || now.saturating_sub(worker.renewed) <= lease {
+        if worker.hangs_until > now || now.saturating_sub(worker.renewed).mul_f64(worker.clock) <= lease {
             return;
         }
         worker.session += 1;
