--- a/crates/emulator/src/world/fleet.rs
+++ b/crates/emulator/src/world/fleet.rs
@@ -206,11 +206,6 @@
         }
     }
 
-    /// Whether it is up and not gone.
-    pub fn has(&self, name: &str) -> bool {
-        self.workers.contains_key(name)
-    }
-
     /// Differs whenever something has changed that a worker reports at once.
     pub fn digest(&self, name: &str) -> Option<u64> {
         let worker = self.workers.get(name)?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,8 @@
 //! The slices follow duties: `sla` holds the paper's pure arithmetic, `jobs` what a job is and
 //! how it is stored, `users` the public API, `workers` reports and commands, `scheduling` the
 //! book of who runs what and the placement decisions, `fleet` the machines and the cloud,
-//! `store` the state service, `traffic` counts of what passes, `history` what has ended, `membership` who leads and who owns, `settings` what an operator
+//! `store` the state service, `traffic` counts of what passes, `history` what has ended,
+//! `membership` who leads and who owns, `settings` what an operator
 //! hands over and `cli` the commands. I/O stays at the edges; decisions take state and time.
 
 pub mod cli;
--- a/src/scheduling/load.rs
+++ b/src/scheduling/load.rs
@@ -17,8 +17,6 @@
 use crate::store::client::Item;
 use crate::store::{Condition, StoreError, TxnOutcome};
 
-/// A transaction may have so many conditions for each change that it may have.
-const CONDITIONS_A_CHANGE: usize = 4;
 /// Descriptions of ended jobs asked for at once.
 const ASKED_AT_ONCE: usize = 8;
 
@@ -149,7 +147,7 @@
 /// Which of these jobs, none of them open, are done.
 async fn done_among(node: &Node, ids: BTreeSet<JobId>) -> Result<HashSet<JobId>, StoreError> {
     let ids: Vec<JobId> = ids.into_iter().collect();
-    let at_once = (node.settings.params.state.txn_ops as usize * CONDITIONS_A_CHANGE).max(1);
+    let at_once = node.settings.params.state.conditions().max(1);
     let mut done = HashSet::new();
     for ids in ids.chunks(at_once) {
         let absent: Vec<Condition> = ids.iter().map(|id| Condition::absent(ended_key(id, End::Done))).collect();
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -112,6 +112,13 @@
     pub max_sockets: u64,
 }
 
+impl StateParams {
+    /// Conditions that a transaction may have: four for each change that it may have.
+    pub fn conditions(&self) -> usize {
+        (self.txn_ops as usize).saturating_mul(4)
+    }
+}
+
 impl WorkerParams {
     pub fn report(&self) -> Duration {
         Duration::from_secs_f64(self.report_s)
--- a/src/store/audit.rs
+++ b/src/store/audit.rs
@@ -27,8 +27,6 @@
 /// grows by so many.
 const GAP: Duration = Duration::from_secs(1);
 const COST: f64 = 8.0;
-/// A transaction may have so many conditions for each change.
-const CONDITIONS_A_CHANGE: usize = 4;
 
 /// What the store has acknowledged.
 #[derive(Debug, Clone, PartialEq)]
@@ -94,15 +92,14 @@
             self.turn.extend(self.told.iter().cloned());
             self.turn.extend(owned());
         }
-        for suspect in self.suspects.values() {
-            self.turn.push_front(suspect.clone());
-        }
-        let (mut batch, mut conditions) = (Vec::new(), 0);
-        while let Some(held) = self.turn.front() {
-            conditions += held.conditions().len();
-            if conditions > most {
-                break;
-            }
+        let mut left = most;
+        let mut fits = |held: &Held| {
+            let rest = left.checked_sub(held.conditions().len());
+            left = rest.unwrap_or(0);
+            rest.is_some()
+        };
+        let mut batch: Vec<Held> = self.suspects.values().take_while(|held| fits(held)).cloned().collect();
+        while self.turn.front().is_some_and(&mut fits) {
             batch.extend(self.turn.pop_front());
         }
         batch
@@ -163,7 +160,7 @@
 }
 
 pub async fn run(node: Arc<Node>) {
-    let most = node.settings.params.state.txn_ops as usize * CONDITIONS_A_CHANGE;
+    let most = node.settings.params.state.conditions();
     loop {
         tokio::time::sleep(GAP.max(node.store.time_for(COST))).await;
         let batch = lock(&node.audit).next(most, || owned(&node));
@@ -283,4 +280,20 @@
         assert!(rest.contains("c/o/run-9000"), "what is owned has its turn");
         assert!(audit.remembered() <= REMEMBERED * 2 + 2);
     }
+
+    /// Suspects were put into the turn again at every call: a store that had lost everything made it
+    /// grow without end.
+    #[test]
+    fn a_store_that_has_lost_everything_makes_nothing_grow() {
+        let mut audit = Audit::default();
+        (0..REMEMBERED as u64).for_each(|n| audit.note(Held::Accepted(record(n))));
+        let mut lost = 0;
+        for _ in 0..500 {
+            let batch = audit.next(96, Vec::new);
+            assert!(!batch.is_empty() && batch.len() <= 32);
+            lost += audit.compared(batch, &[]).len();
+            assert!(audit.remembered() <= REMEMBERED * 3, "{}", audit.remembered());
+        }
+        assert!(lost >= REMEMBERED, "and all of it is found: {lost}");
+    }
 }
