--- /dev/null
+++ b/crates/emulator/src/driver/state.rs
@@ -0,0 +1,199 @@
+//! The state service behind its listeners: requests to the pure store, and the faults it can be
+//! commanded to have.
+
+use std::time::{Duration, Instant};
+
+use hollylanding_wire::state::{Change, Txn};
+use serde_json::{Value, json};
+
+use crate::world::store::{Limits, Refusal, Store};
+
+/// What goes wrong with writes, on command.
+#[derive(Debug, Default)]
+pub struct Faults {
+    pub refuse_writes: bool,
+    /// Answers that make no sense.
+    pub garble_writes: bool,
+    /// Writes still served; all later ones are refused.
+    pub writes_left: Option<u64>,
+    /// So many writes are acknowledged and never carried out.
+    pub lose: u32,
+    /// So many were.
+    pub lost: u32,
+    /// So many writes are carried out and not answered.
+    pub unanswered: u32,
+    /// So many writes are carried out this much later, and not answered.
+    pub late: (u32, Duration),
+    /// Watches hear nothing until then.
+    pub stalled_until: Option<Instant>,
+}
+
+/// What became of a request.
+pub enum Outcome {
+    Answer(Result<Value, Refusal>),
+    /// Never answered.
+    Silence,
+    /// Never answered, and carried out only after this long.
+    Later(Duration),
+}
+
+/// The emulated state service, and what is counted of it.
+pub struct State {
+    pub store: Store,
+    pub faults: Faults,
+    begun: Instant,
+    /// Keys of a page at the most, whatever is asked.
+    pub page_most: usize,
+    pub requests: u64,
+    /// Requests beyond the limits.
+    pub refused: u64,
+    /// Puts and deletes.
+    pub changes: u64,
+    /// Bytes of the largest answer.
+    pub largest: usize,
+}
+
+impl State {
+    pub fn new(limits: Limits, page_most: usize) -> Self {
+        Self {
+            store: Store::new(limits),
+            faults: Faults::default(),
+            begun: Instant::now(),
+            page_most,
+            requests: 0,
+            refused: 0,
+            changes: 0,
+            largest: 0,
+        }
+    }
+
+    /// Begins afresh, with limits.
+    pub fn limit(&mut self, limits: Limits) {
+        self.store = Store::new(limits);
+    }
+
+    /// What watches are told of, too.
+    pub fn put(&mut self, key: String, value: &Value) {
+        let _ = self.store.apply_if(&[], &[Change::write(key, value.clone())]);
+    }
+
+    /// How many keys there are under a prefix.
+    pub fn count(&self, prefix: &str) -> usize {
+        self.store.under(prefix).count()
+    }
+
+    pub fn now(&self) -> Duration {
+        self.begun.elapsed()
+    }
+
+    /// Counts a request, and says whether it is served.
+    pub fn admit(&mut self, node: &str) -> Result<(), Refusal> {
+        let now = self.now();
+        self.requests += 1;
+        let admitted = self.store.admit(node, now);
+        self.refused += u64::from(admitted == Err(Refusal::TooMany));
+        admitted
+    }
+
+    /// A transaction, whatever is commanded to go wrong with it.
+    pub fn txn(&mut self, body: &Value) -> Outcome {
+        let Ok(txn) = serde_json::from_value::<Txn>(body.clone()) else {
+            return Outcome::Answer(Err(Refusal::Malformed("no transaction")));
+        };
+        let writes = !txn.apply.is_empty();
+        let faults = &mut self.faults;
+        if faults.garble_writes {
+            return Outcome::Answer(Ok(json!("what is this")));
+        }
+        if faults.refuse_writes || (writes && faults.writes_left == Some(0)) {
+            return Outcome::Answer(Err(Refusal::Unavailable));
+        }
+        if writes {
+            if let Some(left) = faults.writes_left.as_mut() {
+                *left -= 1;
+            }
+            self.changes += txn.apply.len() as u64;
+            if self.store.compare(&txn.conditions).is_empty() {
+                if faults.lose > 0 {
+                    (faults.lose, faults.lost) = (faults.lose - 1, faults.lost + 1);
+                    return Outcome::Answer(Ok(json!({"ledgerRev": self.store.revision() + 1})));
+                }
+                if faults.late.0 > 0 {
+                    faults.late.0 -= 1;
+                    return Outcome::Later(faults.late.1);
+                }
+            }
+        }
+        let silent = writes && self.faults.unanswered > 0;
+        let answer = self.apply(&txn);
+        if silent && answer.as_ref().is_ok_and(|a| a.get("failed").is_none()) {
+            self.faults.unanswered -= 1;
+            return Outcome::Silence;
+        }
+        Outcome::Answer(answer)
+    }
+
+    /// A transaction that is carried out late: whatever it says now.
+    pub fn apply_late(&mut self, body: &Value) {
+        if let Ok(txn) = serde_json::from_value::<Txn>(body.clone()) {
+            let _ = self.apply(&txn);
+        }
+    }
+
+    fn apply(&mut self, txn: &Txn) -> Result<Value, Refusal> {
+        let now = self.now();
+        self.store.txn(txn, now).map(|done| match done {
+            Ok(revision) => json!({"ledgerRev": revision}),
+            Err(refused) => json!({"failed": refused.failed, "ledgerRev": refused.revision}),
+        })
+    }
+
+    /// One request but for watches and transactions. `query` gives its parameters.
+    pub fn answer(
+        &mut self,
+        path: &str,
+        method: &str,
+        query: impl Fn(&str) -> String,
+        body: &Value,
+    ) -> Result<Value, Refusal> {
+        let now = self.now();
+        let malformed = |_| Refusal::Malformed("not to be told");
+        match path {
+            "/grants" => Ok(json!({"permit": self.store.grant(body["lifeMs"].as_u64().unwrap_or(0), now)?})),
+            "/keys" => {
+                let most = query("most").parse().unwrap_or(usize::MAX).min(self.page_most);
+                let page = self.store.page(&query("prefix"), &query("since"), most);
+                serde_json::to_value(page).map_err(malformed)
+            }
+            grant if grant.starts_with("/grants/") => {
+                let permit = grant.split('/').nth(2).and_then(|id| id.parse().ok()).unwrap_or(0);
+                if method == "DELETE" {
+                    self.store.release(permit)?
+                } else {
+                    self.store.renew(permit, now)?
+                }
+                Ok(json!({}))
+            }
+            key => serde_json::to_value(self.store.get(key.trim_start_matches("/keys/"))?).map_err(malformed),
+        }
+    }
+
+    /// What a watch has to tell, or nothing yet.
+    pub fn follow(&mut self, prefix: &str, since: u64) -> Option<Result<Value, Refusal>> {
+        let now = self.now();
+        self.store.end_leases(now);
+        if self.faults.stalled_until.is_some_and(|until| Instant::now() < until) {
+            return None;
+        }
+        match self.store.follow(prefix, since) {
+            Ok(told) if told.log.is_empty() => None,
+            Ok(told) => Some(serde_json::to_value(told).map_err(|_| Refusal::Malformed("not to be told"))),
+            Err(refusal) => Some(Err(refusal)),
+        }
+    }
+
+    /// That nothing has changed.
+    pub fn nothing_new(&self) -> Value {
+        json!({"ledgerRev": self.store.revision(), "log": []})
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/judge.rs
@@ -0,0 +1,612 @@
+//! The judge: from requests, answers and what ran where, and from nothing else, it tells whether a
+//! rule of the protocol was broken, and whether every accepted task has its result.
+//!
+//! It is pure and knows nothing of the world or of who played it.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollylanding_wire::jobs::{JobId, JobSpec, Shape};
+use hollylanding_wire::users::Status;
+use hollylanding_wire::workers::{Cause, TaskKey};
+
+use crate::world::fleet::Happening;
+
+/// What a user asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ask {
+    Submit,
+    Status,
+    Withdraw,
+}
+
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// A user is about to submit a job for the first time.
+    Submitted(Arc<JobSpec>),
+    /// A user is about to ask for the first time that a job be withdrawn.
+    WithdrawalAsked(JobId),
+    /// What a user was answered; no status: not answered at all.
+    Answered {
+        job: JobId,
+        ask: Ask,
+        code: Option<u16>,
+        status: Option<Status>,
+    },
+    /// A machine came up.
+    Up {
+        machine: String,
+        type_name: String,
+        zone: String,
+        spot: bool,
+    },
+    Machine(Happening),
+}
+
+#[derive(Debug, Clone)]
+pub struct Entry {
+    pub at: Duration,
+    pub event: Event,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    RanTwice,
+    Quota,
+    WrongPlace,
+    RanCancelled,
+    Forgotten,
+    Invented,
+    NotDone,
+    WentBack,
+    NothingRan,
+}
+
+impl Rule {
+    pub const ALL: [Self; 9] = [
+        Self::RanTwice,
+        Self::Quota,
+        Self::WrongPlace,
+        Self::RanCancelled,
+        Self::Forgotten,
+        Self::Invented,
+        Self::NotDone,
+        Self::WentBack,
+        Self::NothingRan,
+    ];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::RanTwice => "ran_twice",
+            Self::Quota => "quota",
+            Self::WrongPlace => "wrong_place",
+            Self::RanCancelled => "ran_cancelled",
+            Self::Forgotten => "forgotten",
+            Self::Invented => "invented",
+            Self::NotDone => "not_done",
+            Self::WentBack => "went_back",
+            Self::NothingRan => "nothing_ran",
+        }
+    }
+}
+
+/// What the rules are held against.
+#[derive(Debug, Clone, Default)]
+pub struct Terms {
+    /// Cores and accelerators that a team's tasks may take; 0: as many as there are.
+    pub quotas: HashMap<String, (f64, f64)>,
+    /// From being told that a job is withdrawn until all of it must be gone.
+    pub cancel: Duration,
+}
+
+#[derive(Debug, Clone)]
+pub struct Break {
+    pub rule: Rule,
+    pub at: Duration,
+    pub what: String,
+    /// What had happened to the job until then, the last of it.
+    pub history: Vec<String>,
+}
+
+#[derive(Debug, Default)]
+pub struct Verdict {
+    /// In the order in which they came.
+    pub breaks: Vec<Break>,
+    /// Tasks of accepted jobs whose users did not withdraw them, and how many of these have a result.
+    pub expected: usize,
+    pub delivered: usize,
+    /// Results that came more than once, each from a run of its own.
+    pub repeated: usize,
+    pub lost: Vec<TaskKey>,
+}
+
+impl Verdict {
+    pub fn clean(&self) -> bool {
+        self.breaks.is_empty() && self.delivered == self.expected && self.repeated == 0
+    }
+
+    pub fn first(&self, rule: Rule) -> Option<&Break> {
+        self.breaks.iter().find(|b| b.rule == rule)
+    }
+
+    /// The last line of a rehearsal.
+    pub fn line(&self) -> String {
+        let rules: BTreeSet<&str> = self.breaks.iter().map(|b| b.rule.name()).collect();
+        let rules: Vec<&str> = rules.into_iter().collect();
+        let rules = if rules.is_empty() { "none broken".to_owned() } else { format!("broken: {}", rules.join(", ")) };
+        let each =
+            if self.repeated == 0 { "each once".to_owned() } else { format!("{} more than once", self.repeated) };
+        format!("results: {} of {}, {each}; rules: {rules}", self.delivered, self.expected)
+    }
+}
+
+/// Lines of a job's history told with a break.
+const HISTORY: usize = 40;
+/// Every poll failing for this long, while most others are answered, is forgetting.
+const UNANSWERED: Duration = Duration::from_secs(90);
+const SLACK: f64 = 1e-6;
+
+#[derive(Default)]
+struct Job {
+    spec: Option<Arc<JobSpec>>,
+    accepted: bool,
+    withdrawal_asked: bool,
+    /// What a user was last told of its end, and when first.
+    told: Option<(Status, Duration)>,
+    done: BTreeSet<u32>,
+    history: Vec<String>,
+    /// Since when no poll was answered, and how many polls were made and answered by then.
+    unanswered: Option<(Duration, u64, u64)>,
+}
+
+struct Place {
+    type_name: String,
+    zone: String,
+    spot: bool,
+}
+
+#[derive(Default)]
+struct Court {
+    terms: Terms,
+    jobs: HashMap<JobId, Job>,
+    machines: HashMap<String, Place>,
+    /// Tasks on machines, with the machine and the attempt.
+    on: BTreeMap<TaskKey, Vec<(String, u64)>>,
+    used: HashMap<String, (f64, f64)>,
+    results: HashSet<TaskKey>,
+    /// Attempts that have ended with a result of their own.
+    repeated: usize,
+    polls: u64,
+    answered: u64,
+    started: bool,
+    breaks: Vec<Break>,
+}
+
+/// Judges a whole history, in the order of its times.
+pub fn judge(history: &[Entry], terms: &Terms) -> Verdict {
+    let mut court = Court { terms: terms.clone(), ..Court::default() };
+    let mut end = Duration::ZERO;
+    for entry in history {
+        end = entry.at;
+        court.hear(entry);
+    }
+    court.close(end)
+}
+
+impl Court {
+    fn find(&mut self, rule: Rule, at: Duration, job: &JobId, what: String) {
+        let history = self.jobs.get(job).map(|j| j.history.clone()).unwrap_or_default();
+        self.breaks.push(Break { rule, at, what, history });
+    }
+
+    fn write(&mut self, at: Duration, job: &JobId, line: String) {
+        let history = &mut self.jobs.entry(job.clone()).or_default().history;
+        history.push(format!("{:9.3} s  {line}", at.as_secs_f64()));
+        if history.len() > HISTORY {
+            history.remove(0);
+        }
+    }
+
+    fn hear(&mut self, entry: &Entry) {
+        let at = entry.at;
+        match &entry.event {
+            Event::Submitted(spec) => {
+                self.write(at, &spec.id, format!("submitted: {} tasks", spec.tasks));
+                self.jobs.entry(spec.id.clone()).or_default().spec = Some(spec.clone());
+            }
+            Event::WithdrawalAsked(job) => {
+                self.write(at, job, "withdrawal asked".into());
+                self.jobs.entry(job.clone()).or_default().withdrawal_asked = true;
+            }
+            Event::Answered { job, ask, code, status } => self.answered(at, job, *ask, *code, *status),
+            Event::Up { machine, type_name, zone, spot } => {
+                let place = Place { type_name: type_name.clone(), zone: zone.clone(), spot: *spot };
+                self.machines.insert(machine.clone(), place);
+            }
+            Event::Machine(Happening::Started { task, attempt, machine }) => self.start(at, task, *attempt, machine),
+            Event::Machine(Happening::Ended { task, attempt, machine, cause }) => {
+                self.write(at, &task.job, format!("{}/{} ended on {machine}: {cause:?}", task.index, attempt));
+                self.leave(at, task, *attempt, machine);
+                if *cause == Cause::Done {
+                    self.deliver(task);
+                }
+            }
+            Event::Machine(Happening::Lost { task, attempt, machine }) => {
+                self.write(at, &task.job, format!("{}/{} lost with {machine}", task.index, attempt));
+                self.leave(at, task, *attempt, machine);
+            }
+        }
+    }
+
+    fn deliver(&mut self, task: &TaskKey) {
+        if !self.results.insert(task.clone()) {
+            // A task that is started again after its end only says so again; two runs that both
+            // reached the end would have been on machines at once.
+            self.repeated += usize::from(self.on.get(task).is_some_and(|on| !on.is_empty()));
+        }
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.done.insert(task.index);
+        }
+    }
+
+    fn start(&mut self, at: Duration, task: &TaskKey, attempt: u64, machine: &str) {
+        self.started = true;
+        self.write(at, &task.job, format!("{}/{attempt} started on {machine}", task.index));
+        if let Some((other, _)) = self.on.get(task).and_then(|on| on.first()) {
+            let what = format!("{}/{} starts on {machine} while it is on {other}", task.job, task.index);
+            self.find(Rule::RanTwice, at, &task.job, what);
+        }
+        let (told, spec) = self.jobs.get(&task.job).map_or((None, None), |j| (j.told, j.spec.clone()));
+        let withdrawn = told.filter(|(status, _)| *status == Status::Withdrawn).map(|(_, at)| at);
+        if withdrawn.is_some_and(|told| at.saturating_sub(told) > self.terms.cancel) {
+            let what = format!("{}/{} starts though its job is withdrawn", task.job, task.index);
+            self.find(Rule::RanCancelled, at, &task.job, what);
+        }
+        if let Some(spec) = spec {
+            self.place(at, task, machine, &spec);
+            let used = self.used.entry(spec.team.clone()).or_default();
+            (used.0, used.1) = (used.0 + spec.cpus, used.1 + spec.gpus);
+            let (cpus, gpus) = *used;
+            let most = self.terms.quotas.get(&spec.team).copied().unwrap_or_default();
+            let above = |limit: f64, used: f64| limit > 0.0 && used > limit + SLACK;
+            if above(most.0, cpus) || above(most.1, gpus) {
+                let what = format!("{}: {cpus} cores and {gpus} accelerators of {} and {}", spec.team, most.0, most.1);
+                self.find(Rule::Quota, at, &task.job, what);
+            }
+        }
+        self.on.entry(task.clone()).or_default().push((machine.to_owned(), attempt));
+    }
+
+    fn place(&mut self, at: Duration, task: &TaskKey, machine: &str, spec: &JobSpec) {
+        let Some(place) = self.machines.get(machine) else { return };
+        let first = TaskKey { job: task.job.clone(), index: 0 };
+        let others = self.on.range(first..).take_while(|(key, _)| key.job == task.job);
+        let zones: Vec<&str> = others
+            .filter(|(key, _)| *key != task)
+            .flat_map(|(_, on)| on)
+            .filter_map(|(m, _)| self.machines.get(m).map(|p| p.zone.as_str()))
+            .collect();
+        let here = zones.iter().filter(|z| **z == place.zone).count() as u64;
+        let wrong = if spec.types.as_ref().is_some_and(|types| !types.contains(&place.type_name)) {
+            Some("its type")
+        } else if spec.zone.as_ref().is_some_and(|zone| *zone != place.zone) {
+            Some("its zone")
+        } else if place.spot && !spec.spot {
+            Some("its being a spot machine")
+        } else if spec.same_zone && zones.iter().any(|z| *z != place.zone) {
+            Some("its zone, since others of the job are in another")
+        } else if spec.spread && here + 1 > spec.tasks.div_ceil(2) {
+            Some("its zone, since half of the job is there")
+        } else {
+            None
+        };
+        if let Some(why) = wrong {
+            let what = format!("{}/{} starts on {machine} in spite of {why}", task.job, task.index);
+            self.find(Rule::WrongPlace, at, &task.job, what);
+        }
+    }
+
+    fn leave(&mut self, at: Duration, task: &TaskKey, attempt: u64, machine: &str) {
+        let Some(on) = self.on.get_mut(task) else { return };
+        let before = on.len();
+        on.retain(|(m, a)| m != machine || *a != attempt);
+        let left = before - on.len();
+        if on.is_empty() {
+            self.on.remove(task);
+        }
+        // One that never had its image was not on its machine.
+        if left == 0 {
+            return;
+        }
+        let Some(job) = self.jobs.get(&task.job) else { return };
+        if let Some(spec) = job.spec.clone() {
+            let used = self.used.entry(spec.team.clone()).or_default();
+            (used.0, used.1) = (used.0 - spec.cpus, used.1 - spec.gpus);
+        }
+        self.gone_in_time(at, task);
+    }
+
+    fn gone_in_time(&mut self, at: Duration, task: &TaskKey) {
+        let told = self.jobs.get(&task.job).and_then(|j| j.told);
+        if let Some((Status::Withdrawn, told)) = told
+            && at.saturating_sub(told) > self.terms.cancel
+        {
+            let what = format!("{}/{} is on a machine {:?} after its withdrawal", task.job, task.index, at - told);
+            self.find(Rule::RanCancelled, at, &task.job, what);
+        }
+    }
+
+    fn answered(&mut self, at: Duration, id: &JobId, ask: Ask, code: Option<u16>, status: Option<Status>) {
+        self.write(at, id, format!("{ask:?} answered {code:?} {status:?}"));
+        let answered = matches!(code, Some(200 | 201 | 404));
+        if ask == Ask::Status {
+            self.polls += 1;
+            self.answered += u64::from(answered);
+        }
+        let (polls, heard) = (self.polls, self.answered);
+        let job = self.jobs.entry(id.clone()).or_default();
+        let known = job.spec.is_some();
+        match code {
+            Some(200 | 201) if !known => {
+                return self.find(Rule::Invented, at, id, format!("{id}, which nobody submitted, is answered"));
+            }
+            Some(404) if job.accepted => {
+                return self.find(Rule::Forgotten, at, id, format!("{id} is answered 404"));
+            }
+            Some(400 | 422) if job.accepted && ask == Ask::Submit => {
+                return self.find(Rule::Forgotten, at, id, format!("{id}, accepted before, is answered {code:?}"));
+            }
+            Some(200 | 201) => job.accepted = true,
+            _ => {}
+        }
+        if ask == Ask::Status && job.accepted {
+            if answered {
+                job.unanswered = None;
+            } else {
+                let (since, polls_then, heard_then) = *job.unanswered.get_or_insert((at, polls, heard));
+                let others = (polls - polls_then).saturating_sub(1);
+                if at.saturating_sub(since) >= UNANSWERED && (heard - heard_then) * 2 > others {
+                    job.unanswered = None;
+                    let what = format!("{id}: no poll was answered since {:.0} s", since.as_secs_f64());
+                    return self.find(Rule::Forgotten, at, id, what);
+                }
+            }
+        }
+        let Some(status) = status.filter(|_| answered) else { return };
+        self.said(at, id, status);
+    }
+
+    /// A user was told this state.
+    fn said(&mut self, at: Duration, id: &JobId, status: Status) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let before = job.told.map(|(told, _)| told);
+        let complete = job.spec.as_ref().is_none_or(|spec| match spec.shape {
+            Shape::Gang => !job.done.is_empty(),
+            _ => job.done.len() as u64 == spec.tasks,
+        });
+        let asked = job.withdrawal_asked;
+        if matches!(status, Status::Done | Status::Withdrawn) {
+            job.told.get_or_insert((status, at));
+        }
+        if let Some(before) = before.filter(|before| *before != status) {
+            return self.find(Rule::WentBack, at, id, format!("{id} was {before:?} and is called {status:?}"));
+        }
+        if status == Status::Withdrawn && !asked {
+            return self.find(Rule::WentBack, at, id, format!("{id} is called withdrawn, and nobody asked"));
+        }
+        if status == Status::Done && before.is_none() && !complete {
+            self.find(Rule::NotDone, at, id, format!("{id} is called done before all of its tasks are"));
+        }
+    }
+
+    fn close(mut self, end: Duration) -> Verdict {
+        let still: Vec<TaskKey> = self.on.keys().cloned().collect();
+        for task in still {
+            self.gone_in_time(end, &task);
+        }
+        if !self.started {
+            self.breaks.push(Break {
+                rule: Rule::NothingRan,
+                at: end,
+                what: "no task started".into(),
+                history: vec![],
+            });
+        }
+        let mut verdict = Verdict { breaks: self.breaks, repeated: self.repeated, ..Verdict::default() };
+        let mut jobs: Vec<(&JobId, &Job)> = self.jobs.iter().collect();
+        jobs.sort_by(|a, b| a.0.cmp(b.0));
+        for (id, job) in jobs {
+            let Some(spec) = job.spec.as_ref().filter(|s| job.accepted && s.shape != Shape::Service) else { continue };
+            let withdrawn = matches!(job.told, Some((Status::Withdrawn, _)));
+            if withdrawn || (job.withdrawal_asked && job.told.is_none()) {
+                continue;
+            }
+            let gang_done = spec.is_gang() && !job.done.is_empty();
+            for index in 0..spec.tasks as u32 {
+                verdict.expected += 1;
+                if gang_done || job.done.contains(&index) {
+                    verdict.delivered += 1;
+                } else {
+                    verdict.lost.push(TaskKey { job: id.clone(), index });
+                }
+            }
+        }
+        verdict
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hollylanding_wire::jobs::Urgency;
+
+    fn spec(id: &str) -> JobSpec {
+        JobSpec {
+            id: id.into(),
+            class: "c".into(),
+            team: "blue".into(),
+            shape: Shape::Array,
+            urgency: Urgency::Normal,
+            tasks: 2,
+            cpus: 2.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            image: "i".into(),
+            image_gb: 0.1,
+            types: Some(vec!["c8".into()]),
+            zone: None,
+            same_zone: true,
+            spread: false,
+            spot: false,
+            estimate_s: 5.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            due_s: None,
+        }
+    }
+
+    fn entry(at: f64, event: Event) -> Entry {
+        Entry { at: Duration::from_secs_f64(at), event }
+    }
+
+    fn told(at: f64, job: &str, ask: Ask, code: u16, status: Status) -> Entry {
+        entry(at, Event::Answered { job: job.into(), ask, code: Some(code), status: Some(status) })
+    }
+
+    fn task(job: &str, index: u32) -> TaskKey {
+        TaskKey { job: job.into(), index }
+    }
+
+    fn started(at: f64, job: &str, index: u32, attempt: u64, machine: &str) -> Entry {
+        entry(at, Event::Machine(Happening::Started { task: task(job, index), attempt, machine: machine.into() }))
+    }
+
+    fn ended(at: f64, job: &str, index: u32, attempt: u64, machine: &str, cause: Cause) -> Entry {
+        let task = task(job, index);
+        entry(at, Event::Machine(Happening::Ended { task, attempt, machine: machine.into(), cause }))
+    }
+
+    fn lost(at: f64, index: u32, machine: &str) -> Entry {
+        entry(at, Event::Machine(Happening::Lost { task: task("run-1", index), attempt: 1, machine: machine.into() }))
+    }
+
+    fn up(machine: &str, type_name: &str, zone: &str, spot: bool) -> Entry {
+        let (machine, type_name, zone) = (machine.into(), type_name.into(), zone.into());
+        entry(0.0, Event::Up { machine, type_name, zone, spot })
+    }
+
+    fn terms() -> Terms {
+        Terms { quotas: [("blue".to_owned(), (6.0, 0.0))].into(), cancel: Duration::from_secs(20) }
+    }
+
+    /// A day on which all goes well: one job is done, with a machine lost on the way, one withdrawn.
+    fn good() -> Vec<Entry> {
+        vec![
+            up("m1", "c8", "a", false),
+            up("m2", "c8", "a", false),
+            up("m3", "c8", "b", false),
+            up("m4", "c8", "a", true),
+            up("m5", "g2", "a", false),
+            entry(1.0, Event::Submitted(Arc::new(spec("run-1")))),
+            entry(1.1, Event::Answered { job: "run-1".into(), ask: Ask::Submit, code: Some(503), status: None }),
+            told(2.0, "run-1", Ask::Submit, 201, Status::Pending),
+            started(3.0, "run-1", 0, 1, "m1"),
+            started(3.0, "run-1", 1, 1, "m2"),
+            lost(3.5, 1, "m2"),
+            started(4.0, "run-1", 1, 2, "m1"),
+            told(5.0, "run-1", Ask::Status, 200, Status::Running),
+            ended(8.0, "run-1", 0, 1, "m1", Cause::Done),
+            ended(9.0, "run-1", 1, 2, "m1", Cause::Done),
+            told(10.0, "run-1", Ask::Status, 200, Status::Done),
+            entry(11.0, Event::Submitted(Arc::new(spec("run-2")))),
+            told(12.0, "run-2", Ask::Submit, 201, Status::Pending),
+            started(13.0, "run-2", 0, 1, "m1"),
+            entry(14.0, Event::WithdrawalAsked("run-2".into())),
+            told(15.0, "run-2", Ask::Withdraw, 200, Status::Withdrawn),
+            ended(16.0, "run-2", 0, 1, "m1", Cause::Stopped),
+            entry(17.0, Event::Answered { job: "run-9".into(), ask: Ask::Status, code: Some(404), status: None }),
+            told(60.0, "run-2", Ask::Status, 200, Status::Withdrawn),
+        ]
+    }
+
+    #[test]
+    fn a_good_day_is_clean() {
+        let verdict = judge(&good(), &terms());
+        assert!(verdict.clean(), "{:?}", verdict.breaks);
+        assert_eq!(verdict.line(), "results: 2 of 2, each once; rules: none broken");
+    }
+
+    /// Each rule is broken once on purpose in a copy of the good day, and found, and no other is.
+    #[test]
+    fn each_broken_rule_is_found() {
+        type Break = fn(&mut Vec<Entry>);
+        let rows: [(&str, Break, Rule); 15] = [
+            ("on two machines", |h| h.insert(10, started(3.2, "run-1", 1, 7, "m1")), Rule::RanTwice),
+            ("above the limit", |h| (2..5).for_each(|n| h.insert(13, started(5.5, "run-1", n, 1, "m1"))), Rule::Quota),
+            ("another type", |h| h[8] = started(3.0, "run-1", 0, 1, "m5"), Rule::WrongPlace),
+            ("a spot machine", |h| h[8] = started(3.0, "run-1", 0, 1, "m4"), Rule::WrongPlace),
+            (
+                "two zones",
+                |h| (h[9], h[10]) = (started(3.0, "run-1", 1, 1, "m3"), lost(3.5, 1, "m3")),
+                Rule::WrongPlace,
+            ),
+            ("starts long after", |h| h.push(started(61.0, "run-2", 1, 1, "m1")), Rule::RanCancelled),
+            ("stays long after", |h| drop(h.remove(21)), Rule::RanCancelled),
+            ("404", |h| h[12] = told(5.0, "run-1", Ask::Status, 404, Status::Pending), Rule::Forgotten),
+            ("refused again", |h| h.push(told(62.0, "run-1", Ask::Submit, 422, Status::Done)), Rule::Forgotten),
+            ("nobody's job", |h| h[22] = told(17.0, "run-9", Ask::Status, 200, Status::Pending), Rule::Invented),
+            ("too early", |h| h.insert(14, told(8.5, "run-1", Ask::Status, 200, Status::Done)), Rule::NotDone),
+            ("running again", |h| h.push(told(62.0, "run-1", Ask::Status, 200, Status::Running)), Rule::WentBack),
+            ("nobody asked", |h| drop(h.remove(19)), Rule::WentBack),
+            (
+                "from one end to another",
+                |h| h[23] = told(60.0, "run-2", Ask::Status, 200, Status::Done),
+                Rule::WentBack,
+            ),
+            ("nothing", |h| h.retain(|e| !matches!(e.event, Event::Machine(_))), Rule::NothingRan),
+        ];
+        for (name, damage, rule) in rows {
+            let mut history = good();
+            damage(&mut history);
+            let verdict = judge(&history, &terms());
+            let found = verdict.first(rule).unwrap_or_else(|| panic!("{name}: {:?}", verdict.breaks));
+            assert!(!found.what.is_empty(), "{name}");
+            // A day on which nothing ran also calls a job done too early.
+            assert!(rule == Rule::NothingRan || verdict.breaks.iter().all(|b| b.rule == rule), "{name}: {verdict:?}");
+            assert!(!verdict.clean());
+        }
+        assert_eq!(Rule::ALL.iter().filter(|r| rows.iter().any(|(_, _, rule)| rule == *r)).count(), 9, "all of them");
+    }
+
+    #[test]
+    fn polls_that_all_fail_are_forgetting_only_while_others_are_answered() {
+        for (others, want) in [(Some(200), true), (None, false)] {
+            let mut history = good();
+            for n in 0..50 {
+                let at = 70.0 + f64::from(n) * 4.0;
+                let answer = |job: &str, code| Event::Answered {
+                    job: job.into(),
+                    ask: Ask::Status,
+                    code,
+                    status: code.map(|_| Status::Done),
+                };
+                history.push(entry(at, answer("run-1", others)));
+                history.push(entry(at, answer("run-2", None)));
+            }
+            let verdict = judge(&history, &terms());
+            assert_eq!(verdict.first(Rule::Forgotten).is_some(), want, "{others:?}");
+        }
+    }
+
+    #[test]
+    fn a_result_that_never_came_is_missed() {
+        let mut history = good();
+        history.retain(|e| !matches!(&e.event, Event::Machine(Happening::Ended { attempt: 2, .. })));
+        history.retain(|e| !matches!(&e.event, Event::Answered { status: Some(Status::Done), .. }));
+        let verdict = judge(&history, &terms());
+        assert_eq!((verdict.delivered, verdict.expected), (1, 2));
+        assert_eq!(verdict.lost, [task("run-1", 1)]);
+        assert!(!verdict.clean() && verdict.breaks.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/rehearsal.rs
@@ -0,0 +1,462 @@
+//! Plays a scenario: the world, controllers as processes, users, faults; and keeps what the judge
+//! and the report need.
+
+use std::collections::VecDeque;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use hollylanding_wire::jobs::{JobId, JobSpec};
+use hollylanding_wire::users::{JobAnswer, Status};
+use hollylanding_wire::{self as wire, Http};
+use hyper::Method;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::controllers::{ControllerError, Controllers};
+use crate::driver::relay::Passing;
+use crate::driver::{Link, World, lock};
+use crate::judge::{Ask, Event, Verdict, judge};
+use crate::scenario::{Condition, Fault, Plan, Trigger, Who};
+use crate::sizes::Sizes;
+use crate::world::fleet::Upload;
+
+const STEP: Duration = Duration::from_millis(50);
+const SAMPLE: Duration = Duration::from_millis(500);
+/// As the protocol has users: how long they wait for an answer, when they come again.
+const SUBMIT_WITHIN: Duration = Duration::from_secs(5);
+const ASK_WITHIN: Duration = Duration::from_secs(2);
+const COME_AGAIN: Duration = Duration::from_secs(1);
+const POLL: Duration = Duration::from_millis(1000);
+/// Longest answer time that is told apart, in milliseconds.
+const LONGEST_MS: u64 = 120_000;
+const DIGITS: u8 = 3;
+
+/// What was counted at a moment.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Sample {
+    pub at_s: f64,
+    pub running: usize,
+    pub waiting: usize,
+    pub done: usize,
+    pub booting: usize,
+    pub up: usize,
+    pub spot: usize,
+    /// Since the sample before, a second.
+    pub store_requests: f64,
+    pub store_changes: f64,
+    pub cloud_calls: f64,
+}
+
+pub struct Outcome {
+    pub verdict: Verdict,
+    pub samples: Vec<Sample>,
+    /// What was done when, and to whom.
+    pub faults: Vec<(f64, String)>,
+    /// Of submissions, in milliseconds, from the first attempt to the acceptance.
+    pub accepted_ms: Histogram<u64>,
+    pub jobs: usize,
+    pub own_ends: usize,
+    pub refused: u64,
+    pub spent: f64,
+    pub seconds: f64,
+}
+
+/// What users share.
+struct Desk {
+    world: Arc<World>,
+    addrs: Vec<String>,
+    http: Http,
+    accepted_ms: Mutex<Histogram<u64>>,
+    left: Mutex<usize>,
+    rng: Mutex<ChaCha8Rng>,
+}
+
+impl Desk {
+    fn any(&self) -> String {
+        self.addrs.choose(&mut *lock(&self.rng)).cloned().unwrap_or_default()
+    }
+
+    /// One request of a user, as the judge sees it, and when to come again.
+    async fn ask(&self, to: &str, job: &JobId, ask: Ask, body: Option<Vec<u8>>) -> Option<Status> {
+        let (method, path, within) = match ask {
+            Ask::Submit => (Method::POST, "/work".to_owned(), SUBMIT_WITHIN),
+            Ask::Status => (Method::GET, format!("/work/{job}"), ASK_WITHIN),
+            Ask::Withdraw => (Method::POST, format!("/work/{job}/withdraw"), ASK_WITHIN),
+        };
+        let body = body.or_else(|| (ask == Ask::Withdraw).then(Vec::new));
+        let answer = self.http.call(method, to, &path, body, within).await;
+        let (code, status) = match answer {
+            Ok((code @ (200 | 201), body)) => (Some(code), wire::decode::<JobAnswer>(&body).ok().map(|a| a.status)),
+            Ok((code, _)) => (Some(code), None),
+            Err(_) => (None, None),
+        };
+        self.world.note(Event::Answered { job: job.clone(), ask, code, status });
+        status
+    }
+
+    /// A user from the first attempt to submit until the job has ended.
+    async fn user(self: Arc<Self>, spec: JobSpec, withdraw_after: Option<Duration>) {
+        let (job, begun) = (spec.id.clone(), Instant::now());
+        let body = wire::encode(&spec);
+        self.world.note(Event::Submitted(Arc::new(spec)));
+        while self.ask(&self.any(), &job, Ask::Submit, Some(body.clone())).await.is_none() {
+            tokio::time::sleep(COME_AGAIN).await;
+        }
+        let took = u64::try_from(begun.elapsed().as_millis()).unwrap_or(LONGEST_MS);
+        let _ = lock(&self.accepted_ms).record(took.clamp(1, LONGEST_MS));
+        if let Some(after) = withdraw_after {
+            tokio::time::sleep(after).await;
+            self.world.note(Event::WithdrawalAsked(job.clone()));
+            while !matches!(
+                self.ask(&self.any(), &job, Ask::Withdraw, None).await,
+                Some(Status::Done | Status::Withdrawn)
+            ) {
+                tokio::time::sleep(COME_AGAIN).await;
+            }
+        } else {
+            loop {
+                tokio::time::sleep(POLL).await;
+                if let Some(Status::Done | Status::Withdrawn) = self.ask(&self.any(), &job, Ask::Status, None).await {
+                    break;
+                }
+            }
+        }
+        *lock(&self.left) -= 1;
+    }
+
+    /// Asks every controller once more about every job: an end stays an end.
+    async fn ask_all(&self, jobs: &[JobId]) {
+        for job in jobs {
+            for addr in &self.addrs {
+                self.ask(addr, job, Ask::Status, None).await;
+            }
+        }
+        self.ask(&self.any(), &"run-99999999".into(), Ask::Status, None).await;
+    }
+}
+
+/// Jobs with when they come and, if so, how long after their acceptance they are withdrawn.
+fn jobs(sizes: &Sizes, rng: &mut ChaCha8Rng) -> VecDeque<(f64, JobSpec, f64, Option<Duration>)> {
+    let mut all = Vec::new();
+    for work in &sizes.work {
+        for at in work.arrivals() {
+            let withdrawn =
+                rng.random_bool(work.withdrawn).then(|| Duration::from_secs_f64(rng.random_range(0.5..6.0)));
+            all.push((at, work, withdrawn));
+        }
+    }
+    all.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let job = |(n, (at, work, withdrawn)): (usize, (f64, &crate::sizes::Work, Option<Duration>))| {
+        let id = format!("run-{:06}", n + 1);
+        (at, work.spec(&id), work.run_s * rng.random_range(0.7..1.3), withdrawn)
+    };
+    all.into_iter().enumerate().map(job).collect()
+}
+
+struct Play {
+    world: Arc<World>,
+    controllers: Controllers,
+    rng: ChaCha8Rng,
+    /// What is to be undone, and when.
+    undo: Vec<(Instant, Undo)>,
+    told: Vec<(f64, String)>,
+    placed: usize,
+}
+
+enum Undo {
+    Open(usize, Link),
+    StoreBack,
+    CloudBack,
+    Serve(usize),
+    Well(Vec<String>),
+    End(usize),
+    StartTwice,
+}
+
+impl Play {
+    fn owner(&self) -> usize {
+        let state = lock(&self.world.state);
+        let owner = state.store.value("c/owner/0").and_then(|v| v["node"].as_str()).unwrap_or_default();
+        owner.strip_prefix("node-").and_then(|n| n.parse().ok()).unwrap_or(0)
+    }
+
+    fn these(&self, who: Who) -> Vec<usize> {
+        match who {
+            Who::All => (0..self.controllers.count()).collect(),
+            Who::Owner => vec![self.owner()],
+            Who::Number(n) => vec![n].into_iter().filter(|n| *n < self.controllers.count()).collect(),
+        }
+    }
+
+    fn some_machines(&mut self, many: crate::scenario::Many) -> Vec<String> {
+        let names: Vec<String> = self.world.with_fleet(|fleet, _| fleet.names().cloned().collect());
+        let n = many.of(names.len());
+        names.choose_multiple(&mut self.rng, n).cloned().collect()
+    }
+
+    fn holds(&self, condition: Condition) -> bool {
+        match condition {
+            Condition::HoldsResult => self.world.with_fleet(|fleet, _| fleet.holders().next().is_some()),
+            Condition::JustPlaced => lock(&self.world.starts).len() > self.placed,
+            Condition::AcknowledgedOnly => lock(&self.world.state).faults.lost > 0,
+        }
+    }
+
+    fn later(&mut self, after: Duration, undo: Undo) {
+        self.undo.push((Instant::now() + after, undo));
+    }
+
+    async fn undo_due(&mut self) {
+        let now = Instant::now();
+        let (due, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.undo).into_iter().partition(|(at, _)| *at <= now);
+        self.undo = rest;
+        for (_, undo) in due {
+            match undo {
+                Undo::Open(of, link) => self.world.gate(of, link).set(Passing::Open),
+                Undo::StoreBack => {
+                    let mut state = lock(&self.world.state);
+                    let now = state.now();
+                    state.store.set_out(false, now);
+                }
+                Undo::CloudBack => lock(&self.world.cloud).set_out(false),
+                Undo::Serve(of) => lock(&self.world.state).store.set_refused(&of.to_string(), false),
+                Undo::Well(machines) => self.world.with_fleet(|fleet, _| {
+                    machines.iter().for_each(|m| fleet.set_sick(m, false));
+                }),
+                Undo::StartTwice => self.start_twice(),
+                Undo::End(of) => self.controllers.end(of, Duration::from_secs(1)).await,
+            }
+        }
+    }
+
+    fn link(&mut self, of: usize, link: Link, passing: Passing, time: Duration) {
+        self.world.gate(of, link).set(passing);
+        self.later(time, Undo::Open(of, link));
+    }
+
+    /// Tried again until something runs that another machine has room for.
+    fn start_twice(&mut self) {
+        if !self.world.with_fleet(|fleet, now| fleet.start_twice(now)) {
+            self.later(STEP, Undo::StartTwice);
+        }
+    }
+
+    fn on_machines(&mut self, fault: &Fault) {
+        match fault {
+            Fault::LoseMachines(many) => {
+                for machine in self.some_machines(*many) {
+                    self.world.kill(&machine);
+                }
+            }
+            Fault::LoseHolder => {
+                let holder = self.world.with_fleet(|fleet, _| fleet.holders().next().cloned());
+                if let Some(machine) = holder {
+                    self.world.kill(&machine);
+                }
+            }
+            Fault::TakeSpot(part) => {
+                let events = lock(&self.world.cloud).take_spot(*part, self.world.now());
+                for event in events {
+                    if let crate::world::cloud::Event::Notice(machine, left) = event {
+                        self.world.notice(&machine, left);
+                    }
+                }
+            }
+            Fault::Hang(many, time) => {
+                let machines = self.some_machines(*many);
+                self.world.with_fleet(|fleet, now| machines.iter().for_each(|m| fleet.hang(m, now + *time)));
+            }
+            Fault::Sick(many, time) => {
+                let machines = self.some_machines(*many);
+                self.world.with_fleet(|fleet, _| machines.iter().for_each(|m| fleet.set_sick(m, true)));
+                self.later(*time, Undo::Well(machines));
+            }
+            Fault::Slow(many, by) => {
+                let machines = self.some_machines(*many);
+                self.world.with_fleet(|fleet, _| machines.iter().for_each(|m| fleet.set_speed(m, 1.0 / by)));
+            }
+            Fault::Boots(boots) => lock(&self.world.cloud).set_boots(*boots),
+            Fault::StartTwice => self.start_twice(),
+            _ => {}
+        }
+    }
+
+    fn on_store(&mut self, fault: &Fault) {
+        let world = self.world.clone();
+        let mut state = lock(&world.state);
+        let now = state.now();
+        match fault {
+            Fault::Outage(time) => {
+                state.store.set_out(true, now);
+                self.later(*time, Undo::StoreBack);
+            }
+            Fault::LoseWrites(n) => state.faults.lose += n,
+            Fault::Vanish(prefix, n) => {
+                let lost = state.store.vanish(prefix, *n);
+                self.told.push((world.now().as_secs_f64(), format!("vanished: {}", lost.join(", "))));
+            }
+            Fault::Unanswered(n) => state.faults.unanswered += n,
+            Fault::LateWrites(n, by) => state.faults.late = (*n, *by),
+            Fault::DropLeases => state.store.drop_leases(),
+            Fault::StallWatches(time) => state.faults.stalled_until = Some(Instant::now() + *time),
+            Fault::ForgetLog => state.store.forget_log(),
+            _ => {}
+        }
+    }
+
+    async fn apply(&mut self, fault: &Fault) {
+        self.told.push((self.world.now().as_secs_f64(), format!("{fault:?}")));
+        match fault {
+            Fault::Link(who, link, passing, time) => {
+                for of in self.these(*who) {
+                    self.link(of, *link, *passing, *time);
+                }
+            }
+            Fault::Peers(who, passing, time) => {
+                for of in self.these(*who) {
+                    for other in (0..self.controllers.count()).filter(|n| *n != of) {
+                        self.link(of, Link::Peer(other), *passing, *time);
+                        self.link(other, Link::Peer(of), *passing, *time);
+                    }
+                }
+            }
+            Fault::Refuse(who, time) => {
+                for of in self.these(*who) {
+                    lock(&self.world.state).store.set_refused(&of.to_string(), true);
+                    self.later(*time, Undo::Serve(of));
+                }
+            }
+            Fault::CloudOutage(time) => {
+                lock(&self.world.cloud).set_out(true);
+                self.later(*time, Undo::CloudBack);
+            }
+            Fault::End(who, again) => {
+                for of in self.these(*who) {
+                    self.controllers.end(of, *again).await;
+                }
+            }
+            Fault::Pause(who, time) => {
+                for of in self.these(*who) {
+                    self.controllers.pause(of, *time);
+                }
+            }
+            Fault::Roll(every) => {
+                for of in 0..self.controllers.count() {
+                    self.later(every.mul_f64(of as f64), Undo::End(of));
+                }
+            }
+            other => {
+                self.on_machines(other);
+                self.on_store(other);
+            }
+        }
+    }
+
+    fn sample(&self, before: &mut (u64, u64, u64), every: Duration, waiting: usize) -> Sample {
+        let (booting, up, spot) = lock(&self.world.cloud).counts();
+        let (requests, changes) = {
+            let state = lock(&self.world.state);
+            (state.requests, state.changes)
+        };
+        let calls = self.world.cloud_calls();
+        let rate = |now: u64, then: u64| (now - then) as f64 / every.as_secs_f64();
+        let (running, done) = self.world.with_fleet(|fleet, _| (fleet.live_all(), fleet.results().len()));
+        let sample = Sample {
+            at_s: self.world.now().as_secs_f64(),
+            running,
+            waiting: waiting.saturating_sub(running + done),
+            done,
+            booting,
+            up,
+            spot,
+            store_requests: rate(requests, before.0),
+            store_changes: rate(changes, before.1),
+            cloud_calls: rate(calls, before.2),
+        };
+        *before = (requests, changes, calls);
+        sample
+    }
+}
+
+/// Plays a plan to its end, or until the sizes' seconds are over. `progress` hears of results in,
+/// and of how many are expected.
+pub async fn play(
+    sizes: &Sizes,
+    plan: &Plan,
+    seed: u64,
+    binary: PathBuf,
+    folder: &Path,
+    progress: impl Fn(usize, usize),
+) -> Result<Outcome, ControllerError> {
+    let world = World::open(sizes.world(seed, true));
+    let controllers = Controllers::start(&world, sizes, binary, folder).await?;
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut coming = jobs(sizes, &mut rng);
+    let (total, tasks) = (coming.len(), coming.iter().map(|(_, spec, ..)| spec.tasks as usize).sum::<usize>());
+    let ids: Vec<JobId> = coming.iter().map(|(_, spec, ..)| spec.id.clone()).collect();
+    let desk = Arc::new(Desk {
+        world: world.clone(),
+        addrs: controllers.for_users.clone(),
+        http: Http::default(),
+        accepted_ms: Mutex::new(Histogram::new(DIGITS).expect("three digits are allowed")),
+        left: Mutex::new(total),
+        rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed ^ 1)),
+    });
+    let mut play = Play { world: world.clone(), controllers, rng, undo: vec![], told: vec![], placed: 0 };
+    let mut steps = plan.steps.clone();
+    let (mut samples, mut sampled, mut counted) = (Vec::new(), Duration::ZERO, (0, 0, 0));
+    let mut asked_for = 0;
+    let limit = Duration::from_secs_f64(sizes.seconds);
+    while world.now() < limit {
+        let now = world.now();
+        while coming.front().is_some_and(|(at, ..)| *at <= now.as_secs_f64()) {
+            let Some((_, spec, run_s, withdrawn)) = coming.pop_front() else { break };
+            asked_for += spec.tasks as usize;
+            world.upload(Upload { spec: spec.clone(), run: Duration::from_secs_f64(run_s), broken: false });
+            tokio::spawn(desk.clone().user(spec, withdrawn));
+        }
+        play.controllers.tick()?;
+        play.undo_due().await;
+        let (due, rest): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut steps).into_iter().partition(|(trigger, _)| match trigger {
+                Trigger::At(at) => *at <= now,
+                Trigger::When(condition) => play.holds(*condition),
+            });
+        steps = rest;
+        for (_, fault) in due {
+            play.apply(&fault).await;
+        }
+        play.placed = lock(&world.starts).len();
+        if now.saturating_sub(sampled) >= SAMPLE {
+            let sample = play.sample(&mut counted, now - sampled, asked_for);
+            progress(sample.done, tasks);
+            samples.push(sample);
+            sampled = now;
+        }
+        let timed = steps.iter().any(|(trigger, _)| matches!(trigger, Trigger::At(_)));
+        if *lock(&desk.left) == 0 && !timed && play.undo.is_empty() {
+            break;
+        }
+        tokio::time::sleep(STEP).await;
+    }
+    if *lock(&desk.left) == 0 {
+        desk.ask_all(&ids).await;
+    }
+    let record = std::mem::take(&mut *lock(&world.record));
+    let (refused, spent) = (lock(&world.state).refused, lock(&world.cloud).spent());
+    let accepted_ms = lock(&desk.accepted_ms).clone();
+    Ok(Outcome {
+        verdict: judge(&record, &sizes.terms()),
+        samples,
+        faults: play.told,
+        accepted_ms,
+        jobs: total,
+        own_ends: play.controllers.own_ends,
+        refused,
+        spent,
+        seconds: world.now().as_secs_f64(),
+    })
+}
--- /dev/null
+++ b/crates/emulator/src/report.rs
@@ -0,0 +1,175 @@
+//! One self-contained page about a rehearsal: verdicts, faults and plots, as HTML with SVG inside.
+
+use minijinja::{Environment, context};
+use plotters::prelude::*;
+
+use crate::judge::Rule;
+use crate::rehearsal::{Outcome, Sample};
+use crate::sizes::Sizes;
+
+const SIZE: (u32, u32) = (920, 260);
+/// Tasks told by name that have no result.
+const MOST_LOST: usize = 200;
+
+type Line<'a> = (&'a str, RGBColor, Vec<(f64, f64)>);
+
+#[derive(Debug, thiserror::Error)]
+pub enum ReportError {
+    #[error("the page: {0}")]
+    Page(#[from] minijinja::Error),
+    #[error("a plot: {0}")]
+    Plot(String),
+}
+
+fn over_time(samples: &[Sample], of: impl Fn(&Sample) -> f64) -> Vec<(f64, f64)> {
+    samples.iter().map(|s| (s.at_s, of(s))).collect()
+}
+
+/// Lines over time, each fault as a mark.
+fn plot(lines: &[Line], faults: &[(f64, String)], seconds: f64) -> Result<String, ReportError> {
+    let fail = |error: &dyn std::fmt::Display| ReportError::Plot(error.to_string());
+    let most = lines.iter().flat_map(|(.., points)| points).map(|(_, y)| *y).fold(1.0, f64::max);
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        area.fill(&WHITE).map_err(|e| fail(&e))?;
+        let mut chart = ChartBuilder::on(&area)
+            .margin(8)
+            .x_label_area_size(28)
+            .y_label_area_size(48)
+            .build_cartesian_2d(0.0..seconds.max(1.0), 0.0..most * 1.08)
+            .map_err(|e| fail(&e))?;
+        chart.configure_mesh().x_desc("s").light_line_style(WHITE).draw().map_err(|e| fail(&e))?;
+        for (at, _) in faults {
+            let mark = [(*at, 0.0), (*at, most * 1.08)];
+            chart.draw_series(LineSeries::new(mark, RGBColor(220, 150, 150))).map_err(|e| fail(&e))?;
+        }
+        for (name, colour, points) in lines {
+            let colour = *colour;
+            chart
+                .draw_series(LineSeries::new(points.iter().copied(), colour))
+                .map_err(|e| fail(&e))?
+                .label(*name)
+                .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], colour));
+        }
+        chart.configure_series_labels().background_style(WHITE).border_style(BLACK).draw().map_err(|e| fail(&e))?;
+        area.present().map_err(|e| fail(&e))?;
+    }
+    Ok(svg)
+}
+
+fn charts(sizes: &Sizes, outcome: &Outcome) -> Result<Vec<(&'static str, String)>, ReportError> {
+    let s = &outcome.samples;
+    let (blue, green, red, grey) =
+        (RGBColor(30, 90, 200), RGBColor(30, 140, 70), RGBColor(200, 60, 30), RGBColor(120, 120, 120));
+    let limit = |most: f64| vec![(0.0, most), (outcome.seconds, most)];
+    let rows: [(&str, Vec<Line>); 4] = [
+        (
+            "Tasks",
+            vec![
+                ("on machines", blue, over_time(s, |s| s.running as f64)),
+                ("waiting", red, over_time(s, |s| s.waiting as f64)),
+                ("done", green, over_time(s, |s| s.done as f64)),
+            ],
+        ),
+        (
+            "Machines",
+            vec![
+                ("up", green, over_time(s, |s| s.up as f64)),
+                ("of these spot", blue, over_time(s, |s| s.spot as f64)),
+                ("booting", grey, over_time(s, |s| s.booting as f64)),
+            ],
+        ),
+        (
+            "State service: requests and changes a second, with their limits",
+            vec![
+                ("requests", blue, over_time(s, |s| s.store_requests)),
+                ("limit", grey, limit(sizes.state.requests_per_second)),
+                ("changes", red, over_time(s, |s| s.store_changes)),
+                ("limit", grey, limit(sizes.state.changes_per_second)),
+            ],
+        ),
+        (
+            "Cloud: requests a second, with their limit",
+            vec![
+                ("requests", blue, over_time(s, |s| s.cloud_calls)),
+                ("limit", grey, limit(sizes.cloud.requests_per_second)),
+            ],
+        ),
+    ];
+    let seconds = outcome.seconds;
+    rows.into_iter().map(|(title, lines)| Ok((title, plot(&lines, &outcome.faults, seconds)?))).collect()
+}
+
+/// The whole page.
+pub fn page(title: &str, sizes: &Sizes, outcome: &Outcome) -> Result<String, ReportError> {
+    let verdict = &outcome.verdict;
+    let rules: Vec<_> = Rule::ALL
+        .iter()
+        .map(|rule| {
+            let first = verdict.first(*rule);
+            context! {
+                name => rule.name(),
+                count => verdict.breaks.iter().filter(|b| b.rule == *rule).count(),
+                what => first.map_or(String::new(), |b| format!("{:.1} s: {}", b.at.as_secs_f64(), b.what)),
+                history => first.map_or_else(Vec::new, |b| b.history.clone()),
+            }
+        })
+        .collect();
+    let ms = |q: f64| format!("{} ms", outcome.accepted_ms.value_at_quantile(q));
+    let facts = [
+        ("played", format!("{:.1} s", outcome.seconds)),
+        ("jobs, tasks with a result", format!("{}, {} of {}", outcome.jobs, verdict.delivered, verdict.expected)),
+        ("submissions accepted after (p50, p95, p99)", [ms(0.5), ms(0.95), ms(0.99)].join(", ")),
+        ("controllers ended by themselves", outcome.own_ends.to_string()),
+        ("requests beyond the state service's limits", outcome.refused.to_string()),
+        ("money spent", format!("{:.3}", outcome.spent)),
+    ];
+    let lost: Vec<String> = verdict.lost.iter().take(MOST_LOST).map(|t| format!("{}/{}", t.job, t.index)).collect();
+    let faults: Vec<(String, &String)> = outcome.faults.iter().map(|(at, what)| (format!("{at:.1}"), what)).collect();
+    let mut environment = Environment::new();
+    environment.add_template("report.html", include_str!("report.html"))?;
+    let page = environment.get_template("report.html")?.render(context! {
+        title, rules, facts, faults,
+        clean => verdict.clean(),
+        line => verdict.line(),
+        lost => lost.join(" "),
+        charts => charts(sizes, outcome)?,
+    })?;
+    Ok(page)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::judge::{Break, Verdict};
+    use std::time::Duration;
+
+    #[test]
+    fn a_page_tells_the_verdict_and_escapes_what_it_is_told() {
+        let sizes = Sizes::parse(crate::sizes::DEFAULT).unwrap();
+        let broken = Break {
+            rule: Rule::RanTwice,
+            at: Duration::from_secs(3),
+            what: "a <b> & c".into(),
+            history: vec!["first".into()],
+        };
+        let outcome = Outcome {
+            verdict: Verdict { breaks: vec![broken], expected: 4, delivered: 4, ..Verdict::default() },
+            samples: (0..9).map(|n| Sample { at_s: f64::from(n), running: 3, ..Sample::default() }).collect(),
+            faults: vec![(2.0, "DropLeases".into())],
+            accepted_ms: hdrhistogram::Histogram::new(3).unwrap(),
+            jobs: 2,
+            own_ends: 0,
+            refused: 0,
+            spent: 0.5,
+            seconds: 9.0,
+        };
+        let page = page("half", &sizes, &outcome).unwrap();
+        for part in ["rules: broken: ran_twice", "a &lt;b&gt; &amp; c", "first", "DropLeases"] {
+            assert!(page.contains(part), "{part}");
+        }
+        assert_eq!(page.matches("<svg").count(), 4, "four plots, inside the page");
+        assert!(!page.contains("<script") && !page.contains("href="), "and nothing from elsewhere");
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/scenario.rs
@@ -0,0 +1,305 @@
+//! Scenarios: which faults come when, from a script that is read once and bounded in all it does.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rhai::{Dynamic, Engine, EvalAltResult};
+
+use crate::driver::relay::Passing;
+use crate::driver::{Link, lock};
+use crate::world::cloud::Boots;
+
+/// Controllers that something happens to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Who {
+    Number(usize),
+    Owner,
+    All,
+}
+
+/// How many machines: a part of them, or so many.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Many {
+    Part(f64),
+    Count(usize),
+}
+
+impl Many {
+    pub fn of(self, all: usize) -> usize {
+        match self {
+            Self::Part(part) => (all as f64 * part).round() as usize,
+            Self::Count(n) => n.min(all),
+        }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Fault {
+    LoseMachines(Many),
+    /// A machine that holds a finished result vanishes.
+    LoseHolder,
+    TakeSpot(f64),
+    Hang(Many, Duration),
+    Sick(Many, Duration),
+    Slow(Many, f64),
+    Boots(Boots),
+    Link(Who, Link, Passing, Duration),
+    /// All links to the other controllers.
+    Peers(Who, Passing, Duration),
+    Outage(Duration),
+    CloudOutage(Duration),
+    Refuse(Who, Duration),
+    /// Writes acknowledged and never carried out.
+    LoseWrites(u32),
+    /// The newest keys under a prefix vanish.
+    Vanish(String, usize),
+    Unanswered(u32),
+    LateWrites(u32, Duration),
+    DropLeases,
+    StallWatches(Duration),
+    ForgetLog,
+    /// Ended without a word, and started again this much later.
+    End(Who, Duration),
+    Pause(Who, Duration),
+    /// One after the other, so far apart.
+    Roll(Duration),
+    /// Breaks a rule on purpose: a running task is started on a second machine.
+    StartTwice,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Condition {
+    HoldsResult,
+    JustPlaced,
+    AcknowledgedOnly,
+}
+
+const CONDITIONS: [(&str, Condition); 3] = [
+    ("a machine holds a finished result", Condition::HoldsResult),
+    ("the owner has just placed", Condition::JustPlaced),
+    ("a write is acknowledged and not carried out", Condition::AcknowledgedOnly),
+];
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Trigger {
+    At(Duration),
+    When(Condition),
+}
+
+/// Everything that is to go wrong, in the order in which it was written.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Plan {
+    pub steps: Vec<(Trigger, Fault)>,
+    /// The file of sizes that the script asks for, beside it.
+    pub sizes: Option<String>,
+}
+
+#[derive(Debug, thiserror::Error)]
+#[error("line {line}: {why}")]
+pub struct ScriptError {
+    pub line: usize,
+    pub why: String,
+}
+
+type Told<T> = Result<T, Box<EvalAltResult>>;
+
+/// Steps of a plan, and seconds of a scenario, at the most.
+const MOST_STEPS: usize = 1000;
+const MOST_SECONDS: f64 = 86_400.0;
+
+fn number(value: &Dynamic) -> Told<f64> {
+    let number = value.as_float().or_else(|_| value.as_int().map(|n| n as f64));
+    let number = number.map_err(|kind| format!("a number is wanted and not a {kind}"))?;
+    if (0.0..=MOST_SECONDS).contains(&number) {
+        Ok(number)
+    } else {
+        Err(format!("{number} is not between 0 and {MOST_SECONDS}").into())
+    }
+}
+
+fn seconds(value: &Dynamic) -> Told<Duration> {
+    number(value).map(Duration::from_secs_f64)
+}
+
+fn many(value: &Dynamic) -> Told<Many> {
+    if let Ok(n) = value.as_int() {
+        return Ok(Many::Count(usize::try_from(n).map_err(|_| format!("{n} machines"))?));
+    }
+    match number(value)? {
+        part if part <= 1.0 => Ok(Many::Part(part)),
+        more => Err(format!("{more} is no part: from 0 to 1, or a whole number of machines").into()),
+    }
+}
+
+fn who(value: &Dynamic) -> Told<Who> {
+    if let Ok(n) = value.as_int() {
+        return Ok(Who::Number(usize::try_from(n).map_err(|_| format!("controller {n}"))?));
+    }
+    match value.clone().into_string().unwrap_or_default().as_str() {
+        "owner" => Ok(Who::Owner),
+        "all" => Ok(Who::All),
+        other => Err(format!("{other:?} is no controller: a number from 0, \"owner\" or \"all\"").into()),
+    }
+}
+
+fn link_fault(of: &Dynamic, link: &str, passing: Passing, time: &Dynamic) -> Told<Fault> {
+    let (of, time) = (who(of)?, seconds(time)?);
+    let link = match link {
+        "store" => Link::Store,
+        "cloud" => Link::Cloud,
+        "workers" => Link::Workers,
+        "users" => Link::Users,
+        "peers" => return Ok(Fault::Peers(of, passing, time)),
+        other => return Err(format!("{other:?} is no link: store, cloud, workers, users or peers").into()),
+    };
+    Ok(Fault::Link(of, link, passing, time))
+}
+
+fn add(plan: &Mutex<Plan>, trigger: Trigger, fault: Fault) -> Told<()> {
+    let mut plan = lock(plan);
+    if plan.steps.len() >= MOST_STEPS {
+        return Err(format!("more than {MOST_STEPS} faults").into());
+    }
+    plan.steps.push((trigger, fault));
+    Ok(())
+}
+
+/// Bounded, so that a wrong script ends with an error and not with the machine.
+fn engine() -> Engine {
+    let mut engine = Engine::new();
+    engine.set_max_operations(200_000);
+    engine.set_max_call_levels(16);
+    engine.set_max_expr_depths(32, 16);
+    engine.set_max_string_size(10_000);
+    engine.set_max_array_size(10_000);
+    engine.set_max_map_size(1000);
+    engine.disable_symbol("eval");
+    engine
+}
+
+fn machine_faults(engine: &mut Engine) {
+    engine
+        .register_type_with_name::<Fault>("Fault")
+        .register_fn("lose_machines", |n: Dynamic| many(&n).map(Fault::LoseMachines))
+        .register_fn("lose_holder", || Fault::LoseHolder)
+        .register_fn("take_spot", |part: Dynamic| number(&part).map(Fault::TakeSpot))
+        .register_fn("hang", |n: Dynamic, s: Dynamic| Told::Ok(Fault::Hang(many(&n)?, seconds(&s)?)))
+        .register_fn("sick", |n: Dynamic, s: Dynamic| Told::Ok(Fault::Sick(many(&n)?, seconds(&s)?)))
+        .register_fn("slow", |n: Dynamic, by: Dynamic| Told::Ok(Fault::Slow(many(&n)?, number(&by)?.max(1.0))))
+        .register_fn("start_twice", || Fault::StartTwice)
+        .register_fn("boots", |how: &str| {
+            Told::Ok(Fault::Boots(match how {
+                "usual" => Boots::Usual,
+                "at once" => Boots::AtOnce,
+                "never" => Boots::Never,
+                other => return Err(format!("{other:?} is no way to boot: usual, at once or never").into()),
+            }))
+        });
+}
+
+fn store_faults(engine: &mut Engine) {
+    let count = |n: i64| -> Told<u32> { u32::try_from(n).map_err(|_| format!("{n} is no count").into()) };
+    engine
+        .register_fn("outage", |s: Dynamic| seconds(&s).map(Fault::Outage))
+        .register_fn("cloud_outage", |s: Dynamic| seconds(&s).map(Fault::CloudOutage))
+        .register_fn("refuse", |of: Dynamic, s: Dynamic| Told::Ok(Fault::Refuse(who(&of)?, seconds(&s)?)))
+        .register_fn("lose_writes", move |n: i64| count(n).map(Fault::LoseWrites))
+        .register_fn("vanish", move |prefix: &str, n: i64| Told::Ok(Fault::Vanish(prefix.into(), count(n)? as usize)))
+        .register_fn("unanswered", move |n: i64| count(n).map(Fault::Unanswered))
+        .register_fn("late_writes", move |n: i64, s: Dynamic| Told::Ok(Fault::LateWrites(count(n)?, seconds(&s)?)))
+        .register_fn("drop_leases", || Fault::DropLeases)
+        .register_fn("stall_watches", |s: Dynamic| seconds(&s).map(Fault::StallWatches))
+        .register_fn("forget_log", || Fault::ForgetLog);
+}
+
+fn controller_faults(engine: &mut Engine) {
+    engine
+        .register_fn("cut", |of: Dynamic, link: &str, s: Dynamic| link_fault(&of, link, Passing::Held, &s))
+        .register_fn("reset", |of: Dynamic, link: &str, s: Dynamic| link_fault(&of, link, Passing::Reset, &s))
+        .register_fn("delay", |of: Dynamic, link: &str, by: Dynamic, s: Dynamic| {
+            link_fault(&of, link, Passing::Delayed(seconds(&by)?), &s)
+        })
+        .register_fn("end", |of: Dynamic, s: Dynamic| Told::Ok(Fault::End(who(&of)?, seconds(&s)?)))
+        .register_fn("pause", |of: Dynamic, s: Dynamic| Told::Ok(Fault::Pause(who(&of)?, seconds(&s)?)))
+        .register_fn("roll", |every: Dynamic| seconds(&every).map(Fault::Roll));
+}
+
+/// Reads a script; luck comes from the seed.
+pub fn read(script: &str, seed: u64) -> Result<Plan, ScriptError> {
+    let plan = Arc::new(Mutex::new(Plan::default()));
+    let mut engine = engine();
+    machine_faults(&mut engine);
+    store_faults(&mut engine);
+    controller_faults(&mut engine);
+    let (at, when, some_time, sizes) = (plan.clone(), plan.clone(), plan.clone(), plan.clone());
+    let rng = Mutex::new(ChaCha8Rng::seed_from_u64(seed));
+    engine
+        .register_fn("at", move |s: Dynamic, fault: Fault| add(&at, Trigger::At(seconds(&s)?), fault))
+        .register_fn("when", move |so: &str, fault: Fault| {
+            let known = CONDITIONS.iter().find(|(name, _)| *name == so);
+            let names: Vec<&str> = CONDITIONS.iter().map(|(name, _)| *name).collect();
+            let (_, condition) = known.ok_or_else(|| format!("{so:?} is none of: {}", names.join("; ")))?;
+            add(&when, Trigger::When(*condition), fault)
+        })
+        .register_fn("at_random", move |from: Dynamic, to: Dynamic, fault: Fault| {
+            let (from, to) = (number(&from)?, number(&to)?);
+            if from > to {
+                return Err(format!("{from} is after {to}").into());
+            }
+            let drawn = lock(&rng).random_range(from..=to);
+            add(&some_time, Trigger::At(Duration::from_secs_f64(drawn)), fault)
+        })
+        .register_fn("sizes", move |file: &str| lock(&sizes).sizes = Some(file.to_owned()));
+    let run = engine
+        .run(script)
+        .map_err(|error| ScriptError { line: error.position().line().unwrap_or(1), why: error.to_string() });
+    run?;
+    let plan = lock(&plan).clone();
+    Ok(plan)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn scripts_by_cases() {
+        let s = Duration::from_secs;
+        type Steps = Vec<(Trigger, Fault)>;
+        let rows: [(&str, Result<Steps, &str>); 9] = [
+            (
+                "for n in 0..2 { at(10 + n, end(n, 3)) }",
+                Ok(vec![
+                    (Trigger::At(s(10)), Fault::End(Who::Number(0), s(3))),
+                    (Trigger::At(s(11)), Fault::End(Who::Number(1), s(3))),
+                ]),
+            ),
+            (
+                "when(\"the owner has just placed\", lose_machines(0.5));\nat(2, cut(\"owner\", \"store\", 9.0));",
+                Ok(vec![
+                    (Trigger::When(Condition::JustPlaced), Fault::LoseMachines(Many::Part(0.5))),
+                    (Trigger::At(s(2)), Fault::Link(Who::Owner, Link::Store, Passing::Held, s(9))),
+                ]),
+            ),
+            ("\n\nat(1, hang(2, ))", Err("line 3")),
+            ("at(1, cut(\"owner\", \"moon\", 9))", Err("\"moon\" is no link")),
+            ("at(-1, drop_leases())", Err("is not between")),
+            ("when(\"it rains\", drop_leases())", Err("is none of")),
+            ("at(1, take_spots(1))", Err("Function not found")),
+            ("loop { }", Err("Too many operations")),
+            ("loop { at(1, drop_leases()) }", Err("more than 1000 faults")),
+        ];
+        for (script, want) in rows {
+            match (read(script, 1), want) {
+                (Ok(plan), Ok(steps)) => assert_eq!(plan.steps, steps, "{script}"),
+                (Err(error), Err(why)) => assert!(error.to_string().contains(why), "{script}: {error}"),
+                (got, _) => panic!("{script}: {got:?}"),
+            }
+        }
+        let drawn = |seed| read("for n in 0..5 { at_random(1, 9, lose_machines(1)) }", seed).unwrap();
+        assert_eq!(drawn(7), drawn(7), "the same for the same seed");
+        assert_ne!(drawn(7), drawn(8));
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/sizes.rs
@@ -0,0 +1,380 @@
+//! Sizes of a rehearsal: controllers, limits, machines, teams and work, from a checked TOML file.
+
+use std::time::Duration;
+
+use hollylanding_wire::cloud::MachineType;
+use hollylanding_wire::jobs::{JobSpec, Shape, Urgency};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::driver;
+use crate::judge::Terms;
+use crate::world::cloud::{self, Boots, Capacity};
+use crate::world::fleet;
+use crate::world::store::Limits;
+
+/// What there is without a file.
+pub const DEFAULT: &str = include_str!("../../../scenarios/default.toml");
+
+#[derive(Debug, thiserror::Error)]
+pub enum SizesError {
+    /// Says line and column itself.
+    #[error("{0}")]
+    Form(#[from] toml::de::Error),
+    #[error("{field}: {problem}")]
+    Value { field: String, problem: String },
+}
+
+/// Times are in seconds, amounts as in a job's description.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Sizes {
+    pub controllers: usize,
+    /// Longest play; what is not done by then is lost.
+    pub seconds: f64,
+    pub state: State,
+    pub cloud: Cloud,
+    pub workers: Workers,
+    pub machines: Vec<Machine>,
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    pub work: Vec<Work>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct State {
+    pub requests_per_second: f64,
+    pub changes_per_second: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cloud {
+    pub requests_per_second: f64,
+    pub list_lag_s: f64,
+    pub notice_s: f64,
+    /// Parts of the machines: spot ones taken without notice, ones that never come up, slow ones.
+    #[serde(default)]
+    pub silent: f64,
+    #[serde(default)]
+    pub never_up: f64,
+    #[serde(default)]
+    pub slow_up: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Machine {
+    pub name: String,
+    pub cpus: f64,
+    #[serde(default)]
+    pub accelerators: f64,
+    pub memory_gb: f64,
+    pub price: f64,
+    pub spot_price: f64,
+    pub boot_s: f64,
+    pub fetch_gb_per_s: f64,
+    #[serde(default)]
+    pub cache_gb: Option<f64>,
+    /// Zones with how many there are, ordinary and spot ones.
+    pub zones: Vec<(String, u64, u64)>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub accelerators: f64,
+    #[serde(default)]
+    pub accelerators_max: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn normal() -> Urgency {
+    Urgency::Normal
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Work {
+    pub name: String,
+    pub team: String,
+    pub shape: Shape,
+    #[serde(default = "normal")]
+    pub urgency: Urgency,
+    pub tasks: u64,
+    pub cpus: f64,
+    #[serde(default)]
+    pub accelerators: f64,
+    pub memory_gb: f64,
+    #[serde(default)]
+    pub image_gb: f64,
+    /// How long a task runs, and how many times that its owner expects.
+    pub run_s: f64,
+    #[serde(default = "one")]
+    pub estimate: f64,
+    #[serde(default)]
+    pub checkpoint_s: f64,
+    #[serde(default)]
+    pub save_s: f64,
+    #[serde(default)]
+    pub due_s: Option<f64>,
+    #[serde(default)]
+    pub spot: bool,
+    #[serde(default)]
+    pub same_zone: bool,
+    #[serde(default)]
+    pub spread: bool,
+    /// Jobs at the start, and more of them a second for so long.
+    #[serde(default)]
+    pub jobs: u64,
+    #[serde(default)]
+    pub per_second: f64,
+    #[serde(default)]
+    pub for_s: f64,
+    /// The part of them whose users withdraw them a few seconds later.
+    #[serde(default)]
+    pub withdrawn: f64,
+}
+
+impl Work {
+    /// A job of this kind.
+    pub fn spec(&self, id: &str) -> JobSpec {
+        JobSpec {
+            id: id.into(),
+            class: self.name.clone(),
+            team: self.team.clone(),
+            shape: self.shape,
+            urgency: self.urgency,
+            tasks: self.tasks,
+            cpus: self.cpus,
+            gpus: self.accelerators,
+            memory_gb: self.memory_gb,
+            image: format!("image-{}", self.name),
+            image_gb: self.image_gb,
+            types: None,
+            zone: None,
+            same_zone: self.same_zone,
+            spread: self.spread,
+            spot: self.spot,
+            estimate_s: if self.shape == Shape::Service { 0.0 } else { self.run_s * self.estimate },
+            checkpoint_s: self.checkpoint_s,
+            save_s: self.save_s,
+            due_s: self.due_s,
+        }
+    }
+
+    /// When each of its jobs comes.
+    pub fn arrivals(&self) -> impl Iterator<Item = f64> {
+        let later = (self.per_second * self.for_s) as u64;
+        let every = 1.0 / self.per_second.max(1e-9);
+        (0..self.jobs).map(|_| 0.0).chain((1..=later).map(move |n| n as f64 * every))
+    }
+}
+
+/// Jobs of a rehearsal at the most, and machines.
+const MOST: f64 = 100_000.0;
+
+impl Sizes {
+    pub fn parse(text: &str) -> Result<Self, SizesError> {
+        let sizes: Self = toml::from_str(text)?;
+        sizes.check()?;
+        Ok(sizes)
+    }
+
+    fn check(&self) -> Result<(), SizesError> {
+        let fail = |field: String, problem: String| Err(SizesError::Value { field, problem });
+        let mut amounts = vec![
+            ("seconds".to_owned(), self.seconds, 1.0, 86_400.0),
+            ("controllers".into(), self.controllers as f64, 1.0, 9.0),
+            ("state.requests_per_second".into(), self.state.requests_per_second, 5.0, 1e6),
+            ("state.changes_per_second".into(), self.state.changes_per_second, 2.0, 1e6),
+            ("state.value_kb".into(), self.state.value_kb, 8.0, 64.0),
+            ("state.txn_ops".into(), self.state.txn_ops as f64, 4.0, 1000.0),
+            ("cloud.requests_per_second".into(), self.cloud.requests_per_second, 1.0, 1e6),
+            ("cloud.list_lag_s".into(), self.cloud.list_lag_s, 0.0, 600.0),
+            ("cloud.notice_s".into(), self.cloud.notice_s, 0.0, 3600.0),
+            ("workers.report_s".into(), self.workers.report_s, 0.05, 60.0),
+            ("workers.lease_s".into(), self.workers.lease_s, 1.0, 600.0),
+            ("workers.cancel_s".into(), self.workers.cancel_s, 1.0, 600.0),
+        ];
+        for part in [("cloud.silent", self.cloud.silent), ("cloud.never_up", self.cloud.never_up)] {
+            amounts.push((part.0.to_owned(), part.1, 0.0, 1.0));
+        }
+        for machine in &self.machines {
+            let field = |name: &str| format!("machines.{}.{name}", machine.name);
+            amounts.push((field("cpus"), machine.cpus, 0.01, 1e6));
+            amounts.push((field("memory_gb"), machine.memory_gb, 0.01, 1e6));
+            amounts.push((field("boot_s"), machine.boot_s, 0.0, 3600.0));
+            amounts.push((field("fetch_gb_per_s"), machine.fetch_gb_per_s, 0.001, 1e6));
+            if machine.zones.is_empty() {
+                return fail(field("zones"), "none is given".into());
+            }
+        }
+        for work in &self.work {
+            let field = |name: &str| format!("work.{}.{name}", work.name);
+            amounts.push((field("run_s"), work.run_s, 0.0, 86_400.0));
+            amounts.push((field("withdrawn"), work.withdrawn, 0.0, 1.0));
+            amounts.push((field("jobs"), work.jobs as f64 + work.per_second * work.for_s, 0.0, MOST));
+            if let Err(problem) = work.spec("run-1").check() {
+                return fail(format!("work.{}", work.name), problem);
+            }
+            if !self.teams.is_empty() && !self.teams.iter().any(|t| t.name == work.team) {
+                return fail(field("team"), format!("{:?} is no team", work.team));
+            }
+            let fits = |m: &&Machine| {
+                work.cpus <= m.cpus && work.memory_gb <= m.memory_gb && work.accelerators <= m.accelerators
+            };
+            if !self.machines.iter().any(|m| fits(&m)) {
+                return fail(field("cpus"), "a task fits no machine".into());
+            }
+        }
+        for (field, value, least, most) in amounts {
+            if !(least..=most).contains(&value) {
+                return fail(field, format!("{value} is not between {least} and {most}"));
+            }
+        }
+        if self.machines.is_empty() || self.work.is_empty() {
+            return fail("machines, work".into(), "at least one of each is needed".into());
+        }
+        Ok(())
+    }
+
+    fn team_names(&self) -> Vec<String> {
+        let named = self.teams.iter().map(|t| t.name.clone());
+        let of_work = self.work.iter().map(|w| w.team.clone());
+        let mut names: Vec<String> = if self.teams.is_empty() { of_work.collect() } else { named.collect() };
+        names.sort_unstable();
+        names.dedup();
+        names
+    }
+
+    pub fn zones(&self) -> Vec<String> {
+        let mut zones: Vec<String> =
+            self.machines.iter().flat_map(|m| m.zones.iter().map(|(zone, ..)| zone.clone())).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones
+    }
+
+    pub fn world(&self, seed: u64, judged: bool) -> driver::Params {
+        let types = self.machines.iter().map(|m| MachineType {
+            name: m.name.clone(),
+            cpus: m.cpus,
+            gpus: m.accelerators,
+            memory_gb: m.memory_gb,
+            fetch_gb_per_s: m.fetch_gb_per_s,
+            cache_gb: m.cache_gb,
+            price: m.price,
+            spot_price: m.spot_price,
+            boot_s: m.boot_s,
+            zones: m.zones.iter().map(|(zone, ..)| zone.clone()).collect(),
+        });
+        let capacity = self.machines.iter().flat_map(|m| {
+            let of = |(zone, ordinary, spot): &(String, u64, u64)| Capacity {
+                type_name: m.name.clone(),
+                zone: zone.clone(),
+                ordinary: *ordinary,
+                spot: *spot,
+            };
+            m.zones.iter().map(of)
+        });
+        let seconds = Duration::from_secs_f64;
+        driver::Params {
+            limits: Limits {
+                requests_per_second: self.state.requests_per_second,
+                changes_per_second: self.state.changes_per_second,
+                value_kb: self.state.value_kb,
+                txn_ops: self.state.txn_ops,
+            },
+            cloud: cloud::Params {
+                types: types.collect(),
+                capacity: capacity.collect(),
+                requests_per_second: self.cloud.requests_per_second,
+                list_lag: seconds(self.cloud.list_lag_s),
+                notice: seconds(self.cloud.notice_s),
+                silent: self.cloud.silent,
+                never_up: self.cloud.never_up,
+                slow_up: self.cloud.slow_up,
+            },
+            fleet: fleet::Params {
+                lease: seconds(self.workers.lease_s),
+                gang_wait: seconds(self.workers.gang_wait_s),
+                gang_peer: seconds(self.workers.gang_peer_s),
+            },
+            boots: Boots::Usual,
+            report: seconds(self.workers.report_s),
+            page_most: usize::MAX,
+            seed,
+            judged,
+        }
+    }
+
+    pub fn terms(&self) -> Terms {
+        let quotas = self.teams.iter().map(|t| (t.name.clone(), (t.cpus_max, t.accelerators_max)));
+        Terms { quotas: quotas.collect(), cancel: Duration::from_secs_f64(self.workers.cancel_s) }
+    }
+
+    /// `params` of a controller's settings.
+    pub fn settings(&self) -> Value {
+        let team = |name: String| {
+            let of = self.teams.iter().find(|t| t.name == name);
+            let amounts = of.map(|t| (t.cpus, t.cpus_max, t.accelerators, t.accelerators_max)).unwrap_or_default();
+            json!({"name": name, "cpus": amounts.0, "cpus_max": amounts.1, "gpus": amounts.2, "gpus_max": amounts.3})
+        };
+        let w = &self.workers;
+        json!({
+            "size": self.controllers, "zones": self.zones(),
+            "teams": self.team_names().into_iter().map(team).collect::<Vec<_>>(), "objectives": [],
+            "workers": {"report_s": w.report_s, "lease_s": w.lease_s, "gang_wait_s": w.gang_wait_s,
+                "gang_peer_s": w.gang_peer_s, "cancel_s": w.cancel_s},
+            "state": {"rps": self.state.requests_per_second, "write_rps": self.state.changes_per_second,
+                "value_kb": self.state.value_kb, "txn_ops": self.state.txn_ops},
+            "cloud": {"rps": self.cloud.requests_per_second, "list_lag_s": self.cloud.list_lag_s},
+            "resources": {"cores": 1.0, "memory_mb": 512.0, "max_sockets": 10_000},
+            "skew_ms": 25.0,
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_default_is_good_and_errors_name_line_or_field() {
+        Sizes::parse(DEFAULT).unwrap();
+        for (name, from, to, want) in [
+            ("no TOML", "controllers = 3", "controllers = ", "line 3"),
+            ("unknown field", "controllers = 3", "controlers = 3", "unknown field `controlers`"),
+            ("too many", "controllers = 3", "controllers = 30", "controllers: 30 is not between 1 and 9"),
+            ("nothing fits", "cpus = 1.0", "cpus = 99.0", "a task fits no machine"),
+            ("no team", "team = \"planning\"", "team = \"nobody\"", "\"nobody\" is no team"),
+        ] {
+            assert!(DEFAULT.contains(from), "{name}");
+            let error = Sizes::parse(&DEFAULT.replacen(from, to, 1)).map(|_| ()).unwrap_err().to_string();
+            assert!(error.contains(want), "{name}: {error}");
+        }
+    }
+}
--- a/crates/emulator/src/world/cloud.rs
+++ b/crates/emulator/src/world/cloud.rs
@@ -382,6 +382,25 @@
         events
     }
 
+    /// A machine's type, zone and kind.
+    pub fn machine(&self, name: &str) -> Option<(MachineType, String, bool)> {
+        let machine = self.machines.get(name)?;
+        let of = self.params.types.iter().find(|t| t.name == machine.type_name)?;
+        Some((of.clone(), machine.zone.clone(), machine.spot))
+    }
+
+    /// Machines held, by how they are: booting, up, and of these spot ones.
+    pub fn counts(&self) -> (usize, usize, usize) {
+        let held = self.machines.values().filter(|m| m.gone.is_none());
+        let (mut booting, mut up, mut spot) = (0, 0, 0);
+        for machine in held {
+            booting += usize::from(!machine.was_up);
+            up += usize::from(machine.was_up && machine.died.is_none());
+            spot += usize::from(machine.was_up && machine.died.is_none() && machine.spot);
+        }
+        (booting, up, spot)
+    }
+
     /// Money spent so far.
     pub fn spent(&self) -> f64 {
         self.spent
--- a/crates/emulator/src/world/store.rs
+++ b/crates/emulator/src/world/store.rs
@@ -167,6 +167,11 @@
         if self.requests.take(1.0, now) { Ok(()) } else { Err(Refusal::TooMany) }
     }
 
+    /// Whether a node is served at all at the moment.
+    pub fn serves(&self, node: &str) -> bool {
+        !self.out && !self.refused.contains(node)
+    }
+
     /// Ends what is due. Nothing ends during an outage.
     pub fn end_leases(&mut self, now: Duration) {
         if self.out {
@@ -226,6 +231,30 @@
             .map(|(key, kept)| (key.as_str(), &kept.value, kept.stamp))
     }
 
+    /// What breaks the service's promise: the newest keys under a prefix vanish, and nobody is told.
+    pub fn vanish(&mut self, prefix: &str, n: usize) -> Vec<String> {
+        let mut found: Vec<(u64, String)> = self.under(prefix).map(|(key, _, stamp)| (stamp, key.to_owned())).collect();
+        found.sort_unstable();
+        let lost: Vec<String> = found.into_iter().rev().take(n).map(|(_, key)| key).collect();
+        for key in &lost {
+            self.keys.remove(key);
+        }
+        lost
+    }
+
+    /// Every lease ends at once.
+    pub fn drop_leases(&mut self) {
+        for permit in self.leases.keys().copied().collect::<Vec<_>>() {
+            self.end_lease(permit);
+        }
+    }
+
+    /// Forgets all changes: whoever follows has to read anew.
+    pub fn forget_log(&mut self) {
+        self.log.clear();
+        self.forgotten = self.revision;
+    }
+
     /// `GET /keys/{key}`
     pub fn get(&self, key: &str) -> Result<Item, Refusal> {
         well_formed(key)?;
