--- a/src/users/mod.rs
+++ b/src/users/mod.rs
@@ -179,7 +179,7 @@
     for _ in 0..RETRIES {
         match node.store.txn(&accept.conditions, &accept.changes, Urgent::First).await {
             Ok(TxnOutcome::Applied(_)) => {
-                info!(job = %id, class = record.spec.class, tasks = record.spec.tasks, "accepted");
+                info!(job = %id, team = record.spec.team, class = record.spec.class, tasks = record.spec.tasks, "accepted");
                 lock(&node.audit).note(Held::Accepted(Arc::new(record)));
                 let job = JobAnswer { id: id.to_string(), status: Status::Pending, done: 0, running: 0 };
                 return Reply::Job(201, job);
