--- a/src/fleet/forecast.rs
+++ b/src/fleet/forecast.rs
@@ -161,30 +161,3 @@
         self.push(timelines, slot.which);
     }
 }
-
-/// Within how many seconds from now the job's next task should start, by each thing its user was
-/// promised: its deadline and the multiples of it that the objectives name, a start, a finish
-/// (less the run time, with a margin for the estimate). Earliest first; what is past is left out.
-pub fn promises_s(book: &Book, job: &JobState, age: Duration) -> Vec<f64> {
-    const MARGIN: f64 = 1.2;
-    let run = job.agreement.run.as_secs_f64() * MARGIN;
-    let spec = job.spec();
-    let age = age.as_secs_f64();
-    let asked = book.settings.params.objectives.iter().filter(|o| o.class == spec.class);
-    let mut promises: Vec<f64> = asked
-        .filter_map(|o| match (o.kind.as_str(), spec.due_s) {
-            ("deadline", Some(due)) if o.times > 0.0 => Some(due * o.times - age - run),
-            ("finished", _) if o.within_s > 0.0 => Some(o.within_s - age - run),
-            ("wait", _) if o.within_s > 0.0 => Some(o.within_s - age),
-            _ => None,
-        })
-        .collect();
-    match spec.due_s {
-        Some(due) => promises.push(due - age - run),
-        None if promises.is_empty() => promises.push(job.agreement.deadline.as_secs_f64() - age - run),
-        None => {}
-    }
-    promises.retain(|s| *s > 0.0);
-    promises.sort_by(f64::total_cmp);
-    promises
-}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -72,6 +72,15 @@
     next: u64,
 }
 
+impl Dealings {
+    fn no_longer_asked(&mut self, kind: &Kind, count: u64) {
+        if let Some(asked) = self.asked.get_mut(kind) {
+            *asked = asked.saturating_sub(count);
+        }
+        self.asked.retain(|_, n| *n > 0);
+    }
+}
+
 type Shared = Arc<std::sync::Mutex<Dealings>>;
 
 pub async fn run(node: Arc<Node>) {
@@ -175,22 +184,25 @@
     node.wake.dispatch.notify_one();
 }
 
-fn decide(node: &Node, dealings: &Shared) -> Vec<Rental> {
+/// What to rent, the requests of each kind together.
+fn decide(node: &Node, dealings: &Shared) -> Vec<Vec<Rental>> {
     let now = Instant::now();
     let Some(catalog) = node.catalog() else { return Vec::new() };
     let held = lock(&node.book);
     let Some(book) = held.as_ref() else { return Vec::new() };
     let mut dealings = lock(dealings);
+    dealings.refusals.holds(&rent::held_by_kind(book));
     let wanted = rent::plan(book, &catalog, &dealings.refusals, &dealings.asked, now);
     let mut rentals = Vec::new();
     for (kind, count) in wanted {
         let mut left = count.min(MOST_RENTALS * MOST_RENTED);
         *dealings.asked.entry(kind.clone()).or_default() += left;
+        let mut of_kind = Vec::new();
         while left > 0 {
             let count = left.min(MOST_RENTED);
             left -= count;
             dealings.next += 1;
-            rentals.push(Rental {
+            of_kind.push(Rental {
                 // Never used again by anyone: the incarnation is this process's alone.
                 request: format!("{}-{}", node.incarnation, dealings.next),
                 type_name: kind.type_name.clone(),
@@ -199,12 +211,33 @@
                 count,
             });
         }
+        rentals.push(of_kind);
     }
     rentals
 }
 
-async fn carry_out(node: Arc<Node>, dealings: Shared, rental: Rental) {
-    let kind = Kind { type_name: rental.type_name.clone(), zone: rental.zone.clone(), spot: rental.spot };
+/// The requests of one kind, one after another: once one was not filled, the rest would only use up
+/// the cloud's calls.
+async fn carry_out(node: Arc<Node>, dealings: Shared, rentals: Vec<Rental>) {
+    let mut rentals = rentals.into_iter();
+    for rental in rentals.by_ref() {
+        if !carry_out_one(&node, &dealings, rental).await {
+            break;
+        }
+    }
+    let mut dealings = lock(&dealings);
+    for rental in rentals {
+        dealings.no_longer_asked(&kind_of(&rental), rental.count);
+    }
+}
+
+fn kind_of(rental: &Rental) -> Kind {
+    Kind { type_name: rental.type_name.clone(), zone: rental.zone.clone(), spot: rental.spot }
+}
+
+/// Whether it was filled.
+async fn carry_out_one(node: &Node, dealings: &Shared, rental: Rental) -> bool {
+    let kind = kind_of(&rental);
     let mut outcome = Err(CloudError::Unanswered);
     for _ in 0..RENT_TRIES {
         outcome = node.cloud.rent(&rental).await;
@@ -233,17 +266,15 @@
             }
         }
     }
-    let mut dealings = lock(&dealings);
-    if let Some(asked) = dealings.asked.get_mut(&kind) {
-        *asked = asked.saturating_sub(rental.count);
-    }
-    dealings.asked.retain(|_, n| *n > 0);
+    let mut dealings = lock(dealings);
+    dealings.no_longer_asked(&kind, rental.count);
     if short {
         dealings.refusals.note(kind, node.properties.refusal, now);
     } else {
         dealings.refusals.clear(&kind);
     }
     node.wake.fleet.notify_one();
+    !short
 }
 
 fn to_return(node: &Node, dealings: &Shared) -> Vec<Vec<String>> {
--- a/src/fleet/rent.rs
+++ b/src/fleet/rent.rs
@@ -5,11 +5,12 @@
 use std::time::{Duration, Instant};
 
 use super::Catalog;
-use super::forecast::{Slots, Timeline, promises_s};
+use super::forecast::{Slots, Timeline};
 use crate::jobs::JobSpec;
 use crate::scheduling::book::{Book, MachineId, Standing};
 use crate::scheduling::plan::{Quotas, Turn, queue};
 use crate::scheduling::room::{Ground, Offer, Room, Zones};
+use crate::scheduling::served::promises::starts_left_s;
 
 /// Grace on top of a type's usual boot time.
 const BOOT_GRACE: Duration = Duration::from_secs(10);
@@ -32,27 +33,58 @@
     }
 }
 
-/// Refused kinds are left alone for a while, longer each time in a row.
+/// Kinds of which it is kept how many were ever held; more than any catalog has.
+const MOST_GIVEN: usize = 1000;
+
+#[derive(Debug)]
+struct Refused {
+    at: Instant,
+    base: Duration,
+    until: Instant,
+    /// In a row.
+    times: u32,
+}
+
+/// Refused kinds are left alone for a while, longer each time in a row. What was given once is
+/// there again when machines are lost: a kind of which clearly fewer are held than ever were is
+/// asked for again after the first pause.
 #[derive(Debug, Default)]
 pub struct Refusals {
-    until: HashMap<Kind, (Instant, u32)>,
+    refused: HashMap<Kind, Refused>,
+    /// Most machines held at once.
+    given: HashMap<Kind, u64>,
 }
 
 impl Refusals {
     pub fn note(&mut self, kind: Kind, base: Duration, now: Instant) {
-        let times = self.until.get(&kind).map_or(0, |(_, n)| *n).min(3);
+        let times = self.refused.get(&kind).map_or(0, |r| r.times).min(3);
         let pause = (base * 2u32.pow(times)).min(LONGEST_REFUSAL);
         // Kinds come and go over months; what was refused long ago starts afresh.
-        self.until.retain(|_, (until, _)| now.saturating_duration_since(*until) < REFUSAL_KEPT);
-        self.until.insert(kind, (now + pause, times + 1));
+        self.refused.retain(|_, r| now.saturating_duration_since(r.until) < REFUSAL_KEPT);
+        self.refused.insert(kind, Refused { at: now, base, until: now + pause, times: times + 1 });
+    }
+
+    /// So many machines of each kind are held now.
+    pub fn holds(&mut self, held: &HashMap<Kind, u64>) {
+        for (kind, n) in held {
+            if let Some(most) = self.given.get_mut(kind) {
+                *most = (*most).max(*n);
+            } else if self.given.len() < MOST_GIVEN {
+                self.given.insert(kind.clone(), *n);
+            }
+        }
     }
 
     pub fn clear(&mut self, kind: &Kind) {
-        self.until.remove(kind);
+        self.refused.remove(kind);
     }
 
-    pub fn refused(&self, kind: &Kind, now: Instant) -> bool {
-        self.until.get(kind).is_some_and(|(until, _)| now < *until)
+    /// Whether to leave a kind alone of which this many are held.
+    pub fn refused(&self, kind: &Kind, held: u64, now: Instant) -> bool {
+        let Some(refused) = self.refused.get(kind) else { return false };
+        let given = self.given.get(kind).copied().unwrap_or(0);
+        let until = if held * 10 < given * 9 { refused.until.min(refused.at + refused.base) } else { refused.until };
+        now < until
     }
 }
 
@@ -98,6 +130,17 @@
 const MOST_FORECAST: usize = 20_000;
 const MOST_FOLLOWED: usize = 500;
 
+/// How many machines of each kind there are, whatever they stand for.
+pub fn held_by_kind(book: &Book) -> HashMap<Kind, u64> {
+    let mut counts = vec![0u64; book.kinds().len()];
+    for kind in book.machines.values().filter_map(|m| m.kind) {
+        if let Some(count) = counts.get_mut(kind) {
+            *count += 1;
+        }
+    }
+    book.kinds().iter().cloned().zip(counts).filter(|(_, n)| *n > 0).collect()
+}
+
 /// What to rent so that waiting work starts in time: cheap kinds soon, dear ones only when the
 /// slack of the work asks for it.
 pub fn plan(
@@ -113,7 +156,9 @@
     }
     let ground = Ground::with_all_offers(book, catalog);
     let kinds: Vec<Option<Kind>> = ground.offers.iter().map(|o| o.map(|o| o.kind())).collect();
-    let refused: Vec<bool> = kinds.iter().map(|k| k.as_ref().is_none_or(|k| refusals.refused(k, now))).collect();
+    let held = held_by_kind(book);
+    let refused = |k: &Kind| refusals.refused(k, held.get(k).copied().unwrap_or(0), now);
+    let refused: Vec<bool> = kinds.iter().map(|k| k.as_ref().is_none_or(refused)).collect();
     let mut total = 0u64;
     let mut timelines: Vec<Timeline> = Vec::new();
     for machine in book.machines.values().filter(|m| m.standing != Standing::Condemned) {
@@ -145,11 +190,12 @@
         if spec.is_gang() && !quotas.allows(spec, spec.tasks as f64) {
             continue;
         }
-        let promises = promises_s(book, job, turn.age);
+        let promises = starts_left_s(&job.promises, job.agreement.run, turn.age);
         let mut zones = Zones::new(book, job);
         let open = ground.open_to(spec, &zones);
         let least = cheapest(&ground, spec, spec.tasks, |at, _| open[at]).map_or(f64::INFINITY, |(.., cost)| cost);
         let least = least.max(1e-9);
+        let short = book.below.short.has(spec);
         let mut slots = Slots::new(&timelines, job, &open);
         let mut missing = job.waiting.len() as u64;
         let mut offer = None;
@@ -166,7 +212,9 @@
                 let boot_s = offer.of.boot_s;
                 let promised = promises.iter().copied().find(|s| *s >= boot_s);
                 let slack = promised.unwrap_or(job.agreement.run.as_secs_f64());
-                let bearable = slack * (PATIENCE * cost / least).min(1.0);
+                // Who is below the floor has no time to wait for something cheaper.
+                let patience = if short { 0.0 } else { (PATIENCE * cost / least).min(1.0) };
+                let bearable = slack * patience;
                 total < book.properties.most_machines as u64 && start > bearable && boot_s + GAIN_S < start
             });
             let slot = match (rent, existing) {
--- /dev/null
+++ b/src/jobs/door.rs
@@ -0,0 +1,148 @@
+//! The door: which submissions may wait for their write while changes are short.
+//!
+//! Every controller may write so many changes a second, and an acceptance is one of them. What
+//! would wait for long is told at once when to come again, and the first to be told so is whoever
+//! already has more than a fair part of those that wait: a flood of one class or team leaves the
+//! others their answers. Nothing here delays anything.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use super::JobSpec;
+
+/// Submissions that would be written within this time are let in, whosever they are: users are
+/// promised answers within a second at the least.
+const SOON: Duration = Duration::from_millis(800);
+/// Past this nobody is let in: the write itself would be given up.
+const LONGEST: Duration = Duration::from_millis(1800);
+/// The refused of this long are thought to come again.
+const REFUSED_FADE: Duration = Duration::from_secs(10);
+/// Latest time to come again, in seconds: users give up after 60 s.
+const LATEST_S: f64 = 12.0;
+
+/// What waits at one controller, by class and by team.
+#[derive(Debug)]
+pub struct Door {
+    waiting: HashMap<String, usize>,
+    teams: HashMap<String, usize>,
+    all: usize,
+    refused: f64,
+    refused_at: Instant,
+}
+
+/// Of the names that wait, this one included, whether it has more than its part of all.
+fn beyond_part(waiting: &HashMap<String, usize>, name: &str, all: usize) -> bool {
+    let mine = waiting.get(name).copied().unwrap_or(0);
+    let names = waiting.len() + usize::from(mine == 0);
+    mine * names >= all.max(1) && mine > 0
+}
+
+fn leave(waiting: &mut HashMap<String, usize>, name: &str) {
+    if let Some(n) = waiting.get_mut(name) {
+        *n -= 1;
+        if *n == 0 {
+            waiting.remove(name);
+        }
+    }
+}
+
+impl Door {
+    pub fn new(now: Instant) -> Self {
+        Self { waiting: HashMap::new(), teams: HashMap::new(), all: 0, refused: 0.0, refused_at: now }
+    }
+
+    /// Lets a submission in, to be written after about `wait`, or says after how many seconds to
+    /// come again. `per_second` is what can be written; `luck`, from 0 to 1, spreads the refused.
+    /// Whoever was let in has to leave.
+    pub fn enter(
+        &mut self,
+        spec: &JobSpec,
+        wait: Duration,
+        per_second: f64,
+        luck: f64,
+        now: Instant,
+    ) -> Result<(), u64> {
+        let beyond =
+            beyond_part(&self.waiting, &spec.class, self.all) || beyond_part(&self.teams, &spec.team, self.all);
+        if wait <= SOON || (wait <= LONGEST && !beyond) {
+            *self.waiting.entry(spec.class.clone()).or_default() += 1;
+            *self.teams.entry(spec.team.clone()).or_default() += 1;
+            self.all += 1;
+            return Ok(());
+        }
+        let passed = now.saturating_duration_since(self.refused_at).as_secs_f64();
+        self.refused = self.refused * (-passed / REFUSED_FADE.as_secs_f64()).exp() + 1.0;
+        self.refused_at = now;
+        // Those that were sent away lately need this long to be written; they come spread over it.
+        let over_s = (self.refused / per_second.max(0.1)).min(LATEST_S - 1.0);
+        Err(1 + (luck.clamp(0.0, 1.0) * over_s).round() as u64)
+    }
+
+    /// One that was let in has its answer.
+    pub fn leave(&mut self, spec: &JobSpec) {
+        leave(&mut self.waiting, &spec.class);
+        leave(&mut self.teams, &spec.team);
+        self.all = self.all.saturating_sub(1);
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.all
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::jobs::tests::spec;
+
+    fn of(class: &str, team: &str) -> JobSpec {
+        let mut job = spec();
+        (job.class, job.team) = (class.into(), team.into());
+        job
+    }
+
+    #[test]
+    fn who_is_let_in_by_cases() {
+        let ms = Duration::from_millis;
+        // (name, who waits as (class, team, how many), who comes, wait, let in)
+        type Case =
+            (&'static str, &'static [(&'static str, &'static str, usize)], (&'static str, &'static str), u64, bool);
+        let cases: [Case; 8] = [
+            ("nobody waits", &[], ("a", "red"), 0, true),
+            ("a flood that is soon written", &[("a", "red", 50)], ("a", "red"), 700, true),
+            ("a flood alone", &[("a", "red", 50)], ("a", "red"), 900, false),
+            ("another class beside it", &[("a", "red", 50)], ("b", "blue"), 900, true),
+            ("the flood beside another", &[("a", "red", 50), ("b", "blue", 2)], ("a", "red"), 900, false),
+            ("another class of the flooding team", &[("a", "red", 50), ("b", "blue", 2)], ("c", "red"), 900, false),
+            ("all alike and short", &[("a", "red", 5), ("b", "blue", 5)], ("c", "green"), 900, true),
+            ("too late for anybody", &[("a", "red", 50)], ("b", "blue"), 1900, false),
+        ];
+        for (name, waiting, (class, team), wait, let_in) in cases {
+            let now = Instant::now();
+            let mut door = Door::new(now);
+            for (class, team, n) in waiting {
+                (0..*n).for_each(|_| door.enter(&of(class, team), ms(0), 10.0, 0.5, now).unwrap());
+            }
+            assert_eq!(door.enter(&of(class, team), ms(wait), 10.0, 0.5, now).is_ok(), let_in, "{name}");
+        }
+    }
+
+    #[test]
+    fn the_refused_come_again_spread_out_and_nothing_is_left_behind() {
+        let now = Instant::now();
+        let mut door = Door::new(now);
+        let late = Duration::from_secs(3);
+        let mut seconds: Vec<u64> = (0..200)
+            .map(|n| door.enter(&of("a", "red"), late, 10.0, f64::from(n % 20) / 19.0, now).unwrap_err())
+            .collect();
+        assert_eq!(seconds[0], 1, "a single one comes soon");
+        seconds.sort_unstable();
+        seconds.dedup();
+        assert_eq!(seconds, (1..=12).collect::<Vec<_>>(), "a flood spreads, within what users wait");
+        for _ in 0..100 {
+            door.enter(&of("a", "red"), Duration::ZERO, 10.0, 0.0, now).unwrap();
+        }
+        (0..100).for_each(|_| door.leave(&of("a", "red")));
+        assert_eq!((door.waiting(), door.waiting.len(), door.teams.len()), (0, 0, 0));
+    }
+}
--- a/src/membership/mesh.rs
+++ b/src/membership/mesh.rs
@@ -12,8 +12,11 @@
 
 use crate::jobs::JobId;
 use crate::node::{Node, lock};
+use crate::scheduling::served::Row;
 
 const EVERY: Duration = Duration::from_secs(1);
+/// The account is told this often: what its successor may lack of it.
+const SERVED_EVERY: Duration = Duration::from_secs(20);
 /// A line is dropped with its connection past this size.
 const LINE_LIMIT: u64 = 256 * 1024;
 const WRITE_WITHIN: Duration = Duration::from_secs(2);
@@ -37,12 +40,17 @@
     /// Counts of jobs that changed since the last line, from the owner.
     #[serde(default)]
     counts: Vec<(JobId, Counts)>,
+    /// The owner's account of who is served, once in a while.
+    #[serde(default)]
+    served: Vec<Row>,
 }
 
 #[derive(Debug, Default)]
 pub struct Heard {
     peers: HashMap<String, (bool, Instant)>,
     pub counts: HashMap<JobId, Counts>,
+    /// What the owner told last of who is served, and when that was heard.
+    pub served: Option<(Vec<Row>, Instant)>,
 }
 
 impl Heard {
@@ -87,6 +95,9 @@
                 heard.peers.insert(line.node, (line.store_serves, Instant::now()));
             }
             heard.counts.extend(line.counts);
+            if !line.served.is_empty() {
+                heard.served = Some((line.served, Instant::now()));
+            }
             heard.counts.len() > MOST_HEARD
         };
         if many {
@@ -108,9 +119,15 @@
 
 async fn tell_over(node: &Node, mut stream: TcpStream) -> std::io::Result<()> {
     let mut told: HashMap<JobId, Counts> = HashMap::new();
+    let mut served_next = Instant::now();
     loop {
         let counts = node.counts_to_tell(&mut told, MOST_COUNTS);
-        let line = Line { node: node.settings.node.clone(), store_serves: node.store_serves(), counts };
+        let mut served = Vec::new();
+        if Instant::now() >= served_next {
+            served_next = Instant::now() + SERVED_EVERY;
+            served = node.served_to_tell();
+        }
+        let line = Line { node: node.settings.node.clone(), store_serves: node.store_serves(), counts, served };
         let mut text = serde_json::to_string(&line).unwrap_or_default();
         text.push('\n');
         tokio::time::timeout(WRITE_WITHIN, stream.write_all(text.as_bytes()))
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,11 +11,13 @@
 use crate::fleet::{self, Catalog};
 use crate::history::reader::{self, History};
 use crate::jobs::JobId;
-use crate::jobs::record::{ASSIGNMENT, PLEA};
+use crate::jobs::door::Door;
+use crate::jobs::record::{ASSIGNMENT, PLEA, time_of_day_ms};
 use crate::membership::Plea;
 use crate::membership::mesh::{Counts, Heard};
 use crate::membership::stranded::Stranded;
 use crate::membership::{self, mesh};
+use crate::scheduling::served::{Account, Row};
 use crate::scheduling::{self, Book};
 use crate::settings::{Properties, Settings};
 use crate::store::audit::{self, Audit};
@@ -43,6 +45,9 @@
     pub fleet: Notify,
 }
 
+/// Rows of the account told at once: a line between controllers is bounded.
+const MOST_ROWS: usize = 200;
+
 pub struct Node {
     pub settings: Settings,
     pub properties: Properties,
@@ -60,6 +65,10 @@
     /// The book of tasks and machines, while this controller owns them.
     pub book: Mutex<Option<Book>>,
     pub heard: Mutex<Heard>,
+    /// Submissions that wait to be written.
+    pub door: Mutex<Door>,
+    /// Who was served lately, kept by every controller.
+    pub served: Mutex<Account>,
     pub wake: Wake,
     stranded: Mutex<Stranded>,
     owner_tasks: Mutex<Vec<tokio::task::AbortHandle>>,
@@ -121,6 +130,8 @@
             catalog: Mutex::default(),
             book: Mutex::default(),
             heard: Mutex::default(),
+            door: Mutex::new(Door::new(now)),
+            served: Mutex::new(Account::new(&settings, &properties, now)),
             wake: Wake::default(),
             stranded: Mutex::default(),
             owner_tasks: Mutex::default(),
@@ -158,9 +169,20 @@
             self.wake.membership.notify_one();
         }
         let mirror = lock(&self.mirror);
+        let (now, now_ms) = (Instant::now(), time_of_day_ms());
+        {
+            let mut served = lock(&self.served);
+            for record in news.opened.iter().filter_map(|id| mirror.open(id)) {
+                served.offered(&record.spec, record.age(now_ms), now);
+            }
+            for id in &news.ended {
+                if let Some(record) = mirror.ended_record(id) {
+                    served.ended(&record, self.history.ended(id), record.age(now_ms), now);
+                }
+            }
+        }
         let mut held = lock(&self.book);
         if let Some(book) = held.as_mut().filter(|b| b.loaded) {
-            let now = Instant::now();
             for id in &news.opened {
                 if let Some(record) = mirror.open(id) {
                     book.add_job(record.clone(), now);
@@ -183,6 +205,9 @@
             return;
         }
         info!(token, "owns teams and machines");
+        if let Some((rows, told)) = lock(&self.heard).served.take() {
+            lock(&self.served).take_over(&rows, told);
+        }
         *held = Some(Book::new(token, self.settings.clone(), self.properties.clone(), Instant::now()));
         let (requests, writes) = budgets(&self.settings, true, Instant::now());
         self.store.set_budgets(requests, writes);
@@ -284,6 +309,14 @@
         changed
     }
 
+    /// The account as the owner sees it, for whoever may succeed it.
+    pub fn served_to_tell(&self) -> Vec<Row> {
+        if lock(&self.book).is_none() {
+            return Vec::new();
+        }
+        lock(&self.served).rows().iter().take(MOST_ROWS).cloned().collect()
+    }
+
     /// Drops the counts of jobs that are not open.
     pub fn tidy_counts(&self) {
         let mirror = lock(&self.mirror);
@@ -303,6 +336,8 @@
         let [ends, asked, waiting] = self.history.held();
         held.push(("audited", lock(&self.audit).remembered()));
         held.extend([("ends", ends), ("asked", asked), ("waiting", waiting)]);
+        held.push(("served", lock(&self.served).entries()));
+        held.push(("at_the_door", lock(&self.door).waiting()));
         held.push(("counts_heard", lock(&self.heard).counts.len()));
         held.push(("stranded", lock(&self.stranded).remembered()));
         if let Some(book) = lock(&self.book).as_ref() {
--- a/src/scheduling/book/bindings.rs
+++ b/src/scheduling/book/bindings.rs
@@ -1,21 +1,35 @@
 //! Bindings: a task comes onto a machine, is stopped, and is proven gone.
 
+use std::collections::HashMap;
 use std::time::Instant;
 
-use super::{Binding, Book, Phase};
+use super::{Binding, Book, JobState, Phase};
 use crate::jobs::JobId;
 use crate::scheduling::plan::Placement;
+use crate::scheduling::served::Note;
 use crate::workers::TaskKey;
 
 impl Book {
     pub fn bind_all(&mut self, placements: Vec<Placement>, now: Instant) {
+        let mut first_places: HashMap<JobId, f64> = HashMap::new();
         for placement in placements {
+            if let Some(job) = self.jobs.get_mut(&placement.task.job) {
+                let late = job.too_late(now.saturating_duration_since(job.since));
+                self.lane.note(job.spec().cpus, late, self.properties.served_late);
+                if job.tasks.get(placement.task.index as usize).is_some_and(|t| t.attempt == 0) {
+                    job.touched += 1;
+                    *first_places.entry(placement.task.job.clone()).or_default() += 1.0 / job.tasks.len() as f64;
+                }
+            }
             // A gang that starts needs nothing held any more.
             if self.holds.get(&placement.machine).is_some_and(|h| h.job == placement.task.job) {
                 self.holds.retain(|_, hold| hold.job != placement.task.job);
             }
             self.bind(placement, now);
         }
+        for (id, part) in first_places {
+            self.note(&id, Note::Started(part), now);
+        }
     }
 
     fn bind(&mut self, p: Placement, now: Instant) {
@@ -50,6 +64,16 @@
         }
     }
 
+    /// A task that is gone without having been stopped was lost.
+    pub(super) fn note_loss(&mut self, key: &TaskKey, now: Instant) {
+        let lost = |job: &JobState| {
+            job.ended.is_none() && job.binding(key.index).is_some_and(|b| b.status.is_some() && b.halting.is_none())
+        };
+        if self.jobs.get(&key.job).is_some_and(lost) {
+            self.note(&key.job, Note::Lost, now);
+        }
+    }
+
     /// The bare act: place, quota and machine are free again, and the task waits.
     pub(super) fn release(&mut self, key: &TaskKey, now: Instant) {
         self.leave(key, now);
--- a/src/scheduling/book/jobs.rs
+++ b/src/scheduling/book/jobs.rs
@@ -9,6 +9,7 @@
 use crate::jobs::record::{CHUNK, JobRecord, Stored, time_of_day_ms};
 use crate::jobs::{End, JobId, JobSpec};
 use crate::membership::mesh::Counts;
+use crate::scheduling::served::promises::promises_of;
 use crate::sla::Agreement;
 use crate::workers::{LegStatus, TaskKey};
 
@@ -56,8 +57,10 @@
         let n = record.spec.tasks as usize;
         let age = record.age(time_of_day_ms());
         self.note_arrival(&record, age, now);
+        let agreement = self.agreement(&record.spec);
+        let promises = promises_of(&self.settings.params.objectives, &record.spec, &agreement);
         let job = JobState {
-            agreement: self.agreement(&record.spec),
+            agreement,
             since: now.checked_sub(age).unwrap_or(now),
             tasks: vec![Task { attempt: 0, phase: Phase::Waiting, stored: true }; n],
             waiting: (0..n as u32).collect(),
@@ -71,6 +74,8 @@
             failed_on: HashSet::new(),
             failures: 0,
             last_end: None,
+            promises: promises.into(),
+            touched: 0,
             record,
         };
         self.stirred = true;
@@ -87,6 +92,7 @@
         let mut inherited = Vec::new();
         for (index, item) in (first as u32..).zip(stored) {
             let Some(task) = job.tasks.get_mut(index as usize) else { break };
+            job.touched += usize::from(item != Stored::Untouched);
             match item {
                 Stored::Untouched => {}
                 Stored::Waiting(attempt) => task.attempt = attempt,
--- a/src/scheduling/book/machine.rs
+++ b/src/scheduling/book/machine.rs
@@ -326,6 +326,7 @@
         let Some(machine) = self.machines.get(id) else { return };
         let keys: Vec<TaskKey> = machine.bound.iter().cloned().collect();
         for key in keys {
+            self.note_loss(&key, now);
             self.unbind(&key, now);
         }
         self.machines.remove(id);
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -22,6 +22,9 @@
 use storing::Dirty;
 
 use super::holds::Hold;
+use super::served::Note;
+use super::served::floor::{Below, Lane};
+use super::served::promises::{Promise, next_start_s};
 use crate::fleet::rent::Kind;
 use crate::jobs::record::{CHUNK, JobRecord, Stored};
 use crate::jobs::{JobId, JobSpec};
@@ -36,6 +39,9 @@
 /// Classes of jobs of which anything is remembered: users name them as they like.
 const MOST_CLASSES: NonZeroUsize = NonZeroUsize::new(256).unwrap();
 
+/// Notes for the account between two looks; more are not counted.
+const MOST_NOTES: usize = 20_000;
+
 /// How a message reached us: only true reports prove that an earlier answer is dead.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Via {
@@ -115,6 +121,10 @@
     pub failed_on: HashSet<MachineId>,
     failures: u32,
     pub last_end: Option<Instant>,
+    /// All that its user was promised.
+    pub promises: Box<[Promise]>,
+    /// Tasks that had a place at least once.
+    touched: usize,
 }
 
 impl JobState {
@@ -135,6 +145,21 @@
         self.tasks.get(from..to).unwrap_or_default()
     }
 
+    /// Nothing that was promised of it can be kept by starting it now or later.
+    pub fn too_late(&self, age: Duration) -> bool {
+        next_start_s(&self.promises, self.agreement.run, age).is_none()
+    }
+
+    /// The part of its tasks that never had a place.
+    pub fn untouched(&self) -> f64 {
+        1.0 - self.touched as f64 / self.tasks.len().max(1) as f64
+    }
+
+    /// A waiting task of it has lost so many starts.
+    pub fn lost_starts(&self, least: u64) -> bool {
+        self.waiting.iter().any(|i| self.tasks.get(*i as usize).is_some_and(|t| t.attempt >= least))
+    }
+
     pub fn complete(&self) -> bool {
         self.done == self.tasks.len() as u64 || (self.spec().is_gang() && self.done > 0)
     }
@@ -209,6 +234,12 @@
     pub arrivals: BTreeMap<String, Arrivals>,
     /// Machines kept for gangs that will soon fit.
     pub holds: HashMap<MachineId, Hold>,
+    /// Classes and teams that go first, by the account.
+    pub below: Below,
+    /// What work that is late for everything may take before others.
+    pub lane: Lane,
+    /// What the account is to be told next.
+    notes: Vec<(JobId, Note, Instant)>,
 }
 
 /// How many tasks of a class have come lately: a count that fades, and one job to stand for all.
@@ -264,6 +295,9 @@
             observed: LruCache::new(MOST_CLASSES),
             arrivals: BTreeMap::new(),
             holds: HashMap::new(),
+            below: Below::default(),
+            lane: Lane::default(),
+            notes: Vec::new(),
         }
     }
 
@@ -297,6 +331,23 @@
         &self.kinds
     }
 
+    /// What happened since the last call that the account counts, as (job, note, when).
+    pub fn take_notes(&mut self) -> Vec<(JobId, Note, Instant)> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// Who goes first from now on.
+    pub fn set_below(&mut self, below: Below) {
+        self.stirred |= self.below != below;
+        self.below = below;
+    }
+
+    fn note(&mut self, id: &JobId, note: Note, now: Instant) {
+        if self.notes.len() < MOST_NOTES {
+            self.notes.push((id.clone(), note, now));
+        }
+    }
+
     /// Whether a plan may find something that the last one did not.
     pub fn take_stirred(&mut self) -> bool {
         std::mem::take(&mut self.stirred)
--- a/src/scheduling/book/reports.rs
+++ b/src/scheduling/book/reports.rs
@@ -129,6 +129,7 @@
         }
         for key in missing {
             debug!(task = %key.job, index = key.index, machine = %id, "proven gone");
+            self.note_loss(&key, now);
             self.unbind(&key, now);
         }
     }
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -7,15 +7,17 @@
 pub mod load;
 pub mod plan;
 pub mod room;
+pub mod served;
 #[cfg(test)]
 mod tests;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use tracing::debug;
+use tracing::{debug, info};
 
 pub use book::Book;
+use served::{Account, Open, Row};
 
 use crate::node::{Node, lock};
 
@@ -26,6 +28,9 @@
 const TICK: Duration = Duration::from_millis(250);
 /// What is held for gangs is chosen anew this often.
 const HOLD_EVERY: Duration = Duration::from_millis(2000);
+/// The account is looked at this often, and told this often.
+const LOOK_EVERY: Duration = Duration::from_secs(2);
+const TELL_EVERY: Duration = Duration::from_secs(60);
 /// A plan rests this many times as long as it took, so that reports and users are not kept
 /// waiting however much there is to plan.
 const REST: u32 = 4;
@@ -34,6 +39,7 @@
 pub async fn run(node: Arc<Node>) {
     load(&node).await;
     let (mut ticked, mut planned, mut hold_next) = (Instant::now(), None::<Instant>, Instant::now());
+    let (mut look_next, mut tell_next) = (Instant::now(), Instant::now() + TELL_EVERY);
     loop {
         let _ = tokio::time::timeout(TICK, node.wake.plan.notified()).await;
         let now = Instant::now();
@@ -43,6 +49,15 @@
                 ticked = now;
                 book.tick(now);
             }
+            if now >= look_next && book.loaded {
+                look_next = now + LOOK_EVERY;
+                let mut account = lock(&node.served);
+                look(&mut account, book, now);
+                if now >= tell_next {
+                    tell_next = now + TELL_EVERY;
+                    tell(account.rows());
+                }
+            }
             if now >= hold_next {
                 book.holds = holds::choose(book, &catalog, now);
                 hold_next = now + HOLD_EVERY.max(now.elapsed() * REST * 2);
@@ -70,6 +85,46 @@
     }
 }
 
+/// The account of who is served, with what the book has to tell it.
+fn look(account: &mut Account, book: &mut Book, now: Instant) {
+    for (id, note, at) in book.take_notes() {
+        if let Some(job) = book.job(&id) {
+            account.note(note, job.spec(), &job.promises, at.saturating_duration_since(job.since), at);
+        }
+    }
+    let open = book.jobs().filter(|(_, job)| job.ended.is_none() && !job.complete());
+    let open = open.map(|(_, job)| Open {
+        spec: job.spec(),
+        promises: &job.promises,
+        age: now.saturating_duration_since(job.since),
+        untouched: job.untouched(),
+    });
+    let below = Account::below(account.look(open, now));
+    book.set_below(below);
+}
+
+fn tell(rows: &[Row]) {
+    for row in rows {
+        info!(
+            whose = ?row.whose,
+            name = row.name,
+            offered = row.offered,
+            started = row.started.kept.round(),
+            started_late = row.started.missed.round(),
+            done = row.done,
+            in_time = row.ended.kept.round(),
+            late = row.ended.missed.round(),
+            overdue = row.overdue,
+            given_up = row.given_up,
+            lost = row.lost,
+            served = (row.served * 100.0).round() / 100.0,
+            below = row.below,
+            first = row.first,
+            "served"
+        );
+    }
+}
+
 /// Everything stored before this controller's assignment is read; nothing older can come after,
 /// since every placement is conditional on the assignment it was made under.
 async fn load(node: &Arc<Node>) {
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -12,6 +12,7 @@
 
 use super::book::{Book, JobState, MachineId, Phase};
 use super::room::{Ground, Room, Zones, usable};
+use super::served::floor::Rank;
 use crate::fleet::Catalog;
 use crate::jobs::{JobId, JobSpec};
 use crate::sla;
@@ -21,6 +22,8 @@
 
 /// Placements of one plan: what can be stored in about a second.
 const MOST_PLACEMENTS: usize = 1000;
+/// Work that was started so often in vain gets the machines least likely to be lost.
+const LOST_STARTS: u64 = 2;
 /// Hard work that must start within this time to be done in time is not kept waiting for holds.
 const PRESSED_WITHIN: Duration = Duration::from_secs(30);
 /// Work that may preempt waits at least this long for room to come free by itself.
@@ -39,11 +42,23 @@
     pub id: &'a JobId,
     pub job: &'a JobState,
     guaranteed: bool,
+    rank: Rank,
+    /// Too late for all that was promised of it.
+    pub late: bool,
     task_return: f64,
     pub age: Duration,
 }
 
-/// Teams short of their guarantee first, then by return; work of no return by age.
+impl Turn<'_> {
+    /// What must be free together for anything of it to start.
+    fn cores_at_once(&self) -> f64 {
+        let spec = self.job.spec();
+        if spec.is_gang() { spec.cpus * spec.tasks as f64 } else { spec.cpus }
+    }
+}
+
+/// Teams short of their guarantee first, then who is below the floor and can still be in time, then
+/// by return; work of no return by age.
 pub fn queue(book: &Book, now: Instant) -> Vec<Turn<'_>> {
     let mut turns: Vec<Turn> = book
         .jobs()
@@ -51,10 +66,13 @@
         .filter(|(_, job)| !job.spec().is_gang() || job.bound.is_empty())
         .map(|(id, job)| {
             let age = now.saturating_duration_since(job.since);
+            let late = job.too_late(age);
             Turn {
                 id,
                 job,
                 guaranteed: within_guarantee(book, job.spec()),
+                rank: Rank::of(book.below.first.has(job.spec()), late),
+                late,
                 task_return: job.agreement.task_return(age + job.agreement.run),
                 age,
             }
@@ -62,6 +80,7 @@
         .collect();
     turns.sort_by(|a, b| {
         (b.guaranteed.cmp(&a.guaranteed))
+            .then(a.rank.cmp(&b.rank))
             .then(b.task_return.partial_cmp(&a.task_return).unwrap_or(Ordering::Equal))
             .then(b.age.cmp(&a.age))
             .then(a.id.cmp(b.id))
@@ -111,6 +130,8 @@
 struct Candidate {
     /// Held for another; taken last.
     held: bool,
+    /// How likely it is to be lost, where that counts.
+    risk: u8,
     waste: u8,
     has_image: bool,
     new_return: f64,
@@ -121,6 +142,7 @@
 impl Ord for Candidate {
     fn cmp(&self, other: &Self) -> Ordering {
         (other.held.cmp(&self.held))
+            .then(other.risk.cmp(&self.risk))
             .then(other.waste.cmp(&self.waste))
             .then(self.has_image.cmp(&other.has_image))
             .then(self.new_return.total_cmp(&other.new_return))
@@ -151,6 +173,8 @@
     share: f64,
     task_return: f64,
     hard: bool,
+    /// It has lost starts enough to want a machine that lasts.
+    wary: bool,
     open: Vec<bool>,
 }
 
@@ -166,6 +190,7 @@
             share: sla::share(agreement.run, agreement.deadline.saturating_sub(age), agreement.cores),
             task_return: agreement.task_return(age + agreement.run),
             hard: agreement.within_reach(age),
+            wary: job.lost_starts(LOST_STARTS),
             open,
         }
     }
@@ -192,6 +217,7 @@
         };
         Some(Candidate {
             held: room.hold.is_some_and(|hold| hold.job != *self.id),
+            risk: if self.wary { room.risk() } else { 0 },
             waste: room.waste(spec),
             has_image: room.holds_image(self.job),
             new_return,
@@ -360,11 +386,24 @@
         return (decisions, 0);
     }
     book.refresh_loads(now);
+    let oldest_late = |turns: &[Turn]| {
+        let late = turns.iter().enumerate().filter(|(_, t)| t.late && !t.guaranteed);
+        late.max_by(|(_, a), (_, b)| a.age.cmp(&b.age).then(b.id.cmp(a.id))).map(|(at, t)| (at, t.cores_at_once()))
+    };
+    let needs = oldest_late(&queue(book, now)).map(|(_, cores)| cores);
+    book.lane.bound(needs);
     let book = &*book;
-    let turns = queue(book, now);
+    let mut turns = queue(book, now);
     if turns.is_empty() {
         return (decisions, 0);
     }
+    // Late work goes first as far as it has earned, the oldest of it.
+    let mut earned = None;
+    if let Some((at, needs)) = oldest_late(&turns).filter(|(_, needs)| *needs <= book.lane.credit()) {
+        let turn = turns.remove(at);
+        turns.insert(turns.iter().take_while(|t| t.guaranteed).count(), turn);
+        earned = Some((turn.id, (book.lane.credit() / needs.max(SLACK)) as usize));
+    }
     let mut plan = Plan::new(book, catalog, &turns, now);
     let mut quotas = Quotas::new(book);
     for turn in turns {
@@ -386,6 +425,9 @@
             }
             most = n;
         }
+        if let Some((_, tasks)) = earned.filter(|(id, _)| *id == turn.id && !spec.is_gang()) {
+            most = most.min(tasks);
+        }
         if most == 0 {
             continue;
         }
--- a/src/scheduling/room.rs
+++ b/src/scheduling/room.rs
@@ -158,6 +158,12 @@
         if spec.cpus <= self.cpus - kept + SLACK { 0 } else { 2 }
     }
 
+    /// How likely the machine is to be lost with what it runs: the cloud takes cheap ones back, and
+    /// what has failed fails again.
+    pub fn risk(&self) -> u8 {
+        self.machine.map_or(0, |m| 2 * u8::from(m.spot) + u8::from(m.failures > 0.0))
+    }
+
     pub fn holds_image(&self, job: &JobState) -> bool {
         job.spec().image_gb <= 0.0 || self.machine.is_some_and(|m| m.holds_image(job.image))
     }
--- /dev/null
+++ b/src/scheduling/served/floor.rs
@@ -0,0 +1,86 @@
+//! The floor: who goes first while something is short, and how what is late is not last for ever.
+//!
+//! With nothing short nobody is below the floor and nothing is late, and the order is the paper's.
+
+use std::collections::HashSet;
+
+use super::Whose;
+use crate::jobs::JobSpec;
+
+/// Credit for late work is kept up to this many cores, or to what the next of it needs.
+const LEAST_CAP: f64 = 64.0;
+
+/// Some classes and teams.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Names {
+    classes: HashSet<String>,
+    teams: HashSet<String>,
+}
+
+impl Names {
+    pub fn of<'a>(names: impl Iterator<Item = (Whose, &'a str)>) -> Self {
+        let mut of = Self::default();
+        for (whose, name) in names {
+            match whose {
+                Whose::Class => of.classes.insert(name.to_owned()),
+                Whose::Team => of.teams.insert(name.to_owned()),
+            };
+        }
+        of
+    }
+
+    pub fn has(&self, spec: &JobSpec) -> bool {
+        self.classes.contains(&spec.class) || self.teams.contains(&spec.team)
+    }
+}
+
+/// Of whom less than the floor was served lately, and who of them goes first.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Below {
+    pub short: Names,
+    pub first: Names,
+}
+
+/// Where a waiting job stands, before its return is asked. The lesser one goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rank {
+    /// Below the floor, and something that was promised can still be kept. Within it by return: by
+    /// the earliest promise, each would be started just too late (docs/fairness.md).
+    First,
+    /// By return alone, as the paper has it.
+    ByReturn,
+}
+
+impl Rank {
+    /// What is too late for all that was promised is not put before what can be in time.
+    pub fn of(below: bool, too_late: bool) -> Self {
+        if below && !too_late { Self::First } else { Self::ByReturn }
+    }
+}
+
+/// Late work earns a part of what other work is given, in cores, and goes first as far as that
+/// reaches: behind what can be in time, but not for ever.
+#[derive(Debug, Clone, Default)]
+pub struct Lane {
+    credit: f64,
+}
+
+impl Lane {
+    pub fn credit(&self) -> f64 {
+        self.credit
+    }
+
+    /// What placements of this many cores change: late ones spend, others earn.
+    pub fn note(&mut self, cores: f64, late: bool, part: f64) {
+        if late {
+            self.credit = (self.credit - cores).max(0.0);
+        } else {
+            self.credit += cores * part;
+        }
+    }
+
+    /// `needs`: the cores of the oldest late job; none where nothing is late, which earns nothing.
+    pub fn bound(&mut self, needs: Option<f64>) {
+        self.credit = needs.map_or(0.0, |needs| self.credit.min(needs.max(LEAST_CAP)));
+    }
+}
--- /dev/null
+++ b/src/scheduling/served/mod.rs
@@ -0,0 +1,395 @@
+//! Who is served: what of each class and team was offered lately, and what of it was started and
+//! done as its users were promised. By this the floor (`floor`) tells who goes first.
+//!
+//! Every controller keeps the account, from the openings and ends that the store tells all of
+//! them; only the starts are the owner's own knowledge. So it goes on when the owner is replaced
+//! (docs/fairness.md says what is lost), and no change is written for it.
+
+pub mod floor;
+pub mod promises;
+#[cfg(test)]
+mod tests;
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::jobs::record::JobRecord;
+use crate::jobs::{End, JobSpec};
+use crate::settings::{Objective, Properties, Settings};
+use crate::sla::Agreement;
+use floor::{Below, Names};
+use promises::{Promise, What, accounted, promises_of};
+
+/// The window is forgotten in so many parts.
+const PARTS: u64 = 20;
+/// Names of classes, and of teams, kept apart in one part; users name classes as they like.
+const MOST_NAMES: usize = 256;
+/// Fewer verdicts on a promise say nothing of a class.
+const FEWEST: f64 = 6.0;
+
+/// How often a promise was kept and missed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Kept {
+    pub kept: f64,
+    pub missed: f64,
+}
+
+impl Kept {
+    fn note(&mut self, kept: bool, weight: f64) {
+        if kept {
+            self.kept += weight;
+        } else {
+            self.missed += weight;
+        }
+    }
+
+    fn add(&mut self, other: Kept) {
+        self.kept += other.kept;
+        self.missed += other.missed;
+    }
+}
+
+/// What was seen of one class or team.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Tally {
+    pub offered: u64,
+    pub done: u64,
+    /// Withdrawn by their users.
+    pub given_up: u64,
+    /// Starts whose task was lost before it was done.
+    pub lost: u64,
+    /// Open, and past all that was promised of them.
+    pub overdue: u64,
+    /// By the number of the objective.
+    promises: BTreeMap<u16, Kept>,
+}
+
+impl Tally {
+    fn promise(&mut self, at: u16) -> &mut Kept {
+        self.promises.entry(at).or_default()
+    }
+
+    fn add(&mut self, other: &Tally) {
+        self.offered += other.offered;
+        self.done += other.done;
+        self.given_up += other.given_up;
+        self.lost += other.lost;
+        self.overdue += other.overdue;
+        for (at, kept) in &other.promises {
+            self.promise(*at).add(*kept);
+        }
+    }
+}
+
+/// What a name stands for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Whose {
+    Class,
+    Team,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Part {
+    number: u64,
+    tallies: HashMap<(Whose, String), Tally>,
+}
+
+impl Part {
+    /// One name too many is not kept apart.
+    fn tally(&mut self, whose: Whose, name: &str) -> Option<&mut Tally> {
+        let key = (whose, name.to_owned());
+        if !self.tallies.contains_key(&key) && self.tallies.len() >= MOST_NAMES * 2 {
+            return None;
+        }
+        Some(self.tallies.entry(key).or_default())
+    }
+}
+
+/// What the owner alone knows, told to the account by whoever holds the book.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Note {
+    /// Tasks that were given their first place, as a part of their job's.
+    Started(f64),
+    /// A start that came to nothing: its machine or its gang was lost.
+    Lost,
+}
+
+/// An open job as the account looks at it.
+pub struct Open<'a> {
+    pub spec: &'a JobSpec,
+    pub promises: &'a [Promise],
+    pub age: Duration,
+    /// The part of its tasks that never had a place.
+    pub untouched: f64,
+}
+
+/// One line of the account, for operators and for the other controllers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    pub whose: Whose,
+    pub name: String,
+    pub offered: u64,
+    pub done: u64,
+    pub given_up: u64,
+    pub overdue: u64,
+    pub lost: u64,
+    /// Starts and ends within what was promised, and not; those that count the worst promise.
+    pub started: Kept,
+    pub ended: Kept,
+    /// The served part: the worst promise's kept part against the part asked for; 1 at most, and
+    /// 1 as well where too little was seen.
+    pub served: f64,
+    /// Less than the floor: machines are rented for it without patience.
+    pub below: bool,
+    /// And less than that part of what it would get by what it offers: it goes first.
+    pub first: bool,
+    /// Starts by promise: what a successor can't learn from the store.
+    #[serde(default)]
+    starts: Vec<(u16, Kept)>,
+}
+
+/// The sliding account of all classes and teams.
+#[derive(Debug, Clone)]
+pub struct Account {
+    began: Instant,
+    width: Duration,
+    floor: f64,
+    soft_deadline: f64,
+    objectives: Vec<Objective>,
+    parts: VecDeque<Part>,
+    /// When the last start was noted here or taken over.
+    starts_as_of: Option<Instant>,
+    /// What the last look has shown.
+    rows: Vec<Row>,
+}
+
+impl Account {
+    pub fn new(settings: &Settings, properties: &Properties, now: Instant) -> Self {
+        let window = properties.served_window;
+        Self {
+            // Ages reach back; what came before the window began is not counted as offered.
+            began: now.checked_sub(window).unwrap_or(now),
+            width: (window / PARTS as u32).max(Duration::from_millis(1)),
+            floor: properties.served_floor,
+            soft_deadline: properties.soft_deadline,
+            objectives: settings.params.objectives.clone(),
+            parts: VecDeque::new(),
+            starts_as_of: None,
+            rows: Vec::new(),
+        }
+    }
+
+    pub fn rows(&self) -> &[Row] {
+        &self.rows
+    }
+
+    /// A new owner goes on with the starts that the one before it told last, at `told`. They stand
+    /// in place of whatever is known here: told by one that took them over in turn, they hold that
+    /// too, and nobody is counted twice. Older ones than known here are passed over.
+    pub fn take_over(&mut self, rows: &[Row], told: Instant) {
+        if self.starts_as_of.is_some_and(|at| at >= told) {
+            return;
+        }
+        self.starts_as_of = Some(told);
+        for ((whose, name), tally) in self.parts.iter_mut().flat_map(|p| p.tallies.iter_mut()) {
+            let told = rows.iter().find(|r| r.whose == *whose && r.name == *name);
+            tally.promises.retain(|at, _| told.is_none_or(|r| r.starts.iter().all(|(start, _)| start != at)));
+        }
+        let Some(part) = self.part(told) else { return };
+        for row in rows.iter().take(MOST_NAMES * 2) {
+            if let Some(tally) = part.tally(row.whose, &row.name) {
+                tally.promises.extend(row.starts.iter().copied());
+            }
+        }
+    }
+
+    fn number(&self, at: Instant) -> u64 {
+        let passed = at.saturating_duration_since(self.began);
+        (passed.as_nanos() / self.width.as_nanos().max(1)) as u64
+    }
+
+    /// The part of the window in which this moment lies, if it has not passed.
+    fn part(&mut self, at: Instant) -> Option<&mut Part> {
+        let number = self.number(at);
+        let newest = self.parts.back().map_or(0, |p| p.number);
+        if self.parts.is_empty() || number > newest {
+            self.parts.push_back(Part { number, ..Part::default() });
+            while self.parts.front().is_some_and(|p| p.number + PARTS <= number) {
+                self.parts.pop_front();
+            }
+            return self.parts.back_mut();
+        }
+        if number + PARTS <= newest {
+            return None;
+        }
+        let place = self.parts.partition_point(|p| p.number < number);
+        if self.parts.get(place).is_none_or(|p| p.number != number) {
+            self.parts.insert(place, Part { number, ..Part::default() });
+        }
+        self.parts.get_mut(place)
+    }
+
+    fn both(&mut self, spec: &JobSpec, at: Instant, mut change: impl FnMut(&mut Tally)) {
+        let Some(part) = self.part(at) else { return };
+        for (whose, name) in [(Whose::Class, &spec.class), (Whose::Team, &spec.team)] {
+            if let Some(tally) = part.tally(whose, name) {
+                change(tally);
+            }
+        }
+    }
+
+    /// A job was opened so long ago.
+    pub fn offered(&mut self, spec: &JobSpec, age: Duration, now: Instant) {
+        let came = now.checked_sub(age).unwrap_or(self.began);
+        if came >= self.began {
+            self.both(spec, came, |tally| tally.offered += 1);
+        }
+    }
+
+    /// A job's end was seen. It is done where nobody has heard that it was withdrawn.
+    pub fn ended(&mut self, record: &JobRecord, how: Option<End>, age: Duration, now: Instant) {
+        let spec = &record.spec;
+        if how == Some(End::Withdrawn) {
+            return self.both(spec, now, |tally| tally.given_up += 1);
+        }
+        let agreement = Agreement::of(spec, spec.estimate(), self.soft_deadline);
+        let promises = promises_of(&self.objectives, spec, &agreement);
+        self.both(spec, now, |tally| {
+            tally.done += 1;
+            for promise in accounted(&promises).filter(|p| p.what == What::Done) {
+                tally.promise(promise.at).note(age.as_secs_f64() <= promise.within_s, 1.0);
+            }
+        });
+    }
+
+    /// What the owner noted of an open job.
+    pub fn note(&mut self, note: Note, spec: &JobSpec, promises: &[Promise], age: Duration, now: Instant) {
+        self.starts_as_of = Some(now);
+        self.both(spec, now, |tally| match note {
+            Note::Lost => tally.lost += 1,
+            Note::Started(part) => {
+                for promise in accounted(promises).filter(|p| p.what == What::Started) {
+                    tally.promise(promise.at).note(age.as_secs_f64() <= promise.within_s, part);
+                }
+            }
+        });
+    }
+
+    /// The account as of now: what lies in the window, and what open jobs have missed already.
+    pub fn look<'a>(&mut self, open: impl Iterator<Item = Open<'a>>, now: Instant) -> &[Row] {
+        let newest = self.number(now);
+        let mut sums: BTreeMap<(Whose, &str), Tally> = BTreeMap::new();
+        for part in self.parts.iter().filter(|p| p.number + PARTS > newest) {
+            for ((whose, name), tally) in &part.tallies {
+                sums.entry((*whose, name)).or_default().add(tally);
+            }
+        }
+        for job in open {
+            let age = job.age.as_secs_f64();
+            for key in [(Whose::Class, job.spec.class.as_str()), (Whose::Team, job.spec.team.as_str())] {
+                let tally = sums.entry(key).or_default();
+                for promise in accounted(job.promises).filter(|p| age > p.within_s) {
+                    let missed = if promise.what == What::Started { job.untouched } else { 1.0 };
+                    tally.promise(promise.at).missed += missed;
+                }
+                tally.overdue += u64::from(job.promises.iter().all(|p| p.within_s < age));
+            }
+        }
+        let mut rows: Vec<Row> = sums.iter().map(|((whose, name), tally)| self.row(*whose, name, tally)).collect();
+        // By their offered work all classes would be served alike, and a team as the classes are that
+        // it runs. A class that is short because it floods is not put first: that takes from the
+        // others what it hardly gains by.
+        let all = served_of_all(rows.iter().filter(|r| r.whose == Whose::Class));
+        let mut house = Tally::default();
+        sums.iter().filter(|((whose, _), _)| *whose == Whose::Team).for_each(|(_, tally)| house.add(tally));
+        for (row, ((whose, _), tally)) in rows.iter_mut().zip(&sums) {
+            let part = match whose {
+                Whose::Class => row.served / all.max(1e-9),
+                Whose::Team => part_of_expected(tally, &house),
+            };
+            row.first = row.below && part < self.floor;
+        }
+        self.rows = rows;
+        &self.rows
+    }
+
+    /// Whether an objective speaks of starts, and of which part it is asked.
+    fn asked(&self, at: u16) -> (bool, f64) {
+        let objective = self.objectives.get(usize::from(at));
+        let share = objective.map_or(1.0, |o| o.share);
+        (objective.is_some_and(|o| o.kind == "wait"), if share > 0.0 { share.min(1.0) } else { 1.0 })
+    }
+
+    fn row(&self, whose: Whose, name: &str, tally: &Tally) -> Row {
+        let (mut served, mut started, mut ended) = (1.0f64, Kept::default(), Kept::default());
+        let mut starts = Vec::new();
+        for (at, kept) in &tally.promises {
+            let (of_starts, share) = self.asked(*at);
+            if of_starts {
+                started = worse(started, *kept);
+                starts.push((*at, *kept));
+            } else {
+                ended = worse(ended, *kept);
+            }
+            let all = kept.kept + kept.missed;
+            if all >= FEWEST {
+                served = served.min(kept.kept / all / share);
+            }
+        }
+        Row {
+            whose,
+            name: name.to_owned(),
+            offered: tally.offered,
+            done: tally.done,
+            given_up: tally.given_up,
+            overdue: tally.overdue,
+            lost: tally.lost,
+            started,
+            ended,
+            served,
+            below: served < self.floor,
+            first: false,
+            starts,
+        }
+    }
+
+    /// Who goes first, by what a look has shown.
+    pub fn below(rows: &[Row]) -> Below {
+        let names = |chosen: fn(&&Row) -> bool| rows.iter().filter(chosen).map(|r| (r.whose, r.name.as_str()));
+        Below { short: Names::of(names(|r| r.below)), first: Names::of(names(|r| r.first)) }
+    }
+
+    /// Entries of everything held, for `held`.
+    pub fn entries(&self) -> usize {
+        self.parts.iter().map(|p| p.tallies.len()).sum()
+    }
+}
+
+/// The served part of all together, each by what it offered.
+fn served_of_all<'a>(rows: impl Iterator<Item = &'a Row>) -> f64 {
+    let (served, offered) = rows.fold((0.0, 0.0), |(served, offered), row| {
+        let n = row.offered as f64;
+        (served + row.served * n, offered + n)
+    });
+    if offered > 0.0 { served / offered } else { 1.0 }
+}
+
+/// What was kept towards a team, against what would be if each of its promises were kept as often
+/// as the same ones are to all.
+fn part_of_expected(team: &Tally, house: &Tally) -> f64 {
+    let (mut kept, mut expected) = (0.0, 0.0);
+    for (at, mine) in &team.promises {
+        let all = house.promises.get(at).copied().unwrap_or_default();
+        kept += mine.kept;
+        expected += (mine.kept + mine.missed) * all.kept / (all.kept + all.missed).max(1e-9);
+    }
+    if expected > 0.0 { kept / expected } else { 1.0 }
+}
+
+/// The one of which the lesser part was kept.
+fn worse(a: Kept, b: Kept) -> Kept {
+    let part = |k: Kept| k.kept / (k.kept + k.missed).max(1e-9);
+    if a.kept + a.missed == 0.0 || (b.kept + b.missed > 0.0 && part(b) < part(a)) { b } else { a }
+}
--- a/src/scheduling/tests.rs
+++ b/src/scheduling/tests.rs
@@ -1,5 +1,6 @@
 //! Placement and the book by cases.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -247,7 +248,18 @@
     let mut refusals = Refusals::default();
     refusals.note(kind("c8", true), Duration::from_secs(15), now);
     assert_eq!(plan(&waiting, &refusals), [(kind("c8", false), 2)], "what was refused is left alone");
-    assert!(!refusals.refused(&kind("c8", true), now + Duration::from_secs(16)));
+    assert!(!refusals.refused(&kind("c8", true), 0, now + Duration::from_secs(16)));
+    // Found on days of floods: machines were lost, and their kind was not asked for again for two minutes
+    // since it had been full before.
+    let mut refusals = Refusals::default();
+    refusals.holds(&HashMap::from([(kind("c8", true), 100)]));
+    (0..4).for_each(|_| refusals.note(kind("c8", true), Duration::from_secs(15), now));
+    for (held, after_s, refused) in
+        [(100, 16, true), (95, 16, true), (60, 14, true), (60, 16, false), (100, 121, false)]
+    {
+        let later = now + Duration::from_secs(after_s);
+        assert_eq!(refusals.refused(&kind("c8", true), held, later), refused, "{held} held after {after_s} s");
+    }
     let mut accelerated = book(&[], now);
     add(&mut accelerated, 1, now, |j| (j.gpus, j.spot, j.zone) = (1.0, false, Some("a".into())));
     assert_eq!(plan(&accelerated, &Refusals::default()), [(kind("g2", false), 1)]);
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -82,6 +82,9 @@
     /// Multiples of a job's own deadline.
     #[serde(default)]
     pub times: f64,
+    /// The part of the jobs, or of their tasks, of which it is asked.
+    #[serde(default)]
+    pub share: f64,
 }
 
 #[derive(Debug, Clone, Deserialize)]
--- a/src/settings/properties.rs
+++ b/src/settings/properties.rs
@@ -63,6 +63,13 @@
     most_machines: number = 5000.0, "machines.most", 1.0, 100000.0;
     /// Seconds to keep from asking again for machines of a type, zone and kind that were refused.
     refusal: seconds = 15.0, "machines.refusal.seconds", 1.0, 3600.0;
+    /// Seconds over which it is counted who is served.
+    served_window: seconds = 300.0, "served.window.seconds", 10.0, 86400.0;
+    /// Who gets less than this part of what was promised is rented for at once; who gets less than this
+    /// part of what it would by its offered work goes first.
+    served_floor: number = 0.75, "served.floor", 0.0, 1.0;
+    /// Of the cores that are given out, work too late for all promises gets this part.
+    served_late: number = 0.05, "served.late.part", 0.0, 1.0;
     /// Task failures in a row after which a machine is taken out.
     machine_failures: number = 2.0, "machines.failures", 1.0, 1000.0;
 }
--- a/src/store/budget.rs
+++ b/src/store/budget.rs
@@ -29,6 +29,10 @@
         Self { per_second: per_second.max(0.01), burst, held: burst, at: now }
     }
 
+    pub fn per_second(&self) -> f64 {
+        self.per_second
+    }
+
     /// The time in which it grows by `n`.
     pub fn time_for(&self, n: f64) -> Duration {
         Duration::from_secs_f64(n / self.per_second)
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -123,6 +123,13 @@
         crate::node::lock(&self.requests).time_for(n)
     }
 
+    /// After how long `n` more changes of the highest right could be written, and how many a second.
+    pub fn wait_for_writes(&self, n: f64) -> (Duration, f64) {
+        let mut writes = crate::node::lock(&self.writes);
+        let short = n - writes.ready(Urgent::First, Instant::now());
+        (writes.time_for(short.max(0.0)), writes.per_second())
+    }
+
     /// How many changes of this right could be written at once.
     pub fn writes_ready(&self, urgent: Urgent) -> usize {
         crate::node::lock(&self.writes).ready(urgent, Instant::now()).max(0.0) as usize
--- a/src/users/mod.rs
+++ b/src/users/mod.rs
@@ -1,7 +1,7 @@
 //! The API that users, workers and health checks call.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use salvo::conn::tcp::TcpListener;
 use salvo::http::StatusCode;
@@ -175,6 +175,35 @@
             other => other,
         };
     }
+    let entered = {
+        let mut door = lock(&node.door);
+        let (wait, per_second) = node.store.wait_for_writes(door.waiting() as f64 + 1.0);
+        door.enter(&record.spec, wait, per_second, rand::random(), Instant::now())
+    };
+    if let Err(after_s) = entered {
+        // At once, without a question to the store; a retry of a job that is held is told later.
+        return Reply::Later("too many jobs are submitted at once".into(), after_s);
+    }
+    let let_in = LetIn { node, spec: record.spec.clone() };
+    let reply = write_acceptance(node, record, old_kept).await;
+    drop(let_in);
+    reply
+}
+
+/// Leaves the door whatever becomes of the request.
+struct LetIn<'a> {
+    node: &'a Node,
+    spec: JobSpec,
+}
+
+impl Drop for LetIn<'_> {
+    fn drop(&mut self) {
+        lock(&self.node.door).leave(&self.spec);
+    }
+}
+
+async fn write_acceptance(node: &Node, record: JobRecord, old_kept: bool) -> Reply {
+    let id = record.spec.id.clone();
     let accept = moves::accept(&record, old_kept);
     for _ in 0..RETRIES {
         match node.store.txn(&accept.conditions, &accept.changes, Urgent::First).await {
