Moves only: locks, kinds of machines, counts and records out of the circle around the node

The lock and the pause go to sync, kinds and the catalog to kinds, counts to jobs, the records of leadership to membership/records, the forecast to scheduling, which takes its messages from the wire. Nothing else changes.

--- a/src/fleet/cloud.rs
+++ b/src/fleet/cloud.rs
@@ -5,12 +5,13 @@
 
 use hyper::Method;
 
-use crate::node::lock;
+use crate::kinds::Catalog;
 use crate::settings::Settings;
 use crate::store::budget::{Budget, Urgent};
+use crate::sync::lock;
 use crate::traffic::{Passage, Traffic};
-pub use crate::wire::cloud::{Catalog, Listed, MachineType, Rental};
 use crate::wire::cloud::{ListPage, Names};
+pub use crate::wire::cloud::{Listed, Rental};
 use crate::wire::{self, Http};
 
 const ANSWER_WITHIN: Duration = Duration::from_secs(4);
--- a/src/fleet/drain.rs
+++ b/src/fleet/drain.rs
@@ -3,13 +3,13 @@
 
 use std::time::{Duration, Instant};
 
-use super::Catalog;
 use crate::jobs::JobSpec;
+use crate::kinds::Catalog;
 use crate::scheduling::book::{Book, Machine, MachineId, Standing};
 use crate::scheduling::plan::queue;
 use crate::scheduling::room::{Ground, Room, Zones, suspect_after, usable};
 use crate::sla;
-use crate::workers::{LegStatus, TaskKey};
+use crate::wire::workers::{LegStatus, TaskKey};
 
 /// A machine costs this long in any case.
 const LEAST_CHARGED: Duration = Duration::from_secs(60);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -2,7 +2,6 @@
 
 pub mod cloud;
 pub mod drain;
-pub mod forecast;
 pub mod rent;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -11,14 +10,15 @@
 
 use tracing::{debug, info, warn};
 
-pub use cloud::{Catalog, MachineType};
 use cloud::{CloudError, MOST_RENTED, MOST_RETURNED, Rental};
-use rent::{Kind, Refusals};
+use rent::Refusals;
 
-use crate::node::{Node, lock};
+use crate::kinds::Kind;
+use crate::node::Node;
 use crate::scheduling::book::Standing;
 use crate::scheduling::room::Ground;
-use crate::store::follow::jitter;
+use crate::sync::jitter;
+use crate::sync::lock;
 
 const CATALOG_EVERY: Duration = Duration::from_secs(60);
 const RETRY: Duration = Duration::from_millis(700);
--- a/src/fleet/rent.rs
+++ b/src/fleet/rent.rs
@@ -1,13 +1,12 @@
 //! What to rent and what to give up: pure functions of the book and the time.
 
 use std::collections::{BTreeMap, HashMap};
-use std::fmt;
 use std::time::{Duration, Instant};
 
-use super::Catalog;
-use super::forecast::{Slots, Timeline};
 use crate::jobs::JobSpec;
+use crate::kinds::{Catalog, Kind};
 use crate::scheduling::book::{Book, MachineId, Standing};
+use crate::scheduling::forecast::{Slots, Timeline};
 use crate::scheduling::plan::{Quotas, Turn, queue};
 use crate::scheduling::room::{Ground, Offer, Room, Zones};
 use crate::scheduling::served::promises::starts_left_s;
@@ -19,20 +18,6 @@
 /// A refusal is remembered for this long after its pause.
 const REFUSAL_KEPT: Duration = Duration::from_secs(3600);
 
-/// What can be rented: a type, in a zone, ordinary or spot.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Kind {
-    pub type_name: String,
-    pub zone: String,
-    pub spot: bool,
-}
-
-impl fmt::Display for Kind {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} in {}{}", self.type_name, self.zone, if self.spot { " (spot)" } else { "" })
-    }
-}
-
 /// Kinds of which it is kept how many were ever held; more than any catalog has.
 const MOST_GIVEN: usize = 1000;
 
--- a/src/history/reader.rs
+++ b/src/history/reader.rs
@@ -11,10 +11,11 @@
 use super::moves::{self, not_there};
 use crate::jobs::record::{JobRecord, OldEnd, old_end_key, old_job_key};
 use crate::jobs::{End, JobId};
-use crate::node::{Node, lock};
+use crate::node::Node;
 use crate::settings::Settings;
 use crate::store::budget::Urgent;
 use crate::store::{StoreError, TxnOutcome};
+use crate::sync::lock;
 
 type Waiter = oneshot::Sender<Verdict>;
 
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -16,6 +16,13 @@
     Withdrawn,
 }
 
+/// How many tasks of a job run and are done, for display.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Counts {
+    pub running: u64,
+    pub done: u64,
+}
+
 #[cfg(test)]
 pub mod tests {
     use super::*;
--- a/src/membership/mesh.rs
+++ b/src/membership/mesh.rs
@@ -10,9 +10,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tracing::{debug, warn};
 
-use crate::jobs::JobId;
-use crate::node::{Node, lock};
+use crate::jobs::{Counts, JobId};
+use crate::node::Node;
 use crate::scheduling::served::Row;
+use crate::sync::lock;
 
 const EVERY: Duration = Duration::from_secs(1);
 /// The account is told this often: what its successor may lack of it.
@@ -27,12 +28,6 @@
 /// What was heard longer ago says nothing.
 const STALE: Duration = Duration::from_secs(4);
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct Counts {
-    pub running: u64,
-    pub done: u64,
-}
-
 #[derive(Debug, Serialize, Deserialize)]
 struct Line {
     node: String,
@@ -113,7 +108,7 @@
             let error = tell_over(&node, stream).await;
             debug!(?error, addr, "connection to another controller");
         }
-        tokio::time::sleep(crate::store::follow::jitter(EVERY)).await;
+        tokio::time::sleep(crate::sync::jitter(EVERY)).await;
     }
 }
 
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -5,40 +5,20 @@
 //! how soon a new leader comes: a deposed owner is stopped by the stamp, not by the time.
 
 pub mod mesh;
+pub mod records;
 pub mod stranded;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
 use tracing::{debug, info, warn};
 
 use crate::jobs::record::{ASSIGNMENT, LEADER};
-use crate::node::{Node, lock};
+use crate::node::Node;
 use crate::store::budget::Urgent;
 use crate::store::{Change, Condition, StoreError, TxnOutcome};
-
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Leader {
-    pub node: String,
-    pub incarnation: String,
-}
-
-/// One owner's record. With several owners there is one record each, parting teams and machines.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Assignment {
-    pub node: String,
-    pub incarnation: String,
-    pub teams: Vec<String>,
-}
-
-/// Workers cannot reach the owner of this token, but reach this controller.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Plea {
-    pub node: String,
-    pub token: u64,
-    pub machines: usize,
-}
+use crate::sync::lock;
+use records::{Assignment, Leader};
 
 /// After yielding, the others get this long to take over before this controller tries again.
 const SHY: Duration = Duration::from_secs(10);
@@ -116,7 +96,7 @@
         };
         if let Err(error) = outcome {
             debug!(%error, ?step, "membership");
-            tokio::time::sleep(crate::store::follow::jitter(Duration::from_millis(150))).await;
+            tokio::time::sleep(crate::sync::jitter(Duration::from_millis(150))).await;
         }
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,20 +1,22 @@
 //! One controller: what its parts share, behind short locks that are never held across an await.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use tokio::sync::Notify;
 use tracing::{debug, error, info, warn};
 
+use crate::fleet;
 use crate::fleet::cloud::CloudClient;
-use crate::fleet::{self, Catalog};
 use crate::history::reader::{self, History};
+use crate::jobs::Counts;
 use crate::jobs::JobId;
 use crate::jobs::door::Door;
 use crate::jobs::record::{ASSIGNMENT, PLEA, time_of_day_ms};
-use crate::membership::Plea;
-use crate::membership::mesh::{Counts, Heard};
+use crate::kinds::Catalog;
+use crate::membership::mesh::Heard;
+use crate::membership::records::Plea;
 use crate::membership::stranded::Stranded;
 use crate::membership::{self, mesh};
 use crate::scheduling::served::{Account, Row};
@@ -25,16 +27,11 @@
 use crate::store::follow::Fresh;
 use crate::store::mirror::{Mirror, News};
 use crate::store::{Change, Condition, StateClient, commit, follow};
+use crate::sync::lock;
 use crate::traffic::Traffic;
 use crate::wire::Http;
 use crate::workers::dispatch;
 
-/// A poisoned lock means a panic elsewhere, which has been logged; the state itself is whole,
-/// since no lock is held over anything that awaits.
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
-}
-
 /// Who is to look again because something changed.
 #[derive(Default)]
 pub struct Wake {
--- a/src/scheduling/book/bindings.rs
+++ b/src/scheduling/book/bindings.rs
@@ -7,7 +7,7 @@
 use crate::jobs::JobId;
 use crate::scheduling::plan::Placement;
 use crate::scheduling::served::Note;
-use crate::workers::TaskKey;
+use crate::wire::workers::TaskKey;
 
 impl Book {
     pub fn bind_all(&mut self, placements: Vec<Placement>, now: Instant) {
--- a/src/scheduling/book/commands.rs
+++ b/src/scheduling/book/commands.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::{Book, Direct, Machine, MachineId, Phase, Standing};
-use crate::workers::{LegStatus, Order};
+use crate::wire::workers::{LegStatus, Order};
 
 /// Orders of one answer or command: about 60 bytes each, well below the body limit.
 const MOST_ORDERS: usize = 400;
--- a/src/scheduling/book/jobs.rs
+++ b/src/scheduling/book/jobs.rs
@@ -6,12 +6,12 @@
 
 use super::machine::image_id;
 use super::{Arrivals, Binding, Book, JobState, MOST_CLASSES, Machine, MachineId, Phase, Task};
+use crate::jobs::Counts;
 use crate::jobs::record::{CHUNK, JobRecord, Stored, time_of_day_ms};
 use crate::jobs::{End, JobId, JobSpec};
-use crate::membership::mesh::Counts;
 use crate::scheduling::served::promises::promises_of;
 use crate::sla::Agreement;
-use crate::workers::{LegStatus, TaskKey};
+use crate::wire::workers::{LegStatus, TaskKey};
 
 impl Book {
     pub fn jobs(&self) -> impl Iterator<Item = (&JobId, &JobState)> {
--- a/src/scheduling/book/machine.rs
+++ b/src/scheduling/book/machine.rs
@@ -7,10 +7,10 @@
 use tracing::{info, warn};
 
 use super::{Binding, Book, JobState, MachineId};
-use crate::fleet::rent::Kind;
 use crate::jobs::JobSpec;
+use crate::kinds::Kind;
 use crate::sla::{self, Load};
-use crate::workers::{Leg, LegStatus, TaskKey};
+use crate::wire::workers::{Leg, LegStatus, TaskKey};
 
 /// Names of returned machines kept, so that their late reports are not taken for news.
 const GONE_KEPT: usize = 20_000;
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -25,12 +25,12 @@
 use super::served::Note;
 use super::served::floor::{Below, Lane};
 use super::served::promises::{Promise, next_start_s};
-use crate::fleet::rent::Kind;
 use crate::jobs::record::{CHUNK, JobRecord, Stored};
 use crate::jobs::{JobId, JobSpec};
+use crate::kinds::Kind;
 use crate::settings::{Properties, Settings};
 use crate::sla::Agreement;
-use crate::workers::{LegStatus, Order};
+use crate::wire::workers::{LegStatus, Order};
 
 pub type MachineId = Arc<str>;
 
--- a/src/scheduling/book/reports.rs
+++ b/src/scheduling/book/reports.rs
@@ -5,10 +5,10 @@
 use tracing::{debug, info, warn};
 
 use super::{Book, Machine, MachineId, Phase, Standing, Via};
-use crate::fleet::Catalog;
 use crate::jobs::Shape;
+use crate::kinds::Catalog;
 use crate::sla;
-use crate::workers::{Cause, Leg, LegStatus, Report, TaskKey};
+use crate::wire::workers::{Cause, Leg, LegStatus, Report, TaskKey};
 
 /// A job that has failed on this many machines fails by itself.
 const FAILED_EVERYWHERE: usize = 3;
--- a/src/scheduling/book/storing.rs
+++ b/src/scheduling/book/storing.rs
@@ -7,7 +7,7 @@
 use super::{Book, ChunkWrite, Phase, Task};
 use crate::jobs::JobId;
 use crate::jobs::record::{CHUNK, JobRecord};
-use crate::workers::TaskKey;
+use crate::wire::workers::TaskKey;
 
 /// A chunk in which tasks have only ended or been released is stored this much later: more of
 /// them then go in one change. Nothing waits for it but the reaping of what has exited, and a
--- a/src/scheduling/holds.rs
+++ b/src/scheduling/holds.rs
@@ -9,9 +9,9 @@
 use super::book::{Book, MachineId};
 use super::plan::{Quotas, Turn, queue};
 use super::room::{Ground, Room, Zones, suspect_after, usable};
-use crate::fleet::Catalog;
-use crate::fleet::forecast::{Slots, Timeline};
 use crate::jobs::JobId;
+use crate::kinds::Catalog;
+use crate::scheduling::forecast::{Slots, Timeline};
 
 /// A gang waits this long before anything is held for it.
 const HOLD_AFTER: Duration = Duration::from_secs(5);
--- a/src/scheduling/interleavings.rs
+++ b/src/scheduling/interleavings.rs
@@ -13,7 +13,6 @@
 
 use super::book::{Book, MachineId, Standing, Via};
 use super::plan;
-use crate::fleet::{Catalog, MachineType};
 use crate::history::moves::{self, Move, Place, end_among, place_of};
 use crate::jobs::record::{
     ASSIGNMENT, CHUNK, JobRecord, Stored, TASKS, chunk_key, decode_chunk, ended_key, ended_keys, open_key,
@@ -21,11 +20,12 @@
 };
 use crate::jobs::tests::spec;
 use crate::jobs::{End, JobId, Shape};
+use crate::kinds::{Catalog, MachineType};
 use crate::settings::Properties;
 use crate::settings::tests::example;
 use crate::store::commit::Batch;
 use crate::store::{Change, Condition};
-use crate::workers::{Cause, Leg, LegStatus, Order, Report, TaskKey};
+use crate::wire::workers::{Cause, Leg, LegStatus, Order, Report, TaskKey};
 
 const STEP: Duration = Duration::from_millis(100);
 const LEASE: Duration = Duration::from_secs(24);
--- a/src/scheduling/load.rs
+++ b/src/scheduling/load.rs
@@ -12,10 +12,11 @@
     DONE, JobRecord, Stored, TASKS, decode_chunk, ended_key, ended_keys, old_job_key, parse_chunk_key,
 };
 use crate::jobs::{End, JobId};
-use crate::node::{Node, lock};
+use crate::node::Node;
 use crate::store::budget::Urgent;
 use crate::store::client::Item;
 use crate::store::{Condition, StoreError, TxnOutcome};
+use crate::sync::lock;
 
 /// Descriptions of ended jobs asked for at once.
 const ASKED_AT_ONCE: usize = 8;
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -1,6 +1,7 @@
 //! Which task runs where: the owner's book, the decisions taken on it, and their loop.
 
 pub mod book;
+pub mod forecast;
 pub mod holds;
 #[cfg(test)]
 mod interleavings;
@@ -19,7 +20,8 @@
 pub use book::Book;
 use served::{Account, Open, Row};
 
-use crate::node::{Node, lock};
+use crate::node::Node;
+use crate::sync::lock;
 
 /// Placement follows events; this bounds how often, so that a burst is planned as one.
 const GAP: Duration = Duration::from_millis(60);
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -13,10 +13,10 @@
 use super::book::{Book, JobState, MachineId, Phase};
 use super::room::{Ground, Room, Zones, usable};
 use super::served::floor::Rank;
-use crate::fleet::Catalog;
 use crate::jobs::{JobId, JobSpec};
+use crate::kinds::Catalog;
 use crate::sla;
-use crate::workers::TaskKey;
+use crate::wire::workers::TaskKey;
 
 pub use super::room::SLACK;
 
--- a/src/scheduling/room.rs
+++ b/src/scheduling/room.rs
@@ -6,9 +6,9 @@
 
 use super::book::{Book, JobState, Machine, Standing};
 use super::holds::Hold;
-use crate::fleet::rent::Kind;
-use crate::fleet::{Catalog, MachineType};
 use crate::jobs::JobSpec;
+use crate::kinds::Kind;
+use crate::kinds::{Catalog, MachineType};
 use crate::sla::Load;
 
 /// Amounts are decimal; sums of them are compared with this much slack.
--- a/src/scheduling/served/tests/mod.rs
+++ b/src/scheduling/served/tests/mod.rs
@@ -11,15 +11,15 @@
 use super::floor::{Below, Lane, Names};
 use super::promises::{Promise, promises_of, starts_left_s};
 use super::*;
-use crate::fleet::{Catalog, MachineType};
 use crate::jobs::record::time_of_day_ms;
 use crate::jobs::tests::spec;
 use crate::jobs::{JobId, Shape};
+use crate::kinds::{Catalog, MachineType};
 use crate::scheduling::book::{Book, Via};
 use crate::scheduling::plan;
 use crate::settings::tests::example;
 use crate::sla::priority_worth;
-use crate::workers::{Cause, Leg, LegStatus, Order, Report, TaskKey};
+use crate::wire::workers::{Cause, Leg, LegStatus, Order, Report, TaskKey};
 
 fn s(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds)
--- a/src/scheduling/tests.rs
+++ b/src/scheduling/tests.rs
@@ -6,14 +6,16 @@
 
 use super::book::{Book, Standing, Via};
 use super::plan;
-use crate::fleet::rent::{self, Kind, Refusals};
-use crate::fleet::{Catalog, MachineType, drain};
+use crate::fleet::drain;
+use crate::fleet::rent::{self, Refusals};
 use crate::jobs::record::{JobRecord, time_of_day_ms};
 use crate::jobs::tests::spec;
 use crate::jobs::{JobSpec, Shape, Urgency};
+use crate::kinds::Kind;
+use crate::kinds::{Catalog, MachineType};
 use crate::settings::Properties;
 use crate::settings::tests::example;
-use crate::workers::{Leg, LegStatus, Report, TaskKey};
+use crate::wire::workers::{Leg, LegStatus, Report, TaskKey};
 
 fn of(name: &str, cpus: f64, gpus: f64, price: f64) -> MachineType {
     MachineType {
--- a/src/store/audit.rs
+++ b/src/store/audit.rs
@@ -19,7 +19,8 @@
 use crate::history::moves::{accept, end_changes, not_ended, not_there};
 use crate::jobs::record::{JobRecord, chunk_key, ended_key, open_key, time_of_day_ms};
 use crate::jobs::{End, JobId};
-use crate::node::{Node, lock};
+use crate::node::Node;
+use crate::sync::lock;
 
 /// Acceptances and ends remembered, the latest: about a KiB each.
 const REMEMBERED: usize = 512;
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -109,36 +109,36 @@
     }
 
     pub fn health(&self) -> Health {
-        *crate::node::lock(&self.health)
+        *crate::sync::lock(&self.health)
     }
 
     /// Replaces the shares, when this controller begins or ends owning.
     pub fn set_budgets(&self, requests: Budget, writes: Budget) {
-        *crate::node::lock(&self.requests) = requests;
-        *crate::node::lock(&self.writes) = writes;
+        *crate::sync::lock(&self.requests) = requests;
+        *crate::sync::lock(&self.writes) = writes;
     }
 
     /// The time in which this controller's share of the requests grows by `n`.
     pub fn time_for(&self, n: f64) -> Duration {
-        crate::node::lock(&self.requests).time_for(n)
+        crate::sync::lock(&self.requests).time_for(n)
     }
 
     /// After how long `n` more changes of the highest right could be written, and how many a second.
     pub fn wait_for_writes(&self, n: f64) -> (Duration, f64) {
-        let mut writes = crate::node::lock(&self.writes);
+        let mut writes = crate::sync::lock(&self.writes);
         let short = n - writes.ready(Urgent::First, Instant::now());
         (writes.time_for(short.max(0.0)), writes.per_second())
     }
 
     /// How many changes of this right could be written at once.
     pub fn writes_ready(&self, urgent: Urgent) -> usize {
-        crate::node::lock(&self.writes).ready(urgent, Instant::now()).max(0.0) as usize
+        crate::sync::lock(&self.writes).ready(urgent, Instant::now()).max(0.0) as usize
     }
 
     async fn budgeted(budget: &Mutex<Budget>, n: f64, urgent: Urgent) -> Result<(), StoreError> {
         let begun = Instant::now();
         loop {
-            let wait = match crate::node::lock(budget).take(n, urgent, Instant::now()) {
+            let wait = match crate::sync::lock(budget).take(n, urgent, Instant::now()) {
                 Ok(()) => return Ok(()),
                 Err(wait) => wait,
             };
@@ -180,7 +180,7 @@
         }
         let served = matches!(outcome, Ok((status, _)) if status != 503) || outcome == Err(CallError::TooLarge);
         {
-            let mut health = crate::node::lock(&self.health);
+            let mut health = crate::sync::lock(&self.health);
             let at = Some(Instant::now());
             if served {
                 health.served = at;
--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -13,15 +13,16 @@
 
 use super::audit::Held;
 use super::budget::Urgent;
-use super::follow::jitter;
 use super::{Change, Condition, StoreError, TxnOutcome};
 use crate::history::moves::{end_among, end_changes, not_ended};
 use crate::jobs::record::{
     ASSIGNMENT, ENDED_EXTRA, JobRecord, chunk_key, chunk_size, decode_chunk, encode_chunk, time_of_day_ms,
 };
 use crate::jobs::{End, JobId};
-use crate::node::{Node, lock};
+use crate::node::Node;
 use crate::scheduling::book::ChunkWrite;
+use crate::sync::jitter;
+use crate::sync::lock;
 
 /// Lets a moment's changes go together; a tenth of what a person would notice.
 const GAP: Duration = Duration::from_millis(40);
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::Rng;
+use crate::sync::jitter;
 use tracing::{debug, warn};
 
 use super::StoreError;
 use crate::history::upgrade;
 use crate::jobs::record::{MIRRORED, MIRRORED_AFTER};
-use crate::node::{Node, lock};
+use crate::node::Node;
+use crate::sync::lock;
 
 const WATCH: Duration = Duration::from_secs(20);
 /// Between two proofs of freshness, so that polls share them: at least this, and at least the time
@@ -22,10 +23,6 @@
 /// A poll is waited for 2 s; past this, 503 tells its user to come again.
 const FRESH_WITHIN: Duration = Duration::from_millis(1500);
 
-pub fn jitter(base: Duration) -> Duration {
-    base.mul_f64(rand::rng().random_range(0.5..1.5))
-}
-
 /// Reads page by page into what is kept; what an earlier build has left is taken over first.
 async fn reload(node: &Node) -> Result<(), StoreError> {
     let mut loading = lock(&node.mirror).load();
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -17,7 +17,7 @@
 use crate::jobs::JobId;
 use crate::jobs::limits::{self, Held};
 use crate::jobs::record::{ASSIGNMENT, JobRecord, LEADER, OPEN, PLEA, UPGRADED, Upgraded};
-use crate::membership::{Assignment, Leader, Plea};
+use crate::membership::records::{Assignment, Leader, Plea};
 
 /// Descriptions kept of jobs that are over: about half a KiB each.
 const ENDED_KEPT: NonZeroUsize = NonZeroUsize::new(2000).unwrap();
--- a/src/users/mod.rs
+++ b/src/users/mod.rs
@@ -8,17 +8,18 @@
 use salvo::prelude::*;
 use tracing::{debug, info};
 
-use crate::fleet::Catalog;
 use crate::history::desk::Verdict;
 use crate::history::moves::{self, end_among};
 use crate::jobs::limits::can_hold;
 use crate::jobs::record::{ENDED_EXTRA, JobRecord, time_of_day_ms};
 use crate::jobs::{End, JobId, JobSpec, well_formed_id};
-use crate::node::{Node, lock};
+use crate::kinds::Catalog;
+use crate::node::Node;
 use crate::settings::Settings;
 use crate::store::audit::Held;
 use crate::store::budget::Urgent;
 use crate::store::{StoreError, TxnOutcome};
+use crate::sync::lock;
 use crate::traffic::Passage;
 use crate::wire::users::{JobAnswer, Status};
 use crate::wire::{self, BODY_LIMIT};
@@ -366,9 +367,9 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::fleet::MachineType;
     use crate::jobs::Shape;
     use crate::jobs::tests::spec;
+    use crate::kinds::MachineType;
     use crate::settings::tests::example;
 
     #[test]
--- a/src/workers/dispatch.rs
+++ b/src/workers/dispatch.rs
@@ -7,8 +7,9 @@
 use tracing::debug;
 
 use super::{Orders, Report};
-use crate::node::{Node, lock};
+use crate::node::Node;
 use crate::scheduling::book::{Direct, Via};
+use crate::sync::lock;
 use crate::traffic::Passage;
 use crate::wire::{self, CallError};
 
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -7,8 +7,9 @@
 
 use tracing::debug;
 
-use crate::node::{Node, lock};
+use crate::node::Node;
 use crate::scheduling::book::Via;
+use crate::sync::lock;
 pub use crate::wire::workers::{Cause, Leg, LegStatus, Order, Orders, Report, TaskKey};
 
 /// What a report is answered with.
