Orders to the cloud are stored before they are carried out, and taken over by the next owner

The cloud knows no tokens: an owner that stood still between asking the store and calling returned machines on which its successor had placed work, and what was asked for was known to nobody once it was replaced. Now an order to rent or to return is stored on condition of the assignment, a new owner reads open orders before it decides anything, takes what is to be returned as no place for work, and carries out the rest under the same names, so that a late call finds nothing left to do. Rentals of a process that owned twice had the names of its first time again: names hold the token now.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod cloud;
 pub mod drain;
+pub mod orders;
 pub mod rent;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -11,12 +12,15 @@
 use tracing::{debug, info, warn};
 
 use cloud::{CloudError, MOST_RENTED, MOST_RETURNED, Rental};
+use orders::{CloudOrder, Inherited, Next, What};
 use rent::Refusals;
 
 use crate::kinds::Kind;
 use crate::node::Node;
 use crate::scheduling::book::Standing;
 use crate::scheduling::room::Ground;
+use crate::store::TxnOutcome;
+use crate::store::budget::Urgent;
 use crate::sync::jitter;
 use crate::sync::lock;
 
@@ -36,6 +40,10 @@
 /// An unanswered rental is asked again under its own name this often before it is let go; what
 /// it may still bring is adopted when it reports.
 const RENT_TRIES: u32 = 6;
+/// So many are too many to wait for an idle moment: a new owner carries them all out once more.
+const TIDY_PRESSED: usize = 12;
+/// Clean-up of orders gives way after this.
+const TIDY_WITHIN: Duration = Duration::from_millis(400);
 
 /// Every controller needs the types to judge submissions.
 pub async fn learn_catalog(node: Arc<Node>) {
@@ -70,6 +78,8 @@
     pub asked: HashMap<Kind, u64>,
     returning: HashSet<String>,
     next: u64,
+    /// Orders that were carried out and are still stored.
+    finished: Vec<String>,
 }
 
 impl Dealings {
@@ -87,6 +97,7 @@
     let dealings = Shared::default();
     let (mut listed, mut told, mut drained) = (None::<Instant>, None::<Instant>, Instant::now());
     let (mut renting, mut returning) = (tokio::task::JoinSet::new(), tokio::task::JoinSet::new());
+    let mut tidying = tokio::task::JoinSet::new();
     loop {
         let _ = tokio::time::timeout(EVERY, node.wake.fleet.notified()).await;
         if !lock(&node.book).as_ref().is_some_and(|b| b.loaded) {
@@ -110,11 +121,23 @@
                 tell_fleet(&node);
             }
         }
-        for rental in decide(&node, &dealings) {
-            renting.spawn(carry_out(node.clone(), dealings.clone(), rental));
+        let inherited = inherited(&node, &dealings);
+        for (rentals, key) in inherited.rentals {
+            renting.spawn(carry_out(node.clone(), dealings.clone(), rentals, key));
+        }
+        for (names, keys) in inherited.returns {
+            returning.spawn(give_back(node.clone(), dealings.clone(), names, keys));
+        }
+        for rentals in decide(&node, &dealings) {
+            renting.spawn(rent(node.clone(), dealings.clone(), rentals));
         }
         for names in to_return(&node, &dealings) {
-            returning.spawn(give_back(node.clone(), dealings.clone(), names));
+            returning.spawn(return_all(node.clone(), dealings.clone(), names));
+        }
+        while tidying.try_join_next().is_some() {}
+        if tidying.is_empty() {
+            let (node, dealings) = (node.clone(), dealings.clone());
+            tidying.spawn(async move { tidy(&node, &dealings).await });
         }
         tokio::time::sleep(RENT_GAP.max(begun.elapsed() * REST)).await;
     }
@@ -203,8 +226,7 @@
             left -= count;
             dealings.next += 1;
             of_kind.push(Rental {
-                // Never used again by anyone: the incarnation is this process's alone.
-                request: format!("{}-{}", node.incarnation, dealings.next),
+                request: orders::name(&node.incarnation, book.token, dealings.next),
                 type_name: kind.type_name.clone(),
                 zone: kind.zone.clone(),
                 spot: kind.spot,
@@ -216,9 +238,89 @@
     rentals
 }
 
-/// The requests of one kind, one after another: once one was not filled, the rest would only use up
-/// the cloud's calls.
-async fn carry_out(node: Arc<Node>, dealings: Shared, rentals: Vec<Rental>) {
+/// What an earlier owner has left, once; from here on it is this owner's.
+fn inherited(node: &Node, dealings: &Shared) -> Inherited {
+    let orders = lock(&node.book).as_mut().map(|b| std::mem::take(&mut b.inherited)).unwrap_or_default();
+    let inherited = Inherited::of(orders, MOST_RETURNED);
+    let mut dealings = lock(dealings);
+    for (rentals, key) in &inherited.rentals {
+        info!(key, rentals = rentals.len(), "an order to rent is taken over");
+        for rental in rentals {
+            *dealings.asked.entry(kind_of(rental)).or_default() += rental.count;
+        }
+    }
+    for (names, keys) in &inherited.returns {
+        info!(orders = keys.len(), machines = names.len(), "orders to return are taken over");
+        dealings.returning.extend(names.iter().cloned());
+    }
+    inherited
+}
+
+fn token(node: &Node) -> Option<u64> {
+    lock(&node.book).as_ref().map(|b| b.token)
+}
+
+/// Stores an order under this owner's assignment; its key, once it stands. None where another owns
+/// by now, or where `give_up` says that it can't wait any longer.
+async fn store(node: &Node, dealings: &Shared, what: What, give_up: impl Fn() -> bool) -> Result<String, Next> {
+    let Some(epoch) = token(node) else { return Err(Next::Stop) };
+    let order = {
+        let mut dealings = lock(dealings);
+        dealings.next += 1;
+        CloudOrder::new(&node.incarnation, epoch, dealings.next, what)
+    };
+    let change = [order.change()];
+    loop {
+        let Some(under) = token(node) else { return Err(Next::Stop) };
+        let outcome = node.store.txn(&order.conditions(under), &change, Urgent::First).await;
+        match order.next(&outcome, token(node)) {
+            Next::Act => return Ok(order.key),
+            Next::Stop => return Err(Next::Stop),
+            Next::Again if give_up() => {
+                // It may yet be applied: it is cleaned up like one that was.
+                lock(dealings).finished.push(order.key);
+                return Err(Next::Again);
+            }
+            Next::Again => {
+                debug!(?outcome, key = order.key, "storing an order");
+                if matches!(outcome, Ok(TxnOutcome::Failed(_))) {
+                    node.fresh.wait().await;
+                    node.check_deposed();
+                }
+                tokio::time::sleep(jitter(RETRY)).await;
+            }
+        }
+    }
+}
+
+/// Orders that were carried out are dropped together, behind everything else.
+async fn tidy(node: &Node, dealings: &Shared) {
+    let urgent = if lock(dealings).finished.len() >= TIDY_PRESSED { Urgent::Second } else { Urgent::Last };
+    let most = node.store.writes_ready(urgent).min(node.settings.params.state.txn_ops as usize);
+    let keys: Vec<String> = lock(dealings).finished.iter().take(most).cloned().collect();
+    let Some(token) = token(node).filter(|_| !keys.is_empty()) else { return };
+    let (conditions, changes) = orders::drops(&keys, token);
+    let outcome = tokio::time::timeout(TIDY_WITHIN, node.store.txn(&conditions, &changes, urgent)).await;
+    if matches!(outcome, Ok(Ok(TxnOutcome::Applied(_)))) {
+        lock(dealings).finished.retain(|key| !keys.contains(key));
+    }
+}
+
+/// The requests of one kind, stored before the first is made.
+async fn rent(node: Arc<Node>, dealings: Shared, rentals: Vec<Rental>) {
+    match store(&node, &dealings, What::Rent(rentals.clone()), || false).await {
+        Ok(key) => carry_out(node, dealings, rentals, key).await,
+        Err(_) => {
+            let mut dealings = lock(&dealings);
+            for rental in &rentals {
+                dealings.no_longer_asked(&kind_of(rental), rental.count);
+            }
+        }
+    }
+}
+
+/// One after another: once one was not filled, the rest would only use up the cloud's calls.
+async fn carry_out(node: Arc<Node>, dealings: Shared, rentals: Vec<Rental>, key: String) {
     let mut rentals = rentals.into_iter();
     for rental in rentals.by_ref() {
         if !carry_out_one(&node, &dealings, rental).await {
@@ -229,6 +331,7 @@
     for rental in rentals {
         dealings.no_longer_asked(&kind_of(&rental), rental.count);
     }
+    dealings.finished.push(key);
 }
 
 fn kind_of(rental: &Rental) -> Kind {
@@ -294,21 +397,24 @@
     urgent.chunks(MOST_RETURNED).chain(rest.chunks(MOST_RETURNED)).map(<[String]>::to_vec).collect()
 }
 
-/// Asked again until answered: only the answer proves that the machines and all on them are gone.
-///
-/// A controller that was deposed without knowing, as after standing still, must not return its
-/// successor's fleet: the store has to confirm the assignment first. Only what a withdrawal
-/// makes urgent goes without, since too late would be worse than too much.
-async fn give_back(node: Arc<Node>, dealings: Shared, names: Vec<String>) {
-    while !node.fresh.wait().await {
+/// Returns machines once the order for it is stored. A controller that was deposed without knowing, as
+/// after standing still, stores none; one that stands still between the two returns what its
+/// successor has read to be returned. Only what a withdrawal makes urgent goes without where the store
+/// does not answer, since too late would be worse than too much.
+async fn return_all(node: Arc<Node>, dealings: Shared, names: Vec<String>) {
+    let urgent = || {
         let overdue = lock(&node.book).as_ref().map(|b| b.overdue(Instant::now())).unwrap_or_default();
-        let urgent = names.iter().any(|n| overdue.contains(n.as_str()));
-        if urgent {
-            break;
-        }
-        tokio::time::sleep(jitter(RETRY)).await;
+        names.iter().any(|n| overdue.contains(n.as_str()))
+    };
+    match store(&node, &dealings, What::Return(names.clone()), urgent).await {
+        Ok(key) => give_back(node.clone(), dealings, names.clone(), vec![key]).await,
+        Err(Next::Again) => give_back(node.clone(), dealings, names.clone(), Vec::new()).await,
+        Err(_) => {}
     }
-    node.check_deposed();
+}
+
+/// Asked again until answered: only the answer proves that the machines and all on them are gone.
+async fn give_back(node: Arc<Node>, dealings: Shared, names: Vec<String>, keys: Vec<String>) {
     if lock(&node.book).is_none() {
         return;
     }
@@ -326,5 +432,6 @@
     for name in &names {
         dealings.returning.remove(name);
     }
+    dealings.finished.extend(keys);
     node.wake.plan.notify_one();
 }
--- a/src/scheduling/book/machine.rs
+++ b/src/scheduling/book/machine.rs
@@ -7,6 +7,7 @@
 use tracing::{info, warn};
 
 use super::{Binding, Book, JobState, MachineId};
+use crate::fleet::orders::{CloudOrder, What};
 use crate::jobs::JobSpec;
 use crate::kinds::Kind;
 use crate::sla::{self, Load};
@@ -311,6 +312,22 @@
         }
     }
 
+    /// Orders that an earlier owner has stored and may yet carry out. What is to be returned takes no
+    /// work from here on, whether or not it was heard of before.
+    pub fn inherit_orders(&mut self, orders: Vec<CloudOrder>, now: Instant) {
+        for order in &orders {
+            let What::Return(names) = &order.what else { continue };
+            for name in names {
+                let id: MachineId = name.as_str().into();
+                if !self.gone_set.contains(&id) {
+                    self.machines.entry(id.clone()).or_insert_with(|| Machine::new(id, now));
+                    self.condemn(name, "an earlier owner has ordered its return");
+                }
+            }
+        }
+        self.inherited = orders;
+    }
+
     /// No new work for a machine that can be spared; these tasks of it save and move.
     pub fn drain(&mut self, id: &MachineId, moves: &[(TaskKey, u64)], now: Instant) {
         let Some(machine) = self.machines.get_mut(id) else { return };
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -25,6 +25,7 @@
 use super::served::Note;
 use super::served::floor::{Below, Lane};
 use super::served::promises::{Promise, next_start_s};
+use crate::fleet::orders::CloudOrder;
 use crate::jobs::record::{CHUNK, JobRecord, Stored};
 use crate::jobs::{JobId, JobSpec};
 use crate::kinds::Kind;
@@ -238,6 +239,8 @@
     pub below: Below,
     /// What work that is late for everything may take before others.
     pub lane: Lane,
+    /// Machines that an earlier owner asked for, by kind, and what it left to be carried out.
+    pub inherited: Vec<CloudOrder>,
     /// What the account is to be told next.
     notes: Vec<(JobId, Note, Instant)>,
 }
@@ -297,6 +300,7 @@
             holds: HashMap::new(),
             below: Below::default(),
             lane: Lane::default(),
+            inherited: Vec::new(),
             notes: Vec::new(),
         }
     }
--- a/src/scheduling/load.rs
+++ b/src/scheduling/load.rs
@@ -8,6 +8,7 @@
 use tokio::task::JoinSet;
 use tracing::{error, info};
 
+use crate::fleet::orders::{CloudOrder, ORDERS};
 use crate::jobs::record::{
     DONE, JobRecord, Stored, TASKS, decode_chunk, ended_key, ended_keys, old_job_key, parse_chunk_key,
 };
@@ -67,6 +68,13 @@
         chunks += page.len();
         take_page(node, page, &mut ended).await?;
     }
+    // What an earlier owner may still be doing, before anything is placed: nothing can be added to
+    // it any more, since orders are conditional on the assignment.
+    let mut orders = Vec::new();
+    let mut pages = node.store.pages(ORDERS, None);
+    while let Some(page) = pages.next().await? {
+        orders.extend(page.items.iter().filter_map(CloudOrder::read));
+    }
     let now = Instant::now();
     {
         let mirror = lock(&node.mirror);
@@ -80,9 +88,19 @@
         for id in &ended {
             book.end_job(id, node.history.ended(id), now);
         }
+        let inherited = orders.len();
+        book.inherit_orders(orders, now);
         book.finish_load(now);
         let (jobs, machines) = (book.job_count(), book.machines.len());
-        info!(jobs, machines, chunks, pages = read, took_ms = (now - begun).as_millis() as u64, "took over");
+        info!(
+            jobs,
+            machines,
+            chunks,
+            orders = inherited,
+            pages = read,
+            took_ms = (now - begun).as_millis() as u64,
+            "took over"
+        );
     }
     node.wake.plan.notify_one();
     node.wake.dispatch.notify_one();
