--- a/src/scheduling/book/bindings.rs
+++ b/src/scheduling/book/bindings.rs
@@ -40,6 +40,7 @@
         }
         let Some(machine) = self.machines.get_mut(&p.machine) else { return };
         task.attempt = p.attempt;
+        job.most_starts = job.most_starts.max(p.attempt);
         task.stored = false;
         task.phase = Phase::Bound(Box::new(Binding::new(p.machine, false, now)));
         job.waiting.remove(&p.task.index);
--- a/src/scheduling/book/jobs.rs
+++ b/src/scheduling/book/jobs.rs
@@ -76,6 +76,7 @@
             last_end: None,
             promises: promises.into(),
             touched: 0,
+            most_starts: 0,
             record,
         };
         self.stirred = true;
@@ -95,7 +96,10 @@
             job.touched += usize::from(item != Stored::Untouched);
             match item {
                 Stored::Untouched => {}
-                Stored::Waiting(attempt) => task.attempt = attempt,
+                Stored::Waiting(attempt) => {
+                    task.attempt = attempt;
+                    job.most_starts = job.most_starts.max(attempt);
+                }
                 Stored::Done => {
                     task.phase = Phase::Done;
                     job.waiting.remove(&index);
@@ -103,6 +107,7 @@
                 }
                 Stored::Bound(attempt, machine) => {
                     task.attempt = attempt;
+                    job.most_starts = job.most_starts.max(attempt);
                     let machine: MachineId = machine.into();
                     task.phase = Phase::Bound(Box::new(Binding::new(machine.clone(), true, now)));
                     job.waiting.remove(&index);
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -126,6 +126,8 @@
     pub promises: Box<[Promise]>,
     /// Tasks that had a place at least once.
     touched: usize,
+    /// Starts of the task that had most of them.
+    most_starts: u64,
 }
 
 impl JobState {
@@ -156,9 +158,17 @@
         1.0 - self.touched as f64 / self.tasks.len().max(1) as f64
     }
 
-    /// A waiting task of it has lost so many starts.
+    /// What must be free together for anything of it to start, in cores.
+    pub fn cores_at_once(&self) -> f64 {
+        let spec = self.spec();
+        if spec.is_gang() { spec.cpus * spec.tasks as f64 } else { spec.cpus }
+    }
+
+    /// A waiting task of it has lost so many starts. Looked for only where any task was started so
+    /// often: jobs may have a hundred thousand.
     pub fn lost_starts(&self, least: u64) -> bool {
-        self.waiting.iter().any(|i| self.tasks.get(*i as usize).is_some_and(|t| t.attempt >= least))
+        self.most_starts >= least
+            && self.waiting.iter().any(|i| self.tasks.get(*i as usize).is_some_and(|t| t.attempt >= least))
     }
 
     pub fn complete(&self) -> bool {
@@ -346,6 +356,15 @@
         self.below = below;
     }
 
+    /// What late work has earned is bounded by what the oldest of it needs.
+    pub fn bound_lane(&mut self, now: Instant) {
+        let waits = |job: &&JobState| !job.waiting.is_empty() && job.ended.is_none() && !job.complete();
+        let late = self.jobs.values().filter(waits);
+        let late = late.filter(|job| job.too_late(now.saturating_duration_since(job.since)));
+        let needs = late.min_by_key(|job| job.since).map(JobState::cores_at_once);
+        self.lane.bound(needs);
+    }
+
     fn note(&mut self, id: &JobId, note: Note, now: Instant) {
         if self.notes.len() < MOST_NOTES {
             self.notes.push((id.clone(), note, now));
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -103,6 +103,7 @@
     });
     let below = Account::below(account.look(open, now));
     book.set_below(below);
+    book.bound_lane(now);
 }
 
 fn tell(rows: &[Row]) {
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -49,14 +49,6 @@
     pub age: Duration,
 }
 
-impl Turn<'_> {
-    /// What must be free together for anything of it to start.
-    fn cores_at_once(&self) -> f64 {
-        let spec = self.job.spec();
-        if spec.is_gang() { spec.cpus * spec.tasks as f64 } else { spec.cpus }
-    }
-}
-
 /// Teams short of their guarantee first, then who is below the floor and can still be in time, then
 /// by return; work of no return by age.
 pub fn queue(book: &Book, now: Instant) -> Vec<Turn<'_>> {
@@ -386,12 +378,6 @@
         return (decisions, 0);
     }
     book.refresh_loads(now);
-    let oldest_late = |turns: &[Turn]| {
-        let late = turns.iter().enumerate().filter(|(_, t)| t.late && !t.guaranteed);
-        late.max_by(|(_, a), (_, b)| a.age.cmp(&b.age).then(b.id.cmp(a.id))).map(|(at, t)| (at, t.cores_at_once()))
-    };
-    let needs = oldest_late(&queue(book, now)).map(|(_, cores)| cores);
-    book.lane.bound(needs);
     let book = &*book;
     let mut turns = queue(book, now);
     if turns.is_empty() {
@@ -399,7 +385,11 @@
     }
     // Late work goes first as far as it has earned, the oldest of it.
     let mut earned = None;
-    if let Some((at, needs)) = oldest_late(&turns).filter(|(_, needs)| *needs <= book.lane.credit()) {
+    let late = turns.iter().enumerate().filter(|(_, t)| t.late && !t.guaranteed);
+    let oldest = late.max_by(|(_, a), (_, b)| a.age.cmp(&b.age).then(b.id.cmp(a.id)));
+    if let Some((at, needs)) =
+        oldest.map(|(at, t)| (at, t.job.cores_at_once())).filter(|(_, n)| *n <= book.lane.credit())
+    {
         let turn = turns.remove(at);
         turns.insert(turns.iter().take_while(|t| t.guaranteed).count(), turn);
         earned = Some((turn.id, (book.lane.credit() / needs.max(SLACK)) as usize));
