--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -249,7 +249,7 @@
     pub below: Below,
     /// What work that is late for everything may take before others.
     pub lane: Lane,
-    /// Machines that an earlier owner asked for, by kind, and what it left to be carried out.
+    /// Orders to the cloud that an earlier owner has left, for whoever carries them out.
     pub inherited: Vec<CloudOrder>,
     /// What the account is to be told next.
     notes: Vec<(JobId, Note, Instant)>,
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -99,6 +99,8 @@
         spec: job.spec(),
         promises: &job.promises,
         age: now.saturating_duration_since(job.since),
+        run: job.agreement.run,
+        waits: !job.waiting.is_empty(),
         untouched: job.untouched(),
     });
     let below = Account::below(account.look(open, now));
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -42,7 +42,7 @@
     pub id: &'a JobId,
     pub job: &'a JobState,
     guaranteed: bool,
-    rank: Rank,
+    pub rank: Rank,
     /// Too late for all that was promised of it.
     pub late: bool,
     task_return: f64,
@@ -162,6 +162,8 @@
     over: Instant,
     /// Hard work that would be late for waiting; nothing is held against it.
     pressed: bool,
+    /// Who goes first is not kept out by what is held for others.
+    first: bool,
     share: f64,
     task_return: f64,
     hard: bool,
@@ -179,6 +181,7 @@
             job,
             over: now + agreement.run,
             pressed: agreement.within_reach(age) && !agreement.within_reach(age + PRESSED_WITHIN),
+            first: turn.rank == Rank::First,
             share: sla::share(agreement.run, agreement.deadline.saturating_sub(age), agreement.cores),
             task_return: agreement.task_return(age + agreement.run),
             hard: agreement.within_reach(age),
@@ -193,7 +196,9 @@
 
     fn may_use(&self, room: &Room) -> bool {
         self.is_open(room.kind)
-            && room.hold.is_none_or(|hold| self.pressed || hold.job == *self.id || self.over <= hold.until)
+            && room
+                .hold
+                .is_none_or(|hold| self.pressed || self.first || hold.job == *self.id || self.over <= hold.until)
     }
 
     fn candidate(&self, at: usize, room: &Room) -> Option<Candidate> {
--- a/src/scheduling/served/mod.rs
+++ b/src/scheduling/served/mod.rs
@@ -121,6 +121,9 @@
     pub spec: &'a JobSpec,
     pub promises: &'a [Promise],
     pub age: Duration,
+    /// What a task of it still to be started would run.
+    pub run: Duration,
+    pub waits: bool,
     /// The part of its tasks that never had a place.
     pub untouched: f64,
 }
@@ -290,7 +293,10 @@
             let age = job.age.as_secs_f64();
             for key in [(Whose::Class, job.spec.class.as_str()), (Whose::Team, job.spec.team.as_str())] {
                 let tally = sums.entry(key).or_default();
-                for promise in accounted(job.promises).filter(|p| age > p.within_s) {
+                // What waits past the last moment to start is as good as missed: the floor acts on it before
+                // its time has passed.
+                let lost = |p: &Promise| age > p.within_s || (job.waits && p.start_left_s(job.run, job.age) <= 0.0);
+                for promise in accounted(job.promises).filter(lost) {
                     let missed = if promise.what == What::Started { job.untouched } else { 1.0 };
                     tally.promise(promise.at).missed += missed;
                 }
--- a/src/scheduling/served/promises.rs
+++ b/src/scheduling/served/promises.rs
@@ -40,7 +40,7 @@
     }
 
     /// Within how many seconds from now the next task should start; below zero once it is too late.
-    fn start_left_s(self, run: Duration, age: Duration) -> f64 {
+    pub fn start_left_s(self, run: Duration, age: Duration) -> f64 {
         let left = self.within_s - age.as_secs_f64();
         match self.what {
             What::Started => left,
