Starts are told to a successor without what open jobs have missed: it sees those jobs itself

Found by rereading: the rows that an owner tells held the misses of open jobs too, and its heir counted the same jobs again. The takeover test has an open job now and fails without this.

--- a/src/scheduling/served/mod.rs
+++ b/src/scheduling/served/mod.rs
@@ -289,6 +289,9 @@
                 sums.entry((*whose, name)).or_default().add(tally);
             }
         }
+        // Told without what open jobs have missed: whoever takes them over sees those jobs itself.
+        let told: BTreeMap<(Whose, &str), Vec<(u16, Kept)>> =
+            sums.iter().map(|(key, tally)| (*key, self.starts(tally))).collect();
         for job in open {
             let age = job.age.as_secs_f64();
             for key in [(Whose::Class, job.spec.class.as_str()), (Whose::Team, job.spec.team.as_str())] {
@@ -316,6 +319,7 @@
                 Whose::Team => part_of_expected(tally, &house),
             };
             row.first = row.below && part < self.floor;
+            row.starts = told.get(&(row.whose, row.name.as_str())).cloned().unwrap_or_default();
         }
         self.rows = rows;
         &self.rows
@@ -328,14 +332,16 @@
         (objective.is_some_and(|o| o.kind == "wait"), if share > 0.0 { share.min(1.0) } else { 1.0 })
     }
 
+    fn starts(&self, tally: &Tally) -> Vec<(u16, Kept)> {
+        tally.promises.iter().filter(|(at, _)| self.asked(**at).0).map(|(at, kept)| (*at, *kept)).collect()
+    }
+
     fn row(&self, whose: Whose, name: &str, tally: &Tally) -> Row {
         let (mut served, mut started, mut ended) = (1.0f64, Kept::default(), Kept::default());
-        let mut starts = Vec::new();
         for (at, kept) in &tally.promises {
             let (of_starts, share) = self.asked(*at);
             if of_starts {
                 started = worse(started, *kept);
-                starts.push((*at, *kept));
             } else {
                 ended = worse(ended, *kept);
             }
@@ -357,7 +363,7 @@
             served,
             below: served < self.floor,
             first: false,
-            starts,
+            starts: Vec::new(),
         }
     }
 
--- a/src/scheduling/served/tests/mod.rs
+++ b/src/scheduling/served/tests/mod.rs
@@ -548,12 +548,14 @@
             accounts[owner].note(Note::Started(1.0), &one, &promises, s(if n < 3 { 10.0 } else { 60.0 }), at(t + 1.0));
             accounts.iter_mut().for_each(|a| a.ended(&record(one.clone()), Some(End::Done), s(50.0), at(t + 2.0)));
         }
-        let rows = accounts[owner].look([].into_iter(), at(t + 5.0)).to_vec();
+        // A job that has missed its start and is open still: both see it, and it counts once.
+        let late = || [open(&one, &promises, 120.0, 1.0)].into_iter();
+        let rows = accounts[owner].look(late(), at(t + 5.0)).to_vec();
         let heir = 1 - owner;
         accounts[heir].take_over(&rows, at(t + 5.0));
         // What is told late, by one that was replaced since, is passed over.
         accounts[heir].take_over(&rows, at(t));
-        let inherited = accounts[heir].look([].into_iter(), at(t + 5.0)).to_vec();
+        let inherited = accounts[heir].look(late(), at(t + 5.0)).to_vec();
         assert_eq!(tally(&inherited, "small").started, tally(&rows, "small").started, "round {round}");
         assert_eq!(inherited, rows, "round {round}");
         assert_eq!(tally(&rows, "small").started.kept, 3.0 * f64::from(round + 1), "round {round}");
