Failures are judged by evidence: whose fault, the job's, one task's or the machine's

Change: scheduling/evidence, one pure judgement with a table of cases; a job that has failed on three machines and done well on none is tried again with back-off, two tasks at a time, behind all else, and nothing is rented, held, stopped or kept for it. A machine under suspicion gets no work for 15 s and has a way back. A task that fails by itself in a good array is held back alone; a class that fails is known after three jobs.

--- a/src/fleet/drain.rs
+++ b/src/fleet/drain.rs
@@ -106,7 +106,7 @@
 pub fn choose(book: &Book, catalog: &Catalog, now: Instant) -> Vec<Drain> {
     let mut pool = Pool::new(book, catalog, now);
     // Waiting work, then what is expected while a machine would boot, takes its room first.
-    for turn in queue(book, now) {
+    for turn in queue(book, now).into_iter().filter(|t| !t.suspected) {
         pool.keep(
             turn.job.spec(),
             &Zones::new(book, turn.job),
--- a/src/fleet/rent.rs
+++ b/src/fleet/rent.rs
@@ -135,7 +135,9 @@
     asked: &HashMap<Kind, u64>,
     now: Instant,
 ) -> Vec<(Kind, u64)> {
-    let turns = queue(book, now);
+    // For what fails everywhere nothing is rented.
+    let mut turns = queue(book, now);
+    turns.retain(|t| !t.suspected);
     if turns.is_empty() {
         return Vec::new();
     }
--- /dev/null
+++ b/src/scheduling/book/failures.rs
@@ -0,0 +1,90 @@
+//! Failures: what is noted of them, and what follows for jobs and machines.
+
+use std::time::{Duration, Instant};
+
+use tracing::{info, warn};
+
+use super::{Book, JobState, MachineId, Standing};
+use crate::scheduling::evidence::Failure;
+use crate::wire::workers::{LegStatus, TaskKey};
+
+/// What has run for so long does well, as far as failures at the start are concerned.
+const WELL_AFTER: Duration = Duration::from_secs(15);
+/// Bound tasks of a job that are looked at for one that does well.
+const MOST_LOOKED: usize = 200;
+
+fn does_well(job: &JobState, except: &MachineId, now: Instant) -> bool {
+    job.done > 0
+        || job
+            .bound
+            .iter()
+            .take(MOST_LOOKED)
+            .filter_map(|index| job.binding(*index))
+            .any(|b| b.status == Some(LegStatus::Running) && b.machine != *except && b.ran(now) >= WELL_AFTER)
+}
+
+impl Book {
+    fn enough_failures(&self) -> usize {
+        self.properties.machine_failures.ceil() as usize
+    }
+
+    pub(super) fn failed(&mut self, key: &TaskKey, on: &MachineId, now: Instant) {
+        let enough = self.enough_failures();
+        let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.ended.is_none()) else { return };
+        let failure =
+            Failure { task: key, class: &job.record.spec.class, machine: on, job_does_well: does_well(job, on, now) };
+        let suspected = self.evidence.suspects(&key.job);
+        let judged = self.evidence.failed(&failure, enough, now);
+        info!(task = %key.job, index = key.index, machine = %on, "task failed");
+        if let Some(at) = judged.job_not_before {
+            job.not_before = job.not_before.max(at);
+            if !suspected {
+                let (team, class) = (&job.record.spec.team, &job.record.spec.class);
+                warn!(job = %key.job, team, class, "fails on every machine: tried again now and then, behind all else");
+            }
+        }
+        if let Some(machine) = self.machines.get_mut(on) {
+            machine.failed = true;
+            if judged.machine && machine.standing == Standing::Up {
+                info!(machine = %on, "under suspicion: no new work for now");
+                machine.suspected = true;
+            }
+        }
+        for id in judged.cleared {
+            self.clear_machine(&id);
+        }
+    }
+
+    /// A task was done: its machine and its job are well.
+    pub(super) fn did_well(&mut self, key: &TaskKey, on: &MachineId) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let suspected = self.evidence.suspects(&key.job);
+        self.evidence.done(key, &job.record.spec.class, on);
+        if suspected {
+            info!(job = %key.job, "does well after all");
+        }
+        self.clear_machine(on);
+    }
+
+    fn clear_machine(&mut self, id: &MachineId) {
+        if let Some(machine) = self.machines.get_mut(id) {
+            machine.failed = false;
+            if std::mem::take(&mut machine.suspected) {
+                info!(machine = %id, "cleared: what failed there fails elsewhere, or something was done there");
+                self.stirred = true;
+            }
+        }
+    }
+
+    /// Machines that have been under suspicion for long enough: out, or back.
+    pub(super) fn decide_suspicions(&mut self, now: Instant) {
+        for (id, out) in self.evidence.decided(self.enough_failures(), now) {
+            if !out {
+                self.clear_machine(&id);
+            } else if let Some(machine) = self.machines.get_mut(&id).filter(|m| m.standing == Standing::Up) {
+                warn!(machine = %id, "given up: task after task fails on it");
+                machine.standing = Standing::Draining;
+            }
+        }
+    }
+}
--- a/src/scheduling/book/jobs.rs
+++ b/src/scheduling/book/jobs.rs
@@ -1,6 +1,6 @@
 //! Jobs: their arrival, what is read of them at a takeover, their end.
 
-use std::collections::{BTreeSet, HashSet};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -71,8 +71,6 @@
             finished: false,
             not_before: now,
             image: image_id(&record.spec.image),
-            failed_on: HashSet::new(),
-            failures: 0,
             last_end: None,
             promises: promises.into(),
             touched: 0,
@@ -188,6 +186,7 @@
         }
         job.ended = Some(now);
         job.waiting.clear();
+        self.evidence.job_over(id);
         self.ending.insert(id.clone());
         let bound: Vec<u32> = job.bound.iter().copied().collect();
         for index in bound {
--- a/src/scheduling/book/machine.rs
+++ b/src/scheduling/book/machine.rs
@@ -96,7 +96,10 @@
     /// Something new is to be told without waiting for a report.
     pub(super) tell: bool,
     pub idle_since: Option<Instant>,
-    pub failures: f64,
+    /// Something has failed on it since anything was done there.
+    pub failed: bool,
+    /// Under suspicion: no new work until it is decided whose fault its failures are.
+    pub suspected: bool,
     /// Images it is thought to hold, the most recently used last, with their sizes.
     pub(super) images: VecDeque<(u64, f64)>,
     /// What it keeps of them, if the cloud says.
@@ -138,7 +141,8 @@
             next_command: now,
             tell: false,
             idle_since: None,
-            failures: 0.0,
+            failed: false,
+            suspected: false,
             images: VecDeque::new(),
             cache_gb: None,
             kind: None,
@@ -347,6 +351,7 @@
             self.unbind(&key, now);
         }
         self.machines.remove(id);
+        self.evidence.machine_gone(id);
         if self.gone_set.insert(id.clone()) {
             self.gone.push_back(id.clone());
         }
@@ -427,5 +432,6 @@
         for (id, why) in condemn {
             self.condemn(&id, why);
         }
+        self.decide_suspicions(now);
     }
 }
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -7,6 +7,7 @@
 
 mod bindings;
 mod commands;
+mod failures;
 mod jobs;
 mod machine;
 mod reports;
@@ -21,6 +22,7 @@
 pub use machine::{Machine, Standing};
 use storing::Dirty;
 
+use super::evidence::Evidence;
 use super::holds::Hold;
 use super::served::Note;
 use super::served::floor::{Below, Lane};
@@ -119,8 +121,6 @@
     pub not_before: Instant,
     /// The image's name, digested: what machines hold is compared by this.
     pub image: u64,
-    pub failed_on: HashSet<MachineId>,
-    failures: u32,
     pub last_end: Option<Instant>,
     /// All that its user was promised.
     pub promises: Box<[Promise]>,
@@ -247,6 +247,8 @@
     pub holds: HashMap<MachineId, Hold>,
     /// Classes and teams that go first, by the account.
     pub below: Below,
+    /// Whose fault failures are.
+    pub evidence: Evidence,
     /// What work that is late for everything may take before others.
     pub lane: Lane,
     /// Orders to the cloud that an earlier owner has left, for whoever carries them out.
@@ -309,6 +311,7 @@
             arrivals: BTreeMap::new(),
             holds: HashMap::new(),
             below: Below::default(),
+            evidence: Evidence::default(),
             lane: Lane::default(),
             inherited: Vec::new(),
             notes: Vec::new(),
@@ -328,8 +331,12 @@
     }
 
     /// Entries of everything that could grow, by name.
-    pub fn held(&self) -> [(&'static str, usize); 8] {
+    pub fn held(&self) -> [(&'static str, usize); 11] {
+        let [machines_suspected, jobs_suspected, jobs_failing] = self.evidence.held();
         [
+            ("machines_suspected", machines_suspected),
+            ("jobs_suspected", jobs_suspected),
+            ("jobs_failing", jobs_failing),
             ("book_jobs", self.jobs.len()),
             ("ending", self.ending.len()),
             ("machines", self.machines.len()),
@@ -359,7 +366,7 @@
     /// What late work has earned is bounded by what the oldest of it needs.
     pub fn bound_lane(&mut self, now: Instant) {
         let waits = |job: &&JobState| !job.waiting.is_empty() && job.ended.is_none() && !job.complete();
-        let late = self.jobs.values().filter(waits);
+        let late = self.jobs.iter().filter(|(id, _)| !self.evidence.suspects(id)).map(|(_, job)| job).filter(waits);
         let late = late.filter(|job| job.too_late(now.saturating_duration_since(job.since)));
         let needs = late.min_by_key(|job| job.since).map(JobState::cores_at_once);
         self.lane.bound(needs);
--- a/src/scheduling/book/reports.rs
+++ b/src/scheduling/book/reports.rs
@@ -10,11 +10,6 @@
 use crate::sla;
 use crate::wire::workers::{Cause, Leg, LegStatus, Report, TaskKey};
 
-/// A job that has failed on this many machines fails by itself.
-const FAILED_EVERYWHERE: usize = 3;
-/// Longest pause of a job whose tasks fail.
-const LONGEST_PAUSE: Duration = Duration::from_secs(60);
-
 impl Book {
     pub fn take_report(&mut self, report: Report, via: Via, catalog: Option<&Catalog>, now: Instant) {
         let id: MachineId = report.machine.as_str().into();
@@ -161,16 +156,13 @@
 
     fn completed_task(&mut self, key: &TaskKey, on: &MachineId, now: Instant) {
         self.leave(key, now);
-        if let Some(machine) = self.machines.get_mut(on) {
-            machine.failures = 0.0;
-        }
+        self.did_well(key, on);
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let Some(task) = job.tasks.get_mut(key.index as usize) else { return };
         task.phase = Phase::Done;
         task.stored = false;
         job.waiting.remove(&key.index);
         job.done += 1;
-        job.failures = 0;
         if job.complete() {
             if !self.completed.contains(&key.job) {
                 self.completed.push_back(key.job.clone());
@@ -180,31 +172,6 @@
         }
     }
 
-    /// A failure counts against its machine, unless the job fails on machine after machine.
-    fn failed(&mut self, key: &TaskKey, on: &MachineId, now: Instant) {
-        let Some(job) = self.jobs.get_mut(&key.job) else { return };
-        job.failures = job.failures.saturating_add(1);
-        // More machines than this say nothing more.
-        if job.failed_on.len() < FAILED_EVERYWHERE {
-            job.failed_on.insert(on.clone());
-        }
-        let elsewhere = job.failed_on.len();
-        if elsewhere >= FAILED_EVERYWHERE {
-            let pause = Duration::from_secs(1u64 << job.failures.min(6)).min(LONGEST_PAUSE);
-            job.not_before = job.not_before.max(now + pause);
-        }
-        info!(task = %key.job, index = key.index, machine = %on, elsewhere, "task failed");
-        if elsewhere < FAILED_EVERYWHERE
-            && let Some(machine) = self.machines.get_mut(on)
-        {
-            machine.failures += 1.0;
-            if machine.failures >= self.properties.machine_failures && machine.standing == Standing::Up {
-                warn!(machine = %on, "given up: task after task fails on it");
-                machine.standing = Standing::Draining;
-            }
-        }
-    }
-
     /// The cloud takes the machine away: what can save and would not finish in time is stopped.
     fn recalled(&mut self, id: &MachineId, now: Instant) {
         let Some(machine) = self.machines.get_mut(id) else { return };
--- /dev/null
+++ b/src/scheduling/evidence.rs
@@ -0,0 +1,465 @@
+//! Whose fault a failure is: the job's, one task's or the machine's. Judged by what failed where and
+//! what did well there, never by a number of failures alone: a job submitted with a mistake fails on
+//! every machine, and a faulty machine fails every job (docs/operations.md, docs/design.md).
+//!
+//! What is not clear yet costs neither much: the job goes elsewhere, the machine is left alone for a
+//! moment and has a way back. Kept by the owner in memory; a successor learns it anew at the price
+//! of a few starts. It does no I/O and reads no clock.
+
+use std::collections::{BTreeMap, HashMap};
+use std::num::NonZeroUsize;
+use std::time::{Duration, Instant};
+
+use lru::LruCache;
+
+use super::book::MachineId;
+use crate::jobs::JobId;
+use crate::wire::workers::TaskKey;
+
+/// A job that has failed on so many machines, and done well on none, fails by itself.
+const EVERYWHERE: usize = 3;
+/// A task of a job that does well fails by itself once it has failed on so many machines.
+const TASK_EVERYWHERE: usize = 3;
+/// So many jobs of a class that fail by themselves, and none of it done since, speak against the class.
+const CLASS_EVERYWHERE: usize = 3;
+/// A machine under suspicion is left alone for this long before it is given up: whoever failed on it is
+/// mostly known by then.
+const DECIDED_AFTER: Duration = Duration::from_secs(15);
+/// Pause before what fails by itself is tried again: doubled each time, up to the longest.
+const FIRST_PAUSE: Duration = Duration::from_secs(5);
+const LONGEST_PAUSE: Duration = Duration::from_secs(60);
+/// Tasks of a suspected job that are tried at once.
+pub const PROBES: usize = 2;
+
+/// Tasks of one job remembered for having failed; more are judged by their job alone.
+const MOST_TASKS: usize = 256;
+/// Failures remembered of one machine since anything was done on it.
+const MOST_FAILURES: usize = 32;
+/// Classes of which anything is remembered.
+const MOST_CLASSES: NonZeroUsize = NonZeroUsize::new(256).unwrap();
+
+/// What speaks for and against whom at the moment of a failure.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Seen {
+    /// Machines not themselves under suspicion on which the job has failed, this one included.
+    pub job_failed_on: usize,
+    /// Some task of the job was done, or runs on another machine for longer than failures take.
+    pub job_does_well: bool,
+    /// Machines on which this very task has failed, this one included.
+    pub task_failed_on: usize,
+    /// Its class fails by itself.
+    pub class_fails: bool,
+    /// Failures on this machine since anything was done on it that nothing else explains.
+    pub machine_row: usize,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    Unclear,
+    /// The job fails by itself.
+    Job,
+    /// This task of a job that does well fails by itself.
+    Task,
+    Machine,
+}
+
+/// The whole judgement. `enough`: unexplained failures in a row after which a machine is suspected.
+pub fn judge(seen: Seen, enough: usize) -> Verdict {
+    if seen.job_does_well {
+        return match seen {
+            Seen { task_failed_on, .. } if task_failed_on >= TASK_EVERYWHERE => Verdict::Task,
+            Seen { machine_row, .. } if machine_row >= enough => Verdict::Machine,
+            _ => Verdict::Unclear,
+        };
+    }
+    if seen.class_fails || seen.job_failed_on >= EVERYWHERE {
+        Verdict::Job
+    } else if seen.machine_row >= enough {
+        Verdict::Machine
+    } else {
+        Verdict::Unclear
+    }
+}
+
+/// The pause after the `round`th time in a row that something has failed by itself, from 0.
+fn pause(round: u32) -> Duration {
+    (FIRST_PAUSE * 2u32.saturating_pow(round.min(8))).min(LONGEST_PAUSE)
+}
+
+#[derive(Debug)]
+struct TaskTrial {
+    failed_on: Vec<MachineId>,
+    round: u32,
+    not_before: Instant,
+}
+
+#[derive(Debug, Default)]
+struct JobTrial {
+    class: String,
+    /// Machines on which it failed, a few more than convict it.
+    failed_on: Vec<MachineId>,
+    does_well: bool,
+    suspected: bool,
+    round: u32,
+    not_before: Option<Instant>,
+    tasks: BTreeMap<u32, TaskTrial>,
+}
+
+impl JobTrial {
+    fn task_fails(&self, index: u32) -> bool {
+        self.does_well && self.tasks.get(&index).is_some_and(|t| t.failed_on.len() >= TASK_EVERYWHERE)
+    }
+}
+
+#[derive(Debug, Default)]
+struct MachineTrial {
+    failures: Vec<TaskKey>,
+    suspected: Option<Instant>,
+}
+
+/// A failure as the book knows it.
+pub struct Failure<'a> {
+    pub task: &'a TaskKey,
+    pub class: &'a str,
+    pub machine: &'a MachineId,
+    /// As in `Seen`.
+    pub job_does_well: bool,
+}
+
+/// What the book is to do after a failure.
+#[derive(Debug, Default, PartialEq)]
+pub struct Judged {
+    /// The job is under suspicion from now on, or still: not to be tried before this.
+    pub job_not_before: Option<Instant>,
+    /// The machine has just come under suspicion.
+    pub machine: bool,
+    /// Machines that are cleared by it: what failed there fails everywhere.
+    pub cleared: Vec<MachineId>,
+}
+
+/// All that is remembered of failures.
+#[derive(Debug)]
+pub struct Evidence {
+    jobs: HashMap<JobId, JobTrial>,
+    machines: HashMap<MachineId, MachineTrial>,
+    /// Jobs of a class that came under suspicion since any of the class was done.
+    classes: LruCache<String, Vec<JobId>>,
+}
+
+impl Default for Evidence {
+    fn default() -> Self {
+        Self { jobs: HashMap::new(), machines: HashMap::new(), classes: LruCache::new(MOST_CLASSES) }
+    }
+}
+
+fn note(list: &mut Vec<MachineId>, machine: &MachineId, most: usize) {
+    if list.len() < most && !list.contains(machine) {
+        list.push(machine.clone());
+    }
+}
+
+impl Evidence {
+    pub fn failed(&mut self, failure: &Failure, enough: usize, now: Instant) -> Judged {
+        let Failure { task, class, machine, job_does_well } = *failure;
+        let trial = self.jobs.entry(task.job.clone()).or_default();
+        trial.class.clear();
+        trial.class.push_str(class);
+        trial.does_well |= job_does_well;
+        note(&mut trial.failed_on, machine, EVERYWHERE * 2);
+        let known = trial.tasks.len();
+        if known < MOST_TASKS || trial.tasks.contains_key(&task.index) {
+            let of_task = trial.tasks.entry(task.index);
+            let of_task = of_task.or_insert_with(|| TaskTrial { failed_on: Vec::new(), round: 0, not_before: now });
+            note(&mut of_task.failed_on, machine, TASK_EVERYWHERE);
+        }
+        let of_machine = self.machines.entry(machine.clone()).or_default();
+        if of_machine.failures.len() < MOST_FAILURES {
+            of_machine.failures.push(task.clone());
+        }
+        let seen = self.seen(task, machine);
+        let mut judged = Judged::default();
+        match judge(seen, enough) {
+            Verdict::Unclear => {}
+            Verdict::Job => {
+                judged.job_not_before = self.suspect(&task.job, now);
+                judged.cleared = self.clear_explained(enough);
+            }
+            Verdict::Task => {
+                if let Some(of_task) = self.jobs.get_mut(&task.job).and_then(|t| t.tasks.get_mut(&task.index)) {
+                    of_task.not_before = now + pause(of_task.round);
+                    of_task.round += 1;
+                }
+                judged.cleared = self.clear_explained(enough);
+            }
+            Verdict::Machine => {
+                if let Some(of_machine) = self.machines.get_mut(machine).filter(|m| m.suspected.is_none()) {
+                    of_machine.suspected = Some(now);
+                    judged.machine = true;
+                }
+            }
+        }
+        judged
+    }
+
+    fn seen(&self, task: &TaskKey, machine: &MachineId) -> Seen {
+        let Some(trial) = self.jobs.get(&task.job) else { return Seen::default() };
+        let sound = |m: &&MachineId| self.machines.get(*m).is_none_or(|t| t.suspected.is_none());
+        Seen {
+            job_failed_on: trial.failed_on.iter().filter(sound).count(),
+            job_does_well: trial.does_well,
+            task_failed_on: trial.tasks.get(&task.index).map_or(0, |t| t.failed_on.len()),
+            class_fails: self.class_fails(&trial.class),
+            machine_row: self.row(machine),
+        }
+    }
+
+    fn class_fails(&self, class: &str) -> bool {
+        self.classes.peek(class).is_some_and(|jobs| jobs.len() >= CLASS_EVERYWHERE)
+    }
+
+    /// Failures on a machine that neither a job nor a task explains. Of a job that has done well nowhere
+    /// yet they count once, however many of its tasks were there.
+    fn row(&self, machine: &MachineId) -> usize {
+        let Some(trial) = self.machines.get(machine) else { return 0 };
+        let mut row = 0;
+        let mut unsure: Vec<&JobId> = Vec::new();
+        for task in &trial.failures {
+            let Some(job) = self.jobs.get(&task.job) else { continue };
+            if job.suspected || job.task_fails(task.index) || (!job.does_well && self.class_fails(&job.class)) {
+                continue;
+            }
+            if job.does_well {
+                row += 1;
+            } else if !unsure.contains(&&task.job) {
+                unsure.push(&task.job);
+            }
+        }
+        row + unsure.len()
+    }
+
+    /// The job fails by itself. Failures of one round, however many, make one pause.
+    fn suspect(&mut self, id: &JobId, now: Instant) -> Option<Instant> {
+        let trial = self.jobs.get_mut(id)?;
+        if !trial.suspected {
+            trial.suspected = true;
+            let of_class = self.classes.get_or_insert_mut(trial.class.clone(), Vec::new);
+            if of_class.len() < CLASS_EVERYWHERE && !of_class.contains(id) {
+                of_class.push(id.clone());
+            }
+        }
+        if trial.not_before.is_none_or(|at| now >= at) {
+            trial.not_before = Some(now + pause(trial.round));
+            trial.round += 1;
+        }
+        trial.not_before
+    }
+
+    /// Machines under suspicion for what by now is explained otherwise.
+    fn clear_explained(&mut self, enough: usize) -> Vec<MachineId> {
+        let suspected = self.machines.iter().filter(|(_, t)| t.suspected.is_some()).map(|(id, _)| id);
+        let cleared: Vec<MachineId> = suspected.filter(|id| self.row(id) < enough).cloned().collect();
+        for id in &cleared {
+            self.machines.remove(id);
+        }
+        cleared
+    }
+
+    /// A task was done: its job does well, and so does its machine. True if either was under suspicion.
+    pub fn done(&mut self, task: &TaskKey, class: &str, machine: &MachineId) -> bool {
+        let mut cleared = self.machines.remove(machine).is_some_and(|t| t.suspected.is_some());
+        if let Some(trial) = self.jobs.get_mut(&task.job) {
+            cleared |= trial.suspected;
+            (trial.suspected, trial.does_well, trial.round, trial.not_before) = (false, true, 0, None);
+            trial.failed_on.clear();
+            trial.tasks.remove(&task.index);
+        }
+        if !self.classes.is_empty() {
+            self.classes.pop(class);
+        }
+        cleared
+    }
+
+    /// The job is over. What it failed on was no fault of the machines if its user withdrew it.
+    pub fn job_over(&mut self, id: &JobId) {
+        if self.jobs.remove(id).is_some() {
+            self.machines.retain(|_, t| {
+                t.failures.retain(|task| task.job != *id);
+                !t.failures.is_empty() || t.suspected.is_some()
+            });
+        }
+    }
+
+    pub fn machine_gone(&mut self, id: &MachineId) {
+        self.machines.remove(id);
+    }
+
+    /// Machines whose time under suspicion is over, and whether they are to be given up.
+    pub fn decided(&mut self, enough: usize, now: Instant) -> Vec<(MachineId, bool)> {
+        let due = |t: &MachineTrial| t.suspected.is_some_and(|at| now.saturating_duration_since(at) >= DECIDED_AFTER);
+        let due: Vec<MachineId> = self.machines.iter().filter(|(_, t)| due(t)).map(|(id, _)| id.clone()).collect();
+        let decided: Vec<(MachineId, bool)> = due.into_iter().map(|id| (id.clone(), self.row(&id) >= enough)).collect();
+        for (id, _) in &decided {
+            self.machines.remove(id);
+        }
+        decided
+    }
+
+    /// The job has failed everywhere so far: it is tried again behind everything else, and nothing is
+    /// paid, stopped or held for it.
+    pub fn suspects(&self, id: &JobId) -> bool {
+        !self.jobs.is_empty() && self.jobs.get(id).is_some_and(|t| t.suspected)
+    }
+
+    /// Machines on which a job has failed, to be avoided by it.
+    pub fn failed_on(&self, id: &JobId) -> &[MachineId] {
+        if self.jobs.is_empty() {
+            return &[];
+        }
+        self.jobs.get(id).map_or(&[], |t| &t.failed_on)
+    }
+
+    /// Tasks of a job that fail by themselves and are not to be tried yet.
+    pub fn held_back(&self, id: &JobId, now: Instant) -> Vec<u32> {
+        let Some(trial) = self.jobs.get(id).filter(|t| t.does_well) else { return Vec::new() };
+        trial.tasks.iter().filter(|(_, t)| t.not_before > now).map(|(index, _)| *index).collect()
+    }
+
+    /// Machines under suspicion, suspected jobs, and jobs with any failure.
+    pub fn held(&self) -> [usize; 3] {
+        let machines = self.machines.values().filter(|t| t.suspected.is_some()).count();
+        [machines, self.jobs.values().filter(|t| t.suspected).count(), self.jobs.len()]
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn whose_fault_by_cases() {
+        let seen = |job_failed_on, job_does_well, task_failed_on, class_fails, machine_row| Seen {
+            job_failed_on,
+            job_does_well,
+            task_failed_on,
+            class_fails,
+            machine_row,
+        };
+        for (name, seen, want) in [
+            ("a first failure", seen(1, false, 1, false, 1), Verdict::Unclear),
+            ("many tasks of a new job on one machine", seen(1, false, 1, false, 1), Verdict::Unclear),
+            ("a second machine", seen(2, false, 1, false, 1), Verdict::Unclear),
+            ("a third machine", seen(3, false, 1, false, 1), Verdict::Job),
+            ("a third machine, on which others have failed", seen(3, false, 1, false, 2), Verdict::Job),
+            ("two jobs on one machine", seen(1, false, 1, false, 2), Verdict::Machine),
+            ("a job that does well elsewhere, once", seen(1, true, 1, false, 1), Verdict::Unclear),
+            ("a job that does well elsewhere, twice here", seen(1, true, 1, false, 2), Verdict::Machine),
+            ("a bad task of a good array", seen(3, true, 3, false, 1), Verdict::Task),
+            ("a bad task on a machine where another failed", seen(3, true, 3, false, 2), Verdict::Task),
+            ("a good array on three faulty machines", seen(3, true, 1, false, 2), Verdict::Machine),
+            ("the first failure of a job of a bad class", seen(1, false, 1, true, 1), Verdict::Job),
+            ("a good job of a bad class", seen(1, true, 1, true, 2), Verdict::Machine),
+        ] {
+            assert_eq!(judge(seen, 2), want, "{name}");
+        }
+        let pauses: Vec<u64> = (0..6).map(|round| pause(round).as_secs()).collect();
+        assert_eq!(pauses, [5, 10, 20, 40, 60, 60]);
+    }
+
+    /// Plays failures and ends on named machines: `x3@m1` fails, `+x3@m1` is done, `?x3@m1` fails while
+    /// the job runs well elsewhere. Gives the machines given up and the jobs suspected at the end.
+    fn play(steps: &str) -> (Vec<String>, Vec<String>) {
+        let start = Instant::now();
+        let mut evidence = Evidence::default();
+        let mut out = Vec::new();
+        let mut jobs = std::collections::BTreeSet::new();
+        for step in steps.split_whitespace() {
+            let mark = step.chars().next().filter(|c| !c.is_alphanumeric());
+            let (task, machine) = step.trim_start_matches(['+', '?']).split_once('@').unwrap();
+            let (job, index) = task.split_at(1);
+            let task = TaskKey { job: job.into(), index: index.parse().unwrap() };
+            let machine: MachineId = machine.into();
+            jobs.insert(job.to_owned());
+            if mark == Some('+') {
+                evidence.done(&task, job, &machine);
+            } else {
+                let failure = Failure { task: &task, class: job, machine: &machine, job_does_well: mark == Some('?') };
+                evidence.failed(&failure, 2, start);
+            }
+        }
+        let decided = evidence.decided(2, start + DECIDED_AFTER);
+        out.extend(decided.into_iter().filter(|(_, out)| *out).map(|(id, _)| id.to_string()));
+        out.sort();
+        (out, jobs.into_iter().filter(|j| evidence.suspects(&j.as_str().into())).collect())
+    }
+
+    #[test]
+    fn who_is_left_standing_by_cases() {
+        let none: &[&str] = &[];
+        let cases: [(&str, &str, &[&str], &[&str]); 10] = [
+            ("a bad array floods one machine, then two more", "a0@m1 a1@m1 a2@m1 a3@m2 a4@m3", none, &["a"]),
+            (
+                "two bad jobs meet on one machine",
+                "a0@m1 b0@m1 a0@m2 b0@m2 a0@m3 a1@m4 a2@m5 b0@m6 b1@m7 b2@m8",
+                none,
+                &["a", "b"],
+            ),
+            ("a faulty machine, single tasks", "a0@m1 b0@m1 +a0@m2 +b0@m3", &["m1"], none),
+            ("a faulty machine, a job that runs elsewhere", "?a0@m1 ?a1@m1", &["m1"], none),
+            ("a machine on which something was done since", "a0@m1 +c0@m1 b0@m1", none, none),
+            ("one bad task among hundreds", "+a0@m1 ?a7@m1 ?a7@m2 ?a7@m3 ?a7@m4", none, none),
+            ("a bad job and a faulty machine at once", "a0@m1 ?g0@m1 ?g1@m1 a0@m2 a0@m3 a0@m4", &["m1"], &["a"]),
+            ("a bad gang on all its machines", "a0@m1 a1@m2 a2@m3 a3@m4 a4@m5 a5@m6", none, &["a"]),
+            ("one success clears at once", "a0@m1 a0@m2 a0@m3 +a0@m4", none, none),
+            ("failures that are mended before they convict", "a0@m1 a0@m2 +a1@m4 ?a2@m3", none, none),
+        ];
+        for (name, steps, out, suspected) in cases {
+            let got = play(steps);
+            assert_eq!((got.0, got.1), (strings(out), strings(suspected)), "{name}");
+        }
+    }
+
+    fn strings(of: &[&str]) -> Vec<String> {
+        of.iter().map(|s| (*s).to_owned()).collect()
+    }
+
+    /// A class of tiny jobs that all fail would take machine after machine for faulty, each job being new.
+    #[test]
+    fn a_bad_class_is_known_after_a_few_jobs() {
+        let now = Instant::now();
+        let mut evidence = Evidence::default();
+        let mut fail = |job: usize, machine: usize| {
+            let task = TaskKey { job: format!("run-{job}").into(), index: 0 };
+            let machine: MachineId = format!("m{machine}").into();
+            let failure = Failure { task: &task, class: "tiny", machine: &machine, job_does_well: false };
+            evidence.failed(&failure, 2, now)
+        };
+        (0..3).for_each(|job| (0..3).for_each(|m| drop(fail(job, job * 3 + m))));
+        for job in 10..60 {
+            let judged = fail(job, 50 + job / 10);
+            assert!(judged.job_not_before.is_some() && !judged.machine, "job {job}");
+        }
+        for job in 0..60 {
+            evidence.job_over(&format!("run-{job}").into());
+        }
+        assert_eq!(evidence.held(), [0, 0, 0], "nothing is kept of what is over");
+        assert!(evidence.machines.is_empty());
+    }
+
+    /// Failures of one round are one pause, or a large array would wait a minute after its first try.
+    #[test]
+    fn a_round_of_failures_is_one_pause() {
+        let now = Instant::now();
+        let mut evidence = Evidence::default();
+        let mut fail = |index: u32, at: Instant| {
+            let task = TaskKey { job: "run-1".into(), index };
+            let machine: MachineId = format!("m{index}").into();
+            let failure = Failure { task: &task, class: "c", machine: &machine, job_does_well: false };
+            evidence.failed(&failure, 2, at).job_not_before
+        };
+        let pauses: Vec<_> = (0..100).map(|index| fail(index, now)).collect();
+        assert_eq!((pauses[1], pauses[2], pauses[99]), (None, Some(now + FIRST_PAUSE), Some(now + FIRST_PAUSE)));
+        let later = now + FIRST_PAUSE;
+        assert_eq!(fail(200, later), Some(later + FIRST_PAUSE * 2));
+        assert_eq!(fail(201, later), Some(later + FIRST_PAUSE * 2));
+    }
+}
--- a/src/scheduling/holds.rs
+++ b/src/scheduling/holds.rs
@@ -31,8 +31,10 @@
 /// What to hold now, by machine.
 pub fn choose(book: &Book, catalog: &Catalog, now: Instant) -> HashMap<MachineId, Hold> {
     let mut holds = HashMap::new();
-    let mut turns: Vec<Turn> =
-        queue(book, now).into_iter().filter(|t| t.job.spec().is_gang() && t.age >= HOLD_AFTER).collect();
+    let mut turns: Vec<Turn> = queue(book, now)
+        .into_iter()
+        .filter(|t| t.job.spec().is_gang() && !t.suspected && t.age >= HOLD_AFTER)
+        .collect();
     if turns.is_empty() {
         return holds;
     }
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -1,6 +1,7 @@
 //! Which task runs where: the owner's book, the decisions taken on it, and their loop.
 
 pub mod book;
+pub mod evidence;
 pub mod forecast;
 pub mod holds;
 #[cfg(test)]
@@ -94,7 +95,9 @@
             account.note(note, job.spec(), &job.promises, at.saturating_duration_since(job.since), at);
         }
     }
-    let open = book.jobs().filter(|(_, job)| job.ended.is_none() && !job.complete());
+    // What fails everywhere is nobody's to serve.
+    let evidence = &book.evidence;
+    let open = book.jobs().filter(|(id, job)| job.ended.is_none() && !job.complete() && !evidence.suspects(id));
     let open = open.map(|(_, job)| Open {
         spec: job.spec(),
         promises: &job.promises,
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -11,6 +11,7 @@
 use tracing::info;
 
 use super::book::{Book, JobState, MachineId, Phase};
+use super::evidence::{Evidence, PROBES};
 use super::room::{Ground, Room, Zones, usable};
 use super::served::floor::Rank;
 use crate::jobs::{JobId, JobSpec};
@@ -45,11 +46,13 @@
     pub rank: Rank,
     /// Too late for all that was promised of it.
     pub late: bool,
+    /// Has failed everywhere so far: behind all else, and nothing is paid, held or stopped for it.
+    pub suspected: bool,
     task_return: f64,
     pub age: Duration,
 }
 
-/// Teams short of their guarantee first, then who is below the floor and can still be in time, then
+/// What fails everywhere last of all; else teams short of their guarantee first, then who is below the floor and can still be in time, then
 /// by return; work of no return by age.
 pub fn queue(book: &Book, now: Instant) -> Vec<Turn<'_>> {
     let mut turns: Vec<Turn> = book
@@ -65,13 +68,15 @@
                 guaranteed: within_guarantee(book, job.spec()),
                 rank: Rank::of(book.below.first.has(job.spec()), late),
                 late,
+                suspected: book.evidence.suspects(id),
                 task_return: job.agreement.task_return(age + job.agreement.run),
                 age,
             }
         })
         .collect();
     turns.sort_by(|a, b| {
-        (b.guaranteed.cmp(&a.guaranteed))
+        (a.suspected.cmp(&b.suspected))
+            .then(b.guaranteed.cmp(&a.guaranteed))
             .then(a.rank.cmp(&b.rank))
             .then(b.task_return.partial_cmp(&a.task_return).unwrap_or(Ordering::Equal))
             .then(b.age.cmp(&a.age))
@@ -120,6 +125,8 @@
 /// machines and accelerators their cores; not one where the task would first hold its place for
 /// a fetch; of those left the one with the highest new return, then the tightest.
 struct Candidate {
+    /// The job has failed there; taken only where nothing else fits.
+    failed: bool,
     /// Held for another; taken last.
     held: bool,
     /// How likely it is to be lost, where that counts.
@@ -133,7 +140,8 @@
 
 impl Ord for Candidate {
     fn cmp(&self, other: &Self) -> Ordering {
-        (other.held.cmp(&self.held))
+        (other.failed.cmp(&self.failed))
+            .then(other.held.cmp(&self.held))
             .then(other.risk.cmp(&self.risk))
             .then(other.waste.cmp(&self.waste))
             .then(self.has_image.cmp(&other.has_image))
@@ -169,11 +177,15 @@
     hard: bool,
     /// It has lost starts enough to want a machine that lasts.
     wary: bool,
+    /// Machines on which it has failed.
+    failed_on: &'a [MachineId],
+    /// Tasks of it that fail by themselves, and are not to be tried yet.
+    held_back: Vec<u32>,
     open: Vec<bool>,
 }
 
 impl<'a> Demand<'a> {
-    fn new(turn: &Turn<'a>, open: Vec<bool>, now: Instant) -> Self {
+    fn new(turn: &Turn<'a>, evidence: &'a Evidence, open: Vec<bool>, now: Instant) -> Self {
         let (job, age) = (turn.job, turn.age);
         let agreement = &job.agreement;
         Self {
@@ -186,6 +198,8 @@
             task_return: agreement.task_return(age + agreement.run),
             hard: agreement.within_reach(age),
             wary: job.lost_starts(LOST_STARTS),
+            failed_on: evidence.failed_on(turn.id),
+            held_back: evidence.held_back(turn.id, now),
             open,
         }
     }
@@ -213,6 +227,7 @@
             None => return None,
         };
         Some(Candidate {
+            failed: room.machine.is_some_and(|m| self.failed_on.contains(&m.id)),
             held: room.hold.is_some_and(|hold| hold.job != *self.id),
             risk: if self.wary { room.risk() } else { 0 },
             waste: room.waste(spec),
@@ -255,6 +270,7 @@
 
 /// One plan: the rooms there are, and how many were looked at, by which its work is bounded.
 pub struct Plan<'a> {
+    evidence: &'a Evidence,
     ground: Ground<'a>,
     rooms: Vec<Room<'a>>,
     unfit: Vec<Unfit<'a>>,
@@ -275,7 +291,7 @@
             .filter(|r| r.cpus + SLACK >= least)
             .map(|r| Room { hold: r.machine.and_then(|m| book.holds.get(&m.id)), ..r })
             .collect();
-        Self { ground, rooms, unfit: Vec::new(), now, looked: 0 }
+        Self { evidence: &book.evidence, ground, rooms, unfit: Vec::new(), now, looked: 0 }
     }
 
     /// Places up to `most` tasks, the best machine first, and gives them with their rooms.
@@ -297,7 +313,8 @@
             .filter_map(|(at, room)| demand.candidate(at, room))
             .collect();
         let mut placed = Vec::new();
-        for index in demand.job.waiting.iter().take(most) {
+        let waiting = demand.job.waiting.iter().filter(|index| !demand.held_back.contains(index));
+        for index in waiting.take(most) {
             let best = loop {
                 match heap.pop() {
                     None => return placed,
@@ -319,7 +336,7 @@
         let (job, spec) = (turn.job, turn.job.spec());
         let open = self.ground.open_to(spec, &zones);
         let tasks = if spec.is_gang() { job.waiting.len() } else { 1 };
-        let demand = Demand::new(turn, open, self.now);
+        let demand = Demand::new(turn, self.evidence, open, self.now);
         let holds = |room: &Room| room.hold.is_some_and(|h| h.job == *turn.id);
         if !demand.pressed
             && self.unfit.iter().any(|u| u.covers(job, tasks, &demand.open))
@@ -390,7 +407,7 @@
     }
     // Late work goes first as far as it has earned, the oldest of it.
     let mut earned = None;
-    let late = turns.iter().enumerate().filter(|(_, t)| t.late && !t.guaranteed);
+    let late = turns.iter().enumerate().filter(|(_, t)| t.late && !t.guaranteed && !t.suspected);
     let oldest = late.max_by(|(_, a), (_, b)| a.age.cmp(&b.age).then(b.id.cmp(a.id)));
     if let Some((at, needs)) =
         oldest.map(|(at, t)| (at, t.job.cores_at_once())).filter(|(_, n)| *n <= book.lane.credit())
@@ -423,6 +440,9 @@
         if let Some((_, tasks)) = earned.filter(|(id, _)| *id == turn.id && !spec.is_gang()) {
             most = most.min(tasks);
         }
+        if turn.suspected && !spec.is_gang() {
+            most = most.min(PROBES.saturating_sub(job.bound.len()));
+        }
         if most == 0 {
             continue;
         }
@@ -467,7 +487,7 @@
     for turn in queue(book, now) {
         let job = turn.job;
         let spec = job.spec();
-        if lowest >= spec.urgency && !turn.guaranteed {
+        if turn.suspected || (lowest >= spec.urgency && !turn.guaranteed) {
             continue;
         }
         let n = if spec.is_gang() { spec.tasks as f64 } else { 1.0 };
--- a/src/scheduling/room.rs
+++ b/src/scheduling/room.rs
@@ -161,7 +161,7 @@
     /// How likely the machine is to be lost with what it runs: the cloud takes cheap ones back, and
     /// what has failed fails again.
     pub fn risk(&self) -> u8 {
-        self.machine.map_or(0, |m| 2 * u8::from(m.spot) + u8::from(m.failures > 0.0))
+        self.machine.map_or(0, |m| 2 * u8::from(m.spot) + u8::from(m.failed))
     }
 
     pub fn holds_image(&self, job: &JobState) -> bool {
@@ -195,6 +195,7 @@
     machine.standing == Standing::Up
         && machine.reported()
         && machine.recall.is_none()
+        && !machine.suspected
         && now.saturating_duration_since(machine.heard) < suspect
         && !machine.has_strays()
 }
--- a/src/scheduling/tests.rs
+++ b/src/scheduling/tests.rs
@@ -502,3 +502,56 @@
         assert!((at_least..=at_least + 0.1).contains(&seen), "{age_s} s ago: {seen}");
     }
 }
+
+fn fail(book: &mut Book, job: u32, index: u32, machine: &str, seq: u64, now: Instant) {
+    let task = TaskKey { job: format!("run-{job:06}").into(), index };
+    let leg = Leg {
+        task,
+        attempt: 1,
+        status: LegStatus::Exited,
+        cause: Some(crate::wire::workers::Cause::Error),
+        saved: None,
+    };
+    book.take_report(report(machine, "c8", "a", false, seq, vec![leg]), Via::Report, None, now);
+}
+
+/// Incidents 2c19 and 8ad0: jobs that fail on every machine took 15 and 42 well machines out, and all of
+/// their tasks were tried again at once, with machines rented for them.
+#[test]
+fn a_job_that_fails_everywhere_costs_the_others_nothing() {
+    let now = Instant::now();
+    let machines: Vec<_> = ["m1", "m2", "m3", "m4"].iter().map(|n| (*n, "c8", "a", false)).collect();
+    let mut book = book(&machines, now);
+    add(&mut book, 1, now, |j| (j.tasks, j.cpus, j.estimate_s) = (12, 4.0, 100.0));
+    let first = plan::place(&mut book, &catalog(), now);
+    assert_eq!(first.len(), 8);
+    book.bind_all(first.clone(), now);
+    let (_, chunks) = book.next_writes(10, now);
+    book.chunks_stored(&chunks, 1);
+    for machine in ["m1", "m2", "m3", "m4"] {
+        book.orders_in_answer(machine, now);
+    }
+    for (seq, placement) in (2..).zip(&first) {
+        fail(&mut book, 1, placement.task.index, &placement.machine, seq, now);
+    }
+    assert_eq!(book.evidence.held(), [0, 1, 1], "the job is suspected, no machine is");
+    assert!(book.machines.values().all(|m| m.standing == Standing::Up && !m.suspected));
+    let later = now + Duration::from_secs(6);
+    // Beside work that ends, it comes last, a few tasks at a time.
+    add(&mut book, 2, now, |j| (j.cpus, j.estimate_s) = (1.0, 1000.0));
+    let order: Vec<String> = plan::queue(&book, later).into_iter().map(|t| t.id.to_string()).collect();
+    assert_eq!(order, ["run-000002", "run-000001"]);
+    for machine in ["m1", "m2", "m3", "m4"] {
+        book.take_report(report(machine, "c8", "a", false, 50, vec![]), Via::Report, None, later);
+    }
+    let again = plan::place(&mut book, &catalog(), later);
+    assert_eq!(again.iter().filter(|p| &*p.task.job == "run-000001").count(), 2);
+    // With every machine full, none is rented for it.
+    book.bind_all(again, later);
+    add(&mut book, 3, now, |j| (j.tasks, j.cpus, j.zone) = (7, 4.0, Some("a".into())));
+    let placements = plan::place(&mut book, &catalog(), later);
+    book.bind_all(placements, later);
+    let late = later + Duration::from_secs(3600);
+    let rented = rent::plan(&book, &catalog(), &Refusals::default(), &Default::default(), late);
+    assert!(rented.iter().map(|(_, n)| n).sum::<u64>() <= 1, "{rented:?}");
+}
