--- a/src/scheduling/book/failures.rs
+++ b/src/scheduling/book/failures.rs
@@ -5,7 +5,7 @@
 use tracing::{info, warn};
 
 use super::{Book, JobState, MachineId, Standing};
-use crate::scheduling::evidence::Failure;
+use crate::scheduling::evidence::{Failure, PROBES};
 use crate::wire::workers::{LegStatus, TaskKey};
 
 /// What has run for so long does well, as far as failures at the start are concerned.
@@ -31,8 +31,13 @@
     pub(super) fn failed(&mut self, key: &TaskKey, on: &MachineId, now: Instant) {
         let enough = self.enough_failures();
         let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.ended.is_none()) else { return };
-        let failure =
-            Failure { task: key, class: &job.record.spec.class, machine: on, job_does_well: does_well(job, on, now) };
+        let failure = Failure {
+            task: key,
+            class: &job.record.spec.class,
+            machine: on,
+            job_does_well: does_well(job, on, now),
+            at_once: if job.spec().is_gang() { job.tasks.len() } else { PROBES },
+        };
         let suspected = self.evidence.suspects(&key.job);
         let judged = self.evidence.failed(&failure, enough, now);
         info!(task = %key.job, index = key.index, machine = %on, "task failed");
--- a/src/scheduling/evidence.rs
+++ b/src/scheduling/evidence.rs
@@ -81,9 +81,11 @@
     }
 }
 
-/// The pause after the `round`th time in a row that something has failed by itself, from 0.
-fn pause(round: u32) -> Duration {
-    (FIRST_PAUSE * 2u32.saturating_pow(round.min(8))).min(LONGEST_PAUSE)
+/// The pause after the `round`th time in a row that something has failed by itself, from 0: the
+/// longer, the more tasks a try takes.
+fn pause(round: u32, tasks: usize) -> Duration {
+    let tries = tasks.div_ceil(PROBES).clamp(1, 1000) as u32;
+    (FIRST_PAUSE * tries * 2u32.saturating_pow(round.min(8))).min(LONGEST_PAUSE)
 }
 
 #[derive(Debug)]
@@ -124,6 +126,8 @@
     pub machine: &'a MachineId,
     /// As in `Seen`.
     pub job_does_well: bool,
+    /// Tasks that one try of the job takes: all of a gang.
+    pub at_once: usize,
 }
 
 /// What the book is to do after a failure.
@@ -160,7 +164,7 @@
 
 impl Evidence {
     pub fn failed(&mut self, failure: &Failure, enough: usize, now: Instant) -> Judged {
-        let Failure { task, class, machine, job_does_well } = *failure;
+        let Failure { task, class, machine, job_does_well, at_once } = *failure;
         let trial = self.jobs.entry(task.job.clone()).or_default();
         trial.class.clear();
         trial.class.push_str(class);
@@ -181,12 +185,12 @@
         match judge(seen, enough) {
             Verdict::Unclear => {}
             Verdict::Job => {
-                judged.job_not_before = self.suspect(&task.job, now);
+                judged.job_not_before = self.suspect(&task.job, at_once, now);
                 judged.cleared = self.clear_explained(enough);
             }
             Verdict::Task => {
                 if let Some(of_task) = self.jobs.get_mut(&task.job).and_then(|t| t.tasks.get_mut(&task.index)) {
-                    of_task.not_before = now + pause(of_task.round);
+                    of_task.not_before = now + pause(of_task.round, 1);
                     of_task.round += 1;
                 }
                 judged.cleared = self.clear_explained(enough);
@@ -238,7 +242,7 @@
     }
 
     /// The job fails by itself. Failures of one round, however many, make one pause.
-    fn suspect(&mut self, id: &JobId, now: Instant) -> Option<Instant> {
+    fn suspect(&mut self, id: &JobId, at_once: usize, now: Instant) -> Option<Instant> {
         let trial = self.jobs.get_mut(id)?;
         if !trial.suspected {
             trial.suspected = true;
@@ -248,7 +252,7 @@
             }
         }
         if trial.not_before.is_none_or(|at| now >= at) {
-            trial.not_before = Some(now + pause(trial.round));
+            trial.not_before = Some(now + pause(trial.round, at_once));
             trial.round += 1;
         }
         trial.not_before
@@ -361,8 +365,9 @@
         ] {
             assert_eq!(judge(seen, 2), want, "{name}");
         }
-        let pauses: Vec<u64> = (0..6).map(|round| pause(round).as_secs()).collect();
+        let pauses: Vec<u64> = (0..6).map(|round| pause(round, PROBES).as_secs()).collect();
         assert_eq!(pauses, [5, 10, 20, 40, 60, 60]);
+        assert_eq!(pause(0, 16).as_secs(), 40, "a gang of sixteen costs eight times as much to try");
     }
 
     /// Plays failures and ends on named machines: `x3@m1` fails, `+x3@m1` is done, `?x3@m1` fails while
@@ -382,7 +387,13 @@
             if mark == Some('+') {
                 evidence.done(&task, job, &machine);
             } else {
-                let failure = Failure { task: &task, class: job, machine: &machine, job_does_well: mark == Some('?') };
+                let failure = Failure {
+                    task: &task,
+                    class: job,
+                    machine: &machine,
+                    job_does_well: mark == Some('?'),
+                    at_once: 1,
+                };
                 evidence.failed(&failure, 2, start);
             }
         }
@@ -430,7 +441,7 @@
         let mut fail = |job: usize, machine: usize| {
             let task = TaskKey { job: format!("run-{job}").into(), index: 0 };
             let machine: MachineId = format!("m{machine}").into();
-            let failure = Failure { task: &task, class: "tiny", machine: &machine, job_does_well: false };
+            let failure = Failure { task: &task, class: "tiny", machine: &machine, job_does_well: false, at_once: 1 };
             evidence.failed(&failure, 2, now)
         };
         (0..3).for_each(|job| (0..3).for_each(|m| drop(fail(job, job * 3 + m))));
@@ -453,7 +464,7 @@
         let mut fail = |index: u32, at: Instant| {
             let task = TaskKey { job: "run-1".into(), index };
             let machine: MachineId = format!("m{index}").into();
-            let failure = Failure { task: &task, class: "c", machine: &machine, job_does_well: false };
+            let failure = Failure { task: &task, class: "c", machine: &machine, job_does_well: false, at_once: 1 };
             evidence.failed(&failure, 2, at).job_not_before
         };
         let pauses: Vec<_> = (0..100).map(|index| fail(index, now)).collect();
