--- a/crates/wire/src/jobs.rs
+++ b/crates/wire/src/jobs.rs
@@ -110,6 +110,11 @@
         Duration::from_secs_f64(self.estimate_s)
     }
 
+    /// Fills what others leave over.
+    pub fn is_idle(&self) -> bool {
+        self.urgency == Urgency::Idle
+    }
+
     /// A gang stands or falls together; everything else goes task by task.
     pub fn is_gang(&self) -> bool {
         self.shape == Shape::Gang
--- a/src/fleet/drain.rs
+++ b/src/fleet/drain.rs
@@ -6,6 +6,7 @@
 use crate::jobs::JobSpec;
 use crate::kinds::Catalog;
 use crate::scheduling::book::{Book, Machine, MachineId, Standing};
+use crate::scheduling::filler;
 use crate::scheduling::plan::queue;
 use crate::scheduling::room::{Ground, Room, Zones, suspect_after, usable};
 use crate::sla;
@@ -72,7 +73,12 @@
     /// could use is spared; accelerators that they have no use for only for work that has
     /// waited long.
     fn keep(&mut self, spec: &JobSpec, zones: &Zones, n: u64, waits: bool) {
-        let open = self.ground.open_to(spec, zones);
+        let mut open = self.ground.open_to(spec, zones);
+        // Idle work keeps no machine with accelerators that it has no use for.
+        for (open, offer) in open.iter_mut().zip(&self.ground.offers) {
+            *open &= offer.is_some_and(|o| filler::may(spec, &o, 1.0, f64::INFINITY).keep);
+        }
+        let waits = waits && !spec.is_idle();
         if !self.put(spec, &open, n, None) {
             for (at, offer) in self.ground.offers.iter().enumerate() {
                 let apt = offer.is_some_and(|o| waits || o.apt(spec));
@@ -155,7 +161,7 @@
 /// What of a machine's work would have to move, if all of that fits elsewhere.
 fn spared(book: &Book, machine: &Machine, pool: &mut Pool, at: usize, now: Instant) -> Option<Vec<(TaskKey, u64)>> {
     let of = pool.rooms[at].of;
-    let mut moves = Vec::new();
+    let (mut moves, mut stops) = (Vec::new(), Vec::new());
     for key in &machine.bound {
         let Some(job) = book.job(&key.job) else { continue };
         let Some(binding) = job.binding(key.index) else { continue };
@@ -173,6 +179,11 @@
             if ran < RUN_BEFORE_MOVE {
                 return None;
             }
+            if spec.is_idle() && of.gpus > 0.0 && spec.gpus <= 0.0 {
+                // It needs no place elsewhere at once: it waits for what is over.
+                stops.push((key.clone(), spec.save_s.ceil() as u64 + 1));
+                continue;
+            }
             moves.push((key.clone(), spec.save_s.ceil() as u64 + 1));
         } else if rest > WORTH_MOVING * 2 && !(of.gpus > 0.0 && spec.gpus <= 0.0) {
             // It would hold the machine for long anyway.
@@ -180,7 +191,7 @@
         }
     }
     if moves.is_empty() {
-        return Some(moves);
+        return Some(stops);
     }
     let before = pool.rooms.clone();
     for (key, _) in &moves {
@@ -191,5 +202,6 @@
             return None;
         }
     }
+    moves.extend(stops);
     Some(moves)
 }
--- a/src/fleet/rent.rs
+++ b/src/fleet/rent.rs
@@ -5,7 +5,8 @@
 
 use crate::jobs::JobSpec;
 use crate::kinds::{Catalog, Kind};
-use crate::scheduling::book::{Book, MachineId, Standing};
+use crate::scheduling::book::{Book, Machine, MachineId, Standing};
+use crate::scheduling::filler;
 use crate::scheduling::forecast::{Slots, Timeline};
 use crate::scheduling::plan::{Quotas, Turn, queue};
 use crate::scheduling::room::{Ground, Offer, Room, Zones};
@@ -136,63 +137,117 @@
     now: Instant,
 ) -> Vec<(Kind, u64)> {
     // For what fails everywhere nothing is rented.
-    let mut turns = queue(book, now);
-    turns.retain(|t| !t.suspected);
-    if turns.is_empty() {
+    let turns = queue(book, now).into_iter().filter(|t| !t.suspected);
+    let (idle, urgent): (Vec<Turn>, Vec<Turn>) = turns.partition(|t| t.job.spec().is_idle());
+    if idle.is_empty() && urgent.is_empty() {
         return Vec::new();
     }
     let ground = Ground::with_all_offers(book, catalog);
-    let kinds: Vec<Option<Kind>> = ground.offers.iter().map(|o| o.map(|o| o.kind())).collect();
-    let held = held_by_kind(book);
-    let refused = |k: &Kind| refusals.refused(k, held.get(k).copied().unwrap_or(0), now);
-    let refused: Vec<bool> = kinds.iter().map(|k| k.as_ref().is_none_or(refused)).collect();
-    let mut total = 0u64;
-    let mut timelines: Vec<Timeline> = Vec::new();
-    for machine in book.machines.values().filter(|m| m.standing != Standing::Condemned) {
-        total += 1;
-        if machine.standing != Standing::Draining && machine.recall.is_none() {
-            timelines.extend(Timeline::of(book, &ground, machine, now));
+    let mut wishes = Wishes::new(book, &ground, refusals, asked, now);
+    // Idle tasks give way, so that their room counts for others; what they wait for themselves is looked
+    // at after that, on the machines as they are.
+    if !urgent.is_empty() {
+        let mut timelines = wishes.timelines(true);
+        // Work that has waited will have to wait for what is yet to come as well: fresh work has the
+        // higher return. What ends on the machines is not all theirs.
+        let (fresh, waited): (Vec<Turn>, Vec<Turn>) = urgent.into_iter().partition(|t| t.age < FRESH);
+        wishes.follow(fresh, &mut timelines);
+        if !waited.is_empty() {
+            expect_arrivals(book, &ground, &mut timelines, now);
         }
+        wishes.follow(waited, &mut timelines);
     }
-    for (at, offer) in ground.offers.iter().enumerate() {
-        let count = kinds[at].as_ref().and_then(|k| asked.get(k)).copied().unwrap_or(0);
-        total += count;
-        if let Some(offer) = offer {
-            timelines.extend((0..count).map(|_| Timeline::new(Room::empty(offer.of, at), offer.of.boot_s)));
+    if !idle.is_empty() {
+        let mut timelines = wishes.timelines(false);
+        wishes.follow(idle, &mut timelines);
+    }
+    wishes.wanted.into_iter().collect()
+}
+
+/// What is to be rented, as it is found out job by job.
+struct Wishes<'a> {
+    book: &'a Book,
+    ground: &'a Ground<'a>,
+    asked: &'a HashMap<Kind, u64>,
+    kinds: Vec<Option<Kind>>,
+    refused: Vec<bool>,
+    /// Machines held, asked for and wanted.
+    total: u64,
+    wanted: BTreeMap<Kind, u64>,
+    quotas: Quotas<'a>,
+    followed: usize,
+    jobs: usize,
+    now: Instant,
+}
+
+impl<'a> Wishes<'a> {
+    fn new(
+        book: &'a Book,
+        ground: &'a Ground<'a>,
+        refusals: &Refusals,
+        asked: &'a HashMap<Kind, u64>,
+        now: Instant,
+    ) -> Self {
+        let kinds: Vec<Option<Kind>> = ground.offers.iter().map(|o| o.map(|o| o.kind())).collect();
+        let held = held_by_kind(book);
+        let refused = |k: &Kind| refusals.refused(k, held.get(k).copied().unwrap_or(0), now);
+        let refused = kinds.iter().map(|k| k.as_ref().is_none_or(refused)).collect();
+        let total = book.machines.values().filter(|m| m.standing != Standing::Condemned).count() as u64
+            + kinds.iter().flatten().filter_map(|k| asked.get(k)).sum::<u64>();
+        let (wanted, quotas) = (BTreeMap::new(), Quotas::new(book));
+        Self { book, ground, asked, kinds, refused, total, wanted, quotas, followed: 0, jobs: 0, now }
+    }
+
+    /// The machines there are and those asked for.
+    fn timelines(&self, for_urgent: bool) -> Vec<Timeline<'a>> {
+        let stays =
+            |m: &&Machine| !matches!(m.standing, Standing::Condemned | Standing::Draining) && m.recall.is_none();
+        let held = self.book.machines.values().filter(stays);
+        let mut timelines: Vec<Timeline> =
+            held.filter_map(|m| Timeline::of(self.book, self.ground, m, for_urgent, self.now)).collect();
+        for (at, offer) in self.ground.offers.iter().enumerate() {
+            let count = self.kinds[at].as_ref().and_then(|k| self.asked.get(k)).copied().unwrap_or(0);
+            if let Some(offer) = offer {
+                timelines.extend((0..count).map(|_| Timeline::new(Room::empty(offer.of, at), offer.of.boot_s)));
+            }
         }
+        timelines
     }
-    let mut wanted: BTreeMap<Kind, u64> = BTreeMap::new();
-    let mut quotas = Quotas::new(book);
-    let mut followed = 0;
-    // Work that has waited will have to wait for what is yet to come as well: fresh work has the
-    // higher return. What ends on the machines is not all theirs.
-    let (fresh, waited): (Vec<Turn>, Vec<Turn>) = turns.into_iter().partition(|t| t.age < FRESH);
-    let fresh_ones = fresh.len();
-    for (n, turn) in fresh.into_iter().chain(waited).take(MOST_FOLLOWED).enumerate() {
-        if n == fresh_ones {
-            expect_arrivals(book, &ground, &mut timelines, now);
+
+    /// Follows the tasks of these jobs to their places, and rents where that is too late for them.
+    fn follow(&mut self, turns: Vec<Turn<'a>>, timelines: &mut Vec<Timeline<'a>>) {
+        for turn in turns {
+            self.jobs += 1;
+            if self.jobs > MOST_FOLLOWED {
+                return;
+            }
+            self.follow_job(&turn, timelines);
         }
+    }
+
+    fn follow_job(&mut self, turn: &Turn<'a>, timelines: &mut Vec<Timeline<'a>>) {
+        let (book, ground) = (self.book, self.ground);
         let job = turn.job;
         let spec = job.spec();
-        if spec.is_gang() && !quotas.allows(spec, spec.tasks as f64) {
-            continue;
+        if spec.is_gang() && !self.quotas.allows(spec, spec.tasks as f64) {
+            return;
         }
         let promises = starts_left_s(&job.promises, job.agreement.run, turn.age);
         let mut zones = Zones::new(book, job);
         let open = ground.open_to(spec, &zones);
-        let least = cheapest(&ground, spec, spec.tasks, |at, _| open[at]).map_or(f64::INFINITY, |(.., cost)| cost);
+        let least = cheapest(ground, spec, spec.tasks, |at, _| open[at]).map_or(f64::INFINITY, |(.., cost)| cost);
         let least = least.max(1e-9);
-        let short = book.below.short.has(spec);
-        let mut slots = Slots::new(&timelines, job, &open);
+        let short = book.below.short.has(spec) && !spec.is_idle();
+        let mut slots = Slots::new(timelines, job, &open);
         let mut missing = job.waiting.len() as u64;
         let mut offer = None;
-        while missing > 0 && followed < MOST_FORECAST && quotas.allows(spec, 1.0) {
-            followed += 1;
-            let existing = slots.next(&timelines, &ground, &zones);
+        while missing > 0 && self.followed < MOST_FORECAST && self.quotas.allows(spec, 1.0) {
+            self.followed += 1;
+            let existing = slots.next(timelines, ground, &zones);
             let start = existing.map_or(f64::INFINITY, |slot| slot.at_s);
             if offer.is_none() {
-                let may = |at: usize, o: &Offer| open[at] && !refused[at] && zones.allow(o.zone);
-                offer = Some(cheapest(&ground, spec, missing, may));
+                let may = |at: usize, o: &Offer| open[at] && !self.refused[at] && zones.allow(o.zone);
+                offer = Some(cheapest(ground, spec, missing, may));
             }
             let rent = offer.flatten().filter(|(_, offer, cost)| {
                 // A promise that not even this machine would keep is no reason to pay for it.
@@ -202,16 +257,19 @@
                 // Who is below the floor has no time to wait for something cheaper.
                 let patience = if short { 0.0 } else { (PATIENCE * cost / least).min(1.0) };
                 let bearable = slack * patience;
-                total < book.properties.most_machines as u64 && start > bearable && boot_s + GAIN_S < start
+                self.total < book.properties.most_machines as u64
+                    && start > bearable
+                    && boot_s + GAIN_S < start
+                    && filler::may(spec, offer, cost / least, book.properties.idle_dearer).rent
             });
             let slot = match (rent, existing) {
                 (Some((at, chosen, _)), _) => {
                     timelines.push(Timeline::new(Room::empty(chosen.of, at), chosen.of.boot_s));
-                    slots.push(&timelines, timelines.len() - 1);
-                    *wanted.entry(chosen.kind()).or_default() += 1;
-                    total += 1;
+                    slots.push(timelines, timelines.len() - 1);
+                    *self.wanted.entry(chosen.kind()).or_default() += 1;
+                    self.total += 1;
                     offer = None;
-                    slots.next(&timelines, &ground, &zones)
+                    slots.next(timelines, ground, &zones)
                 }
                 (None, existing) => existing,
             };
@@ -220,18 +278,17 @@
                 zones.take(ground.zone(timelines[slot.which].room.kind));
                 offer = None;
             }
-            slots.take(&mut timelines, slot);
-            quotas.take(spec, 1.0);
+            slots.take(timelines, slot);
+            self.quotas.take(spec, 1.0);
             missing -= 1;
         }
     }
-    wanted.into_iter().collect()
 }
 
 /// Places what is expected to come while a machine would boot, each task when it comes.
 fn expect_arrivals<'a>(book: &'a Book, ground: &Ground<'a>, timelines: &mut [Timeline<'a>], now: Instant) {
     for arrivals in book.arrivals.values() {
-        let Some(like) = book.like(arrivals) else { continue };
+        let Some(like) = book.like(arrivals).filter(|job| !job.spec().is_idle()) else { continue };
         let zones = Zones::none(like.spec());
         let open = ground.open_to(like.spec(), &zones);
         let within_s = ground.longest_boot_s(&open);
--- a/src/scheduling/book/bindings.rs
+++ b/src/scheduling/book/bindings.rs
@@ -25,6 +25,7 @@
             if self.holds.get(&placement.machine).is_some_and(|h| h.job == placement.task.job) {
                 self.holds.retain(|_, hold| hold.job != placement.task.job);
             }
+            self.reserved.retain(|_, hold| hold.job != placement.task.job && hold.until > now);
             self.bind(placement, now);
         }
         for (id, part) in first_places {
--- a/src/scheduling/book/machine.rs
+++ b/src/scheduling/book/machine.rs
@@ -108,6 +108,8 @@
     pub kind: Option<usize>,
     /// What the bound tasks take together, kept with every binding.
     taken: Amounts,
+    /// What of it idle work takes: others may have it.
+    idle: Amounts,
     /// Their shares and returns, and when these were counted; none once a task has left.
     load: Load,
     load_at: Option<Instant>,
@@ -147,6 +149,7 @@
             cache_gb: None,
             kind: None,
             taken: Amounts::default(),
+            idle: Amounts::default(),
             load: Load::default(),
             load_at: Some(now),
             strays: false,
@@ -174,6 +177,16 @@
         self.taken
     }
 
+    /// What idle work takes of it.
+    pub fn idle(&self) -> Amounts {
+        self.idle
+    }
+
+    /// Nothing but idle work is on it, if anything.
+    pub fn only_idle(&self) -> bool {
+        self.taken.cpus <= self.idle.cpus + 1e-6 && self.taken.memory_gb <= self.idle.memory_gb + 1e-6
+    }
+
     pub fn load(&self) -> Load {
         self.load
     }
@@ -182,6 +195,9 @@
     pub(super) fn hold(&mut self, key: TaskKey, job: &JobState, now: Instant) {
         if self.bound.insert(key) {
             self.taken.add(job.spec(), 1.0);
+            if job.spec().is_idle() {
+                self.idle.add(job.spec(), 1.0);
+            }
             let (share, task_return) = weigh(job, None, now);
             self.load.share += share;
             self.load.total_return += task_return;
@@ -193,9 +209,12 @@
     pub(super) fn let_go(&mut self, key: &TaskKey, spec: &JobSpec, now: Instant) {
         if self.bound.remove(key) {
             self.taken.add(spec, -1.0);
+            if spec.is_idle() {
+                self.idle.add(spec, -1.0);
+            }
             self.load_at = None;
             if self.bound.is_empty() {
-                self.taken = Amounts::default();
+                (self.taken, self.idle) = (Amounts::default(), Amounts::default());
                 self.idle_since = Some(now);
             }
             if !self.strays {
@@ -207,7 +226,7 @@
     /// What it holds is about to be read again.
     pub(super) fn hold_nothing(&mut self) {
         self.bound.clear();
-        self.taken = Amounts::default();
+        (self.taken, self.idle) = (Amounts::default(), Amounts::default());
         self.load_at = None;
     }
 
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -245,6 +245,8 @@
     pub arrivals: BTreeMap<String, Arrivals>,
     /// Machines kept for gangs that will soon fit.
     pub holds: HashMap<MachineId, Hold>,
+    /// Machines on which others were stopped for a job, until it has come there.
+    pub reserved: HashMap<MachineId, Hold>,
     /// Classes and teams that go first, by the account.
     pub below: Below,
     /// Whose fault failures are.
@@ -310,6 +312,7 @@
             observed: LruCache::new(MOST_CLASSES),
             arrivals: BTreeMap::new(),
             holds: HashMap::new(),
+            reserved: HashMap::new(),
             below: Below::default(),
             evidence: Evidence::default(),
             lane: Lane::default(),
@@ -348,6 +351,11 @@
         ]
     }
 
+    /// For whom a machine is held: first for whom others were stopped there.
+    pub fn hold(&self, id: &MachineId, now: Instant) -> Option<&Hold> {
+        self.reserved.get(id).filter(|h| h.until > now).or_else(|| self.holds.get(id))
+    }
+
     pub fn kinds(&self) -> &[Kind] {
         &self.kinds
     }
--- /dev/null
+++ b/src/scheduling/filler.rs
@@ -0,0 +1,153 @@
+//! Idle work: what is over goes to it, and what it may cause (docs/fairness.md).
+//!
+//! It starts behind everything else and may be stopped for it. So that it is not stopped as soon as it
+//! has begun, it takes no room that work which waits could have; and nothing is paid for it but
+//! machines that have nothing dear it has no use for.
+
+use super::room::{Offer, Room};
+use crate::jobs::JobSpec;
+
+/// Kinds of waiting work remembered in one plan: more say nothing new.
+const MOST_WAITING: usize = 12;
+
+/// What idle work may cause at the cloud and to machines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct May {
+    /// Machines of this kind may be rented for it.
+    pub rent: bool,
+    /// A machine of this kind is kept for it, where it could be spared.
+    pub keep: bool,
+}
+
+/// For work of any urgency: what it may cause of a kind of machine. `dearer`: what a task costs there,
+/// against the cheapest kind open to it; `most_dear`: how much dearer a kind idle work may take.
+pub fn may(spec: &JobSpec, offer: &Offer, dearer: f64, most_dear: f64) -> May {
+    if !spec.is_idle() {
+        return May { rent: true, keep: true };
+    }
+    let apt = offer.apt(spec);
+    May { rent: apt && dearer <= most_dear, keep: apt }
+}
+
+/// A waiting task of other than idle work: what it asks of a machine, and where it may go.
+#[derive(Debug, Clone)]
+struct Wanted {
+    cpus: f64,
+    gpus: f64,
+    memory_gb: f64,
+    open: Vec<bool>,
+}
+
+/// What more urgent work found no room for in a plan.
+#[derive(Debug, Clone, Default)]
+pub struct Filler {
+    wanted: Vec<Wanted>,
+}
+
+impl Filler {
+    /// Work like this found no room. What fails everywhere keeps nobody out.
+    pub fn waits(&mut self, spec: &JobSpec, open: &[bool], suspected: bool) {
+        if spec.is_idle() || suspected || self.wanted.len() >= MOST_WAITING {
+            return;
+        }
+        let covered = |w: &Wanted| {
+            w.cpus <= spec.cpus
+                && w.gpus <= spec.gpus
+                && w.memory_gb <= spec.memory_gb
+                && open.iter().zip(&w.open).all(|(mine, theirs)| *theirs || !mine)
+        };
+        if !self.wanted.iter().any(covered) {
+            let (cpus, gpus, memory_gb) = (spec.cpus, spec.gpus, spec.memory_gb);
+            self.wanted.push(Wanted { cpus, gpus, memory_gb, open: open.to_vec() });
+        }
+    }
+
+    /// Whether an idle task may start in this room: not where it alone would keep a machine with
+    /// accelerators that it has no use for, and not where waiting work would fit once the idle work
+    /// there is stopped.
+    pub fn may_use(&self, spec: &JobSpec, room: &Room) -> bool {
+        let apt = spec.gpus > 0.0 || room.of.gpus <= 0.0;
+        let free = room.without_idle();
+        let alone = free.cpus >= room.of.cpus - super::room::SLACK;
+        if !apt && alone {
+            return false;
+        }
+        !self.wanted.iter().any(|w| {
+            w.open.get(room.kind) == Some(&true)
+                && w.cpus <= free.cpus + super::room::SLACK
+                && w.gpus <= free.gpus + super::room::SLACK
+                && w.memory_gb <= free.memory_gb + super::room::SLACK
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::jobs::Urgency;
+    use crate::jobs::tests::spec;
+    use crate::kinds::MachineType;
+
+    fn of(cpus: f64, gpus: f64) -> MachineType {
+        MachineType {
+            name: "t".into(),
+            cpus,
+            gpus,
+            memory_gb: 64.0,
+            fetch_gb_per_s: 1.0,
+            cache_gb: None,
+            price: 1.0,
+            spot_price: 0.5,
+            boot_s: 30.0,
+            zones: vec!["a".into()],
+        }
+    }
+
+    #[test]
+    fn what_idle_work_may_cause_by_cases() {
+        let (plain, dear) = (of(16.0, 0.0), of(16.0, 2.0));
+        for (name, urgency, gpus, of, dearer, want) in [
+            ("normal work, anything", Urgency::Normal, 0.0, &dear, 14.0, (true, true)),
+            ("idle work, the cheapest", Urgency::Idle, 0.0, &plain, 1.0, (true, true)),
+            ("idle work, three times as dear", Urgency::Idle, 0.0, &plain, 3.0, (true, true)),
+            ("idle work, too dear: kept where it is there", Urgency::Idle, 0.0, &plain, 5.0, (false, true)),
+            ("idle work, accelerators it has no use for", Urgency::Idle, 0.0, &dear, 1.0, (false, false)),
+            ("idle work that uses accelerators", Urgency::Idle, 1.0, &dear, 2.0, (true, true)),
+        ] {
+            let job = JobSpec { urgency, gpus, ..spec() };
+            let offer = Offer { of, zone: "a", spot: false };
+            let got = may(&job, &offer, dearer, 3.0);
+            assert_eq!((got.rent, got.keep), want, "{name}");
+        }
+    }
+
+    #[test]
+    fn where_idle_work_may_start_by_cases() {
+        let (plain, dear) = (of(16.0, 0.0), of(16.0, 2.0));
+        let gang = JobSpec { cpus: 15.0, ..spec() };
+        // (name, machine, taken by others, taken by idle work, what waits, allowed)
+        for (name, of, others, idle, waits, want) in [
+            ("an empty machine", &plain, 0.0, 0.0, None, true),
+            ("an empty machine with accelerators", &dear, 0.0, 0.0, None, false),
+            ("one with nothing but idle work", &dear, 0.0, 4.0, None, false),
+            ("what others leave over of it", &dear, 6.0, 4.0, None, true),
+            ("a machine that a gang waits for", &plain, 0.0, 4.0, Some(&gang), false),
+            ("one that is no use to it", &plain, 4.0, 4.0, Some(&gang), true),
+        ] {
+            let mut room = Room::empty(of, 0);
+            room.idle = (idle, 0.0, 0.0);
+            room.add(-others - idle, 0.0, 0.0);
+            let mut filler = Filler::default();
+            if let Some(spec) = waits {
+                filler.waits(spec, &[true], false);
+                filler.waits(spec, &[true], false);
+                assert_eq!(filler.wanted.len(), 1, "like asks are one");
+            }
+            let job = JobSpec { urgency: Urgency::Idle, ..spec() };
+            assert_eq!(filler.may_use(&job, &room), want, "{name}");
+        }
+        let mut filler = Filler::default();
+        filler.waits(&gang, &[true], true);
+        assert!(filler.wanted.is_empty(), "what fails everywhere keeps nobody out");
+    }
+}
--- a/src/scheduling/forecast.rs
+++ b/src/scheduling/forecast.rs
@@ -10,6 +10,9 @@
 use crate::scheduling::room::{Ground, Room, Zones};
 use crate::sla;
 
+/// Past its saving, an idle task is gone and another in its place within this time.
+const STOPPED_WITHIN: Duration = Duration::from_secs(6);
+
 /// Room that comes free: when, and how much (cpus, gpus, GB).
 type Release = (f64, f64, f64, f64);
 
@@ -27,8 +30,15 @@
         Self { room, from_s, releases: Vec::new() }
     }
 
-    /// A machine of the book with what its tasks still have to run.
-    pub fn of(book: &'a Book, ground: &Ground<'a>, machine: &'a Machine, now: Instant) -> Option<Self> {
+    /// A machine of the book with what its tasks still have to run. `for_urgent`: for work that may have
+    /// the room of idle tasks as soon as these have saved.
+    pub fn of(
+        book: &'a Book,
+        ground: &Ground<'a>,
+        machine: &'a Machine,
+        for_urgent: bool,
+        now: Instant,
+    ) -> Option<Self> {
         let room = ground.room(machine)?;
         let from = match machine.standing {
             Standing::Booting => {
@@ -45,6 +55,11 @@
                 _ => Duration::ZERO,
             };
             let spec = job.spec();
+            let rest = if for_urgent && spec.is_idle() {
+                rest.min(Duration::try_from_secs_f64(spec.save_s).unwrap_or_default() + STOPPED_WITHIN)
+            } else {
+                rest
+            };
             timeline.releases.push((rest.as_secs_f64(), spec.cpus, spec.gpus, spec.memory_gb));
         }
         timeline.releases.sort_by(|a, b| a.0.total_cmp(&b.0));
--- a/src/scheduling/holds.rs
+++ b/src/scheduling/holds.rs
@@ -43,7 +43,7 @@
     let ground = Ground::new(book, catalog);
     let suspect = suspect_after(book);
     let usable = book.machines.values().filter(|m| usable(m, suspect, now));
-    let mut timelines: Vec<Timeline> = usable.filter_map(|m| Timeline::of(book, &ground, m, now)).collect();
+    let mut timelines: Vec<Timeline> = usable.filter_map(|m| Timeline::of(book, &ground, m, false, now)).collect();
     let most = timelines.len() / PART;
     let quotas = Quotas::new(book);
     for turn in turns {
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -2,12 +2,14 @@
 
 pub mod book;
 pub mod evidence;
+pub mod filler;
 pub mod forecast;
 pub mod holds;
 #[cfg(test)]
 mod interleavings;
 pub mod load;
 pub mod plan;
+pub mod preempt;
 pub mod room;
 pub mod served;
 #[cfg(test)]
@@ -31,6 +33,8 @@
 const TICK: Duration = Duration::from_millis(250);
 /// What is held for gangs is chosen anew this often.
 const HOLD_EVERY: Duration = Duration::from_millis(2000);
+/// Others are stopped for one job at a time, this often.
+const PREEMPT_EVERY: Duration = Duration::from_millis(300);
 /// The account is looked at this often, and told this often.
 const LOOK_EVERY: Duration = Duration::from_secs(2);
 const TELL_EVERY: Duration = Duration::from_secs(60);
@@ -42,6 +46,7 @@
 pub async fn run(node: Arc<Node>) {
     load(&node).await;
     let (mut ticked, mut planned, mut hold_next) = (Instant::now(), None::<Instant>, Instant::now());
+    let mut preempt_next = Instant::now();
     let (mut look_next, mut tell_next) = (Instant::now(), Instant::now() + TELL_EVERY);
     loop {
         let _ = tokio::time::timeout(TICK, node.wake.plan.notified()).await;
@@ -70,10 +75,10 @@
                 planned = Some(now);
                 let decisions = plan::place(book, &catalog, now);
                 placed = Some(decisions.len());
-                if decisions.is_empty() {
-                    plan::preempt(book, &catalog, now);
-                } else {
-                    book.bind_all(decisions, now);
+                book.bind_all(decisions, now);
+                if now >= preempt_next {
+                    preempt_next = now + PREEMPT_EVERY;
+                    preempt::preempt(book, &catalog, now);
                 }
             }
         }
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -8,10 +8,9 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::time::{Duration, Instant};
 
-use tracing::info;
-
-use super::book::{Book, JobState, MachineId, Phase};
+use super::book::{Book, JobState, MachineId};
 use super::evidence::{Evidence, PROBES};
+use super::filler::Filler;
 use super::room::{Ground, Room, Zones, usable};
 use super::served::floor::Rank;
 use crate::jobs::{JobId, JobSpec};
@@ -27,8 +26,6 @@
 const LOST_STARTS: u64 = 2;
 /// Hard work that must start within this time to be done in time is not kept waiting for holds.
 const PRESSED_WITHIN: Duration = Duration::from_secs(30);
-/// Work that may preempt waits at least this long for room to come free by itself.
-const PREEMPT_AFTER: Duration = Duration::from_secs(3);
 
 #[derive(Debug, Clone, PartialEq)]
 pub struct Placement {
@@ -42,7 +39,7 @@
 pub struct Turn<'a> {
     pub id: &'a JobId,
     pub job: &'a JobState,
-    guaranteed: bool,
+    pub guaranteed: bool,
     pub rank: Rank,
     /// Too late for all that was promised of it.
     pub late: bool,
@@ -66,7 +63,7 @@
                 id,
                 job,
                 guaranteed: within_guarantee(book, job.spec()),
-                rank: Rank::of(book.below.first.has(job.spec()), late),
+                rank: Rank::of(book.below.first.has(job.spec()), late, job.spec().is_idle()),
                 late,
                 suspected: book.evidence.suspects(id),
                 task_return: job.agreement.task_return(age + job.agreement.run),
@@ -172,6 +169,8 @@
     pressed: bool,
     /// Who goes first is not kept out by what is held for others.
     first: bool,
+    /// Idle work, and what others wait for by now.
+    filler: Option<Filler>,
     share: f64,
     task_return: f64,
     hard: bool,
@@ -185,7 +184,7 @@
 }
 
 impl<'a> Demand<'a> {
-    fn new(turn: &Turn<'a>, evidence: &'a Evidence, open: Vec<bool>, now: Instant) -> Self {
+    fn new(turn: &Turn<'a>, evidence: &'a Evidence, filler: Option<Filler>, open: Vec<bool>, now: Instant) -> Self {
         let (job, age) = (turn.job, turn.age);
         let agreement = &job.agreement;
         Self {
@@ -194,6 +193,7 @@
             over: now + agreement.run,
             pressed: agreement.within_reach(age) && !agreement.within_reach(age + PRESSED_WITHIN),
             first: turn.rank == Rank::First,
+            filler,
             share: sla::share(agreement.run, agreement.deadline.saturating_sub(age), agreement.cores),
             task_return: agreement.task_return(age + agreement.run),
             hard: agreement.within_reach(age),
@@ -210,6 +210,7 @@
 
     fn may_use(&self, room: &Room) -> bool {
         self.is_open(room.kind)
+            && self.filler.as_ref().is_none_or(|filler| filler.may_use(self.job.spec(), room))
             && room
                 .hold
                 .is_none_or(|hold| self.pressed || self.first || hold.job == *self.id || self.over <= hold.until)
@@ -274,6 +275,8 @@
     ground: Ground<'a>,
     rooms: Vec<Room<'a>>,
     unfit: Vec<Unfit<'a>>,
+    /// What more urgent work than idle found no room for.
+    wanted: Filler,
     now: Instant,
     pub looked: u64,
 }
@@ -289,9 +292,9 @@
             .filter(|m| usable(m, suspect, now))
             .filter_map(|m| ground.room(m))
             .filter(|r| r.cpus + SLACK >= least)
-            .map(|r| Room { hold: r.machine.and_then(|m| book.holds.get(&m.id)), ..r })
+            .map(|r| Room { hold: r.machine.and_then(|m| book.hold(&m.id, now)), ..r })
             .collect();
-        Self { evidence: &book.evidence, ground, rooms, unfit: Vec::new(), now, looked: 0 }
+        Self { evidence: &book.evidence, ground, rooms, unfit: Vec::new(), wanted: Filler::default(), now, looked: 0 }
     }
 
     /// Places up to `most` tasks, the best machine first, and gives them with their rooms.
@@ -336,12 +339,14 @@
         let (job, spec) = (turn.job, turn.job.spec());
         let open = self.ground.open_to(spec, &zones);
         let tasks = if spec.is_gang() { job.waiting.len() } else { 1 };
-        let demand = Demand::new(turn, self.evidence, open, self.now);
+        let filler = spec.is_idle().then(|| self.wanted.clone());
+        let demand = Demand::new(turn, self.evidence, filler, open, self.now);
         let holds = |room: &Room| room.hold.is_some_and(|h| h.job == *turn.id);
         if !demand.pressed
             && self.unfit.iter().any(|u| u.covers(job, tasks, &demand.open))
             && !self.rooms.iter().any(holds)
         {
+            self.wanted.waits(spec, &demand.open, turn.suspected);
             return Vec::new();
         }
         let placed = if spec.is_gang() {
@@ -350,6 +355,9 @@
             self.fill(&demand, &mut zones, most, None)
         };
         let short = if spec.is_gang() { placed.is_empty() } else { placed.len() < most.min(job.waiting.len()) };
+        if short {
+            self.wanted.waits(spec, &demand.open, turn.suspected);
+        }
         // Spread work, and arrays that settled in one zone, were refused rooms that others may use.
         if short && !spec.spread && (spec.is_gang() || !spec.same_zone) {
             self.unfit.push(Unfit { spec, run: job.agreement.run, tasks, open: demand.open });
@@ -407,7 +415,8 @@
     }
     // Late work goes first as far as it has earned, the oldest of it.
     let mut earned = None;
-    let late = turns.iter().enumerate().filter(|(_, t)| t.late && !t.guaranteed && !t.suspected);
+    let late =
+        turns.iter().enumerate().filter(|(_, t)| t.late && !t.guaranteed && !t.suspected && t.rank != Rank::Idle);
     let oldest = late.max_by(|(_, a), (_, b)| a.age.cmp(&b.age).then(b.id.cmp(a.id)));
     if let Some((at, needs)) =
         oldest.map(|(at, t)| (at, t.job.cores_at_once())).filter(|(_, n)| *n <= book.lane.credit())
@@ -462,76 +471,3 @@
     }
     (decisions, plan.looked)
 }
-
-/// Makes room for work of higher urgency, and for a team short of its guarantee. At most one
-/// machine's worth per call; the freed room is then found by the next plan.
-pub fn preempt(book: &mut Book, catalog: &Catalog, now: Instant) {
-    if !book.loaded {
-        return;
-    }
-    let Some((victims, machine)) = find_victims(book, catalog, now) else { return };
-    info!(%machine, stopped = victims.len(), "preempts");
-    for (key, grace) in victims {
-        book.halt(&key, grace, now);
-    }
-}
-
-type Victims = (Vec<(TaskKey, u64)>, MachineId);
-
-fn find_victims(book: &Book, catalog: &Catalog, now: Instant) -> Option<Victims> {
-    let quotas = Quotas::new(book);
-    let suspect = super::room::suspect_after(book);
-    let ground = Ground::new(book, catalog);
-    // Whoever may stop nothing need not look.
-    let lowest = book.jobs().filter(|(_, j)| !j.bound.is_empty()).map(|(_, j)| j.spec().urgency).min()?;
-    for turn in queue(book, now) {
-        let job = turn.job;
-        let spec = job.spec();
-        if turn.suspected || (lowest >= spec.urgency && !turn.guaranteed) {
-            continue;
-        }
-        let n = if spec.is_gang() { spec.tasks as f64 } else { 1.0 };
-        let waited = job.last_end.map_or(turn.age, |t| now.saturating_duration_since(t));
-        if waited < PREEMPT_AFTER || !quotas.allows(spec, n) {
-            continue;
-        }
-        let may_stop = |other: &JobSpec| {
-            other.urgency < spec.urgency
-                || (turn.guaranteed && other.team != spec.team && beyond_guarantee(book, other))
-        };
-        let open = ground.open_to(spec, &Zones::new(book, job));
-        for machine in book.machines.values().filter(|m| usable(m, suspect, now)) {
-            let Some(mut room) = ground.room(machine).filter(|r| open[r.kind]) else { continue };
-            let mut victims = Vec::new();
-            for key in &machine.bound {
-                if room.fits(spec) {
-                    break;
-                }
-                let Some(other) = book.job(&key.job) else { continue };
-                let Some(Phase::Bound(binding)) = other.tasks.get(key.index as usize).map(|t| &t.phase) else {
-                    continue;
-                };
-                if binding.halting.is_some() {
-                    // Room is being made here already.
-                    room.add(other.spec().cpus, other.spec().gpus, other.spec().memory_gb);
-                } else if may_stop(other.spec()) {
-                    room.add(other.spec().cpus, other.spec().gpus, other.spec().memory_gb);
-                    victims.push((key.clone(), other.spec().save_s.ceil() as u64 + 1));
-                }
-            }
-            if room.fits(spec) {
-                if victims.is_empty() {
-                    break;
-                }
-                return Some((victims, machine.id.clone()));
-            }
-        }
-    }
-    None
-}
-
-fn beyond_guarantee(book: &Book, spec: &JobSpec) -> bool {
-    let Some(team) = book.settings.team(&spec.team) else { return true };
-    let used = book.usage.get(&spec.team).copied().unwrap_or_default();
-    used.0 - spec.cpus >= team.cpus - SLACK && used.1 - spec.gpus >= team.gpus - SLACK
-}
--- /dev/null
+++ b/src/scheduling/preempt.rs
@@ -0,0 +1,189 @@
+//! Stopping others for work of higher urgency, and for a team short of its guarantee: the whole of
+//! what a job needs at once, at the least loss, and held for it until it has come.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use tracing::info;
+
+use super::book::{Book, JobState, Machine, MachineId, Phase};
+use super::holds::Hold;
+use super::plan::{Quotas, SLACK, Turn, queue};
+use super::room::{Ground, Room, Zones, suspect_after, usable};
+use crate::jobs::JobSpec;
+use crate::kinds::Catalog;
+use crate::wire::workers::TaskKey;
+
+/// Work that may preempt waits at least this long for room to come free by itself.
+const AFTER: Duration = Duration::from_secs(3);
+/// Jobs looked at in one call, and machines on which anything is stopped in one.
+const MOST_JOBS: usize = 20;
+const MOST_MACHINES: usize = 64;
+/// What was stopped is held for whom it was stopped for until then: saving, a report, the next plan.
+const HELD_PAST_SAVING: Duration = Duration::from_secs(12);
+/// A task started so often is not stopped any more for a job of which it is not the only way: every
+/// task is stopped a bounded number of times for others.
+const MOST_STARTS: u64 = 6;
+
+/// Tasks to be stopped on one machine, with the time they have to save.
+type Victims = Vec<(TaskKey, u64)>;
+
+/// One machine as a place for some tasks of a job.
+struct Place<'a> {
+    machine: &'a Machine,
+    zone: &'a str,
+    units: u64,
+    victims: Victims,
+    /// What is lost by it, in seconds times cores.
+    loss: f64,
+}
+
+/// Makes room for the first job of the queue that may stop others and finds none.
+pub fn preempt(book: &mut Book, catalog: &Catalog, now: Instant) {
+    if !book.loaded {
+        return;
+    }
+    let Some((job, stops)) = find(book, catalog, now) else { return };
+    let stopped: usize = stops.iter().map(|(_, victims)| victims.len()).sum();
+    info!(%job, machines = stops.len(), stopped, "preempts");
+    for (machine, victims) in stops {
+        let longest = victims.iter().map(|(_, grace)| *grace).max().unwrap_or(0);
+        let until = now + Duration::from_secs(longest) + HELD_PAST_SAVING;
+        book.reserved.insert(machine, Hold { job: job.clone(), until });
+        for (key, grace) in victims {
+            book.halt(&key, grace, now);
+        }
+    }
+}
+
+fn find(book: &Book, catalog: &Catalog, now: Instant) -> Option<(crate::jobs::JobId, Vec<(MachineId, Victims)>)> {
+    let quotas = Quotas::new(book);
+    let suspect = suspect_after(book);
+    let ground = Ground::new(book, catalog);
+    // Whoever may stop nothing need not look.
+    let lowest = book.jobs().filter(|(_, j)| !j.bound.is_empty()).map(|(_, j)| j.spec().urgency).min()?;
+    let turns = queue(book, now);
+    let may = turns.iter().filter(|t| !t.suspected && (lowest < t.job.spec().urgency || t.guaranteed));
+    for turn in may.take(MOST_JOBS) {
+        let (job, spec) = (turn.job, turn.job.spec());
+        let need = if spec.is_gang() { job.waiting.len() as u64 } else { 1 };
+        let waited = job.last_end.map_or(turn.age, |t| now.saturating_duration_since(t));
+        if waited < AFTER || !quotas.allows(spec, need as f64) {
+            continue;
+        }
+        let zones = Zones::new(book, job);
+        let open = ground.open_to(spec, &zones);
+        let usable = book.machines.values().filter(|m| usable(m, suspect, now));
+        let free = usable.filter(|m| book.hold(&m.id, now).is_none_or(|h| h.job == *turn.id));
+        let places: Vec<Place> = free.filter_map(|m| place(book, &ground, m, turn, &open, need, now)).collect();
+        // An array takes more than one place at a time, as far as it waits.
+        let wish = if spec.is_gang() { need } else { (job.waiting.len() as u64).min(MOST_MACHINES as u64) };
+        let Some(chosen) = choose(places, spec, &zones, need, wish) else { continue };
+        let stops: Vec<(MachineId, Victims)> = chosen.into_iter().map(|p| (p.machine.id.clone(), p.victims)).collect();
+        // Nothing is left to stop: room is being made already.
+        if stops.iter().all(|(_, victims)| victims.is_empty()) {
+            continue;
+        }
+        return Some((turn.id.clone(), stops));
+    }
+    None
+}
+
+/// The places of the least loss that hold `need` tasks together, in one zone if they must; up to `wish`.
+fn choose<'a>(
+    mut places: Vec<Place<'a>>,
+    spec: &JobSpec,
+    zones: &Zones,
+    need: u64,
+    wish: u64,
+) -> Option<Vec<Place<'a>>> {
+    places.retain(|p| zones.allow(p.zone));
+    let each = |p: &Place| p.loss / p.units.max(1) as f64;
+    places
+        .sort_by(|a, b| each(a).total_cmp(&each(b)).then(b.units.cmp(&a.units)).then(a.machine.id.cmp(&b.machine.id)));
+    let mut by_zone: HashMap<&str, (u64, f64)> = HashMap::new();
+    let mut zone = None;
+    if spec.same_zone {
+        for place in &places {
+            let (units, loss) = by_zone.entry(place.zone).or_default();
+            if *units < need {
+                (*units, *loss) = (*units + place.units, *loss + place.loss);
+            }
+        }
+        let enough = by_zone.into_iter().filter(|(_, (units, _))| *units >= need);
+        zone = Some(enough.min_by(|a, b| a.1.1.total_cmp(&b.1.1).then(a.0.cmp(b.0)))?.0);
+    }
+    let (mut chosen, mut units) = (Vec::new(), 0);
+    for place in places.into_iter().filter(|p| zone.is_none_or(|z| z == p.zone)) {
+        // Past what is needed only where it costs nothing but idle work's time.
+        if units >= wish || chosen.len() >= MOST_MACHINES {
+            break;
+        }
+        units += place.units;
+        chosen.push(place);
+    }
+    (units >= need).then_some(chosen)
+}
+
+/// What would have to be stopped on a machine for as many tasks as it could then hold, the cheapest
+/// loss first; none if it holds no task of the job even so.
+fn place<'a>(
+    book: &'a Book,
+    ground: &Ground<'a>,
+    machine: &'a Machine,
+    turn: &Turn,
+    open: &[bool],
+    need: u64,
+    now: Instant,
+) -> Option<Place<'a>> {
+    let spec = turn.job.spec();
+    let mut room = ground.room(machine).filter(|r| open[r.kind])?;
+    let may_stop = |other: &JobSpec| {
+        other.urgency < spec.urgency || (turn.guaranteed && other.team != spec.team && beyond_guarantee(book, other))
+    };
+    let mut stoppable: Vec<(f64, TaskKey, &JobSpec)> = Vec::new();
+    for key in &machine.bound {
+        let Some(other) = book.job(&key.job) else { continue };
+        let Some(task) = other.tasks.get(key.index as usize) else { continue };
+        let Phase::Bound(binding) = &task.phase else { continue };
+        if binding.halting.is_some() {
+            // Room is being made here already.
+            give(&mut room, other.spec());
+        } else if may_stop(other.spec()) && task.attempt < MOST_STARTS {
+            stoppable.push((loss(other, binding.ran(now)), key.clone(), other.spec()));
+        }
+    }
+    stoppable.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    let (mut victims, mut lost) = (Vec::new(), 0.0);
+    let most = if turn.job.spec().is_gang() { need } else { u64::MAX };
+    for (loss, key, other) in stoppable {
+        if room.units(spec, most) >= 1 {
+            break;
+        }
+        give(&mut room, other);
+        lost += loss;
+        victims.push((key, other.save_s.ceil() as u64 + 1));
+    }
+    let units = room.units(spec, most);
+    let zone = ground.zone(room.kind);
+    (units > 0).then_some(Place { machine, zone, units, victims, loss: lost })
+}
+
+fn give(room: &mut Room, spec: &JobSpec) {
+    room.add(spec.cpus, spec.gpus, spec.memory_gb);
+}
+
+/// What stopping a task costs, in seconds times cores: what it has done since it saved last, or the saving
+/// itself, and of a gang what all of it has.
+fn loss(job: &JobState, ran: Duration) -> f64 {
+    let spec = job.spec();
+    let seconds = if spec.checkpoint_s > 0.0 { spec.save_s + 1.0 } else { ran.as_secs_f64() + 1.0 };
+    let tasks = if spec.is_gang() { spec.tasks as f64 } else { 1.0 };
+    seconds * spec.cpus.max(0.01) * tasks
+}
+
+fn beyond_guarantee(book: &Book, spec: &JobSpec) -> bool {
+    let Some(team) = book.settings.team(&spec.team) else { return true };
+    let used = book.usage.get(&spec.team).copied().unwrap_or_default();
+    used.0 - spec.cpus >= team.cpus - SLACK && used.1 - spec.gpus >= team.gpus - SLACK
+}
--- a/src/scheduling/room.rs
+++ b/src/scheduling/room.rs
@@ -84,6 +84,7 @@
             gpus: of.gpus - taken.gpus,
             memory_gb: of.memory_gb - taken.memory_gb,
             load: machine.load(),
+            idle: (machine.idle().cpus, machine.idle().gpus, machine.idle().memory_gb),
             hold: None,
         })
     }
@@ -117,6 +118,8 @@
     pub gpus: f64,
     pub memory_gb: f64,
     pub load: Load,
+    /// What idle work takes of it, as (cpus, gpus, GB): others may have it.
+    pub idle: (f64, f64, f64),
     /// For whom it is held, if it is.
     pub hold: Option<&'a Hold>,
 }
@@ -131,6 +134,7 @@
             gpus: of.gpus,
             memory_gb: of.memory_gb,
             load: Load::default(),
+            idle: (0.0, 0.0, 0.0),
             hold: None,
         }
     }
@@ -139,6 +143,13 @@
         spec.cpus <= self.cpus + SLACK && spec.gpus <= self.gpus + SLACK && spec.memory_gb <= self.memory_gb + SLACK
     }
 
+    /// The room there would be without its idle work.
+    pub fn without_idle(&self) -> Self {
+        let mut room = *self;
+        room.add(self.idle.0, self.idle.1, self.idle.2);
+        room
+    }
+
     /// How many tasks like this fit, up to `most`.
     pub fn units(&self, spec: &JobSpec, most: u64) -> u64 {
         let by = |left: f64, each: f64| if each > 0.0 { (left + SLACK) / each } else { f64::INFINITY };
--- a/src/scheduling/served/floor.rs
+++ b/src/scheduling/served/floor.rs
@@ -49,12 +49,18 @@
     First,
     /// By return alone, as the paper has it.
     ByReturn,
+    /// Idle work, by return: what would be stopped for others is not started before them.
+    Idle,
 }
 
 impl Rank {
     /// What is too late for all that was promised is not put before what can be in time.
-    pub fn of(below: bool, too_late: bool) -> Self {
-        if below && !too_late { Self::First } else { Self::ByReturn }
+    pub fn of(below: bool, too_late: bool, idle: bool) -> Self {
+        match (idle, below && !too_late) {
+            (true, _) => Self::Idle,
+            (false, true) => Self::First,
+            (false, false) => Self::ByReturn,
+        }
     }
 }
 
--- a/src/scheduling/served/tests/weigh.rs
+++ b/src/scheduling/served/tests/weigh.rs
@@ -144,12 +144,12 @@
                 Way::Deficit => (by_return, -owed[job.class]),
                 Way::Ageing => (by_return, -(worth(job) + age(job) * 1e-3)),
                 Way::Earliest if served[job.class] < FLOOR => {
-                    (Rank::of(true, next(job).is_none()), next(job).unwrap_or(0.0))
+                    (Rank::of(true, next(job).is_none(), false), next(job).unwrap_or(0.0))
                 }
                 Way::Absolute | Way::Earliest => {
-                    (Rank::of(served[job.class] < FLOOR, next(job).is_none()), -worth(job))
+                    (Rank::of(served[job.class] < FLOOR, next(job).is_none(), false), -worth(job))
                 }
-                Way::Floor => (Rank::of(served[job.class] < FLOOR * all, next(job).is_none()), -worth(job)),
+                Way::Floor => (Rank::of(served[job.class] < FLOOR * all, next(job).is_none(), false), -worth(job)),
             }
         };
         waiting.sort_by(|a, b| {
--- a/src/scheduling/tests.rs
+++ b/src/scheduling/tests.rs
@@ -6,6 +6,7 @@
 
 use super::book::{Book, Standing, Via};
 use super::plan;
+use super::preempt;
 use crate::fleet::drain;
 use crate::fleet::rent::{self, Refusals};
 use crate::jobs::record::{JobRecord, time_of_day_ms};
@@ -148,12 +149,12 @@
     assert_eq!(book.orders_in_answer("m1", now).len(), 1);
     add(&mut book, 2, now, |j| j.cpus = 8.0);
     let later = now + Duration::from_secs(5);
-    plan::preempt(&mut book, &catalog(), later);
+    preempt::preempt(&mut book, &catalog(), later);
     let halting = |book: &Book| book.job(&"run-000001".into()).unwrap().binding(0).unwrap().halting;
     assert_eq!(halting(&book), None, "equals do not preempt");
     add(&mut book, 3, now, |j| (j.cpus, j.urgency) = (8.0, Urgency::High));
     book.take_report(report("m1", "c8", "a", false, 2, vec![]), Via::Report, None, later);
-    plan::preempt(&mut book, &catalog(), later + Duration::from_secs(4));
+    preempt::preempt(&mut book, &catalog(), later + Duration::from_secs(4));
     assert_eq!(halting(&book), Some(1));
 }
 
--- a/src/settings/properties.rs
+++ b/src/settings/properties.rs
@@ -59,6 +59,8 @@
     idle: seconds = 120.0, "machines.idle.seconds", 0.0, 86400.0;
     /// Machine boots longer than this many times the type's usual time are given up.
     boot_patience: number = 4.0, "machines.boot.patience", 1.0, 100.0;
+    /// Idle work rents only machines at most this many times as dear for it as the cheapest kind open to it.
+    idle_dearer: number = 3.0, "idle.machines.dearer", 1.0, 1000.0;
     /// Machines held at the most, booting ones included.
     most_machines: number = 5000.0, "machines.most", 1.0, 100000.0;
     /// Seconds to keep from asking again for machines of a type, zone and kind that were refused.
