--- a/src/fleet/drain.rs
+++ b/src/fleet/drain.rs
@@ -57,7 +57,9 @@
             .machines
             .values()
             .filter(|m| usable(m, suspect, now) || m.standing == Standing::Booting)
+            // Idle tasks give way: their room is there for others, and they are put somewhere last.
             .filter_map(|m| ground.room(m))
+            .map(|r| r.without_idle())
             .collect();
         rooms.sort_by(|a, b| {
             let dear = |r: &Room| (r.of.gpus > 0.0, r.price());
@@ -111,16 +113,13 @@
 /// The dearest machines that can be spared, emptier ones first among equals.
 pub fn choose(book: &Book, catalog: &Catalog, now: Instant) -> Vec<Drain> {
     let mut pool = Pool::new(book, catalog, now);
-    // Waiting work, then what is expected while a machine would boot, takes its room first.
-    for turn in queue(book, now).into_iter().filter(|t| !t.suspected) {
-        pool.keep(
-            turn.job.spec(),
-            &Zones::new(book, turn.job),
-            turn.job.waiting.len() as u64,
-            turn.age > turn.job.agreement.run,
-        );
+    // Waiting work, then what is expected while a machine would boot, takes its room first; idle work,
+    // what of it runs included, what is left.
+    for turn in queue(book, now).into_iter().filter(|t| !t.suspected && !t.job.spec().is_idle()) {
+        let (job, waiting) = (turn.job, turn.job.waiting.len() as u64);
+        pool.keep(job.spec(), &Zones::new(book, job), waiting, turn.age > job.agreement.run);
     }
-    for (class, expected) in &book.arrivals {
+    for (class, expected) in book.arrivals.iter().filter(|(_, a)| !a.like.spec.is_idle()) {
         let spec = &expected.like.spec;
         let open = pool.ground.open_to(spec, &Zones::none(spec));
         let boot_s = pool.ground.longest_boot_s(&open);
@@ -130,6 +129,12 @@
         let tasks = (expected.per_second(now) * boot_s * boots).round() as u64;
         pool.keep(spec, &Zones::none(spec), tasks, false);
     }
+    for (id, job) in book.jobs().filter(|(_, job)| job.spec().is_idle() && job.ended.is_none()) {
+        let tasks = (job.waiting.len() + job.bound.len()) as u64;
+        if tasks > 0 && !book.evidence.suspects(id) {
+            pool.keep(job.spec(), &Zones::none(job.spec()), tasks, false);
+        }
+    }
     let most = (pool.rooms.len() / PART).max(1);
     let mut chosen = Vec::new();
     let mut tried = 0;
--- a/src/scheduling/book/machine.rs
+++ b/src/scheduling/book/machine.rs
@@ -98,6 +98,8 @@
     pub idle_since: Option<Instant>,
     /// Something has failed on it since anything was done there.
     pub failed: bool,
+    /// Drained because it can be spared: what is over of it is idle work's until the rest has run out.
+    pub spared: bool,
     /// Under suspicion: no new work until it is decided whose fault its failures are.
     pub suspected: bool,
     /// Images it is thought to hold, the most recently used last, with their sizes.
@@ -144,6 +146,7 @@
             tell: false,
             idle_since: None,
             failed: false,
+            spared: false,
             suspected: false,
             images: VecDeque::new(),
             cache_gb: None,
@@ -354,7 +357,7 @@
     /// No new work for a machine that can be spared; these tasks of it save and move.
     pub fn drain(&mut self, id: &MachineId, moves: &[(TaskKey, u64)], now: Instant) {
         let Some(machine) = self.machines.get_mut(id) else { return };
-        machine.standing = Standing::Draining;
+        (machine.standing, machine.spared) = (Standing::Draining, true);
         info!(machine = %id, bound = machine.bound.len(), moved = moves.len(), "drained: it can be spared");
         for (key, grace_s) in moves {
             self.halt(key, *grace_s, now);
@@ -451,6 +454,20 @@
         for (id, why) in condemn {
             self.condemn(&id, why);
         }
+        self.stop_idle_on_the_spared(now);
         self.decide_suspicions(now);
     }
+
+    /// Where the last of other work has left a machine that can be spared, idle work goes as well.
+    fn stop_idle_on_the_spared(&mut self, now: Instant) {
+        let left = |m: &&Machine| m.standing == Standing::Draining && m.spared && m.idle().cpus > 0.0 && m.only_idle();
+        let keys: Vec<TaskKey> = self.machines.values().filter(left).flat_map(|m| m.bound.iter().cloned()).collect();
+        for key in keys {
+            let Some(job) = self.jobs.get(&key.job) else { continue };
+            let grace_s = job.spec().save_s.ceil() as u64 + 1;
+            if job.binding(key.index).is_some_and(|b| b.halting.is_none()) {
+                self.halt(&key, grace_s, now);
+            }
+        }
+    }
 }
--- a/src/scheduling/filler.rs
+++ b/src/scheduling/filler.rs
@@ -69,7 +69,8 @@
         let apt = spec.gpus > 0.0 || room.of.gpus <= 0.0;
         let free = room.without_idle();
         let alone = free.cpus >= room.of.cpus - super::room::SLACK;
-        if !apt && alone {
+        // Of a machine that is being left it has what the rest leaves over, and saves when that is gone.
+        if (!apt || room.leaving) && alone || (room.leaving && spec.checkpoint_s <= 0.0) {
             return false;
         }
         !self.wanted.iter().any(|w| {
@@ -125,17 +126,19 @@
     fn where_idle_work_may_start_by_cases() {
         let (plain, dear) = (of(16.0, 0.0), of(16.0, 2.0));
         let gang = JobSpec { cpus: 15.0, ..spec() };
-        // (name, machine, taken by others, taken by idle work, what waits, allowed)
-        for (name, of, others, idle, waits, want) in [
-            ("an empty machine", &plain, 0.0, 0.0, None, true),
-            ("an empty machine with accelerators", &dear, 0.0, 0.0, None, false),
-            ("one with nothing but idle work", &dear, 0.0, 4.0, None, false),
-            ("what others leave over of it", &dear, 6.0, 4.0, None, true),
-            ("a machine that a gang waits for", &plain, 0.0, 4.0, Some(&gang), false),
-            ("one that is no use to it", &plain, 4.0, 4.0, Some(&gang), true),
+        // (name, machine, taken by others, taken by idle work, is being left, what waits, allowed)
+        for (name, of, others, idle, leaving, waits, want) in [
+            ("an empty machine", &plain, 0.0, 0.0, false, None, true),
+            ("an empty machine with accelerators", &dear, 0.0, 0.0, false, None, false),
+            ("one with nothing but idle work", &dear, 0.0, 4.0, false, None, false),
+            ("what others leave over of it", &dear, 6.0, 4.0, false, None, true),
+            ("a machine that a gang waits for", &plain, 0.0, 4.0, false, Some(&gang), false),
+            ("one that is no use to it", &plain, 4.0, 4.0, false, Some(&gang), true),
+            ("one that is being left, beside others", &plain, 4.0, 4.0, true, None, true),
+            ("one that the others have left", &plain, 0.0, 4.0, true, None, false),
         ] {
             let mut room = Room::empty(of, 0);
-            room.idle = (idle, 0.0, 0.0);
+            (room.idle, room.leaving) = ((idle, 0.0, 0.0), leaving);
             room.add(-others - idle, 0.0, 0.0);
             let mut filler = Filler::default();
             if let Some(spec) = waits {
@@ -143,7 +146,7 @@
                 filler.waits(spec, &[true], false);
                 assert_eq!(filler.wanted.len(), 1, "like asks are one");
             }
-            let job = JobSpec { urgency: Urgency::Idle, ..spec() };
+            let job = JobSpec { urgency: Urgency::Idle, checkpoint_s: 30.0, ..spec() };
             assert_eq!(filler.may_use(&job, &room), want, "{name}");
         }
         let mut filler = Filler::default();
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -5,13 +5,13 @@
 //! best is taken from a heap until it is full or another is better.
 
 use std::cmp::Ordering;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::time::{Duration, Instant};
 
 use super::book::{Book, JobState, MachineId};
 use super::evidence::{Evidence, PROBES};
 use super::filler::Filler;
-use super::room::{Ground, Room, Zones, usable};
+use super::room::{Ground, Room, Zones, usable, usable_until_left};
 use super::served::floor::Rank;
 use crate::jobs::{JobId, JobSpec};
 use crate::kinds::Catalog;
@@ -24,6 +24,8 @@
 const MOST_PLACEMENTS: usize = 1000;
 /// Work that was started so often in vain gets the machines least likely to be lost.
 const LOST_STARTS: u64 = 2;
+/// Idle work that was started so often goes to no machine that is being left.
+const MOST_LEFT: u64 = 4;
 /// Hard work that must start within this time to be done in time is not kept waiting for holds.
 const PRESSED_WITHIN: Duration = Duration::from_secs(30);
 
@@ -171,6 +173,9 @@
     first: bool,
     /// Idle work, and what others wait for by now.
     filler: Option<Filler>,
+    /// Idle work gives way for it on machines as it needs them: it takes no cores that an accelerator
+    /// will lack.
+    apt_only: bool,
     share: f64,
     task_return: f64,
     hard: bool,
@@ -194,6 +199,7 @@
             pressed: agreement.within_reach(age) && !agreement.within_reach(age + PRESSED_WITHIN),
             first: turn.rank == Rank::First,
             filler,
+            apt_only: false,
             share: sla::share(agreement.run, agreement.deadline.saturating_sub(age), agreement.cores),
             task_return: agreement.task_return(age + agreement.run),
             hard: agreement.within_reach(age),
@@ -210,7 +216,12 @@
 
     fn may_use(&self, room: &Room) -> bool {
         self.is_open(room.kind)
-            && self.filler.as_ref().is_none_or(|filler| filler.may_use(self.job.spec(), room))
+            && match &self.filler {
+                Some(filler) => {
+                    filler.may_use(self.job.spec(), room) && (!room.leaving || !self.job.lost_starts(MOST_LEFT))
+                }
+                None => !room.leaving,
+            }
             && room
                 .hold
                 .is_none_or(|hold| self.pressed || self.first || hold.job == *self.id || self.over <= hold.until)
@@ -221,6 +232,9 @@
         if !room.fits(spec) || !self.may_use(room) {
             return None;
         }
+        if self.apt_only && room.waste(spec) > 1 {
+            return None;
+        }
         // Fit-now is the whole test for hard work; soft work must also be admitted.
         let new_return = match sla::admit(room.load, room.of.cpus, self.share, self.task_return) {
             Some(new_return) => new_return,
@@ -277,6 +291,8 @@
     unfit: Vec<Unfit<'a>>,
     /// What more urgent work than idle found no room for.
     wanted: Filler,
+    /// What idle work would give up of machines without accelerators, and is not yet counted with.
+    giving: Vec<Room<'a>>,
     now: Instant,
     pub looked: u64,
 }
@@ -286,15 +302,26 @@
         let ground = Ground::new(book, catalog);
         let suspect = super::room::suspect_after(book);
         let least = turns.iter().map(|t| t.job.spec().cpus).fold(f64::INFINITY, f64::min);
+        let idle = turns.iter().any(|t| t.rank == Rank::Idle);
         let rooms = book
             .machines
             .values()
-            .filter(|m| usable(m, suspect, now))
+            .filter(|m| usable(m, suspect, now) || (idle && usable_until_left(m, suspect, now)))
             .filter_map(|m| ground.room(m))
             .filter(|r| r.cpus + SLACK >= least)
             .map(|r| Room { hold: r.machine.and_then(|m| book.hold(&m.id, now)), ..r })
             .collect();
-        Self { evidence: &book.evidence, ground, rooms, unfit: Vec::new(), wanted: Filler::default(), now, looked: 0 }
+        let giving = giving(book, &ground, suspect, now);
+        Self {
+            evidence: &book.evidence,
+            giving,
+            ground,
+            rooms,
+            unfit: Vec::new(),
+            wanted: Filler::default(),
+            now,
+            looked: 0,
+        }
     }
 
     /// Places up to `most` tasks, the best machine first, and gives them with their rooms.
@@ -340,7 +367,8 @@
         let open = self.ground.open_to(spec, &zones);
         let tasks = if spec.is_gang() { job.waiting.len() } else { 1 };
         let filler = spec.is_idle().then(|| self.wanted.clone());
-        let demand = Demand::new(turn, self.evidence, filler, open, self.now);
+        let mut demand = Demand::new(turn, self.evidence, filler, open, self.now);
+        demand.apt_only = !spec.is_idle() && self.gives_way(spec, &demand.open, job.waiting.len() as u64);
         let holds = |room: &Room| room.hold.is_some_and(|h| h.job == *turn.id);
         if !demand.pressed
             && self.unfit.iter().any(|u| u.covers(job, tasks, &demand.open))
@@ -366,13 +394,39 @@
         placed.into_iter().filter_map(|(index, at)| Some((index, rooms[at].machine?.id.clone()))).collect()
     }
 
+    /// Whether idle work would make room for all these tasks on machines as they need them; what it
+    /// would give is then counted with.
+    fn gives_way(&mut self, spec: &JobSpec, open: &[bool], need: u64) -> bool {
+        if self.giving.is_empty() || spec.gpus > 0.0 {
+            return false;
+        }
+        let mut units: BTreeMap<&str, u64> = BTreeMap::new();
+        for room in self.giving.iter().filter(|r| open.get(r.kind) == Some(&true)) {
+            let zone = if spec.same_zone { self.ground.zone(room.kind) } else { "" };
+            *units.entry(zone).or_default() += room.units(spec, need);
+        }
+        let Some(zone) = units.into_iter().find(|(_, n)| *n >= need).map(|(zone, _)| zone) else { return false };
+        let mut left = need;
+        for room in &mut self.giving {
+            let here = zone.is_empty() || self.ground.zone(room.kind) == zone;
+            if left == 0 || !here || open.get(room.kind) != Some(&true) {
+                continue;
+            }
+            let n = room.units(spec, left);
+            room.add(-(n as f64) * spec.cpus, 0.0, -(n as f64) * spec.memory_gb);
+            left -= n;
+        }
+        true
+    }
+
     /// A gang in one zone is tried zone by zone, since a greedy start may pick a zone too small.
     fn place_gang(&mut self, demand: &Demand<'a>, zones: &mut Zones<'a>) -> Vec<(u32, usize)> {
         let spec = demand.job.spec();
         let need = demand.job.waiting.len();
         let mut units: HashMap<&str, u64> = HashMap::new();
         self.looked += self.rooms.len() as u64;
-        for room in self.rooms.iter().filter(|r| demand.may_use(r)) {
+        let apt = |r: &Room| !demand.apt_only || r.of.gpus <= 0.0 || r.waste(spec) <= 1;
+        for room in self.rooms.iter().filter(|r| demand.may_use(r) && apt(r)) {
             let zone = if spec.same_zone { self.ground.zone(room.kind) } else { "" };
             *units.entry(zone).or_default() += room.units(spec, need as u64);
         }
@@ -396,6 +450,13 @@
     }
 }
 
+/// Machines without accelerators, and free of holds, on which idle work would give way.
+fn giving<'a>(book: &'a Book, ground: &Ground<'a>, suspect: Duration, now: Instant) -> Vec<Room<'a>> {
+    let held = book.machines.values().filter(|m| m.idle().cpus > 0.0 && usable(m, suspect, now));
+    let free = held.filter(|m| book.hold(&m.id, now).is_none());
+    free.filter_map(|m| ground.room(m)).filter(|r| r.of.gpus <= 0.0).map(|r| r.without_idle()).collect()
+}
+
 /// All placements that can be made now.
 pub fn place(book: &mut Book, catalog: &Catalog, now: Instant) -> Vec<Placement> {
     place_counted(book, catalog, now).0
--- a/src/scheduling/preempt.rs
+++ b/src/scheduling/preempt.rs
@@ -10,11 +10,11 @@
 use super::holds::Hold;
 use super::plan::{Quotas, SLACK, Turn, queue};
 use super::room::{Ground, Room, Zones, suspect_after, usable};
-use crate::jobs::JobSpec;
+use crate::jobs::{JobSpec, Urgency};
 use crate::kinds::Catalog;
 use crate::wire::workers::TaskKey;
 
-/// Work that may preempt waits at least this long for room to come free by itself.
+/// Work that may preempt others than idle work waits at least this long for room to come free by itself.
 const AFTER: Duration = Duration::from_secs(3);
 /// Jobs looked at in one call, and machines on which anything is stopped in one.
 const MOST_JOBS: usize = 20;
@@ -34,6 +34,8 @@
     zone: &'a str,
     units: u64,
     victims: Victims,
+    /// Has accelerators that the job has no use for.
+    dear: bool,
     /// What is lost by it, in seconds times cores.
     loss: f64,
 }
@@ -68,7 +70,8 @@
         let (job, spec) = (turn.job, turn.job.spec());
         let need = if spec.is_gang() { job.waiting.len() as u64 } else { 1 };
         let waited = job.last_end.map_or(turn.age, |t| now.saturating_duration_since(t));
-        if waited < AFTER || !quotas.allows(spec, need as f64) {
+        let after = if lowest == Urgency::Idle && !spec.is_idle() { Duration::ZERO } else { AFTER };
+        if waited < after || !quotas.allows(spec, need as f64) {
             continue;
         }
         let zones = Zones::new(book, job);
@@ -99,8 +102,12 @@
 ) -> Option<Vec<Place<'a>>> {
     places.retain(|p| zones.allow(p.zone));
     let each = |p: &Place| p.loss / p.units.max(1) as f64;
-    places
-        .sort_by(|a, b| each(a).total_cmp(&each(b)).then(b.units.cmp(&a.units)).then(a.machine.id.cmp(&b.machine.id)));
+    places.sort_by(|a, b| {
+        (a.dear.cmp(&b.dear))
+            .then(each(a).total_cmp(&each(b)))
+            .then(b.units.cmp(&a.units))
+            .then(a.machine.id.cmp(&b.machine.id))
+    });
     let mut by_zone: HashMap<&str, (u64, f64)> = HashMap::new();
     let mut zone = None;
     if spec.same_zone {
@@ -166,7 +173,8 @@
     }
     let units = room.units(spec, most);
     let zone = ground.zone(room.kind);
-    (units > 0).then_some(Place { machine, zone, units, victims, loss: lost })
+    let dear = room.of.gpus > 0.0 && spec.gpus <= 0.0;
+    (units > 0).then_some(Place { machine, zone, units, victims, dear, loss: lost })
 }
 
 fn give(room: &mut Room, spec: &JobSpec) {
--- a/src/scheduling/room.rs
+++ b/src/scheduling/room.rs
@@ -85,6 +85,7 @@
             memory_gb: of.memory_gb - taken.memory_gb,
             load: machine.load(),
             idle: (machine.idle().cpus, machine.idle().gpus, machine.idle().memory_gb),
+            leaving: machine.standing == Standing::Draining,
             hold: None,
         })
     }
@@ -120,6 +121,8 @@
     pub load: Load,
     /// What idle work takes of it, as (cpus, gpus, GB): others may have it.
     pub idle: (f64, f64, f64),
+    /// It can be spared and is being left: only idle work that can save goes there.
+    pub leaving: bool,
     /// For whom it is held, if it is.
     pub hold: Option<&'a Hold>,
 }
@@ -135,6 +138,7 @@
             memory_gb: of.memory_gb,
             load: Load::default(),
             idle: (0.0, 0.0, 0.0),
+            leaving: false,
             hold: None,
         }
     }
@@ -203,8 +207,16 @@
 
 /// Up, sane, lately heard of, and free of tasks that should not be there.
 pub fn usable(machine: &Machine, suspect: Duration, now: Instant) -> bool {
-    machine.standing == Standing::Up
-        && machine.reported()
+    machine.standing == Standing::Up && sane(machine, suspect, now)
+}
+
+/// The same of one that can be spared and has not been left yet.
+pub fn usable_until_left(machine: &Machine, suspect: Duration, now: Instant) -> bool {
+    machine.standing == Standing::Draining && machine.spared && sane(machine, suspect, now)
+}
+
+fn sane(machine: &Machine, suspect: Duration, now: Instant) -> bool {
+    machine.reported()
         && machine.recall.is_none()
         && !machine.suspected
         && now.saturating_duration_since(machine.heard) < suspect
