--- a/src/scheduling/filler.rs
+++ b/src/scheduling/filler.rs
@@ -4,12 +4,25 @@
 //! has begun, it takes no room that work which waits could have; and nothing is paid for it but
 //! machines that have nothing dear it has no use for.
 
-use super::room::{Offer, Room};
+use std::time::Duration;
+
+use super::room::{Offer, Room, SLACK};
 use crate::jobs::JobSpec;
+use crate::settings::Objective;
 
 /// Kinds of waiting work remembered in one plan: more say nothing new.
 const MOST_WAITING: usize = 12;
 
+/// Idle tasks need about this long to be gone, saving and reports included: so much of the arrivals of
+/// classes whose users are promised a start sooner than machines boot finds room that is kept free.
+const GIVES_WAY: Duration = Duration::from_secs(10);
+
+/// Tasks like the last of a class for which idle work leaves room, by how many come a second.
+pub fn kept_for(spec: &JobSpec, per_second: f64, objectives: &[Objective], boot_s: f64) -> u64 {
+    let prompt = objectives.iter().any(|o| o.kind == "wait" && o.class == spec.class && o.within_s < boot_s);
+    if spec.is_idle() || !prompt { 0 } else { (per_second * GIVES_WAY.as_secs_f64()).ceil() as u64 }
+}
+
 /// What idle work may cause at the cloud and to machines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct May {
@@ -38,6 +51,12 @@
     open: Vec<bool>,
 }
 
+impl Wanted {
+    fn fits(&self, room: &Room) -> bool {
+        self.cpus <= room.cpus + SLACK && self.gpus <= room.gpus + SLACK && self.memory_gb <= room.memory_gb + SLACK
+    }
+}
+
 /// What more urgent work found no room for in a plan.
 #[derive(Debug, Clone, Default)]
 pub struct Filler {
@@ -68,17 +87,18 @@
     pub fn may_use(&self, spec: &JobSpec, room: &Room) -> bool {
         let apt = spec.gpus > 0.0 || room.of.gpus <= 0.0;
         let free = room.without_idle();
-        let alone = free.cpus >= room.of.cpus - super::room::SLACK;
+        let alone = free.cpus >= room.of.cpus - SLACK;
         // Of a machine that is being left it has what the rest leaves over, and saves when that is gone.
+        if room.kept {
+            return false;
+        }
         if (!apt || room.leaving) && alone || (room.leaving && spec.checkpoint_s <= 0.0) {
             return false;
         }
-        !self.wanted.iter().any(|w| {
-            w.open.get(room.kind) == Some(&true)
-                && w.cpus <= free.cpus + super::room::SLACK
-                && w.gpus <= free.gpus + super::room::SLACK
-                && w.memory_gb <= free.memory_gb + super::room::SLACK
-        })
+        // What is free here but for idle work would be taken from who waits for it.
+        let mut after = *room;
+        after.take(spec);
+        !self.wanted.iter().any(|w| w.open.get(room.kind) == Some(&true) && w.fits(&free) && !w.fits(&after))
     }
 }
 
@@ -122,10 +142,30 @@
         }
     }
 
+    #[test]
+    fn what_is_kept_free_by_cases() {
+        let asks = |class: &str, within_s| Objective {
+            kind: "wait".into(),
+            class: class.into(),
+            within_s,
+            times: 0.0,
+            share: 0.8,
+        };
+        for (name, urgency, within_s, class, want) in [
+            ("promised sooner than a boot", Urgency::Normal, 15.0, "c", 25),
+            ("promised later than that", Urgency::Normal, 60.0, "c", 0),
+            ("promised to others", Urgency::Normal, 15.0, "d", 0),
+            ("idle itself", Urgency::Idle, 15.0, "c", 0),
+        ] {
+            let job = JobSpec { urgency, class: "c".into(), ..spec() };
+            assert_eq!(kept_for(&job, 2.5, &[asks(class, within_s)], 30.0), want, "{name}");
+        }
+    }
+
     #[test]
     fn where_idle_work_may_start_by_cases() {
         let (plain, dear) = (of(16.0, 0.0), of(16.0, 2.0));
-        let gang = JobSpec { cpus: 15.0, ..spec() };
+        let (gang, wide) = (JobSpec { cpus: 15.0, ..spec() }, of(17.0, 0.0));
         // (name, machine, taken by others, taken by idle work, is being left, what waits, allowed)
         for (name, of, others, idle, leaving, waits, want) in [
             ("an empty machine", &plain, 0.0, 0.0, false, None, true),
@@ -134,6 +174,7 @@
             ("what others leave over of it", &dear, 6.0, 4.0, false, None, true),
             ("a machine that a gang waits for", &plain, 0.0, 4.0, false, Some(&gang), false),
             ("one that is no use to it", &plain, 4.0, 4.0, false, Some(&gang), true),
+            ("one that would still hold the gang", &wide, 0.0, 0.5, false, Some(&gang), true),
             ("one that is being left, beside others", &plain, 4.0, 4.0, true, None, true),
             ("one that the others have left", &plain, 0.0, 4.0, true, None, false),
         ] {
@@ -149,6 +190,9 @@
             let job = JobSpec { urgency: Urgency::Idle, checkpoint_s: 30.0, ..spec() };
             assert_eq!(filler.may_use(&job, &room), want, "{name}");
         }
+        let mut kept = Room::empty(&plain, 0);
+        kept.kept = true;
+        assert!(!Filler::default().may_use(&spec(), &kept), "kept for prompt arrivals");
         let mut filler = Filler::default();
         filler.waits(&gang, &[true], true);
         assert!(filler.wanted.is_empty(), "what fails everywhere keeps nobody out");
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -10,7 +10,7 @@
 
 use super::book::{Book, JobState, MachineId};
 use super::evidence::{Evidence, PROBES};
-use super::filler::Filler;
+use super::filler::{self, Filler};
 use super::room::{Ground, Room, Zones, usable, usable_until_left};
 use super::served::floor::Rank;
 use crate::jobs::{JobId, JobSpec};
@@ -394,6 +394,26 @@
         placed.into_iter().filter_map(|(index, at)| Some((index, rooms[at].machine?.id.clone()))).collect()
     }
 
+    /// Before idle work is placed: rooms for what arrives while it would give way.
+    fn keep_for_arrivals(&mut self, book: &Book) {
+        for arrivals in book.arrivals.values() {
+            let spec = &arrivals.like.spec;
+            let open = self.ground.open_to(spec, &Zones::none(spec));
+            let boot_s = self.ground.longest_boot_s(&open);
+            let objectives = &book.settings.params.objectives;
+            let mut left = filler::kept_for(spec, arrivals.per_second(self.now), objectives, boot_s);
+            for room in self.rooms.iter_mut().filter(|r| !r.leaving && !r.kept && (spec.gpus > 0.0 || r.of.gpus <= 0.0))
+            {
+                if left == 0 {
+                    break;
+                }
+                let units = if open.get(room.kind) == Some(&true) { room.units(spec, left) } else { 0 };
+                room.kept = units > 0;
+                left -= units;
+            }
+        }
+    }
+
     /// Whether idle work would make room for all these tasks on machines as they need them; what it
     /// would give is then counted with.
     fn gives_way(&mut self, spec: &JobSpec, open: &[bool], need: u64) -> bool {
@@ -488,7 +508,11 @@
     }
     let mut plan = Plan::new(book, catalog, &turns, now);
     let mut quotas = Quotas::new(book);
+    let mut idle_begun = false;
     for turn in turns {
+        if turn.rank == Rank::Idle && !std::mem::replace(&mut idle_begun, true) {
+            plan.keep_for_arrivals(book);
+        }
         if decisions.len() >= MOST_PLACEMENTS {
             break;
         }
--- a/src/scheduling/room.rs
+++ b/src/scheduling/room.rs
@@ -86,6 +86,7 @@
             load: machine.load(),
             idle: (machine.idle().cpus, machine.idle().gpus, machine.idle().memory_gb),
             leaving: machine.standing == Standing::Draining,
+            kept: false,
             hold: None,
         })
     }
@@ -123,6 +124,8 @@
     pub idle: (f64, f64, f64),
     /// It can be spared and is being left: only idle work that can save goes there.
     pub leaving: bool,
+    /// Kept free of idle work for what will soon arrive.
+    pub kept: bool,
     /// For whom it is held, if it is.
     pub hold: Option<&'a Hold>,
 }
@@ -139,6 +142,7 @@
             load: Load::default(),
             idle: (0.0, 0.0, 0.0),
             leaving: false,
+            kept: false,
             hold: None,
         }
     }
