--- a/src/membership/mesh.rs
+++ b/src/membership/mesh.rs
@@ -13,6 +13,7 @@
 use crate::jobs::{Counts, JobId};
 use crate::node::Node;
 use crate::scheduling::served::Row;
+use crate::store::share::Want;
 use crate::sync::lock;
 
 const EVERY: Duration = Duration::from_secs(1);
@@ -32,6 +33,9 @@
 struct Line {
     node: String,
     store_serves: bool,
+    /// What the sender wants of the state service, in requests and in changes.
+    #[serde(default)]
+    wants: [Want; 2],
     /// Counts of jobs that changed since the last line, from the owner.
     #[serde(default)]
     counts: Vec<(JobId, Counts)>,
@@ -42,7 +46,8 @@
 
 #[derive(Debug, Default)]
 pub struct Heard {
-    peers: HashMap<String, (bool, Instant)>,
+    /// Whether the store serves each, what it wants of it, and when it said so.
+    peers: HashMap<String, (bool, [Want; 2], Instant)>,
     pub counts: HashMap<JobId, Counts>,
     /// What the owner told last of who is served, and when that was heard.
     pub served: Option<(Vec<Row>, Instant)>,
@@ -51,7 +56,17 @@
 impl Heard {
     /// Whether another controller said lately that the store serves it.
     pub fn store_serves_others(&self, now: Instant) -> bool {
-        self.peers.values().any(|(serves, at)| *serves && now.saturating_duration_since(*at) < STALE)
+        self.lately(now).any(|(serves, _)| serves)
+    }
+
+    fn lately(&self, now: Instant) -> impl Iterator<Item = (bool, [Want; 2])> {
+        let fresh = self.peers.values().filter(move |(.., at)| now.saturating_duration_since(*at) < STALE);
+        fresh.map(|(serves, wants, _)| (*serves, *wants))
+    }
+
+    /// What those want of the state service that were heard of lately.
+    pub fn wants(&self, now: Instant) -> Vec<[Want; 2]> {
+        self.lately(now).map(|(_, wants)| wants).collect()
     }
 }
 
@@ -87,7 +102,7 @@
         let many = {
             let mut heard = lock(&node.heard);
             if node.settings.peers.iter().any(|p| p.node == line.node) {
-                heard.peers.insert(line.node, (line.store_serves, Instant::now()));
+                heard.peers.insert(line.node, (line.store_serves, line.wants, Instant::now()));
             }
             heard.counts.extend(line.counts);
             if !line.served.is_empty() {
@@ -122,7 +137,8 @@
             served_next = Instant::now() + SERVED_EVERY;
             served = node.served_to_tell();
         }
-        let line = Line { node: node.settings.node.clone(), store_serves: node.store_serves(), counts, served };
+        let (name, wants) = (node.settings.node.clone(), node.wants());
+        let line = Line { node: name, store_serves: node.store_serves(), wants, counts, served };
         let mut text = serde_json::to_string(&line).unwrap_or_default();
         text.push('\n');
         tokio::time::timeout(WRITE_WITHIN, stream.write_all(text.as_bytes()))
--- a/src/node.rs
+++ b/src/node.rs
@@ -26,6 +26,7 @@
 use crate::store::budget::{Budget, Urgent};
 use crate::store::follow::Fresh;
 use crate::store::mirror::{Mirror, News};
+use crate::store::share::{Parts, Want, by_need};
 use crate::store::{Change, Condition, StateClient, commit, follow};
 use crate::sync::lock;
 use crate::traffic::Traffic;
@@ -71,46 +72,25 @@
     owner_tasks: Mutex<Vec<tokio::task::AbortHandle>>,
 }
 
-/// A part of one of the state service's limits for the owner, and one that the others share.
-/// Together below one, for bursts and for the moments in which two believe that they own.
-struct Parts {
-    owner: f64,
-    others: f64,
-}
-
 /// An owner writes most; the others keep enough for users and for a campaign.
 const WRITES: Parts = Parts { owner: 0.7, others: 0.25 };
 /// Users ask every controller alike; an owner needs few requests more than the others, since its
 /// writes go many at a time.
 const REQUESTS: Parts = Parts { owner: 0.5, others: 0.45 };
-
-impl Parts {
-    /// This controller's share of a limit, per second.
-    fn share(&self, limit: f64, others: usize, owner: bool) -> f64 {
-        match (others, owner) {
-            (0, _) => limit * 0.95,
-            (_, true) => limit * self.owner,
-            (n, false) => limit * self.others / n as f64,
-        }
-    }
-}
-
-/// Below the limits even when every share is used up at once: bursts are bounded likewise.
-fn budgets(settings: &Settings, owner: bool, now: Instant) -> (Budget, Budget) {
-    let (limits, others) = (&settings.params.state, settings.peers.len());
-    let make = |parts: Parts, limit: f64| {
-        let share = parts.share(limit, others, owner);
-        Budget::new(share, share, now)
-    };
-    (make(REQUESTS, limits.rps), make(WRITES, limits.write_rps))
-}
+/// Shares are worked out again this often, as the others tell what they want.
+const SHARE_EVERY: Duration = Duration::from_secs(1);
 
 impl Node {
     pub fn new(settings: Settings, properties: Properties) -> Arc<Self> {
         let now = Instant::now();
         let http = Http::default();
         let traffic = Arc::<Traffic>::default();
-        let (requests, writes) = budgets(&settings, false, now);
+        let (limits, others) = (&settings.params.state, settings.peers.len());
+        let make = |parts: Parts, limit: f64| {
+            let share = parts.fixed(limit, others, false);
+            Budget::new(share, share, now)
+        };
+        let (requests, writes) = (make(REQUESTS, limits.rps), make(WRITES, limits.write_rps));
         let state = settings.endpoints.state.clone();
         let store = StateClient::new(http.clone(), state, requests, writes, traffic.clone());
         let cloud = CloudClient::new(http.clone(), &settings, traffic.clone(), now);
@@ -151,6 +131,13 @@
         tokio::spawn(fleet::learn_catalog(self.clone()));
         let traffic = self.traffic.clone();
         tokio::spawn(async move { traffic.run().await });
+        let node = self.clone();
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(SHARE_EVERY).await;
+                node.share();
+            }
+        });
     }
 
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
@@ -206,8 +193,8 @@
             lock(&self.served).take_over(&rows, told);
         }
         *held = Some(Book::new(token, self.settings.clone(), self.properties.clone(), Instant::now()));
-        let (requests, writes) = budgets(&self.settings, true, Instant::now());
-        self.store.set_budgets(requests, writes);
+        drop(held);
+        self.share();
         let mut tasks = lock(&self.owner_tasks);
         tasks.push(tokio::spawn(scheduling::run(self.clone())).abort_handle());
         tasks.push(tokio::spawn(commit::run(self.clone())).abort_handle());
@@ -217,16 +204,38 @@
 
     /// Stops owning at once: somebody newer does.
     pub fn step_down(&self, why: &str) {
-        if let Some(book) = lock(&self.book).take() {
+        let owned = lock(&self.book).take();
+        if let Some(book) = owned {
             warn!(token = book.token, why, "no longer owns");
             for task in lock(&self.owner_tasks).drain(..) {
                 task.abort();
             }
-            let (requests, writes) = budgets(&self.settings, false, Instant::now());
-            self.store.set_budgets(requests, writes);
+            self.share();
         }
     }
 
+    /// What this controller lately wanted of the state service, in requests and in changes.
+    pub fn wants(&self) -> [Want; 2] {
+        let owner = lock(&self.book).is_some();
+        let (requests, writes) = self.store.wants();
+        [requests, writes].map(|per_second| Want { owner, per_second })
+    }
+
+    /// Works out this controller's shares of the state service's limits.
+    fn share(&self) {
+        let (limits, others) = (&self.settings.params.state, self.settings.peers.len());
+        let mine = self.wants();
+        let heard = lock(&self.heard).wants(Instant::now());
+        let share = |at: usize, parts: Parts, limit: f64| {
+            if heard.len() < others {
+                return parts.fixed(limit, others, mine[at].owner);
+            }
+            let all: Vec<Want> = std::iter::once(mine[at]).chain(heard.iter().map(|w| w[at])).collect();
+            by_need(limit, parts, &all)
+        };
+        self.store.set_shares(share(0, REQUESTS, limits.rps), share(1, WRITES, limits.write_rps));
+    }
+
     /// Compares the book's token with the assignment as mirrored.
     pub fn check_deposed(&self) {
         let newer =
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -203,7 +203,8 @@
             share: sla::share(agreement.run, agreement.deadline.saturating_sub(age), agreement.cores),
             task_return: agreement.task_return(age + agreement.run),
             hard: agreement.within_reach(age),
-            wary: job.lost_starts(LOST_STARTS),
+            // Nor is what can't save and may wait put where it is likely to be lost, if there is another place.
+            wary: job.lost_starts(LOST_STARTS) || (job.spec().is_idle() && job.spec().checkpoint_s <= 0.0),
             failed_on: evidence.failed_on(turn.id),
             held_back: evidence.held_back(turn.id, now),
             open,
--- a/src/store/budget.rs
+++ b/src/store/budget.rs
@@ -29,6 +29,13 @@
         Self { per_second: per_second.max(0.01), burst, held: burst, at: now }
     }
 
+    /// Grows at another rate from now on; what it holds stays, up to the new burst.
+    pub fn change(&mut self, per_second: f64, burst: f64, now: Instant) {
+        self.refill(now);
+        let burst = burst.max(1.0);
+        (self.per_second, self.burst, self.held) = (per_second.max(0.01), burst, self.held.min(burst));
+    }
+
     pub fn per_second(&self) -> f64 {
         self.per_second
     }
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::budget::{Budget, Urgent};
+use super::share::Meter;
 use crate::traffic::{Passage, Traffic};
 pub use crate::wire::state::{Change, Condition, Event, Followed, Item, Page};
 use crate::wire::state::{Granted, Refused, Revised, Txn};
@@ -79,6 +80,8 @@
     writes: Mutex<Budget>,
     /// When the service last served this controller, and when it last failed to.
     health: Mutex<Health>,
+    /// Requests and changes that were asked for.
+    wanted: Mutex<(Meter, Meter)>,
     traffic: Arc<Traffic>,
 }
 
@@ -105,17 +108,26 @@
 impl StateClient {
     pub fn new(http: Http, addr: String, requests: Budget, writes: Budget, traffic: Arc<Traffic>) -> Self {
         let (requests, writes) = (Mutex::new(requests), Mutex::new(writes));
-        Self { http, addr, requests, writes, health: Mutex::default(), traffic }
+        let now = Instant::now();
+        let wanted = Mutex::new((Meter::new(now), Meter::new(now)));
+        Self { http, addr, requests, writes, health: Mutex::default(), wanted, traffic }
     }
 
     pub fn health(&self) -> Health {
         *crate::sync::lock(&self.health)
     }
 
-    /// Replaces the shares, when this controller begins or ends owning.
-    pub fn set_budgets(&self, requests: Budget, writes: Budget) {
-        *crate::sync::lock(&self.requests) = requests;
-        *crate::sync::lock(&self.writes) = writes;
+    /// Changes the shares, in requests and changes a second.
+    pub fn set_shares(&self, requests: f64, writes: f64) {
+        let now = Instant::now();
+        crate::sync::lock(&self.requests).change(requests, requests, now);
+        crate::sync::lock(&self.writes).change(writes, writes, now);
+    }
+
+    /// What this controller lately wanted, in requests and changes a second.
+    pub fn wants(&self) -> (f64, f64) {
+        let (now, wanted) = (Instant::now(), crate::sync::lock(&self.wanted));
+        (wanted.0.per_second(now), wanted.1.per_second(now))
     }
 
     /// The time in which this controller's share of the requests grows by `n`.
@@ -163,6 +175,7 @@
 
     /// Waits until one request of this right may be sent, and counts it as sent.
     pub async fn reserve(&self, urgent: Urgent) -> Result<(), StoreError> {
+        crate::sync::lock(&self.wanted).0.count(1.0, Instant::now());
         Self::budgeted(&self.requests, 1.0, urgent).await
     }
 
@@ -204,6 +217,7 @@
         urgent: Urgent,
     ) -> Result<TxnOutcome, StoreError> {
         if !apply.is_empty() {
+            crate::sync::lock(&self.wanted).1.count(apply.len() as f64, Instant::now());
             Self::budgeted(&self.writes, apply.len() as f64, urgent).await?;
             self.traffic.add(Passage::StoreChange, apply.len() as u64);
         }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -7,5 +7,6 @@
 pub mod commit;
 pub mod follow;
 pub mod mirror;
+pub mod share;
 
 pub use client::{Change, Condition, StateClient, StoreError, TxnOutcome};
--- /dev/null
+++ b/src/store/share.rs
@@ -0,0 +1,135 @@
+//! Limits of the state service shared by need: what one controller does not use, another may.
+//!
+//! Each tells the others once a second what it lately wanted (membership/mesh), and each works out its
+//! own share by the same function of what all have told. Where anybody has not been heard of, all
+//! keep to fixed shares. Nothing rests on it: too much is refused by the state service, and tried again.
+
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+/// The part of a limit that is given out; the rest is for moments in which controllers disagree.
+const GIVEN: f64 = 0.95;
+/// The part of what is given out that the others may take from the owner: their acceptances and
+/// questions have users waiting, and its changes go many at a time.
+const OTHERS_MOST: f64 = 0.5;
+/// What was wanted lately is given this many times over, so that single bursts do not wait.
+const AMPLE: f64 = 3.0;
+/// What was wanted fades over this time.
+const FADE: Duration = Duration::from_secs(4);
+
+/// Fixed shares: a part of a limit for the owner, and one that the others share.
+#[derive(Debug, Clone, Copy)]
+pub struct Parts {
+    pub owner: f64,
+    pub others: f64,
+}
+
+impl Parts {
+    /// One controller's fixed share of a limit, per second.
+    pub fn fixed(&self, limit: f64, others: usize, owner: bool) -> f64 {
+        match (others, owner) {
+            (0, _) => limit * GIVEN,
+            (_, true) => limit * self.owner,
+            (n, false) => limit * self.others / n as f64,
+        }
+    }
+}
+
+/// What a controller lately wanted of a limit, per second.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Want {
+    pub owner: bool,
+    pub per_second: f64,
+}
+
+/// The share of the first of these controllers, by what all of them want: whoever does not own has its
+/// fixed share or what it needs, the owner the rest.
+pub fn by_need(limit: f64, parts: Parts, wants: &[Want]) -> f64 {
+    let given = limit * GIVEN;
+    let owners = wants.iter().filter(|w| w.owner).count();
+    let others = wants.len() - owners;
+    let most = given * OTHERS_MOST / others.max(1) as f64;
+    let of_other = |w: &Want| {
+        let fixed = parts.fixed(limit, others, false);
+        (w.per_second * AMPLE).clamp(fixed.min(most), most)
+    };
+    match wants.first() {
+        Some(me) if me.owner => {
+            let theirs: f64 = wants.iter().filter(|w| !w.owner).map(of_other).sum();
+            // Several may believe that they own.
+            (given - theirs).max(0.0) / owners as f64
+        }
+        Some(me) => of_other(me),
+        None => given,
+    }
+}
+
+/// How much is wanted, as a rate that fades.
+#[derive(Debug)]
+pub struct Meter {
+    faded: f64,
+    at: Instant,
+}
+
+impl Meter {
+    pub fn new(now: Instant) -> Self {
+        Self { faded: 0.0, at: now }
+    }
+
+    pub fn count(&mut self, n: f64, now: Instant) {
+        self.faded = self.faded(now) + n;
+        self.at = now;
+    }
+
+    fn faded(&self, now: Instant) -> f64 {
+        self.faded * (-now.saturating_duration_since(self.at).as_secs_f64() / FADE.as_secs_f64()).exp()
+    }
+
+    pub fn per_second(&self, now: Instant) -> f64 {
+        self.faded(now) / FADE.as_secs_f64()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const PARTS: Parts = Parts { owner: 0.7, others: 0.25 };
+
+    #[test]
+    fn shares_by_cases() {
+        // (name, wants of owner and two others, their shares of a limit of 20)
+        for (name, wants, want) in [
+            ("nobody wants anything", [0.0, 0.0, 0.0], [14.0, 2.5, 2.5]),
+            ("one that accepts many", [9.0, 1.5, 0.5], [12.0, 4.5, 2.5]),
+            ("all want more than there is", [20.0, 20.0, 20.0], [9.5, 4.75, 4.75]),
+            ("the owner alone", [30.0, 0.0, 0.0], [14.0, 2.5, 2.5]),
+        ] {
+            let of = |me: usize| {
+                let mut all: Vec<Want> =
+                    wants.iter().enumerate().map(|(n, w)| Want { owner: n == 0, per_second: *w }).collect();
+                all.rotate_left(me);
+                by_need(20.0, PARTS, &all)
+            };
+            let got = [of(0), of(1), of(2)];
+            for (got, want) in got.iter().zip(want) {
+                assert!((got - want).abs() < 0.06, "{name}: {got} and not {want}");
+            }
+            assert!(got.iter().sum::<f64>() <= 20.0 * GIVEN + 1e-9, "{name}: more than there is");
+        }
+        let both = [Want { owner: true, per_second: 9.0 }; 3];
+        assert!(3.0 * by_need(20.0, PARTS, &both) <= 20.0 * GIVEN + 1e-9, "several believe that they own");
+        assert_eq!(by_need(20.0, PARTS, &[Want { owner: true, per_second: 1.0 }]), 19.0, "alone");
+    }
+
+    #[test]
+    fn wants_fade() {
+        let now = Instant::now();
+        let mut meter = Meter::new(now);
+        (0..40).for_each(|n| meter.count(1.0, now + Duration::from_millis(n * 250)));
+        let steady = meter.per_second(now + Duration::from_secs(10));
+        assert!((3.0..4.5).contains(&steady), "{steady}");
+        assert!(meter.per_second(now + Duration::from_secs(40)) < 0.01);
+    }
+}
