One place notices that the process stood still; all that judge by time are told

Change: standstill (pure: gap -> what is void); beaten by whoever judges; after most of a leader's lease nothing is decided or answered until the store has proven who owns, proofs begun before are void, questions from the backlog are refused cheaply.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -100,7 +100,7 @@
     let mut tidying = tokio::task::JoinSet::new();
     loop {
         let _ = tokio::time::timeout(EVERY, node.wake.fleet.notified()).await;
-        if !lock(&node.book).as_ref().is_some_and(|b| b.loaded) {
+        if node.unproven() || !lock(&node.book).as_ref().is_some_and(|b| b.loaded) {
             continue;
         }
         if listed.is_none_or(|at| at.elapsed() >= LIST_EVERY) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod scheduling;
 pub mod settings;
 pub mod sla;
+pub mod standstill;
 pub mod store;
 pub mod sync;
 pub mod traffic;
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,6 +1,7 @@
 //! One controller: what its parts share, behind short locks that are never held across an await.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -22,6 +23,7 @@
 use crate::scheduling::served::{Account, Row};
 use crate::scheduling::{self, Book};
 use crate::settings::{Properties, Settings};
+use crate::standstill::{BEAT, Pulse};
 use crate::store::audit::{self, Audit};
 use crate::store::budget::{Budget, Urgent};
 use crate::store::follow::Fresh;
@@ -68,6 +70,10 @@
     /// Who was served lately, kept by every controller.
     pub served: Mutex<Account>,
     pub wake: Wake,
+    /// Notices that this process stood still.
+    pulse: Mutex<Pulse>,
+    /// Stood still for so long that another may own by now; nothing is done until the store says.
+    unproven: AtomicBool,
     stranded: Mutex<Stranded>,
     owner_tasks: Mutex<Vec<tokio::task::AbortHandle>>,
 }
@@ -110,6 +116,8 @@
             door: Mutex::new(Door::new(now)),
             served: Mutex::new(Account::new(&settings, &properties, now)),
             wake: Wake::default(),
+            pulse: Mutex::new(Pulse::new(now)),
+            unproven: AtomicBool::new(false),
             stranded: Mutex::default(),
             owner_tasks: Mutex::default(),
             settings,
@@ -138,6 +146,62 @@
                 node.share();
             }
         });
+        let node = self.clone();
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(BEAT).await;
+                node.beat(Instant::now());
+            }
+        });
+    }
+
+    /// To be called before anything is judged by time. The one place where a standstill of this process is
+    /// handed to all that do: their silences, idle times and proofs of before are void.
+    pub fn beat(&self, now: Instant) {
+        let gap = lock(&self.pulse).beat(now);
+        if self.unproven.load(Ordering::Relaxed) {
+            self.fresh.wanted.notify_one();
+        }
+        let Some(gap) = gap else { return };
+        let void = gap.void(self.properties.leader_lease);
+        warn!(pause_s = gap.length().as_secs_f64(), ownership_open = void.ownership, "stood still");
+        if void.ownership {
+            self.unproven.store(true, Ordering::Relaxed);
+        }
+        if let Some(book) = lock(&self.book).as_mut() {
+            book.was_absent(gap);
+        }
+        *lock(&self.stranded) = Stranded::default();
+        self.store.was_absent(gap);
+        self.fresh.wanted.notify_one();
+        self.wake.membership.notify_one();
+    }
+
+    /// Begins something that only counts if the process does not stand still meanwhile.
+    pub fn gaps(&self) -> u64 {
+        self.beat(Instant::now());
+        lock(&self.pulse).gaps()
+    }
+
+    /// The mirror was just proven fresh: who owns is known again.
+    pub fn proven(&self) {
+        self.check_deposed();
+        if self.unproven.swap(false, Ordering::Relaxed) {
+            info!(owns = lock(&self.book).is_some(), "what was known before the standstill is proven or dropped");
+        }
+    }
+
+    /// Nothing may be decided or answered yet, after a standstill.
+    pub fn unproven(&self) -> bool {
+        self.beat(Instant::now());
+        self.unproven.load(Ordering::Relaxed)
+    }
+
+    /// Whether a question read now was most likely given up by who asked it, while this process stood still.
+    pub fn stale_question(&self) -> bool {
+        let now = Instant::now();
+        self.beat(now);
+        lock(&self.pulse).last().is_some_and(|gap| gap.stale_question(now))
     }
 
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
@@ -286,6 +350,7 @@
     /// Healthy: has read the store once, and is not the only one the store refuses.
     pub fn healthy(&self) -> bool {
         lock(&self.mirror).ready
+            && !self.unproven()
             && self.catalog().is_some()
             && (self.store_serves() || !lock(&self.heard).store_serves_others(Instant::now()))
     }
--- a/src/scheduling/book/machine.rs
+++ b/src/scheduling/book/machine.rs
@@ -4,13 +4,14 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
-use tracing::{info, warn};
+use tracing::info;
 
 use super::{Binding, Book, JobState, MachineId};
 use crate::fleet::orders::{CloudOrder, What};
 use crate::jobs::JobSpec;
 use crate::kinds::Kind;
 use crate::sla::{self, Load};
+use crate::standstill::Gap;
 use crate::wire::workers::{Leg, LegStatus, TaskKey};
 
 /// Names of returned machines kept, so that their late reports are not taken for news.
@@ -25,8 +26,6 @@
 const SILENT_LEASES: u32 = 2;
 /// Past the end of these; covers a machine's clock's drift and the way of a report.
 const LEASE_MARGIN: Duration = Duration::from_secs(2);
-/// Ticks come at least every second; a longer gap is a pause of this process.
-const LONGEST_TICK: Duration = Duration::from_millis(2500);
 /// Images a machine is thought to hold where the cloud does not say how much it keeps.
 const IMAGES_KEPT: usize = 6;
 /// Images remembered of a machine, whatever it keeps.
@@ -384,17 +383,14 @@
         }
     }
 
-    /// A controller that stood still has not listened: the machines were not silent for that
-    /// long, and what it missed may still be on its way.
-    fn forgive_own_pause(&mut self, now: Instant) {
-        let pause = now.saturating_duration_since(self.ticked);
-        self.ticked = now;
-        if pause > LONGEST_TICK {
-            warn!(pause_s = pause.as_secs_f64(), "stood still");
-            for machine in self.machines.values_mut() {
-                machine.heard = (machine.heard + pause).min(now);
-            }
+    /// This controller stood still and has not listened: machines were not silent or idle for that long,
+    /// and what it missed may still be on its way.
+    pub fn was_absent(&mut self, gap: Gap) {
+        for machine in self.machines.values_mut() {
+            machine.heard = gap.forgive(machine.heard);
+            machine.idle_since = machine.idle_since.map(|at| gap.forgive(at));
         }
+        self.absent = Some(gap);
     }
 
     /// At least three machines, and one in `part` of those that should be heard of, have been
@@ -418,11 +414,14 @@
     /// Machines that hold a task of a job that was withdrawn, and have not proven it gone for too
     /// long. What is left of a job that is done has exited.
     pub fn overdue(&self, now: Instant) -> BTreeSet<MachineId> {
-        let patience = self.settings.params.workers.cancel().mul_f64(CANCEL_PATIENCE);
-        let late =
-            self.ending.iter().filter_map(|id| self.jobs.get(id)).filter(|job| {
-                !job.finished && job.ended.is_some_and(|at| now.saturating_duration_since(at) > patience)
-            });
+        let allowed = self.settings.params.workers.cancel();
+        let patience = allowed.mul_f64(CANCEL_PATIENCE);
+        let due = |at: Instant| {
+            now.saturating_duration_since(at) > patience
+                && self.absent.is_none_or(|gap| gap.proof_due(at, allowed, now))
+        };
+        let late = self.ending.iter().filter_map(|id| self.jobs.get(id));
+        let late = late.filter(|job| !job.finished && job.ended.is_some_and(due));
         late.flat_map(|job| job.bound.iter().filter_map(|i| job.binding(*i))).map(|b| b.machine.clone()).collect()
     }
 
@@ -431,7 +430,6 @@
         if !self.loaded {
             return;
         }
-        self.forgive_own_pause(now);
         // Many machines that fall silent together point at the network or at this controller:
         // returning them all would lose what they run, and past their leases still the machines, for
         // which others would have to boot. Those that have died the cloud's list tells of.
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -33,6 +33,7 @@
 use crate::kinds::Kind;
 use crate::settings::{Properties, Settings};
 use crate::sla::Agreement;
+use crate::standstill::Gap;
 use crate::wire::workers::{LegStatus, Order};
 
 pub type MachineId = Arc<str>;
@@ -239,7 +240,8 @@
     pub usage: HashMap<String, (f64, f64)>,
     raised: Instant,
     raise: bool,
-    ticked: Instant,
+    /// When this controller last stood still.
+    absent: Option<Gap>,
     /// By class: how observed run times compare with the owners' estimates (sum of logs, count).
     observed: LruCache<String, (f64, f64)>,
     pub arrivals: BTreeMap<String, Arrivals>,
@@ -308,7 +310,7 @@
             usage: HashMap::new(),
             raised: now,
             raise: false,
-            ticked: now,
+            absent: None,
             observed: LruCache::new(MOST_CLASSES),
             arrivals: BTreeMap::new(),
             holds: HashMap::new(),
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -50,6 +50,9 @@
     let (mut look_next, mut tell_next) = (Instant::now(), Instant::now() + TELL_EVERY);
     loop {
         let _ = tokio::time::timeout(TICK, node.wake.plan.notified()).await;
+        if node.unproven() {
+            continue;
+        }
         let now = Instant::now();
         let mut placed = None;
         if let (Some(book), Some(catalog)) = (lock(&node.book).as_mut(), node.catalog()) {
--- a/src/scheduling/tests.rs
+++ b/src/scheduling/tests.rs
@@ -16,6 +16,7 @@
 use crate::kinds::{Catalog, MachineType};
 use crate::settings::Properties;
 use crate::settings::tests::example;
+use crate::standstill::Gap;
 use crate::wire::workers::{Leg, LegStatus, Report, TaskKey};
 
 fn of(name: &str, cpus: f64, gpus: f64, price: f64) -> MachineType {
@@ -175,6 +176,9 @@
             for machine in &names[..reporting] {
                 book.take_report(report(machine, "c8", "a", false, t + 1, vec![]), Via::Report, None, now + s(t));
             }
+            if paused && t == 13 {
+                book.was_absent(Gap { began: now, ended: now + s(13) });
+            }
             if !paused || t == 13 {
                 book.tick(now + s(t));
             }
@@ -556,3 +560,33 @@
     let rented = rent::plan(&book, &catalog(), &Refusals::default(), &Default::default(), late);
     assert!(rented.iter().map(|(_, n)| n).sum::<u64>() <= 1, "{rented:?}");
 }
+
+/// An owner that stood still for half a minute found idle machines idle for too long, and withdrawn tasks
+/// not proven gone for too long, since it had not been there to hear of anything.
+#[test]
+fn a_standstill_returns_nothing() {
+    let s = Duration::from_secs;
+    let now = Instant::now();
+    let mut book = book(&[("m1", "c8", "a", false), ("m2", "c8", "a", false)], now);
+    add(&mut book, 1, now, |j| j.cpus = 8.0);
+    let first = plan::place(&mut book, &catalog(), now);
+    book.bind_all(first, now);
+    let (_, chunks) = book.next_writes(10, now);
+    book.chunks_stored(&chunks, 1);
+    book.orders_in_answer("m1", now);
+    let begun = now + s(110);
+    for machine in ["m1", "m2"] {
+        book.take_report(report(machine, "c8", "a", false, 2, vec![]), Via::Report, None, begun);
+    }
+    book.end_job(&"run-000001".into(), Some(crate::jobs::End::Withdrawn), begun);
+    let back = begun + s(30);
+    // Without being told of the gap: idle for 120 s, and 30 of 49 s since the withdrawal.
+    assert_eq!(rent::to_give_up(&book, &catalog(), back).len(), 1);
+    assert_eq!(book.overdue(back).len(), 1);
+    book.was_absent(Gap { began: begun, ended: back });
+    book.tick(back);
+    assert!(rent::to_give_up(&book, &catalog(), back).is_empty());
+    assert!(book.overdue(back).is_empty() && book.machines.values().all(|m| m.standing == Standing::Up));
+    // Heard of nothing for a few seconds more, the withdrawn task is proof enough.
+    assert_eq!(book.overdue(back + s(6)).len(), 1);
+}
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -5,6 +5,7 @@
 
 use super::budget::{Budget, Urgent};
 use super::share::Meter;
+use crate::standstill::Gap;
 use crate::traffic::{Passage, Traffic};
 pub use crate::wire::state::{Change, Condition, Event, Followed, Item, Page};
 use crate::wire::state::{Granted, Refused, Revised, Txn};
@@ -124,6 +125,12 @@
         crate::sync::lock(&self.writes).change(writes, writes, now);
     }
 
+    /// This process stood still: the store was not failing meanwhile, as far as anybody knows here.
+    pub fn was_absent(&self, gap: Gap) {
+        let mut health = crate::sync::lock(&self.health);
+        health.served = health.served.map(|at| gap.forgive(at));
+    }
+
     /// What this controller lately wanted, in requests and changes a second.
     pub fn wants(&self) -> (f64, f64) {
         let (now, wanted) = (Instant::now(), crate::sync::lock(&self.wanted));
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -68,6 +68,7 @@
     loop {
         node.fresh.wanted.notified().await;
         let ticket = node.fresh.ticket();
+        let gaps = node.gaps();
         let asking = lock(&node.mirror).asking();
         let Some(revision) = asking else {
             node.fresh.failed.send_replace(ticket);
@@ -77,6 +78,11 @@
             Ok(followed) => {
                 let (taken, news) = lock(&node.mirror).apply(&followed);
                 node.spread(news);
+                // What was asked before a standstill proves nothing after it.
+                let taken = taken && node.gaps() == gaps;
+                if taken {
+                    node.proven();
+                }
                 if taken { &node.fresh.proven } else { &node.fresh.failed }.send_replace(ticket);
             }
             Err(StoreError::TooOld) => {
--- a/src/users/mod.rs
+++ b/src/users/mod.rs
@@ -319,6 +319,10 @@
         };
         match self.path {
             Path::Submit => render_reply(node, res, submit(node, &body).await),
+            // Its user has given up and asks again: told so without work for it.
+            Path::LookUp if node.stale_question() => {
+                render_reply(node, res, Reply::later("this controller stood still"))
+            }
             Path::LookUp => render_reply(node, res, look_up(node, &id).await),
             Path::Withdraw => render_reply(node, res, withdraw(node, &id).await),
             Path::Health => render(res, if node.healthy() { 200 } else { 503 }, Vec::new()),
--- a/src/workers/dispatch.rs
+++ b/src/workers/dispatch.rs
@@ -21,6 +21,9 @@
 pub async fn run(node: Arc<Node>) {
     loop {
         let _ = tokio::time::timeout(EVERY, node.wake.dispatch.notified()).await;
+        if node.unproven() {
+            continue;
+        }
         let due = match lock(&node.book).as_mut() {
             Some(book) => book.direct_commands(Instant::now()),
             None => Vec::new(),
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -33,6 +33,12 @@
             return Answer::Malformed;
         }
     };
+    // After a standstill another may own: the worker finds it by asking elsewhere. Where the store answers
+    // nobody, no other can own either, and the worker's lease is held without telling it anything.
+    let unproven = node.unproven();
+    if unproven && node.store_serves() {
+        return Answer::Nobody;
+    }
     let now = Instant::now();
     let mut deposed = false;
     let report_from = report.machine.clone();
@@ -45,7 +51,7 @@
                 let catalog = node.catalog();
                 let name = report.machine.clone();
                 book.take_report(report, Via::Report, catalog.as_deref(), now);
-                let orders = book.orders_in_answer(&name, now);
+                let orders = if unproven { Vec::new() } else { book.orders_in_answer(&name, now) };
                 let token = book.token;
                 drop(held);
                 node.wake.plan.notify_one();
