--- a/src/scheduling/filler.rs
+++ b/src/scheduling/filler.rs
@@ -13,6 +13,8 @@
 /// Kinds of waiting work remembered in one plan: more say nothing new.
 const MOST_WAITING: usize = 12;
 
+/// A task that takes no more than this part of a machine is tiny.
+const TINY: f64 = 1.0 / 32.0;
 /// Idle tasks need about this long to be gone, saving and reports included: so much of the arrivals of
 /// classes whose users are promised a start sooner than machines boot finds room that is kept free.
 const GIVES_WAY: Duration = Duration::from_secs(10);
@@ -92,7 +94,15 @@
         if room.kept {
             return false;
         }
-        if (!apt || room.leaving) && alone || (room.leaving && spec.checkpoint_s <= 0.0) {
+        // Of a machine that is being left it has what the rest leaves over, and saves when that is gone.
+        if room.leaving && spec.checkpoint_s <= 0.0 {
+            return false;
+        }
+        // Machines that it uses as they are it has whole, so that whole ones come free when it gives way; of
+        // others it fills what is over. The tiny fit anywhere.
+        let tiny = spec.cpus <= room.of.cpus * TINY && spec.memory_gb <= room.of.memory_gb * TINY;
+        let whole = apt && !room.leaving;
+        if whole != alone && !(whole && tiny) {
             return false;
         }
         // What is free here but for idle work would be taken from who waits for it.
@@ -173,7 +183,7 @@
             ("one with nothing but idle work", &dear, 0.0, 4.0, false, None, false),
             ("what others leave over of it", &dear, 6.0, 4.0, false, None, true),
             ("a machine that a gang waits for", &plain, 0.0, 4.0, false, Some(&gang), false),
-            ("one that is no use to it", &plain, 4.0, 4.0, false, Some(&gang), true),
+            ("one that others use as well", &plain, 4.0, 4.0, false, None, false),
             ("one that would still hold the gang", &wide, 0.0, 0.5, false, Some(&gang), true),
             ("one that is being left, beside others", &plain, 4.0, 4.0, true, None, true),
             ("one that the others have left", &plain, 0.0, 4.0, true, None, false),
@@ -190,6 +200,10 @@
             let job = JobSpec { urgency: Urgency::Idle, checkpoint_s: 30.0, ..spec() };
             assert_eq!(filler.may_use(&job, &room), want, "{name}");
         }
+        let mut shared = Room::empty(&plain, 0);
+        shared.add(-4.0, 0.0, -4.0);
+        let tiny = JobSpec { urgency: Urgency::Idle, cpus: 0.25, ..spec() };
+        assert!(Filler::default().may_use(&tiny, &shared), "the tiny fill any hole");
         let mut kept = Room::empty(&plain, 0);
         kept.kept = true;
         assert!(!Filler::default().may_use(&spec(), &kept), "kept for prompt arrivals");
--- a/src/scheduling/preempt.rs
+++ b/src/scheduling/preempt.rs
@@ -162,9 +162,10 @@
     }
     stoppable.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
     let (mut victims, mut lost) = (Vec::new(), 0.0);
-    let most = if turn.job.spec().is_gang() { need } else { u64::MAX };
+    // All that the job can use of it: what it leaves of idle work would keep a whole machine from others.
+    let most = if spec.is_gang() { need } else { turn.job.waiting.len() as u64 };
     for (loss, key, other) in stoppable {
-        if room.units(spec, most) >= 1 {
+        if room.units(spec, most) >= if other.is_idle() { most } else { 1 } {
             break;
         }
         give(&mut room, other);
