--- a/src/scheduling/filler.rs
+++ b/src/scheduling/filler.rs
@@ -13,8 +13,8 @@
 /// Kinds of waiting work remembered in one plan: more say nothing new.
 const MOST_WAITING: usize = 12;
 
-/// A task that takes no more than this part of a machine is tiny.
-const TINY: f64 = 1.0 / 32.0;
+/// The part of a machine that idle work may take beside anything else.
+const LITTLE: f64 = 1.0 / 16.0;
 /// Idle tasks need about this long to be gone, saving and reports included: so much of the arrivals of
 /// classes whose users are promised a start sooner than machines boot finds room that is kept free.
 const GIVES_WAY: Duration = Duration::from_secs(10);
@@ -90,7 +90,6 @@
         let apt = spec.gpus > 0.0 || room.of.gpus <= 0.0;
         let free = room.without_idle();
         let alone = free.cpus >= room.of.cpus - SLACK;
-        // Of a machine that is being left it has what the rest leaves over, and saves when that is gone.
         if room.kept {
             return false;
         }
@@ -99,10 +98,12 @@
             return false;
         }
         // Machines that it uses as they are it has whole, so that whole ones come free when it gives way; of
-        // others it fills what is over. The tiny fit anywhere.
-        let tiny = spec.cpus <= room.of.cpus * TINY && spec.memory_gb <= room.of.memory_gb * TINY;
+        // others it fills what is over. Of any it may have so little that hardly anything is kept out by it.
+        let little = |idle: f64, more: f64, all: f64| idle + more <= all * LITTLE + SLACK;
+        let little =
+            little(room.idle.0, spec.cpus, room.of.cpus) && little(room.idle.2, spec.memory_gb, room.of.memory_gb);
         let whole = apt && !room.leaving;
-        if whole != alone && !(whole && tiny) {
+        if whole != alone && !(whole && little) {
             return false;
         }
         // What is free here but for idle work would be taken from who waits for it.
@@ -203,7 +204,9 @@
         let mut shared = Room::empty(&plain, 0);
         shared.add(-4.0, 0.0, -4.0);
         let tiny = JobSpec { urgency: Urgency::Idle, cpus: 0.25, ..spec() };
-        assert!(Filler::default().may_use(&tiny, &shared), "the tiny fill any hole");
+        assert!(Filler::default().may_use(&tiny, &shared), "a little of it is left to the tiny");
+        shared.idle.0 = 1.0;
+        assert!(!Filler::default().may_use(&tiny, &shared), "and no more than that");
         let mut kept = Room::empty(&plain, 0);
         kept.kept = true;
         assert!(!Filler::default().may_use(&spec(), &kept), "kept for prompt arrivals");
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -461,7 +461,7 @@
             }
             for (_, at) in &placed {
                 let room = &mut self.rooms[*at];
-                room.add(spec.cpus, spec.gpus, spec.memory_gb);
+                room.give_back(spec);
                 room.load.share -= demand.share;
                 room.load.total_return -= demand.task_return;
             }
--- a/src/scheduling/preempt.rs
+++ b/src/scheduling/preempt.rs
@@ -24,6 +24,8 @@
 /// A task started so often is not stopped any more for a job of which it is not the only way: every
 /// task is stopped a bounded number of times for others.
 const MOST_STARTS: u64 = 6;
+/// The same of a task that can't save: what it had run is lost each time.
+const MOST_STARTS_UNSAVED: u64 = 2;
 
 /// Tasks to be stopped on one machine, with the time they have to save.
 type Victims = Vec<(TaskKey, u64)>;
@@ -156,7 +158,7 @@
         if binding.halting.is_some() {
             // Room is being made here already.
             give(&mut room, other.spec());
-        } else if may_stop(other.spec()) && task.attempt < MOST_STARTS {
+        } else if may_stop(other.spec()) && task.attempt < most_starts(other.spec()) {
             stoppable.push((loss(other, binding.ran(now)), key.clone(), other.spec()));
         }
     }
@@ -164,8 +166,11 @@
     let (mut victims, mut lost) = (Vec::new(), 0.0);
     // All that the job can use of it: what it leaves of idle work would keep a whole machine from others.
     let most = if spec.is_gang() { need } else { turn.job.waiting.len() as u64 };
+    let mut emptied = room;
+    stoppable.iter().filter(|(.., other)| other.is_idle()).for_each(|(.., other)| give(&mut emptied, other));
+    let most_here = emptied.units(spec, most).max(1);
     for (loss, key, other) in stoppable {
-        if room.units(spec, most) >= if other.is_idle() { most } else { 1 } {
+        if room.units(spec, most) >= if other.is_idle() { most_here } else { 1 } {
             break;
         }
         give(&mut room, other);
@@ -178,6 +183,10 @@
     (units > 0).then_some(Place { machine, zone, units, victims, dear, loss: lost })
 }
 
+fn most_starts(spec: &JobSpec) -> u64 {
+    if spec.checkpoint_s > 0.0 { MOST_STARTS } else { MOST_STARTS_UNSAVED }
+}
+
 fn give(room: &mut Room, spec: &JobSpec) {
     room.add(spec.cpus, spec.gpus, spec.memory_gb);
 }
--- a/src/scheduling/room.rs
+++ b/src/scheduling/room.rs
@@ -194,7 +194,20 @@
     }
 
     pub fn take(&mut self, spec: &JobSpec) {
-        self.add(-spec.cpus, -spec.gpus, -spec.memory_gb);
+        self.change(spec, -1.0);
+    }
+
+    /// What `take` has taken.
+    pub fn give_back(&mut self, spec: &JobSpec) {
+        self.change(spec, 1.0);
+    }
+
+    fn change(&mut self, spec: &JobSpec, sign: f64) {
+        let (cpus, gpus, memory_gb) = (sign * spec.cpus, sign * spec.gpus, sign * spec.memory_gb);
+        self.add(cpus, gpus, memory_gb);
+        if spec.is_idle() {
+            self.idle = (self.idle.0 - cpus, self.idle.1 - gpus, self.idle.2 - memory_gb);
+        }
     }
 
     pub fn price(&self) -> f64 {
--- a/src/scheduling/tests.rs
+++ b/src/scheduling/tests.rs
@@ -590,3 +590,33 @@
     // Heard of nothing for a few seconds more, the withdrawn task is proof enough.
     assert_eq!(book.overdue(back + s(6)).len(), 1);
 }
+
+/// Found on deti-klima-ops with a guest: for a gang all idle tasks of its machines were stopped, though
+/// one task of it fits a machine beside most of them; and one machine at a time was not enough for it.
+#[test]
+fn a_gang_gets_its_machines_together_and_stops_no_more_than_it_must() {
+    let now = Instant::now();
+    let machines: Vec<_> = ["m1", "m2", "m3"].iter().map(|n| (*n, "c8", "a", false)).collect();
+    let mut book = book(&machines, now);
+    add(&mut book, 1, now, |j| (j.tasks, j.cpus, j.urgency, j.checkpoint_s) = (24, 1.0, Urgency::Idle, 5.0));
+    let first = plan::place(&mut book, &catalog(), now);
+    assert_eq!(first.len(), 24, "what is over goes to idle work");
+    book.bind_all(first, now);
+    let (_, chunks) = book.next_writes(10, now);
+    book.chunks_stored(&chunks, 1);
+    for machine in ["m1", "m2", "m3"] {
+        book.orders_in_answer(machine, now);
+    }
+    add(&mut book, 2, now, |j| (j.shape, j.tasks, j.cpus, j.same_zone) = (Shape::Gang, 2, 5.0, true));
+    preempt::preempt(&mut book, &catalog(), now);
+    let stopped = |book: &Book| {
+        let job = book.job(&"run-000001".into()).unwrap();
+        (0..24).filter(|i| job.binding(*i).is_some_and(|b| b.halting.is_some())).count()
+    };
+    assert_eq!((stopped(&book), book.reserved.len()), (10, 2), "five tasks on each of two machines");
+    preempt::preempt(&mut book, &catalog(), now + Duration::from_secs(1));
+    assert_eq!(stopped(&book), 10, "room is being made already");
+    // More idle work takes none of what is held for the gang, nor what it waits for.
+    add(&mut book, 3, now, |j| (j.tasks, j.urgency) = (4, Urgency::Idle));
+    assert!(placed(&mut book, now + Duration::from_secs(1)).is_empty());
+}
