--- a/src/fleet/drain.rs
+++ b/src/fleet/drain.rs
@@ -78,7 +78,7 @@
         let mut open = self.ground.open_to(spec, zones);
         // Idle work keeps no machine with accelerators that it has no use for.
         for (open, offer) in open.iter_mut().zip(&self.ground.offers) {
-            *open &= offer.is_some_and(|o| filler::may(spec, &o, 1.0, f64::INFINITY).keep);
+            *open &= offer.is_some_and(|o| filler::may(spec, &o, 1.0, f64::INFINITY, false).keep);
         }
         let waits = waits && !spec.is_idle();
         if !self.put(spec, &open, n, None) {
--- a/src/fleet/rent.rs
+++ b/src/fleet/rent.rs
@@ -260,7 +260,8 @@
                 self.total < book.properties.most_machines as u64
                     && start > bearable
                     && boot_s + GAIN_S < start
-                    && filler::may(spec, offer, cost / least, book.properties.idle_dearer).rent
+                    && filler::may(spec, offer, cost / least, book.properties.idle_dearer, turn.age > job.agreement.run)
+                        .rent
             });
             let slot = match (rent, existing) {
                 (Some((at, chosen, _)), _) => {
--- a/src/scheduling/book/machine.rs
+++ b/src/scheduling/book/machine.rs
@@ -456,14 +456,15 @@
         self.decide_suspicions(now);
     }
 
-    /// Where the last of other work has left a machine that can be spared, idle work goes as well.
+    /// Where the last of other work has left a machine that can be spared, idle work that can save goes as
+    /// well; the rest of it runs out.
     fn stop_idle_on_the_spared(&mut self, now: Instant) {
         let left = |m: &&Machine| m.standing == Standing::Draining && m.spared && m.idle().cpus > 0.0 && m.only_idle();
         let keys: Vec<TaskKey> = self.machines.values().filter(left).flat_map(|m| m.bound.iter().cloned()).collect();
         for key in keys {
             let Some(job) = self.jobs.get(&key.job) else { continue };
             let grace_s = job.spec().save_s.ceil() as u64 + 1;
-            if job.binding(key.index).is_some_and(|b| b.halting.is_none()) {
+            if job.spec().checkpoint_s > 0.0 && job.binding(key.index).is_some_and(|b| b.halting.is_none()) {
                 self.halt(&key, grace_s, now);
             }
         }
--- a/src/scheduling/filler.rs
+++ b/src/scheduling/filler.rs
@@ -13,6 +13,9 @@
 /// Kinds of waiting work remembered in one plan: more say nothing new.
 const MOST_WAITING: usize = 12;
 
+/// A task that takes no more than this part of a machine is tiny, and waits this long for a better place.
+const TINY: f64 = 1.0 / 32.0;
+const TINY_WAITS: Duration = Duration::from_secs(15);
 /// The part of a machine that idle work may take beside anything else.
 const LITTLE: f64 = 1.0 / 16.0;
 /// Idle tasks need about this long to be gone, saving and reports included: so much of the arrivals of
@@ -36,12 +39,13 @@
 
 /// For work of any urgency: what it may cause of a kind of machine. `dearer`: what a task costs there,
 /// against the cheapest kind open to it; `most_dear`: how much dearer a kind idle work may take.
-pub fn may(spec: &JobSpec, offer: &Offer, dearer: f64, most_dear: f64) -> May {
+/// `overdue`: it has waited for longer than it runs, and would for ever where the cheap kinds are refused.
+pub fn may(spec: &JobSpec, offer: &Offer, dearer: f64, most_dear: f64, overdue: bool) -> May {
     if !spec.is_idle() {
         return May { rent: true, keep: true };
     }
     let apt = offer.apt(spec);
-    May { rent: apt && dearer <= most_dear, keep: apt }
+    May { rent: apt && (dearer <= most_dear || overdue), keep: apt }
 }
 
 /// A waiting task of other than idle work: what it asks of a machine, and where it may go.
@@ -86,7 +90,8 @@
     /// Whether an idle task may start in this room: not where it alone would keep a machine with
     /// accelerators that it has no use for, and not where waiting work would fit once the idle work
     /// there is stopped.
-    pub fn may_use(&self, spec: &JobSpec, room: &Room) -> bool {
+    /// `waited`: how long it has waited for that.
+    pub fn may_use(&self, spec: &JobSpec, room: &Room, waited: Duration) -> bool {
         let apt = spec.gpus > 0.0 || room.of.gpus <= 0.0;
         let free = room.without_idle();
         let alone = free.cpus >= room.of.cpus - SLACK;
@@ -102,8 +107,10 @@
         let little = |idle: f64, more: f64, all: f64| idle + more <= all * LITTLE + SLACK;
         let little =
             little(room.idle.0, spec.cpus, room.of.cpus) && little(room.idle.2, spec.memory_gb, room.of.memory_gb);
+        // What is tiny and has waited takes any hole that nobody waits for.
+        let tiny = spec.cpus <= room.of.cpus * TINY && spec.memory_gb <= room.of.memory_gb * TINY;
         let whole = apt && !room.leaving;
-        if whole != alone && !(whole && little) {
+        if whole != alone && !(whole && (little || (tiny && waited >= TINY_WAITS))) {
             return false;
         }
         // What is free here but for idle work would be taken from who waits for it.
@@ -138,17 +145,18 @@
     #[test]
     fn what_idle_work_may_cause_by_cases() {
         let (plain, dear) = (of(16.0, 0.0), of(16.0, 2.0));
-        for (name, urgency, gpus, of, dearer, want) in [
-            ("normal work, anything", Urgency::Normal, 0.0, &dear, 14.0, (true, true)),
-            ("idle work, the cheapest", Urgency::Idle, 0.0, &plain, 1.0, (true, true)),
-            ("idle work, three times as dear", Urgency::Idle, 0.0, &plain, 3.0, (true, true)),
-            ("idle work, too dear: kept where it is there", Urgency::Idle, 0.0, &plain, 5.0, (false, true)),
-            ("idle work, accelerators it has no use for", Urgency::Idle, 0.0, &dear, 1.0, (false, false)),
-            ("idle work that uses accelerators", Urgency::Idle, 1.0, &dear, 2.0, (true, true)),
+        for (name, urgency, gpus, of, dearer, overdue, want) in [
+            ("normal work, anything", Urgency::Normal, 0.0, &dear, 14.0, false, (true, true)),
+            ("idle work, the cheapest", Urgency::Idle, 0.0, &plain, 1.0, false, (true, true)),
+            ("idle work, three times as dear", Urgency::Idle, 0.0, &plain, 3.0, false, (true, true)),
+            ("idle work, too dear: kept where it is there", Urgency::Idle, 0.0, &plain, 5.0, false, (false, true)),
+            ("the same, waiting for longer than it runs", Urgency::Idle, 0.0, &plain, 5.0, true, (true, true)),
+            ("idle work, accelerators it has no use for", Urgency::Idle, 0.0, &dear, 1.0, true, (false, false)),
+            ("idle work that uses accelerators", Urgency::Idle, 1.0, &dear, 2.0, false, (true, true)),
         ] {
             let job = JobSpec { urgency, gpus, ..spec() };
             let offer = Offer { of, zone: "a", spot: false };
-            let got = may(&job, &offer, dearer, 3.0);
+            let got = may(&job, &offer, dearer, 3.0, overdue);
             assert_eq!((got.rent, got.keep), want, "{name}");
         }
     }
@@ -199,17 +207,18 @@
                 assert_eq!(filler.wanted.len(), 1, "like asks are one");
             }
             let job = JobSpec { urgency: Urgency::Idle, checkpoint_s: 30.0, ..spec() };
-            assert_eq!(filler.may_use(&job, &room), want, "{name}");
+            assert_eq!(filler.may_use(&job, &room, Duration::ZERO), want, "{name}");
         }
         let mut shared = Room::empty(&plain, 0);
         shared.add(-4.0, 0.0, -4.0);
         let tiny = JobSpec { urgency: Urgency::Idle, cpus: 0.25, ..spec() };
-        assert!(Filler::default().may_use(&tiny, &shared), "a little of it is left to the tiny");
+        assert!(Filler::default().may_use(&tiny, &shared, Duration::ZERO), "a little of it is left to the tiny");
         shared.idle.0 = 1.0;
-        assert!(!Filler::default().may_use(&tiny, &shared), "and no more than that");
+        assert!(!Filler::default().may_use(&tiny, &shared, Duration::ZERO), "and no more than that");
+        assert!(Filler::default().may_use(&tiny, &shared, TINY_WAITS), "before it would wait for ever");
         let mut kept = Room::empty(&plain, 0);
         kept.kept = true;
-        assert!(!Filler::default().may_use(&spec(), &kept), "kept for prompt arrivals");
+        assert!(!Filler::default().may_use(&spec(), &kept, TINY_WAITS), "kept for prompt arrivals");
         let mut filler = Filler::default();
         filler.waits(&gang, &[true], true);
         assert!(filler.wanted.is_empty(), "what fails everywhere keeps nobody out");
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -176,6 +176,8 @@
     /// Idle work gives way for it on machines as it needs them: it takes no cores that an accelerator
     /// will lack.
     apt_only: bool,
+    /// Since it came.
+    waited: Duration,
     share: f64,
     task_return: f64,
     hard: bool,
@@ -200,6 +202,7 @@
             first: turn.rank == Rank::First,
             filler,
             apt_only: false,
+            waited: age,
             share: sla::share(agreement.run, agreement.deadline.saturating_sub(age), agreement.cores),
             task_return: agreement.task_return(age + agreement.run),
             hard: agreement.within_reach(age),
@@ -219,7 +222,8 @@
         self.is_open(room.kind)
             && match &self.filler {
                 Some(filler) => {
-                    filler.may_use(self.job.spec(), room) && (!room.leaving || !self.job.lost_starts(MOST_LEFT))
+                    filler.may_use(self.job.spec(), room, self.waited)
+                        && (!room.leaving || !self.job.lost_starts(MOST_LEFT))
                 }
                 None => !room.leaving,
             }
--- a/src/scheduling/tests.rs
+++ b/src/scheduling/tests.rs
@@ -620,3 +620,24 @@
     add(&mut book, 3, now, |j| (j.tasks, j.urgency) = (4, Urgency::Idle));
     assert!(placed(&mut book, now + Duration::from_secs(1)).is_empty());
 }
+
+/// Found on deti-klima-ops with a guest: tiny tasks that cannot save were stopped when the machine they had
+/// filled could be spared, again and again, and 17 were still open at the end of the day.
+#[test]
+fn what_cannot_save_runs_out_on_a_spared_machine() {
+    for (checkpoint_s, stopped) in [(30.0, true), (0.0, false)] {
+        let now = Instant::now();
+        let mut book = book(&[("m1", "c8", "a", false)], now);
+        add(&mut book, 1, now, |j| (j.urgency, j.checkpoint_s) = (Urgency::Idle, checkpoint_s));
+        let first = plan::place(&mut book, &catalog(), now);
+        book.bind_all(first, now);
+        let (_, chunks) = book.next_writes(10, now);
+        book.chunks_stored(&chunks, 1);
+        book.orders_in_answer("m1", now);
+        book.drain(&"m1".into(), &[], now);
+        book.tick(now);
+        let job = book.job(&"run-000001".into()).unwrap();
+        assert_eq!(job.binding(0).unwrap().halting.is_some(), stopped, "saves every {checkpoint_s} s");
+        assert_eq!(book.machines["m1"].standing, Standing::Draining, "not returned with it");
+    }
+}
