--- a/src/scheduling/interleavings.rs
+++ b/src/scheduling/interleavings.rs
@@ -23,6 +23,7 @@
 use crate::kinds::{Catalog, MachineType};
 use crate::settings::Properties;
 use crate::settings::tests::example;
+use crate::standstill::Gap;
 use crate::store::commit::Batch;
 use crate::store::{Change, Condition};
 use crate::wire::workers::{Cause, Leg, LegStatus, Order, Report, TaskKey};
@@ -31,12 +32,19 @@
 const LEASE: Duration = Duration::from_secs(24);
 const CANCEL: Duration = Duration::from_secs(49);
 const ANSWER_TAKEN: Duration = Duration::from_secs(4);
+/// After this long without a sign of life another owns.
+const LEADER_LEASE: Duration = Duration::from_secs(3);
 const COMMAND_WAITED: Duration = Duration::from_millis(2500);
 
 fn ended(store: &Store, id: &str) -> bool {
     ended_keys(id).iter().any(|key| store.has(key))
 }
 
+/// Submitted with a mistake: fails wherever it runs, until its user withdraws it.
+fn bad(id: &str) -> bool {
+    id.ends_with(['3', '8'])
+}
+
 struct Worker {
     id: String,
     session: u64,
@@ -98,6 +106,8 @@
     /// What its watch will tell, and when: jobs opened and ended.
     news: Vec<(Instant, JobId, bool)>,
     returning: HashSet<MachineId>,
+    /// Stands still from and until then, while its clock runs on: what reaches it lies in its sockets.
+    frozen: Option<(Instant, Instant)>,
 }
 
 enum Message {
@@ -128,6 +138,8 @@
     completed: HashSet<TaskKey>,
     catalog: Catalog,
     starts: usize,
+    standstills: usize,
+    failures: usize,
     machines: usize,
     jobs: usize,
     quiet: bool,
@@ -164,6 +176,8 @@
             completed: HashSet::new(),
             catalog: Catalog { types: vec![of] },
             starts: 0,
+            standstills: 0,
+            failures: 0,
             machines,
             jobs: machines * 2 + 2,
             quiet: false,
@@ -215,7 +229,7 @@
         }
         book.finish_load(self.now);
         self.owner = self.owners.len();
-        self.owners.push(Some(Owner { book, batch: None, news: Vec::new(), returning: HashSet::new() }));
+        self.owners.push(Some(Owner { book, batch: None, news: Vec::new(), returning: HashSet::new(), frozen: None }));
     }
 
     fn submit(&mut self) {
@@ -333,6 +347,11 @@
             }
             for leg in worker.legs.iter_mut().filter(|l| l.status == LegStatus::Running) {
                 if worker.ends_at.get(&leg.task).is_some_and(|t| *t <= now) {
+                    if bad(&leg.task.job) {
+                        (leg.status, leg.cause) = (LegStatus::Exited, Some(Cause::Error));
+                        self.failures += 1;
+                        continue;
+                    }
                     (leg.status, leg.cause) = (LegStatus::Exited, Some(Cause::Done));
                     self.completed.insert(leg.task.clone());
                 }
@@ -354,6 +373,14 @@
     fn run_owner(&mut self, i: usize) {
         let now = self.now;
         let Some(mut owner) = self.owners[i].take() else { return };
+        if let Some((began, ended)) = owner.frozen {
+            if now < ended {
+                self.owners[i] = Some(owner);
+                return;
+            }
+            owner.frozen = None;
+            owner.book.was_absent(Gap { began, ended });
+        }
         let (due, later): (Vec<_>, Vec<_>) = owner.news.drain(..).partition(|(at, ..)| *at <= now);
         owner.news = later;
         for (_, id, opened) in due {
@@ -483,7 +510,24 @@
         Ok(stamp)
     }
 
+    /// When an owner that stands still reads what was sent to it.
+    fn read_at(&self, message: &Message) -> Option<Instant> {
+        let to = match message {
+            Message::Report { to, .. }
+            | Message::Reply { to, .. }
+            | Message::GivenUp { to, .. }
+            | Message::Returned { to, .. } => *to,
+            _ => return None,
+        };
+        let frozen = self.owners.get(to)?.as_ref()?.frozen?;
+        Some(frozen.1).filter(|until| *until > self.now)
+    }
+
     fn deliver(&mut self, message: Message) {
+        if let Some(at) = self.read_at(&message) {
+            self.messages.push((at, message));
+            return;
+        }
         let now = self.now;
         match message {
             Message::Report { to, report, sent } => {
@@ -578,11 +622,19 @@
         for i in 0..self.owners.len() {
             self.run_owner(i);
         }
+        // Another owns once the leader's lease has run out.
+        let gone = |o: &Owner| o.frozen.is_some_and(|(began, _)| self.now - began > LEADER_LEASE);
+        if self.owners[self.owner].as_ref().is_some_and(gone) {
+            self.take_over();
+        }
         // One whose book is raised writes the assignment again, as the leader would.
         let owner = self.owner;
         if self.owners[owner].is_none() {
             self.take_over();
-        } else if self.owners[owner].as_ref().is_some_and(|o| o.book.raise_wanted(self.now) && o.batch.is_none()) {
+        } else if self.owners[owner]
+            .as_ref()
+            .is_some_and(|o| o.frozen.is_none() && o.book.raise_wanted(self.now) && o.batch.is_none())
+        {
             let stamp = self.store.stamp(ASSIGNMENT);
             let change = Change::write(ASSIGNMENT, Value::from(owner));
             if let Ok(token) = self.store.apply_if(&[Condition::at(ASSIGNMENT, stamp)], &[change])
@@ -606,6 +658,15 @@
             // The deposed owner goes on until it learns of it.
             self.take_over();
         }
+        if self.rng.random_bool(0.004) {
+            // Under and over the lease, of an owner or of one that was replaced, at any point of its work.
+            let (i, ms) = (self.rng.random_range(0..self.owners.len()), self.rng.random_range(500..40_000));
+            let now = self.now;
+            if let Some(owner) = self.owners[i].as_mut().filter(|o| o.frozen.is_none()) {
+                owner.frozen = Some((now, now + Duration::from_millis(ms)));
+                self.standstills += 1;
+            }
+        }
         if self.rng.random_bool(0.01) {
             let w = self.rng.random_range(0..self.workers.len());
             self.workers[w].hangs_until = self.now + Duration::from_secs(self.rng.random_range(1..40));
@@ -634,8 +695,16 @@
             self.step();
         }
         self.quiet = true;
-        for _ in 0..4000 {
+        for step in 0..4000 {
             self.step();
+            if step % 50 == 0 {
+                let open: Vec<JobId> =
+                    self.records.keys().filter(|id| bad(id) && self.store.has(&open_key(id))).cloned().collect();
+                for id in open {
+                    let withdrawal = moves::withdraw(&self.records[&id], 0);
+                    self.send_move(withdrawal);
+                }
+            }
             if self.workers.iter().all(|w| w.gone) {
                 let n = self.workers.len();
                 self.workers.push(Worker::new(n, self.now));
@@ -651,13 +720,16 @@
 
 #[test]
 fn rules_hold_whatever_the_order() {
-    let mut starts = 0;
+    let (mut starts, mut standstills, mut failures) = (0, 0, 0);
     for seed in 0..40 {
         let mut world = World::new(seed, 6);
         world.play(1200);
         starts += world.starts;
+        standstills += world.standstills;
+        failures += world.failures;
     }
     assert!(starts > 5000, "the model has hardly worked: {starts} starts");
+    assert!(standstills > 50 && failures > 100, "{standstills} standstills, {failures} failures");
 }
 
 /// The same at a size where plans, chunks and commands no longer fit one turn.
