--- a/src/scheduling/evidence.rs
+++ b/src/scheduling/evidence.rs
@@ -283,7 +283,7 @@
         cleared
     }
 
-    /// The job is over. What it failed on was no fault of the machines if its user withdrew it.
+    /// The job is over: nothing is kept of it, and what it failed on speaks against no machine any more.
     pub fn job_over(&mut self, id: &JobId) {
         if self.jobs.remove(id).is_some() {
             self.machines.retain(|_, t| {
--- a/src/scheduling/filler.rs
+++ b/src/scheduling/filler.rs
@@ -92,7 +92,7 @@
     /// there is stopped.
     /// `waited`: how long it has waited for that.
     pub fn may_use(&self, spec: &JobSpec, room: &Room, waited: Duration) -> bool {
-        let apt = spec.gpus > 0.0 || room.of.gpus <= 0.0;
+        let apt = room.apt(spec);
         let free = room.without_idle();
         let alone = free.cpus >= room.of.cpus - SLACK;
         if room.kept {
@@ -126,20 +126,10 @@
     use crate::jobs::Urgency;
     use crate::jobs::tests::spec;
     use crate::kinds::MachineType;
+    use crate::kinds::tests::machine_type;
 
     fn of(cpus: f64, gpus: f64) -> MachineType {
-        MachineType {
-            name: "t".into(),
-            cpus,
-            gpus,
-            memory_gb: 64.0,
-            fetch_gb_per_s: 1.0,
-            cache_gb: None,
-            price: 1.0,
-            spot_price: 0.5,
-            boot_s: 30.0,
-            zones: vec!["a".into()],
-        }
+        machine_type("t", cpus, gpus, 1.0)
     }
 
     #[test]
--- a/src/scheduling/interleavings.rs
+++ b/src/scheduling/interleavings.rs
@@ -20,6 +20,7 @@
 };
 use crate::jobs::tests::spec;
 use crate::jobs::{End, JobId, Shape};
+use crate::kinds::tests::machine_type;
 use crate::kinds::{Catalog, MachineType};
 use crate::settings::Properties;
 use crate::settings::tests::example;
@@ -148,18 +149,7 @@
 impl World {
     fn new(seed: u64, machines: usize) -> Self {
         let start = Instant::now() + Duration::from_secs(3600);
-        let of = MachineType {
-            name: "t".into(),
-            cpus: 4.0,
-            gpus: 0.0,
-            memory_gb: 64.0,
-            fetch_gb_per_s: 1.0,
-            cache_gb: None,
-            price: 1.0,
-            spot_price: 0.5,
-            boot_s: 10.0,
-            zones: vec!["a".into()],
-        };
+        let of = MachineType { boot_s: 10.0, ..machine_type("t", 4.0, 0.0, 1.0) };
         let mut world = Self {
             rng: StdRng::seed_from_u64(seed),
             start,
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -6,6 +6,7 @@
 
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use super::book::{Book, JobState, MachineId};
@@ -172,7 +173,7 @@
     /// Who goes first is not kept out by what is held for others.
     first: bool,
     /// Idle work, and what others wait for by now.
-    filler: Option<Filler>,
+    filler: Option<Rc<Filler>>,
     /// Idle work gives way for it on machines as it needs them: it takes no cores that an accelerator
     /// will lack.
     apt_only: bool,
@@ -191,7 +192,7 @@
 }
 
 impl<'a> Demand<'a> {
-    fn new(turn: &Turn<'a>, evidence: &'a Evidence, filler: Option<Filler>, open: Vec<bool>, now: Instant) -> Self {
+    fn new(turn: &Turn<'a>, evidence: &'a Evidence, filler: Option<Rc<Filler>>, open: Vec<bool>, now: Instant) -> Self {
         let (job, age) = (turn.job, turn.age);
         let agreement = &job.agreement;
         Self {
@@ -295,7 +296,7 @@
     rooms: Vec<Room<'a>>,
     unfit: Vec<Unfit<'a>>,
     /// What more urgent work than idle found no room for.
-    wanted: Filler,
+    wanted: Rc<Filler>,
     /// What idle work would give up of machines without accelerators, and is not yet counted with.
     giving: Vec<Room<'a>>,
     now: Instant,
@@ -323,7 +324,7 @@
             ground,
             rooms,
             unfit: Vec::new(),
-            wanted: Filler::default(),
+            wanted: Rc::default(),
             now,
             looked: 0,
         }
@@ -379,7 +380,7 @@
             && self.unfit.iter().any(|u| u.covers(job, tasks, &demand.open))
             && !self.rooms.iter().any(holds)
         {
-            self.wanted.waits(spec, &demand.open, turn.suspected);
+            self.note_waits(spec, &demand.open, turn.suspected);
             return Vec::new();
         }
         let placed = if spec.is_gang() {
@@ -389,7 +390,7 @@
         };
         let short = if spec.is_gang() { placed.is_empty() } else { placed.len() < most.min(job.waiting.len()) };
         if short {
-            self.wanted.waits(spec, &demand.open, turn.suspected);
+            self.note_waits(spec, &demand.open, turn.suspected);
         }
         // Spread work, and arrays that settled in one zone, were refused rooms that others may use.
         if short && !spec.spread && (spec.is_gang() || !spec.same_zone) {
@@ -399,6 +400,13 @@
         placed.into_iter().filter_map(|(index, at)| Some((index, rooms[at].machine?.id.clone()))).collect()
     }
 
+    /// Work like this found no room. Shared with the idle jobs that are placed after it, not copied for each.
+    fn note_waits(&mut self, spec: &JobSpec, open: &[bool], suspected: bool) {
+        if !spec.is_idle() {
+            Rc::make_mut(&mut self.wanted).waits(spec, open, suspected);
+        }
+    }
+
     /// Before idle work is placed: rooms for what arrives while it would give way.
     fn keep_for_arrivals(&mut self, book: &Book) {
         for arrivals in book.arrivals.values() {
@@ -407,8 +415,7 @@
             let boot_s = self.ground.longest_boot_s(&open);
             let objectives = &book.settings.params.objectives;
             let mut left = filler::kept_for(spec, arrivals.per_second(self.now), objectives, boot_s);
-            for room in self.rooms.iter_mut().filter(|r| !r.leaving && !r.kept && (spec.gpus > 0.0 || r.of.gpus <= 0.0))
-            {
+            for room in self.rooms.iter_mut().filter(|r| !r.leaving && !r.kept && r.apt(spec)) {
                 if left == 0 {
                     break;
                 }
@@ -450,7 +457,7 @@
         let need = demand.job.waiting.len();
         let mut units: HashMap<&str, u64> = HashMap::new();
         self.looked += self.rooms.len() as u64;
-        let apt = |r: &Room| !demand.apt_only || r.of.gpus <= 0.0 || r.waste(spec) <= 1;
+        let apt = |r: &Room| !demand.apt_only || r.waste(spec) <= 1;
         for room in self.rooms.iter().filter(|r| demand.may_use(r) && apt(r)) {
             let zone = if spec.same_zone { self.ground.zone(room.kind) } else { "" };
             *units.entry(zone).or_default() += room.units(spec, need as u64);
--- a/src/scheduling/preempt.rs
+++ b/src/scheduling/preempt.rs
@@ -9,7 +9,7 @@
 use super::book::{Book, JobState, Machine, MachineId, Phase};
 use super::holds::Hold;
 use super::plan::{Quotas, SLACK, Turn, queue};
-use super::room::{Ground, Room, Zones, suspect_after, usable};
+use super::room::{Ground, Zones, suspect_after, usable};
 use crate::jobs::{JobSpec, Urgency};
 use crate::kinds::Catalog;
 use crate::wire::workers::TaskKey;
@@ -157,7 +157,7 @@
         let Phase::Bound(binding) = &task.phase else { continue };
         if binding.halting.is_some() {
             // Room is being made here already.
-            give(&mut room, other.spec());
+            room.give_back(other.spec());
         } else if may_stop(other.spec()) && task.attempt < most_starts(other.spec()) {
             stoppable.push((loss(other, binding.ran(now)), key.clone(), other.spec()));
         }
@@ -167,19 +167,19 @@
     // All that the job can use of it: what it leaves of idle work would keep a whole machine from others.
     let most = if spec.is_gang() { need } else { turn.job.waiting.len() as u64 };
     let mut emptied = room;
-    stoppable.iter().filter(|(.., other)| other.is_idle()).for_each(|(.., other)| give(&mut emptied, other));
+    stoppable.iter().filter(|(.., other)| other.is_idle()).for_each(|(.., other)| emptied.give_back(other));
     let most_here = emptied.units(spec, most).max(1);
     for (loss, key, other) in stoppable {
         if room.units(spec, most) >= if other.is_idle() { most_here } else { 1 } {
             break;
         }
-        give(&mut room, other);
+        room.give_back(other);
         lost += loss;
         victims.push((key, other.save_s.ceil() as u64 + 1));
     }
     let units = room.units(spec, most);
     let zone = ground.zone(room.kind);
-    let dear = room.of.gpus > 0.0 && spec.gpus <= 0.0;
+    let dear = !room.apt(spec);
     (units > 0).then_some(Place { machine, zone, units, victims, dear, loss: lost })
 }
 
@@ -187,10 +187,6 @@
     if spec.checkpoint_s > 0.0 { MOST_STARTS } else { MOST_STARTS_UNSAVED }
 }
 
-fn give(room: &mut Room, spec: &JobSpec) {
-    room.add(spec.cpus, spec.gpus, spec.memory_gb);
-}
-
 /// What stopping a task costs, in seconds times cores: what it has done since it saved last, or the saving
 /// itself, and of a gang what all of it has.
 fn loss(job: &JobState, ran: Duration) -> f64 {
--- a/src/scheduling/room.rs
+++ b/src/scheduling/room.rs
@@ -16,6 +16,10 @@
 /// Machines silent for this many reports get no new work before they are given up.
 const SUSPECT_REPORTS: f64 = 2.5;
 
+fn apt(of: &MachineType, spec: &JobSpec) -> bool {
+    spec.gpus > 0.0 || of.gpus <= 0.0
+}
+
 /// A type, zone and kind, with what the cloud says of the type.
 #[derive(Debug, Clone, Copy)]
 pub struct Offer<'a> {
@@ -31,7 +35,7 @@
 
     /// Has nothing dear that such a task has no use for.
     pub fn apt(&self, spec: &JobSpec) -> bool {
-        spec.gpus > 0.0 || self.of.gpus <= 0.0
+        apt(self.of, spec)
     }
 
     pub fn kind(&self) -> Kind {
@@ -151,6 +155,11 @@
         spec.cpus <= self.cpus + SLACK && spec.gpus <= self.gpus + SLACK && spec.memory_gb <= self.memory_gb + SLACK
     }
 
+    /// Has nothing dear that such a task has no use for.
+    pub fn apt(&self, spec: &JobSpec) -> bool {
+        apt(self.of, spec)
+    }
+
     /// The room there would be without its idle work.
     pub fn without_idle(&self) -> Self {
         let mut room = *self;
--- a/src/scheduling/served/tests/mod.rs
+++ b/src/scheduling/served/tests/mod.rs
@@ -15,7 +15,8 @@
 use crate::jobs::record::time_of_day_ms;
 use crate::jobs::tests::spec;
 use crate::jobs::{JobId, Shape};
-use crate::kinds::{Catalog, MachineType};
+use crate::kinds::Catalog;
+use crate::kinds::tests::machine_type;
 use crate::scheduling::book::{Book, Via};
 use crate::scheduling::plan;
 use crate::settings::tests::example;
@@ -67,18 +68,7 @@
 }
 
 fn catalog() -> Catalog {
-    let c8 = MachineType {
-        name: "c8".into(),
-        cpus: 8.0,
-        gpus: 0.0,
-        memory_gb: 64.0,
-        fetch_gb_per_s: 1.0,
-        cache_gb: None,
-        price: 1.0,
-        spot_price: 0.5,
-        boot_s: 30.0,
-        zones: vec!["a".into()],
-    };
+    let c8 = machine_type("c8", 8.0, 0.0, 1.0);
     Catalog { types: vec![c8] }
 }
 
--- a/src/scheduling/tests.rs
+++ b/src/scheduling/tests.rs
@@ -13,6 +13,7 @@
 use crate::jobs::tests::spec;
 use crate::jobs::{JobSpec, Shape, Urgency};
 use crate::kinds::Kind;
+use crate::kinds::tests::machine_type;
 use crate::kinds::{Catalog, MachineType};
 use crate::settings::Properties;
 use crate::settings::tests::example;
@@ -20,18 +21,7 @@
 use crate::wire::workers::{Leg, LegStatus, Report, TaskKey};
 
 fn of(name: &str, cpus: f64, gpus: f64, price: f64) -> MachineType {
-    MachineType {
-        name: name.into(),
-        cpus,
-        gpus,
-        memory_gb: 64.0,
-        fetch_gb_per_s: 1.0,
-        cache_gb: None,
-        price,
-        spot_price: price / 2.0,
-        boot_s: 30.0,
-        zones: vec!["a".into(), "b".into()],
-    }
+    MachineType { zones: vec!["a".into(), "b".into()], ..machine_type(name, cpus, gpus, price) }
 }
 
 fn catalog() -> Catalog {
--- a/src/users/mod.rs
+++ b/src/users/mod.rs
@@ -373,23 +373,12 @@
     use super::*;
     use crate::jobs::Shape;
     use crate::jobs::tests::spec;
-    use crate::kinds::MachineType;
+    use crate::kinds::tests::machine_type;
     use crate::settings::tests::example;
 
     #[test]
     fn what_can_never_run() {
-        let of = MachineType {
-            name: "c8".into(),
-            cpus: 8.0,
-            gpus: 0.0,
-            memory_gb: 64.0,
-            fetch_gb_per_s: 1.0,
-            cache_gb: None,
-            price: 1.0,
-            spot_price: 0.5,
-            boot_s: 30.0,
-            zones: vec!["a".into()],
-        };
+        let of = machine_type("c8", 8.0, 0.0, 1.0);
         let catalog = Catalog { types: vec![of] };
         type Case = (&'static str, fn(&mut JobSpec), bool);
         let cases: [Case; 10] = [
