The log tells when a job begins to run

Change: an info line `begins job=ID tasks=N after_s=S` from the owner when it first knows that a job runs (all tasks of a gang, one of anything else). Told again after a takeover; no change is written for it.

--- a/src/scheduling/book/jobs.rs
+++ b/src/scheduling/book/jobs.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use tracing::info;
+
 use super::machine::image_id;
 use super::{Arrivals, Binding, Book, JobState, MOST_CLASSES, Machine, MachineId, Phase, Task};
 use crate::jobs::Counts;
@@ -75,6 +77,7 @@
             promises: promises.into(),
             touched: 0,
             most_starts: 0,
+            begun: false,
             record,
         };
         self.stirred = true;
@@ -202,6 +205,17 @@
         self.forget_if_over(id);
     }
 
+    /// Tells once that a job runs; again after a takeover, since no change is written for it.
+    pub(super) fn note_begun(&mut self, id: &JobId, now: Instant) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.begun || job.ended.is_some() || !job.runs() {
+            return;
+        }
+        job.begun = true;
+        let after_s = (now.saturating_duration_since(job.since).as_secs_f64() * 10.0).round() / 10.0;
+        info!(job = %id, tasks = job.tasks.len(), after_s, "begins");
+    }
+
     pub(super) fn forget_if_over(&mut self, id: &JobId) {
         if let Some(job) = self.jobs.get(id)
             && job.ended.is_some()
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -129,6 +129,8 @@
     touched: usize,
     /// Starts of the task that had most of them.
     most_starts: u64,
+    /// This owner knows that it runs, or has.
+    begun: bool,
 }
 
 impl JobState {
@@ -159,6 +161,20 @@
         1.0 - self.touched as f64 / self.tasks.len().max(1) as f64
     }
 
+    /// A gang runs once all its tasks do; of anything else one is enough. A task that is done has run.
+    fn runs(&self) -> bool {
+        let runs = |index: &u32| {
+            self.binding(*index).is_some_and(|b| matches!(b.status, Some(LegStatus::Running | LegStatus::Saving)))
+        };
+        if self.done > 0 {
+            return true;
+        }
+        if self.spec().is_gang() {
+            return self.bound.len() == self.tasks.len() && self.bound.iter().all(runs);
+        }
+        self.bound.iter().any(runs)
+    }
+
     /// What must be free together for anything of it to start, in cores.
     pub fn cores_at_once(&self) -> f64 {
         let spec = self.spec();
--- a/src/scheduling/book/reports.rs
+++ b/src/scheduling/book/reports.rs
@@ -92,6 +92,7 @@
         let session = machine.session;
         let mut exits = Vec::new();
         let mut missing = Vec::new();
+        let mut begin = Vec::new();
         for key in &machine.bound {
             let Some(job) = self.jobs.get_mut(&key.job) else { continue };
             let ended = job.ended.is_some();
@@ -108,6 +109,9 @@
                     binding.told.get_or_insert(session);
                     if leg.status == LegStatus::Running {
                         binding.running_since.get_or_insert(now);
+                        if !job.begun && begin.last() != Some(&key.job) {
+                            begin.push(key.job.clone());
+                        }
                     }
                 }
                 None => {
@@ -119,6 +123,9 @@
                 }
             }
         }
+        for job in begin {
+            self.note_begun(&job, now);
+        }
         for (key, cause) in exits {
             self.exited(&key, cause, id, now);
         }
@@ -163,6 +170,8 @@
         task.stored = false;
         job.waiting.remove(&key.index);
         job.done += 1;
+        self.note_begun(&key.job, now);
+        let Some(job) = self.jobs.get(&key.job) else { return };
         if job.complete() {
             if !self.completed.contains(&key.job) {
                 self.completed.push_back(key.job.clone());
