The largest gangs of a class have a floor: they begin as far as what they offer reaches

Cause: a gang starts only where all of it fits, and by return alone everything smaller takes each piece as it comes free. Change: scheduling/large. The largest (top tenth of a class by tasks, and as large) earn cores as others are given them, in the proportion of what both have offered lately. The one that has waited longest, from half of large.begin.seconds (240) on and while it can still be in time, goes first within its rank, past holds, and the room that it finds is kept in the plan until the rest comes free, for one gang a zone. Work that may use cheap machines leaves ordinary ones that others wait for. The account counts the largest by class.

--- a/src/scheduling/book/bindings.rs
+++ b/src/scheduling/book/bindings.rs
@@ -16,6 +16,7 @@
             if let Some(job) = self.jobs.get_mut(&placement.task.job) {
                 let late = job.too_late(now.saturating_duration_since(job.since));
                 self.lane.note(job.spec().cpus, late, self.properties.served_late);
+                self.large.placed(job.spec());
                 if job.tasks.get(placement.task.index as usize).is_some_and(|t| t.attempt == 0) {
                     job.touched += 1;
                     *first_places.entry(placement.task.job.clone()).or_default() += 1.0 / job.tasks.len() as f64;
--- a/src/scheduling/book/jobs.rs
+++ b/src/scheduling/book/jobs.rs
@@ -11,6 +11,7 @@
 use crate::jobs::Counts;
 use crate::jobs::record::{CHUNK, JobRecord, Stored, time_of_day_ms};
 use crate::jobs::{End, JobId, JobSpec};
+use crate::scheduling::served::Note;
 use crate::scheduling::served::promises::promises_of;
 use crate::sla::Agreement;
 use crate::wire::workers::{LegStatus, TaskKey};
@@ -59,6 +60,7 @@
         let n = record.spec.tasks as usize;
         let age = record.age(time_of_day_ms());
         self.note_arrival(&record, age, now);
+        self.large.offered(&record.spec, age, now);
         let agreement = self.agreement(&record.spec);
         let promises = promises_of(&self.settings.params.objectives, &record.spec, &agreement);
         let job = JobState {
@@ -214,6 +216,11 @@
         job.begun = true;
         let after_s = (now.saturating_duration_since(job.since).as_secs_f64() * 10.0).round() / 10.0;
         info!(job = %id, tasks = job.tasks.len(), after_s, "begins");
+        // What an earlier owner has started it has counted; here it is only seen late.
+        let own = job.bound.iter().filter_map(|i| job.binding(*i)).all(|b| !b.inherited);
+        if own && self.large.is(job.spec()) {
+            self.note(id, Note::Begun, now);
+        }
     }
 
     pub(super) fn forget_if_over(&mut self, id: &JobId) {
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -24,6 +24,7 @@
 
 use super::evidence::Evidence;
 use super::holds::Hold;
+use super::large::Large;
 use super::served::Note;
 use super::served::floor::{Below, Lane};
 use super::served::promises::{Promise, next_start_s};
@@ -41,7 +42,7 @@
 /// Types, zones and kinds kept apart.
 const MOST_KINDS: usize = 1000;
 /// Classes of jobs of which anything is remembered: users name them as they like.
-const MOST_CLASSES: NonZeroUsize = NonZeroUsize::new(256).unwrap();
+pub const MOST_CLASSES: NonZeroUsize = NonZeroUsize::new(256).unwrap();
 
 /// Notes for the account between two looks; more are not counted.
 const MOST_NOTES: usize = 20_000;
@@ -161,6 +162,11 @@
         1.0 - self.touched as f64 / self.tasks.len().max(1) as f64
     }
 
+    /// This owner knows that it runs, or has.
+    pub fn begun(&self) -> bool {
+        self.begun
+    }
+
     /// A gang runs once all its tasks do; of anything else one is enough. A task that is done has run.
     fn runs(&self) -> bool {
         let runs = |index: &u32| {
@@ -261,6 +267,8 @@
     /// By class: how observed run times compare with the owners' estimates (sum of logs, count).
     observed: LruCache<String, (f64, f64)>,
     pub arrivals: BTreeMap<String, Arrivals>,
+    /// What the largest gangs offer and earn.
+    pub large: Large,
     /// Machines kept for gangs that will soon fit.
     pub holds: HashMap<MachineId, Hold>,
     /// Machines on which others were stopped for a job, until it has come there.
@@ -312,7 +320,6 @@
             token,
             loaded: false,
             settings,
-            properties,
             jobs: HashMap::new(),
             ending: BTreeSet::new(),
             kinds: Vec::new(),
@@ -329,6 +336,7 @@
             absent: None,
             observed: LruCache::new(MOST_CLASSES),
             arrivals: BTreeMap::new(),
+            large: Large::new(&properties, now),
             holds: HashMap::new(),
             reserved: HashMap::new(),
             below: Below::default(),
@@ -336,6 +344,7 @@
             lane: Lane::default(),
             inherited: Vec::new(),
             notes: Vec::new(),
+            properties,
         }
     }
 
@@ -396,6 +405,8 @@
         let late = late.filter(|job| job.too_late(now.saturating_duration_since(job.since)));
         let needs = late.min_by_key(|job| job.since).map(JobState::cores_at_once);
         self.lane.bound(needs);
+        let waits = self.jobs.iter().filter(|(id, _)| !self.evidence.suspects(id)).map(|(_, job)| job).filter(waits);
+        self.large.bound(waits, self.properties.large_begin, now);
     }
 
     fn note(&mut self, id: &JobId, note: Note, now: Instant) {
--- a/src/scheduling/holds.rs
+++ b/src/scheduling/holds.rs
@@ -38,7 +38,7 @@
     if turns.is_empty() {
         return holds;
     }
-    turns.sort_by_key(|t| (t.rank, Reverse(t.age)));
+    turns.sort_by_key(|t| (Reverse(t.owed), t.rank, Reverse(t.age)));
     turns.truncate(MOST_HOLDERS);
     let ground = Ground::new(book, catalog);
     let suspect = suspect_after(book);
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -7,6 +7,7 @@
 pub mod holds;
 #[cfg(test)]
 mod interleavings;
+pub mod large;
 pub mod load;
 pub mod plan;
 pub mod preempt;
@@ -104,7 +105,7 @@
         }
     }
     // What fails everywhere is nobody's to serve.
-    let evidence = &book.evidence;
+    let (evidence, large) = (&book.evidence, &book.large);
     let open = book.jobs().filter(|(id, job)| job.ended.is_none() && !job.complete() && !evidence.suspects(id));
     let open = open.map(|(_, job)| Open {
         spec: job.spec(),
@@ -113,6 +114,7 @@
         run: job.agreement.run,
         waits: !job.waiting.is_empty(),
         untouched: job.untouched(),
+        large_waits: !job.waiting.is_empty() && !job.begun() && large.is(job.spec()),
     });
     let below = Account::below(account.look(open, now));
     book.set_below(below);
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -46,6 +46,8 @@
     pub rank: Rank,
     /// Too late for all that was promised of it.
     pub late: bool,
+    /// Needs much at once and has waited for long: it goes first within its rank, and room is kept for it.
+    pub owed: bool,
     /// Has failed everywhere so far: behind all else, and nothing is paid, held or stopped for it.
     pub suspected: bool,
     task_return: f64,
@@ -68,16 +70,20 @@
                 guaranteed: within_guarantee(book, job.spec()),
                 rank: Rank::of(book.below.first.has(job.spec()), late, job.spec().is_idle()),
                 late,
+                owed: false,
                 suspected: book.evidence.suspects(id),
                 task_return: job.agreement.task_return(age + job.agreement.run),
                 age,
             }
         })
         .collect();
+    let owed = book.large.owed(&turns, book.properties.large_begin);
+    turns.iter_mut().for_each(|turn| turn.owed = owed == Some(turn.id));
     turns.sort_by(|a, b| {
         (a.suspected.cmp(&b.suspected))
             .then(b.guaranteed.cmp(&a.guaranteed))
             .then(a.rank.cmp(&b.rank))
+            .then(b.owed.cmp(&a.owed))
             .then(b.task_return.partial_cmp(&a.task_return).unwrap_or(Ordering::Equal))
             .then(b.age.cmp(&a.age))
             .then(a.id.cmp(b.id))
@@ -131,6 +137,8 @@
     held: bool,
     /// How likely it is to be lost, where that counts.
     risk: u8,
+    /// Others wait for such a machine that may not use cheap ones, as this work may.
+    sought: bool,
     waste: u8,
     has_image: bool,
     new_return: f64,
@@ -143,6 +151,7 @@
         (other.failed.cmp(&self.failed))
             .then(other.held.cmp(&self.held))
             .then(other.risk.cmp(&self.risk))
+            .then(other.sought.cmp(&self.sought))
             .then(other.waste.cmp(&self.waste))
             .then(self.has_image.cmp(&other.has_image))
             .then(self.new_return.total_cmp(&other.new_return))
@@ -189,10 +198,19 @@
     /// Tasks of it that fail by themselves, and are not to be tried yet.
     held_back: Vec<u32>,
     open: Vec<bool>,
+    /// Kinds for which work waits that may use no cheap machine.
+    sought: Rc<[bool]>,
 }
 
 impl<'a> Demand<'a> {
-    fn new(turn: &Turn<'a>, evidence: &'a Evidence, filler: Option<Rc<Filler>>, open: Vec<bool>, now: Instant) -> Self {
+    fn new(
+        turn: &Turn<'a>,
+        evidence: &'a Evidence,
+        filler: Option<Rc<Filler>>,
+        open: Vec<bool>,
+        sought: Rc<[bool]>,
+        now: Instant,
+    ) -> Self {
         let (job, age) = (turn.job, turn.age);
         let agreement = &job.agreement;
         Self {
@@ -200,7 +218,7 @@
             job,
             over: now + agreement.run,
             pressed: agreement.within_reach(age) && !agreement.within_reach(age + PRESSED_WITHIN),
-            first: turn.rank == Rank::First,
+            first: turn.rank == Rank::First || turn.owed,
             filler,
             apt_only: false,
             waited: age,
@@ -212,6 +230,7 @@
             failed_on: evidence.failed_on(turn.id),
             held_back: evidence.held_back(turn.id, now),
             open,
+            sought,
         }
     }
 
@@ -251,6 +270,7 @@
             failed: room.machine.is_some_and(|m| self.failed_on.contains(&m.id)),
             held: room.hold.is_some_and(|hold| hold.job != *self.id),
             risk: if self.wary { room.risk() } else { 0 },
+            sought: spec.spot && self.sought.get(room.kind) == Some(&true),
             waste: room.waste(spec),
             has_image: room.holds_image(self.job),
             new_return,
@@ -299,7 +319,10 @@
     wanted: Rc<Filler>,
     /// What idle work would give up of machines without accelerators, and is not yet counted with.
     giving: Vec<Room<'a>>,
+    sought: Rc<[bool]>,
     now: Instant,
+    /// Zones in which room was kept for a gang: for one at a time, since what is kept stands idle.
+    kept: Vec<&'a str>,
     pub looked: u64,
 }
 
@@ -318,14 +341,17 @@
             .map(|r| Room { hold: r.machine.and_then(|m| book.hold(&m.id, now)), ..r })
             .collect();
         let giving = giving(book, &ground, suspect, now);
+        let sought = sought(&ground, turns);
         Self {
             evidence: &book.evidence,
             giving,
+            sought,
             ground,
             rooms,
             unfit: Vec::new(),
             wanted: Rc::default(),
             now,
+            kept: Vec::new(),
             looked: 0,
         }
     }
@@ -368,15 +394,24 @@
     }
 
     /// Places as many tasks of one job as there is room for; all or none of a gang.
-    pub fn place_job(&mut self, turn: &Turn<'a>, mut zones: Zones<'a>, most: usize) -> Vec<(u32, MachineId)> {
+    /// `keep`: what there is of its room, where that is too little, is kept from what comes after it.
+    pub fn place_job(
+        &mut self,
+        turn: &Turn<'a>,
+        mut zones: Zones<'a>,
+        most: usize,
+        keep: bool,
+    ) -> Vec<(u32, MachineId)> {
         let (job, spec) = (turn.job, turn.job.spec());
         let open = self.ground.open_to(spec, &zones);
         let tasks = if spec.is_gang() { job.waiting.len() } else { 1 };
         let filler = spec.is_idle().then(|| self.wanted.clone());
-        let mut demand = Demand::new(turn, self.evidence, filler, open, self.now);
+        let mut demand = Demand::new(turn, self.evidence, filler, open, self.sought.clone(), self.now);
         demand.apt_only = !spec.is_idle() && self.gives_way(spec, &demand.open, job.waiting.len() as u64);
         let holds = |room: &Room| room.hold.is_some_and(|h| h.job == *turn.id);
+        let keep = keep && spec.is_gang();
         if !demand.pressed
+            && !keep
             && self.unfit.iter().any(|u| u.covers(job, tasks, &demand.open))
             && !self.rooms.iter().any(holds)
         {
@@ -392,6 +427,9 @@
         if short {
             self.note_waits(spec, &demand.open, turn.suspected);
         }
+        if short && keep {
+            self.keep(&demand);
+        }
         // Spread work, and arrays that settled in one zone, were refused rooms that others may use.
         if short && !spec.spread && (spec.is_gang() || !spec.same_zone) {
             self.unfit.push(Unfit { spec, run: job.agreement.run, tasks, open: demand.open });
@@ -400,6 +438,45 @@
         placed.into_iter().filter_map(|(index, at)| Some((index, rooms[at].machine?.id.clone()))).collect()
     }
 
+    /// Takes the room that there is for a gang, in the zone that has most of it, out of this plan.
+    fn keep(&mut self, demand: &Demand<'a>) {
+        let spec = demand.job.spec();
+        let need = demand.job.waiting.len() as u64;
+        let mut zones = self.units_by_zone(demand);
+        zones.sort_by(|a, b| b.1.cmp(&a.1).then(a.0.cmp(b.0)));
+        let free = |zone: &&str| !self.kept.iter().any(|k| k.is_empty() || zone.is_empty() || k == zone);
+        let Some((zone, _)) = zones.iter().find(|(zone, _)| free(zone)).copied() else { return };
+        self.kept.push(zone);
+        let mut left = need;
+        let mut order: Vec<usize> = (0..self.rooms.len()).collect();
+        order.sort_by_key(|at| self.rooms[*at].waste(spec));
+        for at in order {
+            let room = &self.rooms[at];
+            let here = zone.is_empty() || self.ground.zone(room.kind) == zone;
+            if left == 0 || !here || !demand.may_use(room) {
+                continue;
+            }
+            let units = room.units(spec, left);
+            for _ in 0..units {
+                self.rooms[at].take(spec);
+            }
+            left -= units;
+        }
+    }
+
+    /// How many tasks of a gang fit in each zone that it may use, or in all together.
+    fn units_by_zone(&self, demand: &Demand<'a>) -> Vec<(&'a str, u64)> {
+        let spec = demand.job.spec();
+        let need = demand.job.waiting.len() as u64;
+        let mut units: HashMap<&str, u64> = HashMap::new();
+        let apt = |r: &Room| !demand.apt_only || r.waste(spec) <= 1;
+        for room in self.rooms.iter().filter(|r| demand.may_use(r) && apt(r)) {
+            let zone = if spec.same_zone { self.ground.zone(room.kind) } else { "" };
+            *units.entry(zone).or_default() += room.units(spec, need);
+        }
+        units.into_iter().collect()
+    }
+
     /// Work like this found no room. Shared with the idle jobs that are placed after it, not copied for each.
     fn note_waits(&mut self, spec: &JobSpec, open: &[bool], suspected: bool) {
         if !spec.is_idle() {
@@ -455,14 +532,9 @@
     fn place_gang(&mut self, demand: &Demand<'a>, zones: &mut Zones<'a>) -> Vec<(u32, usize)> {
         let spec = demand.job.spec();
         let need = demand.job.waiting.len();
-        let mut units: HashMap<&str, u64> = HashMap::new();
         self.looked += self.rooms.len() as u64;
-        let apt = |r: &Room| !demand.apt_only || r.waste(spec) <= 1;
-        for room in self.rooms.iter().filter(|r| demand.may_use(r) && apt(r)) {
-            let zone = if spec.same_zone { self.ground.zone(room.kind) } else { "" };
-            *units.entry(zone).or_default() += room.units(spec, need as u64);
-        }
-        let mut enough: Vec<&str> = units.into_iter().filter(|(_, n)| *n >= need as u64).map(|(z, _)| z).collect();
+        let mut enough: Vec<&str> =
+            self.units_by_zone(demand).into_iter().filter(|(_, n)| *n >= need as u64).map(|(z, _)| z).collect();
         enough.sort_unstable();
         for zone in enough {
             let before = zones.counts();
@@ -482,6 +554,17 @@
     }
 }
 
+/// Ordinary kinds open to work that waits and may use no cheap ones.
+fn sought(ground: &Ground, turns: &[Turn]) -> Rc<[bool]> {
+    let mut sought = vec![false; ground.offers.len()];
+    for turn in turns.iter().filter(|t| !t.job.spec().spot && !t.suspected && t.rank != Rank::Idle) {
+        for (sought, open) in sought.iter_mut().zip(ground.open_to(turn.job.spec(), &Zones::none(turn.job.spec()))) {
+            *sought |= open;
+        }
+    }
+    sought.into()
+}
+
 /// Machines without accelerators, and free of holds, on which idle work would give way.
 fn giving<'a>(book: &'a Book, ground: &Ground<'a>, suspect: Duration, now: Instant) -> Vec<Room<'a>> {
     let held = book.machines.values().filter(|m| m.idle().cpus > 0.0 && usable(m, suspect, now));
@@ -553,7 +636,8 @@
             continue;
         }
         let attempt_of = |index: u32| job.tasks.get(index as usize).map_or(0, |t| t.attempt) + 1;
-        let placed = plan.place_job(&turn, Zones::new(book, job), most);
+        let keep = turn.owed || earned.is_some_and(|(id, _)| id == turn.id);
+        let placed = plan.place_job(&turn, Zones::new(book, job), most, keep);
         if placed.is_empty() {
             continue;
         }
--- a/src/scheduling/served/floor.rs
+++ b/src/scheduling/served/floor.rs
@@ -24,6 +24,7 @@
             match whose {
                 Whose::Class => of.classes.insert(name.to_owned()),
                 Whose::Team => of.teams.insert(name.to_owned()),
+                Whose::Largest => false,
             };
         }
         of
--- a/src/scheduling/served/mod.rs
+++ b/src/scheduling/served/mod.rs
@@ -20,7 +20,7 @@
 use crate::settings::{Objective, Properties, Settings};
 use crate::sla::Agreement;
 use floor::{Below, Names};
-use promises::{Promise, What, accounted, promises_of};
+use promises::{LARGEST, Promise, What, accounted, promises_of};
 
 /// The window is forgotten in so many parts.
 const PARTS: u64 = 20;
@@ -88,6 +88,8 @@
 pub enum Whose {
     Class,
     Team,
+    /// The largest gangs of a class: told, and given their floor by `scheduling::large`.
+    Largest,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -114,6 +116,8 @@
     Started(f64),
     /// A start that came to nothing: its machine or its gang was lost.
     Lost,
+    /// One of the largest gangs of its class runs.
+    Begun,
 }
 
 /// An open job as the account looks at it.
@@ -126,6 +130,8 @@
     pub waits: bool,
     /// The part of its tasks that never had a place.
     pub untouched: f64,
+    /// One of the largest gangs of its class, and has not begun.
+    pub large_waits: bool,
 }
 
 /// One line of the account, for operators and for the other controllers.
@@ -160,6 +166,8 @@
     width: Duration,
     floor: f64,
     soft_deadline: f64,
+    /// Within this the largest are to begin.
+    large_begin: Duration,
     objectives: Vec<Objective>,
     parts: VecDeque<Part>,
     /// When the last start was noted here or taken over.
@@ -177,6 +185,7 @@
             width: (window / PARTS as u32).max(Duration::from_millis(1)),
             floor: properties.served_floor,
             soft_deadline: properties.soft_deadline,
+            large_begin: properties.large_begin,
             objectives: settings.params.objectives.clone(),
             parts: VecDeque::new(),
             starts_as_of: None,
@@ -270,8 +279,16 @@
     /// What the owner noted of an open job.
     pub fn note(&mut self, note: Note, spec: &JobSpec, promises: &[Promise], age: Duration, now: Instant) {
         self.starts_as_of = Some(now);
+        if note == Note::Begun {
+            let kept = age <= self.large_begin;
+            if let Some(tally) = self.part(now).and_then(|part| part.tally(Whose::Largest, &spec.class)) {
+                tally.promise(LARGEST).note(kept, 1.0);
+            }
+            return;
+        }
         self.both(spec, now, |tally| match note {
             Note::Lost => tally.lost += 1,
+            Note::Begun => {}
             Note::Started(part) => {
                 for promise in accounted(promises).filter(|p| p.what == What::Started) {
                     tally.promise(promise.at).note(age.as_secs_f64() <= promise.within_s, part);
@@ -294,6 +311,11 @@
             sums.iter().map(|(key, tally)| (*key, self.starts(tally))).collect();
         for job in open {
             let age = job.age.as_secs_f64();
+            if job.large_waits && job.age > self.large_begin {
+                let tally = sums.entry((Whose::Largest, job.spec.class.as_str())).or_default();
+                tally.promise(LARGEST).missed += 1.0;
+                tally.overdue += 1;
+            }
             for key in [(Whose::Class, job.spec.class.as_str()), (Whose::Team, job.spec.team.as_str())] {
                 let tally = sums.entry(key).or_default();
                 // What waits past the last moment to start is as good as missed: the floor acts on it before
@@ -317,6 +339,7 @@
             let part = match whose {
                 Whose::Class => row.served / all.max(1e-9),
                 Whose::Team => part_of_expected(tally, &house),
+                Whose::Largest => 1.0,
             };
             row.first = row.below && part < self.floor;
             row.starts = told.get(&(row.whose, row.name.as_str())).cloned().unwrap_or_default();
@@ -327,6 +350,9 @@
 
     /// Whether an objective speaks of starts, and of which part it is asked.
     fn asked(&self, at: u16) -> (bool, f64) {
+        if at == LARGEST {
+            return (true, 1.0);
+        }
         let objective = self.objectives.get(usize::from(at));
         let share = objective.map_or(1.0, |o| o.share);
         (objective.is_some_and(|o| o.kind == "wait"), if share > 0.0 { share.min(1.0) } else { 1.0 })
--- a/src/scheduling/served/promises.rs
+++ b/src/scheduling/served/promises.rs
@@ -12,6 +12,9 @@
 /// Stands in place of an objective's number for what a job says of itself.
 pub const OWN: u16 = u16::MAX;
 
+/// The same for the time within which the largest gangs of a class are to begin.
+pub const LARGEST: u16 = u16::MAX - 1;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum What {
     Started,
@@ -29,7 +32,7 @@
 impl Promise {
     /// What an objective says of a job; none if it speaks of other jobs or of other things.
     fn of(at: usize, objective: &Objective, spec: &JobSpec) -> Option<Self> {
-        let at = u16::try_from(at).ok().filter(|at| *at < OWN && objective.class == spec.class)?;
+        let at = u16::try_from(at).ok().filter(|at| *at < LARGEST && objective.class == spec.class)?;
         let (what, within_s) = match (objective.kind.as_str(), spec.due_s) {
             ("deadline", Some(due)) => (What::Done, due * objective.times),
             ("finished", _) => (What::Done, objective.within_s),
--- /dev/null
+++ b/src/scheduling/served/tests/large.rs
@@ -0,0 +1,81 @@
+//! The floor by size: the largest gangs of a class begin within a stated time.
+
+use super::*;
+use crate::scheduling::large::Large;
+use crate::wire::jobs::Urgency;
+
+/// What began in time of the largest, and of the others, in a steady overload: gangs of two, and now and then one
+/// of a dozen, on twenty machines that take two tasks each.
+fn overloaded(large_begin: f64, seed: u64) -> (f64, f64) {
+    use rand::{Rng, SeedableRng, rngs::StdRng};
+    let mut rng = StdRng::seed_from_u64(seed);
+    let properties = Properties { large_begin: s(large_begin), served_window: s(120.0), ..Properties::default() };
+    let mut world = World::new(20, properties);
+    let (mut came, mut begun): (BTreeMap<JobId, (u32, bool)>, BTreeMap<JobId, u32>) = Default::default();
+    for t in 0..600u32 {
+        if t < 400 {
+            for (gang, every_s) in [(2, 3), (12, 15)] {
+                if rng.random_ratio(1, every_s) {
+                    world.submit("big", 4.0, gang);
+                    came.insert(JobId::from(format!("run-{:06}", world.jobs).as_str()), (t, gang > 2));
+                }
+            }
+        }
+        world.step(|_| true);
+        for (id, job) in world.book.jobs().filter(|(_, job)| job.begun()) {
+            if job.ended.is_none() {
+                begun.entry(id.clone()).or_insert(t);
+            }
+        }
+        world.book.jobs().filter(|(id, _)| came.contains_key(*id)).for_each(|(id, job)| {
+            assert!(job.bound.is_empty() || job.waiting.is_empty(), "{id}: a gang is placed whole");
+        });
+    }
+    let part = |large: bool| {
+        let of: Vec<_> = came.iter().filter(|(_, (at, l))| *l == large && *at < 340).collect();
+        let soon = of.iter().filter(|(id, (at, _))| begun.get(*id).is_some_and(|b| b - at <= 120)).count();
+        soon as f64 / of.len().max(1) as f64
+    };
+    (part(true), part(false))
+}
+
+/// Found on three standard days of the fleets: half of the largest gangs began after more than six minutes while
+/// the small ones of their class began at once.
+#[test]
+fn the_largest_begin_in_time_as_far_as_what_they_offer_reaches() {
+    let mean = |large_begin: f64| {
+        let parts: Vec<(f64, f64)> = (0..5).map(|seed| overloaded(large_begin, seed)).collect();
+        let n = parts.len() as f64;
+        (parts.iter().map(|p| p.0).sum::<f64>() / n, parts.iter().map(|p| p.1).sum::<f64>() / n)
+    };
+    let (without, _) = mean(86400.0);
+    let (with, others) = mean(120.0);
+    assert!(without < 0.5, "by return alone they are pushed out: {without}");
+    assert!(with >= 0.6 && with > without + 0.2, "{without} without, {with} with");
+    assert!(others >= 0.6, "and the others are served: {others}");
+}
+
+#[test]
+fn the_largest_of_a_class_by_cases() {
+    let now = Instant::now();
+    let gang = |tasks: u64| JobSpec { shape: Shape::Gang, tasks, ..job(1, "big", "t") };
+    // (name, sizes that came, size, whether it is among the largest)
+    type Case = (&'static str, &'static [u64], u64, bool);
+    let cases: [Case; 7] = [
+        ("nothing came", &[], 16, false),
+        ("all alike", &[4, 4, 4], 4, true),
+        ("the top tenth", &[1, 2, 2, 2, 2, 2, 2, 2, 2, 16], 16, true),
+        ("not of the top tenth", &[1, 2, 2, 2, 2, 2, 2, 2, 2, 16], 2, false),
+        ("as large as the top tenth", &[3, 3, 6, 6, 16, 16, 16], 16, true),
+        ("larger than any so far", &[3, 3, 6], 64, true),
+        ("a single task needs no room beside others", &[1, 1, 1], 1, false),
+    ];
+    for (name, came, size, want) in cases {
+        let mut large = Large::new(&Properties::default(), now);
+        came.iter().for_each(|n| large.offered(&gang(*n), Duration::ZERO, now));
+        assert_eq!(large.is(&gang(size)), want, "{name}");
+        let idle = JobSpec { urgency: Urgency::Idle, ..gang(size) };
+        let array = JobSpec { shape: Shape::Array, ..gang(size) };
+        assert!(!large.is(&idle) && !large.is(&array), "{name}: idle work waits, an array begins with its first task");
+    }
+}
--- a/src/scheduling/served/tests/mod.rs
+++ b/src/scheduling/served/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Who is served, by cases, by properties on the book itself in counted time, and through a takeover.
 
+mod large;
 mod weigh;
 
 use std::collections::HashMap;
@@ -443,7 +444,7 @@
 }
 
 fn open<'a>(spec: &'a JobSpec, promises: &'a [Promise], age: f64, untouched: f64) -> Open<'a> {
-    Open { spec, promises, age: s(age), run: s(10.0), waits: untouched > 0.0, untouched }
+    Open { spec, promises, age: s(age), run: s(10.0), waits: untouched > 0.0, untouched, large_waits: false }
 }
 
 #[test]
--- a/src/settings/properties.rs
+++ b/src/settings/properties.rs
@@ -72,6 +72,8 @@
     served_floor: number = 0.75, "served.floor", 0.0, 1.0;
     /// Of the cores that are given out, work too late for all promises gets this part.
     served_late: number = 0.05, "served.late.part", 0.0, 1.0;
+    /// Seconds within which work that needs several tasks at once is to begin, whatever else comes.
+    large_begin: seconds = 240.0, "large.begin.seconds", 1.0, 86400.0;
     /// Task failures in a row after which a machine is taken out.
     machine_failures: number = 2.0, "machines.failures", 1.0, 1000.0;
 }
