Machines that do not hear get no new work; copies of reports are no coming back

A machine whose reports arrive and that hears nothing looked alive, took placements that never started, lost its lease again and again; three such machines, or copies of their reports, made a plea. Judged now in one pure function (scheduling/hearing) by answers that had to show an effect: no new work, returned after two lost leases unless many are deaf together, tried again with empty commands. An heir gives no work to a machine of which nobody but an old report tells. Followers take only newer reports for coming back.

--- a/src/membership/stranded.rs
+++ b/src/membership/stranded.rs
@@ -13,10 +13,20 @@
 /// Names kept at the most.
 const MOST: usize = 10_000;
 
+/// One machine.
+#[derive(Debug)]
+struct Seen {
+    /// When it was last redirected.
+    at: Instant,
+    /// (session, seq) of the newest report: a late copy of an older one is no coming back.
+    newest: (u64, u64),
+    /// It came back in vain.
+    back: bool,
+}
+
 #[derive(Debug, Default)]
 pub struct Stranded {
-    /// By machine: when it was last redirected, and when it first came back in vain.
-    seen: HashMap<String, (Instant, bool)>,
+    seen: HashMap<String, Seen>,
     pleaded: Option<Instant>,
 }
 
@@ -26,16 +36,20 @@
         self.seen.len()
     }
 
-    /// Notes a redirect. Gives the number of stranded workers when it is time for a plea.
-    pub fn note(&mut self, machine: &str, now: Instant) -> Option<usize> {
-        self.seen.retain(|_, (at, _)| now.saturating_duration_since(*at) < BACK_WITHIN);
-        if self.seen.len() >= MOST {
-            return None;
+    /// Notes a redirect of the report with this (session, seq). Gives the number of stranded workers when it
+    /// is time for a plea.
+    pub fn note(&mut self, machine: &str, report: (u64, u64), now: Instant) -> Option<usize> {
+        self.seen.retain(|_, seen| now.saturating_duration_since(seen.at) < BACK_WITHIN);
+        if let Some(seen) = self.seen.get_mut(machine) {
+            if report <= seen.newest {
+                return None;
+            }
+            seen.back |= now.saturating_duration_since(seen.at) >= APART;
+            (seen.at, seen.newest) = (now, report);
+        } else if self.seen.len() < MOST {
+            self.seen.insert(machine.to_owned(), Seen { at: now, newest: report, back: false });
         }
-        let entry = self.seen.entry(machine.to_owned()).or_insert((now, false));
-        entry.1 |= now.saturating_duration_since(entry.0) >= APART;
-        entry.0 = now;
-        let n = self.seen.values().filter(|(_, back)| *back).count();
+        let n = self.seen.values().filter(|seen| seen.back).count();
         let rested = self.pleaded.is_none_or(|at| now.saturating_duration_since(at) >= PLEA_GAP);
         if n < ENOUGH || !rested {
             return None;
@@ -55,12 +69,27 @@
         let s = Duration::from_secs;
         let mut stranded = Stranded::default();
         for machine in ["a", "b", "c", "d"] {
-            assert_eq!(stranded.note(machine, t), None, "the first redirect is ordinary");
+            assert_eq!(stranded.note(machine, (1, 5), t), None, "the first redirect is ordinary");
+        }
+        assert_eq!(stranded.note("a", (1, 6), t + s(2)), None);
+        assert_eq!(stranded.note("b", (1, 6), t + s(2)), None);
+        assert_eq!(stranded.note("c", (2, 1), t + s(3)), Some(3));
+        assert_eq!(stranded.note("d", (1, 6), t + s(4)), None, "pleas keep their distance");
+        assert_eq!(stranded.note("a", (1, 9), t + s(60)), None, "long ago does not count");
+    }
+
+    /// Copies of reports that come late, several and out of order, were taken for workers that come back.
+    #[test]
+    fn late_copies_are_no_coming_back() {
+        let t = Instant::now();
+        let mut stranded = Stranded::default();
+        for (after_ms, seq) in [(0, 9), (600, 9), (1300, 7), (2000, 8), (2700, 9)] {
+            for machine in ["a", "b", "c", "d"] {
+                assert_eq!(stranded.note(machine, (1, seq), t + Duration::from_millis(after_ms)), None, "{seq}");
+            }
         }
-        assert_eq!(stranded.note("a", t + s(2)), None);
-        assert_eq!(stranded.note("b", t + s(2)), None);
-        assert_eq!(stranded.note("c", t + s(3)), Some(3));
-        assert_eq!(stranded.note("d", t + s(4)), None, "pleas keep their distance");
-        assert_eq!(stranded.note("a", t + s(60)), None, "long ago does not count");
+        // Nor do they keep a machine in mind.
+        assert_eq!(stranded.note("e", (1, 1), t + BACK_WITHIN), None);
+        assert_eq!(stranded.remembered(), 1);
     }
 }
--- a/src/scheduling/book/commands.rs
+++ b/src/scheduling/book/commands.rs
@@ -9,6 +9,9 @@
 const MOST_ORDERS: usize = 400;
 /// Direct commands to one machine are at least this far apart unless something new came up.
 const COMMAND_GAP: Duration = Duration::from_millis(1000);
+/// The same to machines that do not hear, and how many of these are tried at once.
+const PROBE_GAP: Duration = Duration::from_secs(5);
+const PROBES: usize = 8;
 /// Direct commands under way may take one in so many of the sockets.
 const COMMANDS_PART: u64 = 8;
 /// Tokens are raised at most this often.
@@ -18,12 +21,11 @@
     pub fn orders_in_answer(&mut self, machine: &str, now: Instant) -> Vec<Order> {
         let Some(m) = self.machines.get(machine) else { return Vec::new() };
         // One way at a time: with a direct command under way, what it did is not known yet.
-        if m.command_under_way {
-            return Vec::new();
-        }
-        let orders = self.orders(m);
+        let orders = if m.command_under_way { Vec::new() } else { self.orders(m) };
         self.note_told(&orders, machine);
+        let token = self.token;
         if let Some(m) = self.machines.get_mut(machine) {
+            m.hearing.answered(token, m.token, &orders, now);
             if orders.iter().any(|o| matches!(o, Order::Launch { .. })) {
                 m.launched_in = Some(m.newest_report);
             }
@@ -107,24 +109,35 @@
     pub fn direct_commands(&mut self, now: Instant) -> Vec<Direct> {
         let mut due = Vec::new();
         let (mut news, mut greetings, mut under_way) = (Vec::new(), Vec::new(), 0);
+        // Whether those that do not hear do now: the answer to a command tells at once.
+        let mut probes = Vec::new();
         for m in self.machines.values() {
             if m.command_under_way {
                 under_way += 1;
             } else if m.standing != Standing::Condemned && m.tell {
                 news.push(m.id.clone());
-            } else if m.standing != Standing::Condemned && m.token < self.token && now >= m.next_command {
-                greetings.push(m.id.clone());
+            } else if m.standing != Standing::Condemned && now >= m.next_command {
+                if m.deaf {
+                    probes.push(m.id.clone());
+                } else if m.token < self.token {
+                    greetings.push(m.id.clone());
+                }
             }
         }
         // Each takes a socket, and reports need as many; what is left over goes with the next.
         let most = (self.settings.params.limits.max_sockets / COMMANDS_PART).max(4) as usize;
-        let ids = news.into_iter().chain(greetings).take(most.saturating_sub(under_way));
-        let ids: Vec<MachineId> = ids.collect();
+        let most = most.saturating_sub(under_way);
+        let due_now = news.len() + greetings.len();
+        probes.truncate(most.saturating_sub(due_now).min(PROBES));
+        let ids: Vec<MachineId> = news.into_iter().chain(greetings).chain(probes).take(most).collect();
         for id in ids {
             let Some(m) = self.machines.get(&id) else { continue };
             let Some(addr) = m.addr.clone() else { continue };
-            let orders = self.orders(m);
-            if orders.is_empty() && m.token >= self.token {
+            let mut orders = self.orders(m);
+            if m.deaf {
+                // Launches would only keep what they are for from being proven gone; they go with answers.
+                orders.retain(|o| !matches!(o, Order::Launch { .. }));
+            } else if orders.is_empty() && m.token >= self.token {
                 if let Some(m) = self.machines.get_mut(&id) {
                     m.tell = false;
                 }
@@ -134,8 +147,9 @@
             let token = self.token;
             let Some(m) = self.machines.get_mut(&id) else { continue };
             m.command_under_way = true;
+            m.launch_under_way = orders.iter().any(|o| matches!(o, Order::Launch { .. }));
             m.tell = false;
-            m.next_command = now + COMMAND_GAP;
+            m.next_command = now + if m.deaf { PROBE_GAP } else { COMMAND_GAP };
             due.push(Direct { machine: id, addr, token, session: m.session.max(1), orders });
         }
         due
@@ -145,8 +159,9 @@
     pub fn command_over(&mut self, machine: &MachineId, token: u64, settled: bool, now: Instant) {
         let Some(m) = self.machines.get_mut(machine) else { return };
         m.command_under_way = false;
-        m.next_command = now + COMMAND_GAP;
-        if !settled {
+        m.next_command = now + if m.deaf { PROBE_GAP } else { COMMAND_GAP };
+        // A late stop or reap does nothing that was not meant for ever; a late launch does.
+        if !settled && std::mem::take(&mut m.launch_under_way) {
             m.unsettled = Some(m.unsettled.map_or(token, |t| t.max(token)));
             self.raise = true;
         }
--- a/src/scheduling/book/machine.rs
+++ b/src/scheduling/book/machine.rs
@@ -4,12 +4,13 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
-use tracing::info;
+use tracing::{info, warn};
 
 use super::{Binding, Book, JobState, MachineId};
 use crate::fleet::orders::{CloudOrder, What};
 use crate::jobs::JobSpec;
 use crate::kinds::Kind;
+use crate::scheduling::hearing::{Hearing, Verdict, judge};
 use crate::sla::{self, Load};
 use crate::standstill::Gap;
 use crate::wire::workers::{Leg, LegStatus, TaskKey};
@@ -87,6 +88,8 @@
     pub bound: BTreeSet<TaskKey>,
     pub(super) legs: Vec<Leg>,
     pub(super) command_under_way: bool,
+    /// The command under way carries a launch.
+    pub(super) launch_under_way: bool,
     /// A command given under this token may still arrive.
     pub(super) unsettled: Option<u64>,
     /// The report whose answer carried a launch.
@@ -101,6 +104,12 @@
     pub spared: bool,
     /// Under suspicion: no new work until it is decided whose fault its failures are.
     pub suspected: bool,
+    /// Its reports arrive and nothing reaches it: no new work until it hears again.
+    pub deaf: bool,
+    pub(super) hearing: Hearing,
+    /// This owner has rented it, was told of it by the cloud or the store, or was heard by it. Otherwise all
+    /// that is known of it may be copies of reports of a machine that is gone: no work for it yet.
+    pub known: bool,
     /// Images it is thought to hold, the most recently used last, with their sizes.
     pub(super) images: VecDeque<(u64, f64)>,
     /// What it keeps of them, if the cloud says.
@@ -139,6 +148,7 @@
             bound: BTreeSet::new(),
             legs: Vec::new(),
             command_under_way: false,
+            launch_under_way: false,
             unsettled: None,
             launched_in: None,
             next_command: now,
@@ -147,6 +157,9 @@
             failed: false,
             spared: false,
             suspected: false,
+            deaf: false,
+            hearing: Hearing::new(now),
+            known: false,
             images: VecDeque::new(),
             cache_gb: None,
             kind: None,
@@ -195,6 +208,7 @@
 
     /// A task comes onto this machine.
     pub(super) fn hold(&mut self, key: TaskKey, job: &JobState, now: Instant) {
+        self.known = true;
         if self.bound.insert(key) {
             self.taken.add(job.spec(), 1.0);
             if job.spec().is_idle() {
@@ -243,7 +257,7 @@
     /// Its worker should be heard of: it was, or an earlier owner has given it tasks, or the cloud
     /// says that it is up.
     pub fn awaited(&self) -> bool {
-        self.reported() || !self.bound.is_empty() || self.listed_up
+        (self.reported() && self.known) || !self.bound.is_empty() || self.listed_up
     }
 
     /// A task with this image comes: the least recently used make room for it, as the worker
@@ -307,6 +321,7 @@
         }
         let at = self.kind(&kind.type_name, &kind.zone, kind.spot);
         let machine = self.machines.entry(id.clone()).or_insert_with(|| Machine::new(id, now));
+        self.stirred |= !std::mem::replace(&mut machine.known, true) && machine.reported();
         // A new owner hears of machines before it is told how long they have been held.
         machine.since = machine.since.min(now.checked_sub(held).unwrap_or(now));
         if !machine.reported() {
@@ -389,6 +404,7 @@
         for machine in self.machines.values_mut() {
             machine.heard = gap.forgive(machine.heard);
             machine.idle_since = machine.idle_since.map(|at| gap.forgive(at));
+            machine.hearing.was_absent(gap);
         }
         self.absent = Some(gap);
     }
@@ -405,10 +421,56 @@
         silent >= 3 && silent * part >= all
     }
 
-    /// Most machines have missed two reports: whoever they talk to, it is not this controller.
+    /// Most machines have missed two reports, or hear nothing: whoever they talk to, it is not this controller.
     pub fn lost_most(&self, now: Instant) -> bool {
         let missed = self.settings.params.workers.report().mul_f64(2.0);
-        self.many_silent(missed, MOST, now)
+        self.many_silent(missed, MOST, now) || self.many_deaf(MOST, None)
+    }
+
+    /// At least three machines, and one in `part` of those that should be heard of, of the zone if one is
+    /// named, hear nothing.
+    fn many_deaf(&self, part: usize, zone: Option<&str>) -> bool {
+        let (mut all, mut deaf) = (0, 0);
+        for machine in self.machines.values().filter(|m| m.awaited() && zone.is_none_or(|zone| m.zone == zone)) {
+            all += 1;
+            deaf += usize::from(machine.deaf);
+        }
+        deaf >= 3 && deaf * part >= all
+    }
+
+    /// Whether a machine hears, by what it has just reported.
+    pub(super) fn judge_hearing(&mut self, id: &MachineId, now: Instant) {
+        let lease = self.settings.params.workers.lease();
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        let signs = machine.hearing.signs(false, now);
+        let deaf = matches!(judge(signs, lease), Verdict::Deaf | Verdict::GivenUp);
+        if deaf == std::mem::replace(&mut machine.deaf, deaf) {
+            return;
+        }
+        if deaf {
+            let (unheard, lost) = (signs.unheard, signs.lost);
+            warn!(machine = %id, unheard, lost, bound = machine.bound.len(), "does not hear: no new work for now");
+        } else {
+            info!(machine = %id, "hears again");
+            self.stirred = true;
+        }
+    }
+
+    /// Machines that have heard nothing for too long. Many at once, of all or of a zone, point at the way out
+    /// to them: they are kept, without new work.
+    fn given_up(&self, now: Instant) -> Vec<MachineId> {
+        let deaf: Vec<&Machine> = self.machines.values().filter(|m| m.deaf).collect();
+        if deaf.is_empty() {
+            return Vec::new();
+        }
+        let lease = self.settings.params.workers.lease();
+        let all = self.many_deaf(TOGETHER, None);
+        let zones: BTreeSet<&str> = deaf.iter().map(|m| m.zone.as_str()).collect();
+        let zones: BTreeSet<&str> = zones.into_iter().filter(|zone| self.many_deaf(MOST, Some(zone))).collect();
+        // What nobody else knows of speaks for nothing but itself.
+        let many = |m: &Machine| m.known && (all || zones.contains(m.zone.as_str()));
+        let out = deaf.into_iter().filter(|m| judge(m.hearing.signs(many(m), now), lease) == Verdict::GivenUp);
+        out.map(|m| m.id.clone()).collect()
     }
 
     /// Machines that hold a task of a job that was withdrawn, and have not proven it gone for too
@@ -442,13 +504,14 @@
             self.overdue(now).into_iter().map(|id| (id, "a withdrawn task is not proven gone")).collect();
         for machine in self.machines.values() {
             let quiet = now.saturating_duration_since(machine.heard);
-            if machine.awaited() && quiet > silence {
+            if (machine.awaited() || machine.reported()) && quiet > silence {
                 let why = if machine.reported() { "silent" } else { "should be up and was never heard of" };
                 condemn.push((machine.id.clone(), why));
             } else if machine.standing == Standing::Draining && machine.bound.is_empty() {
                 condemn.push((machine.id.clone(), "drained"));
             }
         }
+        condemn.extend(self.given_up(now).into_iter().map(|id| (id, "hears nothing")));
         for (id, why) in condemn {
             self.condemn(&id, why);
         }
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -235,6 +235,8 @@
 
 pub struct Book {
     pub token: u64,
+    /// The token it began with: a worker that has seen it has heard this owner.
+    epoch: u64,
     pub loaded: bool,
     pub settings: Settings,
     pub properties: Properties,
@@ -310,6 +312,7 @@
     pub fn new(token: u64, settings: Settings, properties: Properties, now: Instant) -> Self {
         Self {
             token,
+            epoch: token,
             loaded: false,
             settings,
             properties,
@@ -352,7 +355,7 @@
     }
 
     /// Entries of everything that could grow, by name.
-    pub fn held(&self) -> [(&'static str, usize); 11] {
+    pub fn held(&self) -> [(&'static str, usize); 12] {
         let [machines_suspected, jobs_suspected, jobs_failing] = self.evidence.held();
         [
             ("machines_suspected", machines_suspected),
@@ -361,6 +364,7 @@
             ("book_jobs", self.jobs.len()),
             ("ending", self.ending.len()),
             ("machines", self.machines.len()),
+            ("deaf", self.machines.values().filter(|m| m.deaf).count()),
             ("returned", self.gone.len()),
             ("kinds", self.kinds.len()),
             ("classes", self.observed.len().max(self.arrivals.len())),
--- a/src/scheduling/book/reports.rs
+++ b/src/scheduling/book/reports.rs
@@ -44,6 +44,11 @@
             machine.newest_report = at;
         }
         machine.heard = now;
+        machine.hearing.heard_of(&report, via, self.settings.params.workers.lease(), now);
+        // It was made after the worker had heard this owner, so it is no copy of before.
+        if report.token >= self.epoch && !std::mem::replace(&mut machine.known, true) {
+            self.stirred = true;
+        }
         machine.addr = Some(report.addr);
         machine.type_name = report.type_name;
         machine.zone = report.zone;
@@ -65,6 +70,7 @@
         if catalog.is_some() && of.is_none() {
             warn!(machine = %id, type_name = machine.type_name, "a machine of no known type");
         }
+        self.judge_hearing(&id, now);
         self.reconcile(&id, now);
         if news {
             self.recalled(&id, now);
--- /dev/null
+++ b/src/scheduling/hearing.rs
@@ -0,0 +1,189 @@
+//! Whether a machine hears: its reports arrive, and so it looks alive, but answers and commands may not
+//! reach it. Judged by answers that had to show an effect in its next report and did not: a higher token
+//! to learn, a launch to report, a lease to renew (docs/operations.md, "Machines that do not hear").
+//!
+//! Kept by the owner in memory; a successor judges anew. It does no I/O and reads no clock, and no rule
+//! rests on it: a task on a machine that does not hear stays bound until it is proven gone.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use super::book::Via;
+use crate::standstill::Gap;
+use crate::wire::workers::{Order, Report, TaskKey};
+
+/// So many answers in a row without effect are no chance: a lost one is made good by the next.
+const ENOUGH: u32 = 3;
+/// A machine that hears nothing is returned once so many leases have ended, or past the time of as many.
+const LOST_LEASES: u32 = 2;
+/// Past the end of a lease; covers a machine's clock's drift and the way of a report.
+const MARGIN: Duration = Duration::from_secs(2);
+/// Answers closer together than this count once when a lease has ended: reports that were held up come in
+/// a burst, and a worker that got no answer asks again 5 s later.
+const APART: Duration = Duration::from_secs(4);
+/// Answers remembered of the last lease.
+const MOST_ANSWERS: usize = 16;
+
+/// What speaks against a machine, and what for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Signs {
+    /// Answers in a row that had no effect where one had to show.
+    pub unheard: u32,
+    /// Leases that ended although reports were answered, since one has lasted.
+    pub lost: u32,
+    /// Since the first of the row.
+    pub for_: Duration,
+    /// Many machines hear nothing, which points at the way out and at none of them.
+    pub many: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    Hears,
+    Unclear,
+    /// No new work.
+    Deaf,
+    /// To be returned.
+    GivenUp,
+}
+
+/// The whole judgement.
+pub fn judge(signs: Signs, lease: Duration) -> Verdict {
+    let long = signs.lost >= LOST_LEASES || signs.for_ > lease * LOST_LEASES + MARGIN;
+    match signs.unheard {
+        0 => Verdict::Hears,
+        n if n < ENOUGH => Verdict::Unclear,
+        _ if long && !signs.many => Verdict::GivenUp,
+        _ => Verdict::Deaf,
+    }
+}
+
+/// What the report after an answer has to show if the answer was heard.
+#[derive(Debug)]
+struct Trial {
+    token: Option<u64>,
+    launch: Option<(TaskKey, u64)>,
+}
+
+impl Trial {
+    fn shown(&self, report: &Report) -> bool {
+        let token = self.token.is_some_and(|token| report.token >= token);
+        let launch = |(task, attempt): &(TaskKey, u64)| {
+            report.legs.iter().any(|leg| leg.task == *task && leg.attempt == *attempt)
+        };
+        token || self.launch.as_ref().is_some_and(launch)
+    }
+}
+
+/// The evidence on one machine.
+#[derive(Debug)]
+pub struct Hearing {
+    unheard: u32,
+    lost: u32,
+    /// When the first of the row was found to have had no effect.
+    since: Option<Instant>,
+    session: u64,
+    /// When the session was first heard of here.
+    session_since: Instant,
+    /// Answers given in this session, within about a lease.
+    answers: VecDeque<Instant>,
+    trial: Option<Trial>,
+    /// The newest report waits for its answer: answers to old ones reach nobody.
+    unanswered: bool,
+}
+
+impl Hearing {
+    pub fn new(now: Instant) -> Self {
+        Self {
+            unheard: 0,
+            lost: 0,
+            since: None,
+            session: 0,
+            session_since: now,
+            answers: VecDeque::new(),
+            trial: None,
+            unanswered: false,
+        }
+    }
+
+    /// A message newer than all before it.
+    pub fn heard_of(&mut self, report: &Report, via: Via, lease: Duration, now: Instant) {
+        let grown = report.session > self.session;
+        if grown {
+            (self.session, self.session_since) = (report.session, now);
+        }
+        if via == Via::Command {
+            // It was answered in time, so a command has reached it.
+            self.hears();
+            return;
+        }
+        self.unanswered = true;
+        let trial = self.trial.take();
+        if grown {
+            // An answer that was heard would have kept its lease for longer than this.
+            let kept = |at: &&Instant| now.saturating_duration_since(**at) + MARGIN < lease;
+            let unheard = self.answers.iter().filter(kept).count() as u32;
+            self.answers.clear();
+            if unheard > 0 {
+                self.lost += 1;
+                self.not_heard(unheard, now);
+            }
+        } else if let Some(trial) = trial {
+            if trial.shown(report) {
+                self.hears();
+            } else {
+                self.not_heard(1, now);
+            }
+        }
+        // A session outlives a lease only by answers.
+        let began = self.since.map_or(self.session_since, |at| at.max(self.session_since));
+        if now.saturating_duration_since(began) > lease + MARGIN {
+            self.hears();
+            self.lost = 0;
+        }
+    }
+
+    /// Its newest report is answered with this token and these orders.
+    pub fn answered(&mut self, token: u64, knows: u64, orders: &[Order], now: Instant) {
+        if !std::mem::take(&mut self.unanswered) {
+            return;
+        }
+        if self.answers.back().is_none_or(|at| now.saturating_duration_since(*at) >= APART) {
+            self.answers.push_back(now);
+            if self.answers.len() > MOST_ANSWERS {
+                self.answers.pop_front();
+            }
+        }
+        let launch = orders.iter().find_map(|o| match o {
+            Order::Launch { task, attempt } => Some((task.clone(), *attempt)),
+            _ => None,
+        });
+        let token = Some(token).filter(|token| *token > knows);
+        if token.is_some() || launch.is_some() {
+            self.trial = Some(Trial { token, launch });
+        }
+    }
+
+    /// This controller stood still: what it reads and answers next was mostly given up meanwhile.
+    pub fn was_absent(&mut self, gap: Gap) {
+        self.since = self.since.map(|at| gap.forgive(at));
+        self.session_since = gap.forgive(self.session_since);
+        self.trial = None;
+        self.answers.clear();
+    }
+
+    /// Leases that it has lost stay counted until one lasts: commands may reach it where answers don't.
+    fn hears(&mut self) {
+        (self.unheard, self.since, self.trial) = (0, None, None);
+    }
+
+    fn not_heard(&mut self, answers: u32, now: Instant) {
+        self.unheard = self.unheard.saturating_add(answers);
+        self.since.get_or_insert(now);
+    }
+
+    pub fn signs(&self, many: bool, now: Instant) -> Signs {
+        let for_ = self.since.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        Signs { unheard: self.unheard, lost: self.lost, for_, many }
+    }
+}
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -4,6 +4,7 @@
 pub mod evidence;
 pub mod filler;
 pub mod forecast;
+pub mod hearing;
 pub mod holds;
 #[cfg(test)]
 mod interleavings;
--- a/src/scheduling/room.rs
+++ b/src/scheduling/room.rs
@@ -231,7 +231,7 @@
         && spec.types.as_ref().is_none_or(|t| t.iter().any(|t| t == type_name))
 }
 
-/// Up, sane, lately heard of, and free of tasks that should not be there.
+/// Up, sane, lately heard of, not known from what may be late copies alone, hearing, and free of tasks that should not be there.
 pub fn usable(machine: &Machine, suspect: Duration, now: Instant) -> bool {
     machine.standing == Standing::Up && sane(machine, suspect, now)
 }
@@ -244,7 +244,9 @@
 fn sane(machine: &Machine, suspect: Duration, now: Instant) -> bool {
     machine.reported()
         && machine.recall.is_none()
+        && machine.known
         && !machine.suspected
+        && !machine.deaf
         && now.saturating_duration_since(machine.heard) < suspect
         && !machine.has_strays()
 }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -41,7 +41,7 @@
     }
     let now = Instant::now();
     let mut deposed = false;
-    let report_from = report.machine.clone();
+    let (report_from, report_at) = (report.machine.clone(), (report.session, report.seq));
     {
         let mut held = lock(&node.book);
         if let Some(book) = held.as_mut() {
@@ -67,7 +67,7 @@
     debug!(machine = report_from, owner = node.owner_node(), "a report for the owner");
     match node.owner_node() {
         Some(owner) if owner != node.settings.node => {
-            node.note_redirect(&report_from, now);
+            node.note_redirect(&report_from, report_at, now);
             Answer::Elsewhere(owner)
         }
         _ => Answer::Nobody,
