Interleavings: deaf workers, late copies, owners cut off from the store alone, quick restarts

The model now has machines that hear nothing (seconds to for ever, one or half of them), copies of reports several and out of order up to 120 s late (after returns, next sessions and takeovers), owners without the store whose workers stay with them, processes ended and back at their address within 0.05 to 0.5 s or a lease (batches and commands on their way, ended again within an election), and repeats of transactions and returns that were carried out. It is played alike in every run now: ids are digested alike in tests, and ages no longer follow the time of day.

--- a/src/fleet/rent.rs
+++ b/src/fleet/rent.rs
@@ -200,8 +200,13 @@
 
     /// The machines there are and those asked for.
     fn timelines(&self, for_urgent: bool) -> Vec<Timeline<'a>> {
-        let stays =
-            |m: &&Machine| !matches!(m.standing, Standing::Condemned | Standing::Draining) && m.recall.is_none();
+        // Those that do not hear take no work, but a second fleet would hear no more where most don't.
+        let most_deaf = self.book.most_deaf();
+        let stays = |m: &&Machine| {
+            !matches!(m.standing, Standing::Condemned | Standing::Draining)
+                && m.recall.is_none()
+                && (!m.deaf || most_deaf)
+        };
         let held = self.book.machines.values().filter(stays);
         let mut timelines: Vec<Timeline> =
             held.filter_map(|m| Timeline::of(self.book, self.ground, m, for_urgent, self.now)).collect();
--- a/src/scheduling/book/machine.rs
+++ b/src/scheduling/book/machine.rs
@@ -438,6 +438,11 @@
         deaf >= 3 && deaf * part >= all
     }
 
+    /// Half of all machines hear nothing: it is the way out, and others would not hear either.
+    pub fn most_deaf(&self) -> bool {
+        self.many_deaf(2, None)
+    }
+
     /// Whether a machine hears, by what it has just reported.
     pub(super) fn judge_hearing(&mut self, id: &MachineId, now: Instant) {
         let lease = self.settings.params.workers.lease();
@@ -467,8 +472,9 @@
         let all = self.many_deaf(TOGETHER, None);
         let zones: BTreeSet<&str> = deaf.iter().map(|m| m.zone.as_str()).collect();
         let zones: BTreeSet<&str> = zones.into_iter().filter(|zone| self.many_deaf(MOST, Some(zone))).collect();
-        // What nobody else knows of speaks for nothing but itself.
-        let many = |m: &Machine| m.known && (all || zones.contains(m.zone.as_str()));
+        // What nobody else knows of speaks for nothing but itself; and what is still bound after so long only
+        // a return proves gone, as where an earlier owner may yet launch it.
+        let many = |m: &Machine| m.known && m.bound.is_empty() && (all || zones.contains(m.zone.as_str()));
         let out = deaf.into_iter().filter(|m| judge(m.hearing.signs(many(m), now), lease) == Verdict::GivenUp);
         out.map(|m| m.id.clone()).collect()
     }
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -233,6 +233,13 @@
     pub tasks: Vec<Stored>,
 }
 
+/// Users choose the ids, so they are digested as nobody can foresee; in tests alike in every run, so that a
+/// seed plays the same interleaving again.
+#[cfg(not(test))]
+type Hashing = std::hash::RandomState;
+#[cfg(test)]
+type Hashing = std::hash::BuildHasherDefault<std::hash::DefaultHasher>;
+
 pub struct Book {
     pub token: u64,
     /// The token it began with: a worker that has seen it has heard this owner.
@@ -240,7 +247,7 @@
     pub loaded: bool,
     pub settings: Settings,
     pub properties: Properties,
-    jobs: HashMap<JobId, JobState>,
+    jobs: HashMap<JobId, JobState, Hashing>,
     /// Jobs whose end is known and of which something is still bound.
     ending: BTreeSet<JobId>,
     /// Every type, zone and kind that a machine was ever of; machines name theirs by its place.
@@ -316,7 +323,7 @@
             loaded: false,
             settings,
             properties,
-            jobs: HashMap::new(),
+            jobs: HashMap::default(),
             ending: BTreeSet::new(),
             kinds: Vec::new(),
             stirred: true,
--- a/src/scheduling/evidence.rs
+++ b/src/scheduling/evidence.rs
@@ -145,14 +145,14 @@
 #[derive(Debug)]
 pub struct Evidence {
     jobs: HashMap<JobId, JobTrial>,
-    machines: HashMap<MachineId, MachineTrial>,
+    machines: BTreeMap<MachineId, MachineTrial>,
     /// Jobs of a class that came under suspicion since any of the class was done.
     classes: LruCache<String, Vec<JobId>>,
 }
 
 impl Default for Evidence {
     fn default() -> Self {
-        Self { jobs: HashMap::new(), machines: HashMap::new(), classes: LruCache::new(MOST_CLASSES) }
+        Self { jobs: HashMap::new(), machines: BTreeMap::new(), classes: LruCache::new(MOST_CLASSES) }
     }
 }
 
--- a/src/scheduling/interleavings.rs
+++ b/src/scheduling/interleavings/mod.rs
@@ -1,6 +1,9 @@
 //! Seeded interleavings: the real book, placement and transactions in a small model of store,
-//! workers and cloud where messages and transactions come late or are lost, owners go on after
-//! being deposed, machines hang, and jobs are withdrawn. The model checks the rules itself.
+//! workers and cloud where messages and transactions come late, twice or are lost, owners go on after
+//! being deposed, lose the store alone or are back at once, machines hang or hear nothing, and jobs are withdrawn. The model checks the rules itself.
+
+mod troubles;
+mod workers;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
@@ -10,13 +13,13 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::Value;
+use workers::Worker;
 
 use super::book::{Book, MachineId, Standing, Via};
 use super::plan;
 use crate::history::moves::{self, Move, Place, end_among, place_of};
 use crate::jobs::record::{
-    ASSIGNMENT, CHUNK, JobRecord, Stored, TASKS, chunk_key, decode_chunk, ended_key, ended_keys, open_key,
-    parse_chunk_key, time_of_day_ms,
+    ASSIGNMENT, CHUNK, JobRecord, TASKS, chunk_key, decode_chunk, ended_key, ended_keys, open_key, parse_chunk_key,
 };
 use crate::jobs::tests::spec;
 use crate::jobs::{End, JobId, Shape};
@@ -27,7 +30,7 @@
 use crate::standstill::Gap;
 use crate::store::commit::Batch;
 use crate::store::{Change, Condition};
-use crate::wire::workers::{Cause, Leg, LegStatus, Order, Report, TaskKey};
+use crate::wire::workers::{LegStatus, Order, Report, TaskKey};
 
 const STEP: Duration = Duration::from_millis(100);
 const LEASE: Duration = Duration::from_secs(24);
@@ -46,61 +49,6 @@
     id.ends_with(['3', '8'])
 }
 
-struct Worker {
-    id: String,
-    session: u64,
-    seq: u64,
-    token: u64,
-    legs: Vec<Leg>,
-    ends_at: HashMap<TaskKey, Instant>,
-    /// Forgotten in this session: a launch of these would start them again.
-    reaped: HashSet<(TaskKey, u64)>,
-    renewed: Instant,
-    next_report: Instant,
-    waits_until: Option<Instant>,
-    hangs_until: Instant,
-    gone: bool,
-}
-
-impl Worker {
-    fn new(n: usize, now: Instant) -> Self {
-        Self {
-            id: format!("host-{n:06}"),
-            session: 1,
-            seq: 0,
-            token: 0,
-            legs: Vec::new(),
-            ends_at: HashMap::new(),
-            reaped: HashSet::new(),
-            renewed: now,
-            next_report: now,
-            waits_until: None,
-            hangs_until: now,
-            gone: false,
-        }
-    }
-
-    fn report(&mut self) -> Report {
-        self.seq += 1;
-        Report {
-            machine: self.id.clone(),
-            addr: "127.0.0.1:9".into(),
-            type_name: "t".into(),
-            zone: "a".into(),
-            spot: false,
-            session: self.session,
-            seq: self.seq,
-            token: self.token,
-            notice_s: None,
-            legs: self.legs.clone(),
-        }
-    }
-
-    fn live(&self, task: &TaskKey) -> bool {
-        !self.gone && self.legs.iter().any(|l| l.task == *task && l.status != LegStatus::Exited)
-    }
-}
-
 struct Owner {
     book: Book,
     batch: Option<(Batch, Instant)>,
@@ -109,17 +57,62 @@
     returning: HashSet<MachineId>,
     /// Stands still from and until then, while its clock runs on: what reaches it lies in its sockets.
     frozen: Option<(Instant, Instant)>,
+    /// Without the store and the other controllers from and until then, while workers and cloud reach it.
+    cut: Option<(Instant, Instant)>,
+    since: Instant,
+    /// Machines that the store named at its takeover.
+    inherited: HashSet<MachineId>,
 }
 
 enum Message {
-    Report { to: usize, report: Report, sent: Instant },
-    Answer { worker: usize, session: u64, sent: Instant, token: u64, orders: Vec<Order> },
-    Command { id: u64, worker: usize, from: usize, token: u64, session: u64, orders: Vec<Order> },
-    Reply { id: u64, to: usize, machine: MachineId, token: u64, report: Report },
-    GivenUp { id: u64, to: usize, machine: MachineId, token: u64 },
-    Txn { conditions: Vec<Condition>, changes: Vec<Change> },
-    Return { from: usize, machine: MachineId },
-    Returned { to: usize, machine: MachineId },
+    /// A copy is one that was held back until nobody waits for its answer.
+    Report {
+        to: usize,
+        report: Report,
+        sent: Instant,
+        copy: bool,
+    },
+    Answer {
+        worker: usize,
+        from: usize,
+        session: u64,
+        sent: Instant,
+        token: u64,
+        orders: Vec<Order>,
+    },
+    Command {
+        id: u64,
+        worker: usize,
+        from: usize,
+        token: u64,
+        session: u64,
+        orders: Vec<Order>,
+    },
+    Reply {
+        id: u64,
+        to: usize,
+        machine: MachineId,
+        token: u64,
+        report: Report,
+    },
+    GivenUp {
+        id: u64,
+        to: usize,
+        machine: MachineId,
+        token: u64,
+    },
+    Txn {
+        conditions: Vec<Condition>,
+        changes: Vec<Change>,
+    },
+    Return {
+        from: usize,
+        machine: MachineId,
+    },
+    Returned {
+        to: usize,
+        machine: MachineId,
+    },
 }
 
 struct World {
@@ -130,6 +123,10 @@
     workers: Vec<Worker>,
     owners: Vec<Option<Owner>>,
     owner: usize,
+    /// Who came back at the address of a process that was ended.
+    reborn: HashMap<usize, usize>,
+    /// The lease of an ended leader runs until then.
+    owns_from: Instant,
     messages: Vec<(Instant, Message)>,
     /// Direct commands that were answered or given up, whichever came first.
     over: HashSet<u64>,
@@ -140,6 +137,10 @@
     catalog: Catalog,
     starts: usize,
     standstills: usize,
+    copies: usize,
+    deaf: usize,
+    cuts: usize,
+    restarts: usize,
     failures: usize,
     machines: usize,
     jobs: usize,
@@ -158,6 +159,8 @@
             workers: (0..machines).map(|n| Worker::new(n, start)).collect(),
             owners: Vec::new(),
             owner: 0,
+            reborn: HashMap::new(),
+            owns_from: start,
             messages: Vec::new(),
             over: HashSet::new(),
             commands: 0,
@@ -167,6 +170,10 @@
             catalog: Catalog { types: vec![of] },
             starts: 0,
             standstills: 0,
+            copies: 0,
+            deaf: 0,
+            cuts: 0,
+            restarts: 0,
             failures: 0,
             machines,
             jobs: machines * 2 + 2,
@@ -219,7 +226,17 @@
         }
         book.finish_load(self.now);
         self.owner = self.owners.len();
-        self.owners.push(Some(Owner { book, batch: None, news: Vec::new(), returning: HashSet::new(), frozen: None }));
+        let inherited = book.machines.keys().cloned().collect();
+        self.owners.push(Some(Owner {
+            book,
+            batch: None,
+            news: Vec::new(),
+            returning: HashSet::new(),
+            frozen: None,
+            cut: None,
+            since: self.now,
+            inherited,
+        }));
     }
 
     fn submit(&mut self) {
@@ -230,7 +247,8 @@
         job.shape = if n.is_multiple_of(3) { Shape::Gang } else { Shape::Array };
         job.tasks = if job.is_gang() { 2 } else { [1, 3, CHUNK + 2][n as usize % 3] };
         job.estimate_s = 5.0;
-        let record = Arc::new(JobRecord { spec: job, at_ms: time_of_day_ms() });
+        // Never any age by the time of day: a run takes as long as it takes, and plays the same again.
+        let record = Arc::new(JobRecord { spec: job, at_ms: u64::MAX });
         self.records.insert(record.spec.id.clone(), record.clone());
         self.send_move(moves::accept(&record, false));
     }
@@ -266,100 +284,6 @@
         self.send_move(withdrawal);
     }
 
-    fn execute(&mut self, w: usize, orders: Vec<Order>) {
-        for order in orders {
-            match order {
-                Order::Launch { task, attempt } => self.launch(w, task, attempt),
-                Order::Halt { task, attempt, .. } => {
-                    for leg in &mut self.workers[w].legs {
-                        if leg.task == task && leg.attempt == attempt && leg.status != LegStatus::Exited {
-                            (leg.status, leg.cause) = (LegStatus::Exited, Some(Cause::Stopped));
-                        }
-                    }
-                }
-                Order::Reap { task, attempt } => {
-                    let exited = |l: &Leg| l.task == task && l.attempt == attempt && l.status == LegStatus::Exited;
-                    let Some(at) = self.workers[w].legs.iter().position(exited) else { continue };
-                    let leg = self.workers[w].legs.remove(at);
-                    if leg.cause == Some(Cause::Done) {
-                        self.check_reap(&task);
-                    }
-                    self.workers[w].reaped.insert((task, attempt));
-                }
-            }
-        }
-    }
-
-    fn launch(&mut self, w: usize, task: TaskKey, attempt: u64) {
-        if self.workers[w].legs.iter().any(|l| l.task == task && l.attempt == attempt) {
-            return;
-        }
-        let mut leg = Leg { task: task.clone(), attempt, status: LegStatus::Running, cause: None, saved: None };
-        if self.workers[w].live(&task) {
-            (leg.status, leg.cause) = (LegStatus::Exited, Some(Cause::Busy));
-            self.workers[w].legs.push(leg);
-            return;
-        }
-        // The rules, at the moment of a start.
-        let elsewhere = self.workers.iter().find(|o| o.live(&task));
-        assert!(elsewhere.is_none(), "ran twice: {task:?} on {} and {}", self.workers[w].id, elsewhere.unwrap().id);
-        if let Some(at) = self.withdrawn.get(&task.job) {
-            assert!(self.now - *at < CANCEL, "started {task:?} long after its withdrawal");
-        }
-        let again = self.workers[w].reaped.contains(&(task.clone(), attempt));
-        assert!(!again, "started again after its reap: {task:?} attempt {attempt}");
-        self.starts += 1;
-        let run = Duration::from_millis(self.rng.random_range(100..6000));
-        self.workers[w].ends_at.insert(task, self.now + run);
-        self.workers[w].legs.push(leg);
-    }
-
-    /// A completion is stored, or its job over, before a worker may forget it.
-    fn check_reap(&self, task: &TaskKey) {
-        let chunk = chunk_key(&task.job, u64::from(task.index) / CHUNK);
-        let stored = self.store.value(&chunk).and_then(decode_chunk);
-        let done = stored.is_some_and(|t| t[task.index as usize % CHUNK as usize] == Stored::Done);
-        assert!(done || ended(&self.store, &task.job), "reaped before it was stored: {task:?}");
-    }
-
-    fn run_workers(&mut self) {
-        for w in 0..self.workers.len() {
-            if self.workers[w].gone || self.workers[w].hangs_until > self.now {
-                continue;
-            }
-            let now = self.now;
-            let worker = &mut self.workers[w];
-            if now - worker.renewed > LEASE {
-                worker.session += 1;
-                worker.legs.clear();
-                worker.reaped.clear();
-                (worker.renewed, worker.waits_until) = (now, None);
-            }
-            for leg in worker.legs.iter_mut().filter(|l| l.status == LegStatus::Running) {
-                if worker.ends_at.get(&leg.task).is_some_and(|t| *t <= now) {
-                    if bad(&leg.task.job) {
-                        (leg.status, leg.cause) = (LegStatus::Exited, Some(Cause::Error));
-                        self.failures += 1;
-                        continue;
-                    }
-                    (leg.status, leg.cause) = (LegStatus::Exited, Some(Cause::Done));
-                    self.completed.insert(leg.task.clone());
-                }
-            }
-            if worker.waits_until.is_some_and(|t| t <= now) {
-                worker.waits_until = None;
-            }
-            if worker.waits_until.is_none() && worker.next_report <= now {
-                worker.waits_until = Some(now + ANSWER_TAKEN);
-                worker.next_report = now + Duration::from_secs(3);
-                let report = worker.report();
-                // Some workers still know only the deposed owner.
-                let back = if self.quiet { 0 } else { usize::from(self.rng.random_bool(0.2)) };
-                self.send(Message::Report { to: self.owner.saturating_sub(back), report, sent: now });
-            }
-        }
-    }
-
     fn run_owner(&mut self, i: usize) {
         let now = self.now;
         let Some(mut owner) = self.owners[i].take() else { return };
@@ -371,7 +295,9 @@
             owner.frozen = None;
             owner.book.was_absent(Gap { began, ended });
         }
-        let (due, later): (Vec<_>, Vec<_>) = owner.news.drain(..).partition(|(at, ..)| *at <= now);
+        owner.cut = owner.cut.filter(|(_, until)| *until > now);
+        let cut = owner.cut.is_some();
+        let (due, later): (Vec<_>, Vec<_>) = owner.news.drain(..).partition(|(at, ..)| *at <= now && !cut);
         owner.news = later;
         for (_, id, opened) in due {
             if opened {
@@ -382,6 +308,7 @@
         }
         owner.book.tick(now);
         let decisions = plan::place(&mut owner.book, &self.catalog, now);
+        self.check_places(i, &owner, &decisions);
         owner.book.bind_all(decisions, now);
         // What is kept with every binding is what a count afresh gives.
         for machine in owner.book.machines.values() {
@@ -411,10 +338,16 @@
             self.messages.push((now + COMMAND_WAITED, Message::GivenUp { id, to: i, machine, token }));
             self.send(Message::Command { id, worker: w, from: i, token, session, orders: direct.orders });
         }
+        // Without the store no order stands, and only what a withdrawal makes urgent goes without.
+        let overdue = if cut { owner.book.overdue(now) } else { Default::default() };
+        let condemned = owner.book.machines.values().filter(|m| m.standing == Standing::Condemned);
         let condemned: Vec<MachineId> =
-            owner.book.machines.values().filter(|m| m.standing == Standing::Condemned).map(|m| m.id.clone()).collect();
+            condemned.map(|m| m.id.clone()).filter(|id| !cut || overdue.contains(id)).collect();
         for machine in condemned {
             if owner.returning.insert(machine.clone()) {
+                if !self.quiet && self.rng.random_bool(0.2) {
+                    self.send(Message::Return { from: i, machine: machine.clone() });
+                }
                 self.send(Message::Return { from: i, machine });
             }
         }
@@ -427,6 +360,14 @@
     fn store_batch(&mut self, owner: &mut Owner, batch: Batch) -> bool {
         let (conditions, changes) = (batch.conditions(owner.book.token), batch.changes());
         let fate = if self.quiet { 1.0 } else { self.rng.random::<f64>() };
+        if owner.cut.is_some() {
+            if fate < 0.2 {
+                let due = self.now + self.delay() * 3;
+                self.messages.push((due, Message::Txn { conditions, changes }));
+            }
+            owner.batch = Some((batch, self.now + Duration::from_millis(1500)));
+            return false;
+        }
         if fate < 0.05 {
             // Not answered, and applied some time later; asked again as it was.
             let due = self.now + self.delay() * 3;
@@ -435,6 +376,11 @@
             return false;
         }
         let outcome = self.apply(&conditions, &changes);
+        if fate > 0.95 && !self.quiet {
+            // Carried out, and repeated all the same.
+            let due = self.now + self.delay() * 3;
+            self.messages.push((due, Message::Txn { conditions, changes }));
+        }
         if fate < 0.1 {
             // Applied, and the answer lost.
             owner.batch = Some((batch, self.now + Duration::from_millis(1500)));
@@ -520,7 +466,8 @@
         }
         let now = self.now;
         match message {
-            Message::Report { to, report, sent } => {
+            Message::Report { to, report, sent, copy } => {
+                let to = if copy { self.reader() } else { self.reborn.get(&to).copied().unwrap_or(to) };
                 let Some(w) = self.workers.iter().position(|w| w.id == report.machine) else { return };
                 let Some(owner) = self.owners.get_mut(to).and_then(Option::as_mut) else { return };
                 if report.token > owner.book.token {
@@ -531,11 +478,20 @@
                 owner.book.take_report(report, Via::Report, Some(&self.catalog), now);
                 let id = self.workers[w].id.clone();
                 let (orders, token) = (owner.book.orders_in_answer(&id, now), owner.book.token);
-                self.send(Message::Answer { worker: w, session, sent, token, orders });
+                if !copy {
+                    self.send(Message::Answer { worker: w, from: to, session, sent, token, orders });
+                }
             }
-            Message::Answer { worker, session, sent, token, orders } => {
+            Message::Answer { worker, from, session, sent, token, orders } => {
                 let w = &mut self.workers[worker];
                 let late = now - sent > ANSWER_TAKEN || w.waits_until.is_none();
+                if w.deaf_until > now {
+                    let tells = token > w.token || orders.iter().any(|o| matches!(o, Order::Launch { .. }));
+                    let row = if w.unheard.0 == from { w.unheard.1 } else { 0 };
+                    w.unheard = (from, row + u32::from(tells && !late));
+                    return;
+                }
+                w.unheard = (from, 0);
                 if w.gone || w.hangs_until > now || late || w.session != session || token < w.token {
                     return;
                 }
@@ -547,9 +503,13 @@
                 if w.gone {
                     return;
                 }
-                if w.hangs_until > now {
-                    // Executed once the machine goes on.
-                    let due = w.hangs_until;
+                let deaf = w.deaf_until > now;
+                if deaf && id.is_multiple_of(2) {
+                    return;
+                }
+                if deaf || w.hangs_until > now {
+                    // Executed once the machine goes on, or once what was held back comes through.
+                    let due = w.hangs_until.max(w.deaf_until);
                     self.messages.push((due, Message::Command { id, worker, from, token, session, orders }));
                     return;
                 }
@@ -579,7 +539,7 @@
             }
             Message::Return { from, machine } => {
                 if let Some(w) = self.workers.iter_mut().find(|w| *w.id == *machine) {
-                    w.gone = true;
+                    (w.gone, w.gone_at) = (true, w.gone_at.or(Some(now)));
                 }
                 self.send(Message::Returned { to: from, machine });
             }
@@ -613,18 +573,20 @@
             self.run_owner(i);
         }
         // Another owns once the leader's lease has run out.
-        let gone = |o: &Owner| o.frozen.is_some_and(|(began, _)| self.now - began > LEADER_LEASE);
+        let lost = |since: Option<(Instant, Instant)>| since.is_some_and(|(began, _)| self.now - began > LEADER_LEASE);
+        let gone = |o: &Owner| lost(o.frozen) || lost(o.cut);
         if self.owners[self.owner].as_ref().is_some_and(gone) {
             self.take_over();
         }
         // One whose book is raised writes the assignment again, as the leader would.
         let owner = self.owner;
         if self.owners[owner].is_none() {
-            self.take_over();
-        } else if self.owners[owner]
-            .as_ref()
-            .is_some_and(|o| o.frozen.is_none() && o.book.raise_wanted(self.now) && o.batch.is_none())
-        {
+            if self.now >= self.owns_from {
+                self.take_over();
+            }
+        } else if self.owners[owner].as_ref().is_some_and(|o| {
+            o.frozen.is_none() && o.cut.is_none() && o.book.raise_wanted(self.now) && o.batch.is_none()
+        }) {
             let stamp = self.store.stamp(ASSIGNMENT);
             let change = Change::write(ASSIGNMENT, Value::from(owner));
             if let Ok(token) = self.store.apply_if(&[Condition::at(ASSIGNMENT, stamp)], &[change])
@@ -650,11 +612,13 @@
         }
         if self.rng.random_bool(0.004) {
             // Under and over the lease, of an owner or of one that was replaced, at any point of its work.
-            let (i, ms) = (self.rng.random_range(0..self.owners.len()), self.rng.random_range(500..40_000));
-            let now = self.now;
+            let alive: Vec<usize> = (0..self.owners.len()).filter(|i| self.owners[*i].is_some()).collect();
+            let i = alive.get(self.rng.random_range(0..alive.len().max(1))).copied().unwrap_or(self.owner);
+            let (ms, now) = (self.rng.random_range(500..40_000), self.now);
             if let Some(owner) = self.owners[i].as_mut().filter(|o| o.frozen.is_none()) {
                 owner.frozen = Some((now, now + Duration::from_millis(ms)));
                 self.standstills += 1;
+                self.workers.iter_mut().for_each(|w| w.unheard = (i, 0));
             }
         }
         if self.rng.random_bool(0.01) {
@@ -672,6 +636,12 @@
                 }
             }
         }
+        self.more_trouble();
+        self.rent();
+    }
+
+    /// Another machine for one that is gone.
+    fn rent(&mut self) {
         if self.workers.iter().filter(|w| !w.gone).count() < self.machines {
             let n = self.workers.len();
             self.workers.push(Worker::new(n, self.now));
@@ -695,11 +665,10 @@
                     self.send_move(withdrawal);
                 }
             }
-            if self.workers.iter().all(|w| w.gone) {
-                let n = self.workers.len();
-                self.workers.push(Worker::new(n, self.now));
-            }
-            if self.records.keys().all(|id| ended(&self.store, id)) {
+            self.rent();
+            // A machine that never hears again has to be returned, whatever else is well.
+            let deaf = |w: &Worker| !w.gone && w.deaf_until > self.now;
+            if self.records.keys().all(|id| ended(&self.store, id)) && !self.workers.iter().any(deaf) {
                 return;
             }
         }
@@ -710,16 +679,19 @@
 
 #[test]
 fn rules_hold_whatever_the_order() {
-    let (mut starts, mut standstills, mut failures) = (0, 0, 0);
+    let (mut starts, mut standstills, mut failures, mut troubles) = (0, 0, 0, [0; 4]);
     for seed in 0..40 {
         let mut world = World::new(seed, 6);
         world.play(1200);
         starts += world.starts;
         standstills += world.standstills;
         failures += world.failures;
+        let of_world = [world.copies, world.deaf, world.cuts, world.restarts];
+        troubles.iter_mut().zip(of_world).for_each(|(all, n)| *all += n);
     }
     assert!(starts > 5000, "the model has hardly worked: {starts} starts");
     assert!(standstills > 50 && failures > 100, "{standstills} standstills, {failures} failures");
+    assert!(troubles.iter().all(|n| *n > 20), "copies, deaf, cut off, restarted: {troubles:?}");
 }
 
 /// The same at a size where plans, chunks and commands no longer fit one turn.
--- /dev/null
+++ b/src/scheduling/interleavings/workers.rs
@@ -0,0 +1,175 @@
+//! The model's workers, which check the rules at every start.
+
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+
+use super::{ANSWER_TAKEN, CANCEL, LEASE, Message, World, bad, ended};
+use crate::jobs::record::{CHUNK, Stored, chunk_key, decode_chunk};
+use crate::wire::workers::{Cause, Leg, LegStatus, Order, Report, TaskKey};
+
+pub(super) struct Worker {
+    pub(super) id: String,
+    pub(super) session: u64,
+    pub(super) seq: u64,
+    pub(super) token: u64,
+    pub(super) legs: Vec<Leg>,
+    pub(super) ends_at: HashMap<TaskKey, Instant>,
+    /// Forgotten in this session: a launch of these would start them again.
+    pub(super) reaped: HashSet<(TaskKey, u64)>,
+    pub(super) renewed: Instant,
+    pub(super) next_report: Instant,
+    pub(super) waits_until: Option<Instant>,
+    pub(super) hangs_until: Instant,
+    /// Answers and commands do not reach it, while its reports arrive.
+    pub(super) deaf_until: Instant,
+    /// Answers in a row that it did not hear, and the owner that gave them.
+    pub(super) unheard: (usize, u32),
+    /// Reports to this owner, which answers it, whoever owns by now.
+    pub(super) home: Option<usize>,
+    pub(super) gone: bool,
+    pub(super) gone_at: Option<Instant>,
+}
+
+impl Worker {
+    pub(super) fn new(n: usize, now: Instant) -> Self {
+        Self {
+            id: format!("host-{n:06}"),
+            session: 1,
+            seq: 0,
+            token: 0,
+            legs: Vec::new(),
+            ends_at: HashMap::new(),
+            reaped: HashSet::new(),
+            renewed: now,
+            next_report: now,
+            waits_until: None,
+            hangs_until: now,
+            deaf_until: now,
+            unheard: (0, 0),
+            home: None,
+            gone: false,
+            gone_at: None,
+        }
+    }
+
+    pub(super) fn report(&mut self) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.id.clone(),
+            addr: "127.0.0.1:9".into(),
+            type_name: "t".into(),
+            zone: "a".into(),
+            spot: false,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            legs: self.legs.clone(),
+        }
+    }
+
+    pub(super) fn live(&self, task: &TaskKey) -> bool {
+        !self.gone && self.legs.iter().any(|l| l.task == *task && l.status != LegStatus::Exited)
+    }
+}
+
+impl World {
+    pub(super) fn execute(&mut self, w: usize, orders: Vec<Order>) {
+        for order in orders {
+            match order {
+                Order::Launch { task, attempt } => self.launch(w, task, attempt),
+                Order::Halt { task, attempt, .. } => {
+                    for leg in &mut self.workers[w].legs {
+                        if leg.task == task && leg.attempt == attempt && leg.status != LegStatus::Exited {
+                            (leg.status, leg.cause) = (LegStatus::Exited, Some(Cause::Stopped));
+                        }
+                    }
+                }
+                Order::Reap { task, attempt } => {
+                    let exited = |l: &Leg| l.task == task && l.attempt == attempt && l.status == LegStatus::Exited;
+                    let Some(at) = self.workers[w].legs.iter().position(exited) else { continue };
+                    let leg = self.workers[w].legs.remove(at);
+                    if leg.cause == Some(Cause::Done) {
+                        self.check_reap(&task);
+                    }
+                    self.workers[w].reaped.insert((task, attempt));
+                }
+            }
+        }
+    }
+
+    fn launch(&mut self, w: usize, task: TaskKey, attempt: u64) {
+        if self.workers[w].legs.iter().any(|l| l.task == task && l.attempt == attempt) {
+            return;
+        }
+        let mut leg = Leg { task: task.clone(), attempt, status: LegStatus::Running, cause: None, saved: None };
+        if self.workers[w].live(&task) {
+            (leg.status, leg.cause) = (LegStatus::Exited, Some(Cause::Busy));
+            self.workers[w].legs.push(leg);
+            return;
+        }
+        // The rules, at the moment of a start.
+        let elsewhere = self.workers.iter().find(|o| o.live(&task));
+        assert!(elsewhere.is_none(), "ran twice: {task:?} on {} and {}", self.workers[w].id, elsewhere.unwrap().id);
+        if let Some(at) = self.withdrawn.get(&task.job) {
+            assert!(self.now - *at < CANCEL, "started {task:?} long after its withdrawal");
+        }
+        let again = self.workers[w].reaped.contains(&(task.clone(), attempt));
+        assert!(!again, "started again after its reap: {task:?} attempt {attempt}");
+        self.starts += 1;
+        let run = Duration::from_millis(self.rng.random_range(100..6000));
+        self.workers[w].ends_at.insert(task, self.now + run);
+        self.workers[w].legs.push(leg);
+    }
+
+    /// A completion is stored, or its job over, before a worker may forget it.
+    fn check_reap(&self, task: &TaskKey) {
+        let chunk = chunk_key(&task.job, u64::from(task.index) / CHUNK);
+        let stored = self.store.value(&chunk).and_then(decode_chunk);
+        let done = stored.is_some_and(|t| t[task.index as usize % CHUNK as usize] == Stored::Done);
+        assert!(done || ended(&self.store, &task.job), "reaped before it was stored: {task:?}");
+    }
+
+    pub(super) fn run_workers(&mut self) {
+        for w in 0..self.workers.len() {
+            if self.workers[w].gone || self.workers[w].hangs_until > self.now {
+                continue;
+            }
+            let now = self.now;
+            let worker = &mut self.workers[w];
+            if now - worker.renewed > LEASE {
+                worker.session += 1;
+                worker.legs.clear();
+                worker.reaped.clear();
+                (worker.renewed, worker.waits_until) = (now, None);
+            }
+            for leg in worker.legs.iter_mut().filter(|l| l.status == LegStatus::Running) {
+                if worker.ends_at.get(&leg.task).is_some_and(|t| *t <= now) {
+                    if bad(&leg.task.job) {
+                        (leg.status, leg.cause) = (LegStatus::Exited, Some(Cause::Error));
+                        self.failures += 1;
+                        continue;
+                    }
+                    (leg.status, leg.cause) = (LegStatus::Exited, Some(Cause::Done));
+                    self.completed.insert(leg.task.clone());
+                }
+            }
+            if worker.waits_until.is_some_and(|t| t <= now) {
+                worker.waits_until = None;
+            }
+            if worker.waits_until.is_none() && worker.next_report <= now {
+                worker.waits_until = Some(now + ANSWER_TAKEN);
+                worker.next_report = now + Duration::from_secs(3);
+                let report = worker.report();
+                // Some workers still know only the deposed owner.
+                let back = if self.quiet { 0 } else { usize::from(self.rng.random_bool(0.2)) };
+                let home = self.workers[w].home.filter(|home| self.owners[*home].is_some());
+                let to = home.unwrap_or(self.owner.saturating_sub(back));
+                self.copy_late(&report);
+                self.send(Message::Report { to, report, sent: now, copy: false });
+            }
+        }
+    }
+}
--- a/src/scheduling/tests.rs
+++ b/src/scheduling/tests.rs
@@ -1,5 +1,7 @@
 //! Placement and the book by cases.
 
+mod hearing;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- /dev/null
+++ b/src/scheduling/tests/hearing.rs
@@ -0,0 +1,112 @@
+//! Machines that hear nothing, and copies of reports that come late.
+
+use super::*;
+
+fn s(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// Copies of reports that come late: only what is newer by (session, seq) counts, and an heir gives no work to a
+/// machine that it knows from an old report alone, though it answers it.
+#[test]
+fn late_copies_of_reports_by_cases() {
+    let now = Instant::now();
+    let place = |book: &mut Book| {
+        add(book, 1, now, |j| (j.tasks, j.team) = (2, "blue".into()));
+        plan::place(book, &catalog(), now).len()
+    };
+    let heir = || {
+        let mut book = Book::new(9, example(), Properties::default(), now);
+        book.loaded = true;
+        book
+    };
+    let copy = |seq: u64, token: u64| Report { token, ..report("m", "c8", "a", false, seq, vec![]) };
+    let take = |book: &mut Book, report: Report, at: Instant| {
+        book.take_report(report, Via::Report, None, at);
+        book.orders_in_answer("m", at);
+    };
+    type Known<'a> = &'a dyn Fn(&mut Book);
+    let kind = Kind { type_name: "c8".into(), zone: "a".into(), spot: false };
+    let cases: [(&str, Known, u64, bool); 4] = [
+        ("nobody else tells of it", &|_| {}, 3, false),
+        ("the worker has heard the heir", &|_| {}, 9, true),
+        ("rented or listed", &|book| book.expect("m", &kind, None, s(60), now), 3, true),
+        (
+            "returned by this owner",
+            &|book| {
+                book.expect("m", &kind, None, s(60), now);
+                book.machine_gone(&"m".into(), now);
+            },
+            9,
+            false,
+        ),
+    ];
+    for (name, known, token, want) in cases {
+        let mut book = heir();
+        known(&mut book);
+        take(&mut book, copy(5, token), now);
+        assert_eq!(place(&mut book) > 0, want, "{name}");
+    }
+    // Copies of older reports keep no machine from being silent, and many of such machines excuse nobody.
+    let mut book = heir();
+    for seq in [9, 3, 9, 8] {
+        for m in ["m", "x", "y", "z"] {
+            let old = Report { machine: m.into(), ..copy(seq, 3) };
+            book.take_report(old, Via::Report, None, now + s(if seq == 9 { 0 } else { 11 }));
+        }
+    }
+    assert!(!book.lost_most(now + s(12)), "nobody was lost");
+    book.tick(now + s(13));
+    assert!(book.machines.values().all(|m| m.standing == Standing::Condemned), "to be returned, should they exist");
+    // Nor does a session that is over come back.
+    let mut book = heir();
+    let done = Report { session: 2, ..copy(1, 9) };
+    take(&mut book, done, now);
+    take(&mut book, Report { session: 1, notice_s: Some(1.0), ..copy(99, 9) }, now);
+    assert!(book.machines["m"].recall.is_none(), "a notice of an earlier session");
+}
+
+/// A machine whose reports arrive and that hears nothing was given its tasks again every lease.
+#[test]
+fn a_machine_that_hears_nothing_gets_no_work_and_is_returned_alone() {
+    for (name, deaf, of, zones, returned) in [
+        ("one of twenty", 1, 20, 1, true),
+        ("two of twenty", 2, 20, 1, true),
+        ("three of twenty", 3, 20, 1, false),
+        ("three of sixty", 3, 60, 1, true),
+        ("three of sixty, all of a zone", 3, 60, 20, false),
+    ] {
+        let start = Instant::now();
+        let mut book = Book::new(7, example(), Properties::default(), start);
+        book.loaded = true;
+        let zone = |m: u64| format!("z{}", m / (of / zones));
+        let mut session = 1;
+        for t in 0..60u64 {
+            let now = start + s(t);
+            if t > 0 && t % 25 == 0 {
+                session += 1;
+            }
+            for m in (0..of).filter(|m| t % if *m < deaf { 5 } else { 3 } == 0) {
+                let session = if m < deaf { session } else { 1 };
+                let report = report(&format!("m{m:02}"), "c8", &zone(m), false, t + 1, vec![]);
+                book.take_report(Report { session, ..report }, Via::Report, None, now);
+                book.orders_in_answer(&format!("m{m:02}"), now);
+            }
+            book.tick(now);
+            let hears = book.machines.values().filter(|m| !m.deaf).count() as u64;
+            assert_eq!(hears, if t < 25 { of } else { of - deaf }, "{name}: at {t} s");
+        }
+        let out = book.machines.values().filter(|m| m.standing == Standing::Condemned).count() as u64;
+        assert_eq!(out, if returned { deaf } else { 0 }, "{name}");
+        assert_eq!(book.lost_most(start + s(60)), deaf * 3 >= of, "{name}");
+        // It hears again: it is well with the next report.
+        let now = start + s(61);
+        book.take_report(
+            Report { session, ..report("m00", "c8", &zone(0), false, 99, vec![]) },
+            Via::Command,
+            None,
+            now,
+        );
+        assert!(!book.machines["m00"].deaf);
+    }
+}
