--- a/src/fleet/rent.rs
+++ b/src/fleet/rent.rs
@@ -200,11 +200,12 @@
 
     /// The machines there are and those asked for.
     fn timelines(&self, for_urgent: bool) -> Vec<Timeline<'a>> {
-        // Those that do not hear take no work, but a second fleet would hear no more where most don't.
+        // Those that do not hear take no work, nor may there be any of whom only old reports tell. A second fleet would hear no more where most don't.
         let most_deaf = self.book.most_deaf();
         let stays = |m: &&Machine| {
             !matches!(m.standing, Standing::Condemned | Standing::Draining)
                 && m.recall.is_none()
+                && m.known
                 && (!m.deaf || most_deaf)
         };
         let held = self.book.machines.values().filter(stays);
