--- a/src/scheduling/tests/hearing.rs
+++ b/src/scheduling/tests/hearing.rs
@@ -1,6 +1,7 @@
 //! Machines that hear nothing, and copies of reports that come late.
 
 use super::*;
+use crate::jobs::record::Stored;
 
 fn s(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
@@ -110,3 +111,30 @@
         assert!(!book.machines["m00"].deaf);
     }
 }
+
+/// What an earlier owner has stored and may yet launch is proven gone by nothing but a return where the worker
+/// never learns the token: the work goes on elsewhere, however many are deaf.
+#[test]
+fn what_only_a_return_proves_gone_is_not_kept_for_ever() {
+    let start = Instant::now();
+    let mut book = Book::new(9, example(), Properties::default(), start);
+    let mut job = spec();
+    (job.tasks, job.team) = (2, "blue".into());
+    let bound = (0..2).map(|i| Stored::Bound(1, format!("m{i}"))).collect();
+    book.load_job(Arc::new(JobRecord { spec: job, at_ms: time_of_day_ms() }), vec![(0, 5, bound)], start);
+    book.finish_load(start);
+    let kind = Kind { type_name: "c8".into(), zone: "a".into(), spot: false };
+    for t in 0..70u64 {
+        let now = start + s(t);
+        for m in (0..4).filter(|_| t % 5 == 0) {
+            book.expect(&format!("m{m}"), &kind, None, s(900), start);
+            let report =
+                Report { token: 3, session: 1 + t / 25, ..report(&format!("m{m}"), "c8", "a", false, t + 1, vec![]) };
+            book.take_report(report, Via::Report, None, now);
+            book.orders_in_answer(&format!("m{m}"), now);
+        }
+        book.tick(now);
+    }
+    let out: Vec<&str> = book.machines.values().filter(|m| m.standing == Standing::Condemned).map(|m| &*m.id).collect();
+    assert_eq!(out, ["m0", "m1"], "those that hold something, and no others");
+}
