--- a/src/scheduling/book/machine.rs
+++ b/src/scheduling/book/machine.rs
@@ -4,13 +4,13 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
-use tracing::{info, warn};
+use tracing::info;
 
 use super::{Binding, Book, JobState, MachineId};
 use crate::fleet::orders::{CloudOrder, What};
 use crate::jobs::JobSpec;
 use crate::kinds::Kind;
-use crate::scheduling::hearing::{Hearing, Verdict, judge};
+use crate::scheduling::hearing::Hearing;
 use crate::sla::{self, Load};
 use crate::standstill::Gap;
 use crate::wire::workers::{Leg, LegStatus, TaskKey};
@@ -20,9 +20,9 @@
 /// How far into the time allowed for a cancellation a machine that proves nothing is returned.
 const CANCEL_PATIENCE: f64 = 0.45;
 /// One in so many machines silent at once is no chance of single machines.
-const TOGETHER: usize = 12;
+pub(super) const TOGETHER: usize = 12;
 /// One in so many lost is most of them, as far as handing over is concerned.
-const MOST: usize = 3;
+pub(super) const MOST: usize = 3;
 /// How many leases many machines that are silent together get.
 const SILENT_LEASES: u32 = 2;
 /// Past the end of these; covers a machine's clock's drift and the way of a report.
@@ -427,58 +427,6 @@
         self.many_silent(missed, MOST, now) || self.many_deaf(MOST, None)
     }
 
-    /// At least three machines, and one in `part` of those that should be heard of, of the zone if one is
-    /// named, hear nothing.
-    fn many_deaf(&self, part: usize, zone: Option<&str>) -> bool {
-        let (mut all, mut deaf) = (0, 0);
-        for machine in self.machines.values().filter(|m| m.awaited() && zone.is_none_or(|zone| m.zone == zone)) {
-            all += 1;
-            deaf += usize::from(machine.deaf);
-        }
-        deaf >= 3 && deaf * part >= all
-    }
-
-    /// Half of all machines hear nothing: it is the way out, and others would not hear either.
-    pub fn most_deaf(&self) -> bool {
-        self.many_deaf(2, None)
-    }
-
-    /// Whether a machine hears, by what it has just reported.
-    pub(super) fn judge_hearing(&mut self, id: &MachineId, now: Instant) {
-        let lease = self.settings.params.workers.lease();
-        let Some(machine) = self.machines.get_mut(id) else { return };
-        let signs = machine.hearing.signs(false, now);
-        let deaf = matches!(judge(signs, lease), Verdict::Deaf | Verdict::GivenUp);
-        if deaf == std::mem::replace(&mut machine.deaf, deaf) {
-            return;
-        }
-        if deaf {
-            let (unheard, lost) = (signs.unheard, signs.lost);
-            warn!(machine = %id, unheard, lost, bound = machine.bound.len(), "does not hear: no new work for now");
-        } else {
-            info!(machine = %id, "hears again");
-            self.stirred = true;
-        }
-    }
-
-    /// Machines that have heard nothing for too long. Many at once, of all or of a zone, point at the way out
-    /// to them: they are kept, without new work.
-    fn given_up(&self, now: Instant) -> Vec<MachineId> {
-        let deaf: Vec<&Machine> = self.machines.values().filter(|m| m.deaf).collect();
-        if deaf.is_empty() {
-            return Vec::new();
-        }
-        let lease = self.settings.params.workers.lease();
-        let all = self.many_deaf(TOGETHER, None);
-        let zones: BTreeSet<&str> = deaf.iter().map(|m| m.zone.as_str()).collect();
-        let zones: BTreeSet<&str> = zones.into_iter().filter(|zone| self.many_deaf(MOST, Some(zone))).collect();
-        // What nobody else knows of speaks for nothing but itself; and what is still bound after so long only
-        // a return proves gone, as where an earlier owner may yet launch it.
-        let many = |m: &Machine| m.known && m.bound.is_empty() && (all || zones.contains(m.zone.as_str()));
-        let out = deaf.into_iter().filter(|m| judge(m.hearing.signs(many(m), now), lease) == Verdict::GivenUp);
-        out.map(|m| m.id.clone()).collect()
-    }
-
     /// Machines that hold a task of a job that was withdrawn, and have not proven it gone for too
     /// long. What is left of a job that is done has exited.
     pub fn overdue(&self, now: Instant) -> BTreeSet<MachineId> {
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -7,6 +7,7 @@
 
 mod bindings;
 mod commands;
+mod deaf;
 mod failures;
 mod jobs;
 mod machine;
