--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -7,6 +7,7 @@
 
 mod bindings;
 mod commands;
+mod deaf;
 mod failures;
 mod jobs;
 mod machine;
@@ -239,12 +240,21 @@
     pub tasks: Vec<Stored>,
 }
 
+/// Users choose the ids, so they are digested as nobody can foresee; in tests alike in every run, so that a
+/// seed plays the same interleaving again.
+#[cfg(not(test))]
+type Hashing = std::hash::RandomState;
+#[cfg(test)]
+type Hashing = std::hash::BuildHasherDefault<std::hash::DefaultHasher>;
+
 pub struct Book {
     pub token: u64,
+    /// The token it began with: a worker that has seen it has heard this owner.
+    epoch: u64,
     pub loaded: bool,
     pub settings: Settings,
     pub properties: Properties,
-    jobs: HashMap<JobId, JobState>,
+    jobs: HashMap<JobId, JobState, Hashing>,
     /// Jobs whose end is known and of which something is still bound.
     ending: BTreeSet<JobId>,
     /// Every type, zone and kind that a machine was ever of; machines name theirs by its place.
@@ -318,9 +328,10 @@
     pub fn new(token: u64, settings: Settings, properties: Properties, now: Instant) -> Self {
         Self {
             token,
+            epoch: token,
             loaded: false,
             settings,
-            jobs: HashMap::new(),
+            jobs: HashMap::default(),
             ending: BTreeSet::new(),
             kinds: Vec::new(),
             stirred: true,
@@ -361,7 +372,7 @@
     }
 
     /// Entries of everything that could grow, by name.
-    pub fn held(&self) -> [(&'static str, usize); 11] {
+    pub fn held(&self) -> [(&'static str, usize); 12] {
         let [machines_suspected, jobs_suspected, jobs_failing] = self.evidence.held();
         [
             ("machines_suspected", machines_suspected),
@@ -370,6 +381,7 @@
             ("book_jobs", self.jobs.len()),
             ("ending", self.ending.len()),
             ("machines", self.machines.len()),
+            ("deaf", self.machines.values().filter(|m| m.deaf).count()),
             ("returned", self.gone.len()),
             ("kinds", self.kinds.len()),
             ("classes", self.observed.len().max(self.arrivals.len())),
