Ends are kept packed and read in pages while more is asked than can be compared

Cause: after all controllers were ended nobody has an end at hand. Comparisons answer 16 to 24 jobs a request; at 80 requests a second 100,000 jobs asked about every 5 s took more than 80 s, the list of 8192 found none of a longer round, and where what goes first wants more than the share, a question about an ended job never went at all. An unreadable job of an earlier build is told as pending, not 503 for ever. Interleavings take pages of ends as one more step.

--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -74,6 +74,18 @@
     pub revision: u64,
 }
 
+/// The names alone of such a part.
+#[derive(Debug, Deserialize)]
+pub struct Names {
+    pub items: Vec<Name>,
+    pub more: bool,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Name {
+    pub path: String,
+}
+
 /// One change as a watch tells it: a key written or dropped.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
 pub struct Event {
--- a/src/history/desk.rs
+++ b/src/history/desk.rs
@@ -5,16 +5,12 @@
 //! asked must not answer it, since the job may have been accepted in between.
 
 use std::collections::{HashMap, VecDeque};
-use std::num::NonZeroUsize;
 use std::time::{Duration, Instant};
 
-use lru::LruCache;
-
+use super::ends::Ends;
 use super::moves::{Place, place_of};
 use crate::jobs::{End, JobId};
 
-/// Ends kept at hand: final, so never out of date. Some 100 bytes each.
-const ENDS_KEPT: NonZeroUsize = NonZeroUsize::new(8192).unwrap();
 /// Questions that wait, of all jobs together; each also holds a connection.
 const MOST_WAITING: usize = 1024;
 /// Jobs asked about that wait for their turn, in batches: about what one controller's share of the
@@ -39,7 +35,7 @@
 pub struct Full;
 
 pub struct Desk<W> {
-    ends: LruCache<JobId, End>,
+    ends: Ends,
     /// Jobs in the order in which they were first asked about, and who waits for each.
     queue: VecDeque<(JobId, Instant)>,
     waiting: HashMap<JobId, Vec<W>>,
@@ -74,25 +70,24 @@
 impl<W> Desk<W> {
     /// `batch` jobs at the most are asked about at once.
     pub fn new(batch: usize) -> Self {
-        Self {
-            ends: LruCache::new(ENDS_KEPT),
-            queue: VecDeque::new(),
-            waiting: HashMap::new(),
-            waiters: 0,
-            batch: batch.max(1),
-        }
+        Self { ends: Ends::default(), queue: VecDeque::new(), waiting: HashMap::new(), waiters: 0, batch: batch.max(1) }
     }
 
     /// How a job ended, if that was told lately.
-    pub fn ended(&mut self, id: &str) -> Option<End> {
-        self.ends.get(id).copied()
+    pub fn ended(&self, id: &str) -> Option<End> {
+        self.ends.get(id)
     }
 
     /// An end that stands in the store.
-    pub fn note_end(&mut self, id: JobId, end: End) {
+    pub fn note_end(&mut self, id: &str, end: End) {
         self.ends.put(id, end);
     }
 
+    /// So many wait that some may be refused soon.
+    pub fn pressed(&self) -> bool {
+        self.queue.len() >= self.batch * MOST_BATCHES / 2
+    }
+
     pub fn ask(&mut self, id: &JobId, waiter: W, now: Instant) -> Result<(), Full> {
         let full = self.waiters >= MOST_WAITING;
         if let Some(others) = self.waiting.get_mut(id).filter(|_| !full) {
@@ -142,7 +137,7 @@
                     continue;
                 }
                 Some(Place::Ended(end)) => {
-                    self.note_end(id, *end);
+                    self.note_end(&id, *end);
                     Verdict::Ended(*end)
                 }
                 Some(Place::Open) => Verdict::Open,
@@ -155,7 +150,7 @@
 
     /// Ends at hand, jobs asked about, questions waiting.
     pub fn held(&self) -> [usize; 3] {
-        [self.ends.len(), self.queue.len(), self.waiters]
+        [self.ends.held(), self.queue.len(), self.waiters]
     }
 }
 
@@ -214,11 +209,6 @@
         let (fresh, stale) = desk.next_batch(later);
         assert!(fresh.is_empty() && stale.ids().count() == taken);
         assert_eq!(desk.held(), [0, 0, 0]);
-        for n in 0..20_000 {
-            desk.note_end(id(n), End::Done);
-        }
-        assert_eq!(desk.held()[0], ENDS_KEPT.get(), "the cache is bounded");
-        assert_eq!(desk.ended("run-19999"), Some(End::Done));
     }
 
     #[test]
--- /dev/null
+++ b/src/history/ends.rs
@@ -0,0 +1,117 @@
+//! The ends that were told lately, packed: final, so never out of date.
+//!
+//! A job's users may ask about it for ever and one after another. A list that lets the least recently
+//! asked for go holds none of the next ones as soon as a round is longer than the list; this one
+//! lets any go, so that of a round twice its size still about a fifth is at hand.
+
+use crate::jobs::End;
+
+/// 2 MiB, touched as it fills.
+const SLOTS: usize = 1 << 18;
+/// Slots that an end may be in.
+const WAYS: usize = 8;
+/// Longer ids do not fit beside their length and their end; each question about such a job is asked.
+const MOST_DIGITS: usize = 17;
+
+/// An id without its end. Never 0, and other ids have others: a wrong end would be told for ever.
+fn pack(id: &str) -> Option<u64> {
+    let digits = id.strip_prefix("run-").filter(|d| d.bytes().all(|b| b.is_ascii_digit()))?;
+    if digits.is_empty() || digits.len() > MOST_DIGITS {
+        return None;
+    }
+    let number: u64 = digits.parse().ok()?;
+    Some(number << 6 | (digits.len() as u64) << 1)
+}
+
+#[derive(Debug)]
+pub struct Ends {
+    slots: Vec<u64>,
+    held: usize,
+    /// Which slot gives way next where all are taken.
+    turn: usize,
+}
+
+impl Default for Ends {
+    fn default() -> Self {
+        Self { slots: vec![0; SLOTS], held: 0, turn: 0 }
+    }
+}
+
+impl Ends {
+    fn bucket(packed: u64) -> std::ops::Range<usize> {
+        let buckets = (SLOTS / WAYS) as u64;
+        let at = (packed.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> (64 - buckets.trailing_zeros())) as usize * WAYS;
+        at..at + WAYS
+    }
+
+    pub fn get(&self, id: &str) -> Option<End> {
+        let packed = pack(id)?;
+        let found = self.slots[Self::bucket(packed)].iter().find(|slot| **slot & !1 == packed)?;
+        Some(if found & 1 == 1 { End::Withdrawn } else { End::Done })
+    }
+
+    /// An end that stands in the store.
+    pub fn put(&mut self, id: &str, end: End) {
+        let Some(packed) = pack(id) else { return };
+        let bucket = &mut self.slots[Self::bucket(packed)];
+        let free = bucket.iter().position(|slot| slot & !1 == packed).or_else(|| bucket.iter().position(|s| *s == 0));
+        let at = free.unwrap_or_else(|| {
+            self.turn = self.turn.wrapping_add(1);
+            self.turn % WAYS
+        });
+        self.held += usize::from(bucket[at] == 0);
+        bucket[at] = packed | u64::from(end == End::Withdrawn);
+    }
+
+    pub fn held(&self) -> usize {
+        self.held
+    }
+
+    /// What can be held at the most; other ends give way well before.
+    pub const fn most() -> usize {
+        SLOTS
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn id(n: usize) -> String {
+        format!("run-{n:06}")
+    }
+
+    /// Two ids that look alike are two jobs: telling one's end of the other would be a wrong answer for ever.
+    #[test]
+    fn ids_are_told_apart() {
+        let mut ends = Ends::default();
+        for (id, end) in [("run-1", End::Done), ("run-01", End::Withdrawn), ("run-00000000000000001", End::Done)] {
+            assert_eq!(ends.get(id), None, "{id}");
+            ends.put(id, end);
+        }
+        assert_eq!((ends.get("run-1"), ends.get("run-01")), (Some(End::Done), Some(End::Withdrawn)));
+        for id in ["run-", "run-+1", "run-001", "job-1", "run-000000000000000001", "run-18446744073709551615"] {
+            ends.put(id, End::Done);
+            assert_eq!(
+                (ends.get(id).is_some(), ends.held()),
+                (id == "run-001", 3 + usize::from(ends.held() > 3)),
+                "{id}"
+            );
+        }
+    }
+
+    /// All jobs are asked about in turn, again and again: of what does not fit, a part has to stay.
+    #[test]
+    fn rounds_longer_than_what_is_held_still_find_a_part() {
+        for (jobs, at_least) in [(100_000, 0.98), (2 * Ends::most(), 0.15)] {
+            let mut ends = Ends::default();
+            let mut found = 0;
+            for n in (0..3 * jobs).map(|n| n % jobs) {
+                found = if n == 0 { 0 } else { found } + usize::from(ends.get(&id(n)).is_some());
+                ends.put(&id(n), End::Done);
+            }
+            let part = found as f64 / jobs as f64;
+            assert!(part >= at_least && ends.held() <= Ends::most(), "{part} of {jobs}");
+        }
+    }
+}
--- a/src/history/interleavings.rs
+++ b/src/history/interleavings.rs
@@ -60,6 +60,7 @@
     Compared { batch: Batch<usize>, failed: Vec<String> },
     Moved { question: usize, outcome: Result<u64, Vec<String>>, told: Told },
     Ended { id: JobId, outcome: Result<u64, Vec<String>> },
+    Swept { names: Vec<String> },
 }
 
 /// What a controller does about an earlier build's jobs.
@@ -341,6 +342,12 @@
     /// One thing that a controller does next, if nothing that it waits for is on its way.
     fn act(&mut self, at: usize) {
         let now = self.step;
+        if self.rng.random_bool(0.02) {
+            // Whether it is wanted or not: a page of ends, read beside everything else.
+            let since = ended_key(&id(self.rng.random_range(0..JOBS)), End::Done);
+            let names = self.store.page("h/", &since, PAGE).items.into_iter().map(|item| item.path).collect();
+            self.answer(at, Answer::Swept { names });
+        }
         if self.controllers[at].upgrade.is_some() {
             return self.upgrade(at);
         }
@@ -475,7 +482,7 @@
                         }
                     };
                     if let Some(Told::Ended(end)) = told {
-                        self.controllers[at].desk.note_end(job, end);
+                        self.controllers[at].desk.note_end(&job, end);
                     }
                     for question in waiters {
                         // A withdrawal is asked for again; anything else is told.
@@ -489,7 +496,7 @@
                     if let Some((_, asked)) = self.questions.get(&question)
                         && let Told::Ended(end) = told
                     {
-                        self.controllers[at].desk.note_end(asked.id.clone(), end);
+                        self.controllers[at].desk.note_end(&asked.id, end);
                     }
                     self.tell(question, Some(told));
                 }
@@ -497,18 +504,24 @@
                     let Some((_, asked)) = self.questions.get(&question) else { return };
                     let job = asked.id.clone();
                     if let Some(end) = moves::end_among(&keys, &job) {
-                        self.controllers[at].desk.note_end(job, end);
+                        self.controllers[at].desk.note_end(&job, end);
                     }
                     self.look_up(at, question, false);
                 }
             },
+            Answer::Swept { names } => {
+                for (id, place) in names.iter().filter_map(|name| place_of(name)) {
+                    let moves::Place::Ended(end) = place else { panic!("{id} is not under an end's key") };
+                    self.controllers[at].desk.note_end(id, end);
+                }
+            }
             Answer::Ended { id, outcome } => {
                 let end = match outcome {
                     Ok(_) => Some(End::Done),
                     Err(keys) => moves::end_among(&keys, &id),
                 };
                 if let Some(end) = end {
-                    self.controllers[at].desk.note_end(id, end);
+                    self.controllers[at].desk.note_end(&id, end);
                 }
             }
         }
--- a/src/history/reader.rs
+++ b/src/history/reader.rs
@@ -9,6 +9,7 @@
 
 use super::desk::{Batch, Desk, Verdict};
 use super::moves::{self, not_there};
+use super::sweep::Sweep;
 use crate::jobs::record::{JobRecord, OldEnd, old_end_key, old_job_key};
 use crate::jobs::{End, JobId};
 use crate::node::Node;
@@ -30,13 +31,20 @@
 pub struct History {
     desk: Mutex<Desk<Waiter>>,
     wanted: Notify,
+    sweep: Mutex<Sweep>,
+    sweep_wanted: Notify,
 }
 
 impl History {
     pub fn new(settings: &Settings) -> Self {
         // A transaction may hold four conditions for each change, and a job takes four at the most.
         let batch = settings.params.state.txn_ops as usize;
-        Self { desk: Mutex::new(Desk::new(batch)), wanted: Notify::new() }
+        Self {
+            desk: Mutex::new(Desk::new(batch)),
+            wanted: Notify::new(),
+            sweep: Mutex::default(),
+            sweep_wanted: Notify::new(),
+        }
     }
 
     /// How a job ended, if this controller has lately seen it stored.
@@ -45,13 +53,37 @@
     }
 
     pub fn note_end(&self, id: &JobId, end: End) {
-        lock(&self.desk).note_end(id.clone(), end);
+        lock(&self.desk).note_end(id, end);
+    }
+
+    pub fn note_ends<'a>(&self, ends: impl Iterator<Item = (&'a str, End)>) {
+        let mut desk = lock(&self.desk);
+        ends.for_each(|(id, end)| desk.note_end(id, end));
+    }
+
+    /// The reading of many ends at once.
+    pub fn sweep<R>(&self, with: impl FnOnce(&mut Sweep) -> R) -> R {
+        with(&mut lock(&self.sweep))
+    }
+
+    /// Until more is asked than can be compared.
+    pub async fn sweep_wanted(&self) {
+        self.sweep_wanted.notified().await;
     }
 
     /// What the store says of a job, as of some moment after this call.
     pub async fn ask(&self, id: &JobId) -> Verdict {
         let (waiter, answer) = oneshot::channel();
-        if lock(&self.desk).ask(id, waiter, Instant::now()).is_err() {
+        let now = Instant::now();
+        let (taken, pressed) = {
+            let mut desk = lock(&self.desk);
+            (desk.ask(id, waiter, now).is_ok(), desk.pressed())
+        };
+        if pressed {
+            self.sweep(|sweep| sweep.want(now));
+            self.sweep_wanted.notify_one();
+        }
+        if !taken {
             return Verdict::Later;
         }
         self.wanted.notify_one();
@@ -140,7 +172,8 @@
     }
     // An acceptance that the earlier build never heard the answer of, applied after the upgrade.
     let Some(item) = node.store.get(&old_job_key(id), Urgent::Asked).await? else { return Ok(Verdict::Later) };
-    let record = JobRecord::deserialize(&item.value).map_err(|e| StoreError::Malformed(e.to_string()))?;
+    // Accepted, for all that can be read of it: known for ever, if never run.
+    let Ok(record) = JobRecord::deserialize(&item.value) else { return Ok(Verdict::Open) };
     let adopt = moves::adopt(&record, item.stamp);
     match node.store.txn(&adopt.conditions, &adopt.changes, Urgent::First).await? {
         TxnOutcome::Applied(_) => {
--- /dev/null
+++ b/src/history/sweep.rs
@@ -0,0 +1,126 @@
+//! Reads ends in pages while more is asked than can be compared.
+//!
+//! A comparison answers up to 24 jobs, a page of names up to 1,000. After all controllers were ended
+//! nobody has an end at hand, and once some ten thousand jobs are asked about every few seconds,
+//! comparisons alone take longer than users wait. Ends are final: whatever a page shows stands.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tracing::{debug, info};
+
+use super::ends::Ends;
+use super::moves::{Place, place_of};
+use crate::node::Node;
+use crate::store::budget::Urgent;
+use crate::sync::jitter;
+
+/// Where ends are kept.
+const ENDED: &str = "h/";
+/// Names of one page; the state service gives no more, and fewer of large records.
+const PAGE: usize = 1000;
+/// Read in one go: what is at hand afterwards should not have pushed itself out.
+const MOST_PAGES: usize = Ends::most() * 3 / 4 / PAGE;
+/// Questions that were too many this long ago say nothing any more.
+const FADE: Duration = Duration::from_secs(10);
+/// Between two goes: what ends meanwhile is noted as it ends, or compared.
+const REST: Duration = Duration::from_secs(30);
+
+/// Where the reading is. Pure.
+#[derive(Debug, Default)]
+pub struct Sweep {
+    since: Option<String>,
+    pages: usize,
+    wanted: Option<Instant>,
+    rests_until: Option<Instant>,
+}
+
+impl Sweep {
+    /// More is asked than can be compared.
+    pub fn want(&mut self, now: Instant) {
+        self.wanted = Some(now);
+    }
+
+    /// After which name the next page begins, if one is to be read now.
+    pub fn next(&self, now: Instant) -> Option<Option<&str>> {
+        let wanted = self.wanted.is_some_and(|at| now.saturating_duration_since(at) < FADE);
+        let rests = self.rests_until.is_some_and(|until| now < until);
+        (wanted && !rests).then_some(self.since.as_deref())
+    }
+
+    /// A page was read, up to this name. True if that was a go.
+    pub fn took(&mut self, last: Option<String>, more: bool, now: Instant) -> bool {
+        self.pages += 1;
+        self.since = last.filter(|_| more);
+        let over = self.since.is_none() || self.pages >= MOST_PAGES;
+        if over {
+            self.pages = 0;
+            self.rests_until = Some(now + REST);
+        }
+        over
+    }
+}
+
+/// Pages take half of the share of the requests at the most.
+pub const COST: f64 = 2.0;
+
+/// Reads whenever it is wanted, one page at a time, ahead of comparisons: it answers more.
+pub async fn run(node: Arc<Node>) {
+    loop {
+        let since = match node.history.sweep(|sweep| sweep.next(Instant::now()).map(|s| s.map(str::to_owned))) {
+            Some(since) => since,
+            None => {
+                node.history.sweep_wanted().await;
+                continue;
+            }
+        };
+        let page = node.store.names(ENDED, since.as_deref(), PAGE, Urgent::Second);
+        let (page, ()) = tokio::join!(page, tokio::time::sleep(node.store.time_for(COST)));
+        match page {
+            Ok((names, more)) => {
+                let ends = names.iter().filter_map(|name| match place_of(name)? {
+                    (id, Place::Ended(end)) => Some((id, end)),
+                    _ => None,
+                });
+                node.history.note_ends(ends);
+                let over = node.history.sweep(|sweep| sweep.took(names.last().cloned(), more, Instant::now()));
+                if over {
+                    let [at_hand, ..] = node.history.held();
+                    info!(at_hand, "read how jobs ended, since many are asked about");
+                }
+            }
+            Err(error) => {
+                debug!(%error, "reading how jobs ended");
+                tokio::time::sleep(jitter(Duration::from_millis(300))).await;
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn goes_on_where_it_was_and_rests() {
+        let (t, s) = (Instant::now(), Duration::from_secs);
+        let mut sweep = Sweep::default();
+        assert_eq!(sweep.next(t), None, "nobody asks too much");
+        sweep.want(t);
+        assert_eq!(sweep.next(t), Some(None), "from the beginning");
+        assert!(!sweep.took(Some("h/d/run-7".into()), true, t));
+        assert_eq!(sweep.next(t + s(1)), Some(Some("h/d/run-7")));
+        assert_eq!(sweep.next(t + s(11)), None, "no longer wanted");
+        sweep.want(t + s(60));
+        assert_eq!(sweep.next(t + s(60)), Some(Some("h/d/run-7")), "after an interruption it goes on");
+        assert!(sweep.took(Some("h/w/run-9".into()), false, t + s(60)), "the last page");
+        sweep.want(t + s(80));
+        assert_eq!(sweep.next(t + s(80)), None, "rests");
+        sweep.want(t + s(91));
+        assert_eq!(sweep.next(t + s(91)), Some(None));
+        let pages = (1..).find(|n| sweep.took(Some(format!("h/d/run-{n}")), true, t + s(91))).unwrap();
+        assert_eq!(pages, MOST_PAGES, "no more than can be held");
+        sweep.want(t + s(130));
+        assert_eq!(sweep.next(t + s(130)), Some(Some(&*format!("h/d/run-{pages}"))), "the rest of it next time");
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,6 +11,7 @@
 use crate::fleet;
 use crate::fleet::cloud::CloudClient;
 use crate::history::reader::{self, History};
+use crate::history::sweep;
 use crate::jobs::Counts;
 use crate::jobs::JobId;
 use crate::jobs::door::Door;
@@ -130,6 +131,7 @@
         tokio::spawn(follow::run(self.clone()));
         tokio::spawn(follow::run_fresh(self.clone()));
         tokio::spawn(reader::run(self.clone()));
+        tokio::spawn(sweep::run(self.clone()));
         tokio::spawn(audit::run(self.clone()));
         tokio::spawn(membership::run(self.clone()));
         tokio::spawn(mesh::listen(self.clone()));
--- a/src/store/budget.rs
+++ b/src/store/budget.rs
@@ -13,6 +13,19 @@
     Asked,
     /// Clean-up.
     Last,
+    /// A question that has waited for long: into debt, since whatever comes is taken by others first.
+    Overdue,
+}
+
+/// A question has users waiting for 2 s. Past this it is overdue: where leases, ends and placements want
+/// more than there is, questions would else be answered never, and not merely late.
+const ASKED_PATIENCE: Duration = Duration::from_millis(400);
+
+impl Urgent {
+    /// The right of a call that has waited for so long.
+    pub fn after(self, waited: Duration) -> Self {
+        if self == Self::Asked && waited >= ASKED_PATIENCE { Self::Overdue } else { self }
+    }
 }
 
 #[derive(Debug)]
@@ -60,7 +73,7 @@
     /// The part of a burst that calls of this right must leave.
     fn reserve(urgent: Urgent) -> f64 {
         match urgent {
-            Urgent::First => 0.0,
+            Urgent::First | Urgent::Overdue => 0.0,
             Urgent::Second => 0.15,
             Urgent::Asked => 0.3,
             Urgent::Last => 0.6,
@@ -70,7 +83,10 @@
     /// Takes `n` or says how long to wait. More than a whole burst is taken once it is full.
     pub fn take(&mut self, n: f64, urgent: Urgent, now: Instant) -> Result<(), Duration> {
         self.refill(now);
-        let needed = (n + Self::reserve(urgent) * self.burst).min(self.burst);
+        let needed = match urgent {
+            Urgent::Overdue => 0.0,
+            _ => (n + Self::reserve(urgent) * self.burst).min(self.burst),
+        };
         if self.held + 1e-9 >= needed {
             self.held -= n;
             return Ok(());
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -8,7 +8,7 @@
 use crate::standstill::Gap;
 use crate::traffic::{Passage, Traffic};
 pub use crate::wire::state::{Change, Condition, Event, Followed, Item, Page};
-use crate::wire::state::{Granted, Refused, Revised, Txn};
+use crate::wire::state::{Granted, Names, Refused, Revised, Txn};
 use crate::wire::{self, CallError, Http};
 use hyper::Method;
 
@@ -18,6 +18,8 @@
 const PAGE: u64 = 250;
 /// Stands in place of a status where an answer was larger than can be read.
 const TOO_LARGE: u16 = 0;
+/// Between two looks at it: a right may have grown meanwhile.
+const LONGEST_NAP: Duration = Duration::from_millis(200);
 /// Longest wait for this controller's own share of the limits.
 const BUDGET_WAIT: Duration = Duration::from_millis(2000);
 
@@ -157,14 +159,14 @@
     async fn budgeted(budget: &Mutex<Budget>, n: f64, urgent: Urgent) -> Result<(), StoreError> {
         let begun = Instant::now();
         loop {
-            let wait = match crate::sync::lock(budget).take(n, urgent, Instant::now()) {
+            let wait = match crate::sync::lock(budget).take(n, urgent.after(begun.elapsed()), Instant::now()) {
                 Ok(()) => return Ok(()),
                 Err(wait) => wait,
             };
             if begun.elapsed() + wait > BUDGET_WAIT && urgent == Urgent::First {
                 return Err(StoreError::Unavailable(429));
             }
-            tokio::time::sleep(wait.clamp(Duration::from_millis(2), Duration::from_millis(500))).await;
+            tokio::time::sleep(wait.clamp(Duration::from_millis(2), LONGEST_NAP)).await;
         }
     }
 
@@ -266,6 +268,23 @@
         Pages { client: self, prefix, since: since.map(str::to_owned), more: true }
     }
 
+    /// Names of keys under a prefix, `most` at the most, beginning after one if it is given, and whether
+    /// there are more. What they hold is passed over as it is read.
+    pub async fn names(
+        &self,
+        prefix: &str,
+        since: Option<&str>,
+        most: usize,
+        urgent: Urgent,
+    ) -> Result<(Vec<String>, bool), StoreError> {
+        let since = since.map(|key| format!("&since={key}")).unwrap_or_default();
+        let path = format!("/keys?prefix={prefix}&most={most}{since}");
+        match self.call(Method::GET, &path, None, ANSWER_WITHIN * 2, urgent).await? {
+            (200, body) => parse::<Names>(&body).map(|n| (n.items.into_iter().map(|i| i.path).collect(), n.more)),
+            (other, _) => Err(StoreError::Malformed(format!("{other} to a listing"))),
+        }
+    }
+
     pub async fn follow(&self, prefix: &str, since: u64, wait: Duration) -> Result<Followed, StoreError> {
         let path = format!("/follow?prefix={prefix}&since={since}&waitMs={}", wait.as_millis());
         let within = wait + ANSWER_WITHIN;
--- a/tests/history.rs
+++ b/tests/history.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use hollylanding::history::ends::Ends;
 use hollylanding::wire::{self, Http};
 use hollylanding_emulator::world::store::Limits;
 use hyper::Method;
@@ -200,7 +201,7 @@
         assert_eq!(refused, 0, "the limits are kept whatever is asked");
         for controller in [&a, &b] {
             println!("held: {:?}", controller.node.held());
-            assert!(controller.held("ends") <= 8192 && controller.held("descriptions") <= 2000);
+            assert!(controller.held("ends") <= Ends::most() && controller.held("descriptions") <= 2000);
             until("it knows what is open", || async { controller.held("open_jobs") as u64 == open }).await;
             until("nobody waits", || async { (controller.held("asked"), controller.held("waiting")) == (0, 0) }).await;
         }
@@ -304,8 +305,21 @@
         old_keys(&world, 70, None);
         until("taken over late", || async { status(&http, &two[1].addr, 70).await.1["status"] == "done" }).await;
         assert_eq!(submit(&http, &two[0].addr, &small(70)).await.1["status"], "done");
-        let state = world.state.lock().unwrap();
-        assert_eq!((state.count("c/o/"), state.count("h/d/")), (0, 21));
+        {
+            let mut state = world.state.lock().unwrap();
+            assert_eq!((state.count("c/o/"), state.count("h/d/")), (0, 21));
+            // Accepted, and unreadable since: no controller can run them, but they stay known, and
+            // whatever is asked about together with them is answered.
+            for key in ["c/j/run-000080", "c/o/run-000081"] {
+                state.put(key.into(), &json!({"spec": "?"}));
+            }
+        }
+        for controller in &two {
+            for (n, want) in [(80, "pending"), (81, "pending"), (70, "done"), (0, "done")] {
+                assert_eq!(status(&http, &controller.addr, n).await.1["status"], want, "{n}");
+            }
+            assert_eq!(status(&http, &controller.addr, 99).await.0, 404);
+        }
     });
 }
 
