What a controller may say rests on what it can prove and on the others' word

Cause: a controller that lost the store and the others counted as healthy and held its workers for ever while an heir waited for them; one that was served but could prove nothing stayed healthy; a follower sent workers to an owner of long ago; a reading began again at every refused page; a watch or connection that hangs was noticed after 21 s. Change: membership::standing (Sound, Passed, Outage, Lone) judges health, workers' answers and redirects; an owner that may be one no more lets workers look for another and holds those that come back; proofs of freshness come every 2 s also unasked, are asked for again after 0.5 s, and a 429 sends nobody away; pages are tried again in place.

--- a/src/membership/mesh.rs
+++ b/src/membership/mesh.rs
@@ -32,6 +32,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct Line {
     node: String,
+    /// Whether the sender can answer questions by what is stored.
     store_serves: bool,
     /// What the sender wants of the state service, in requests and in changes.
     #[serde(default)]
@@ -54,9 +55,9 @@
 }
 
 impl Heard {
-    /// Whether another controller said lately that the store serves it.
-    pub fn store_serves_others(&self, now: Instant) -> bool {
-        self.lately(now).any(|(serves, _)| serves)
+    /// How many others were heard of lately, and how many of them said that the store serves them.
+    pub fn others(&self, now: Instant) -> (usize, usize) {
+        self.lately(now).fold((0, 0), |(all, served), (serves, _)| (all + 1, served + usize::from(serves)))
     }
 
     fn lately(&self, now: Instant) -> impl Iterator<Item = (bool, [Want; 2])> {
@@ -138,7 +139,7 @@
             served = node.served_to_tell();
         }
         let (name, wants) = (node.settings.node.clone(), node.wants());
-        let line = Line { node: name, store_serves: node.store_serves(), wants, counts, served };
+        let line = Line { node: name, store_serves: node.can_answer(), wants, counts, served };
         let mut text = serde_json::to_string(&line).unwrap_or_default();
         text.push('\n');
         tokio::time::timeout(WRITE_WITHIN, stream.write_all(text.as_bytes()))
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod mesh;
 pub mod records;
+pub mod standing;
 pub mod stranded;
 
 use std::sync::Arc;
--- a/src/node.rs
+++ b/src/node.rs
@@ -19,6 +19,7 @@
 use crate::kinds::Catalog;
 use crate::membership::mesh::Heard;
 use crate::membership::records::Plea;
+use crate::membership::standing::{Health, LetGo, Patience, Seen, Standing};
 use crate::membership::stranded::Stranded;
 use crate::membership::{self, mesh};
 use crate::scheduling::served::{Account, Row};
@@ -76,6 +77,9 @@
     /// Stood still for so long that another may own by now; nothing is done until the store says.
     unproven: AtomicBool,
     stranded: Mutex<Stranded>,
+    /// What users and machines are told while little can be proven.
+    health: Mutex<Health>,
+    let_go: Mutex<LetGo>,
     owner_tasks: Mutex<Vec<tokio::task::AbortHandle>>,
 }
 
@@ -120,6 +124,8 @@
             pulse: Mutex::new(Pulse::new(now)),
             unproven: AtomicBool::new(false),
             stranded: Mutex::default(),
+            health: Mutex::default(),
+            let_go: Mutex::default(),
             owner_tasks: Mutex::default(),
             settings,
             properties,
@@ -169,6 +175,7 @@
         warn!(pause_s = gap.length().as_secs_f64(), ownership_open = void.ownership, "stood still");
         if void.ownership {
             self.unproven.store(true, Ordering::Relaxed);
+            self.fresh.was_absent();
         }
         if let Some(book) = lock(&self.book).as_mut() {
             book.was_absent(gap);
@@ -188,6 +195,7 @@
     /// The mirror was just proven fresh: who owns is known again.
     pub fn proven(&self) {
         self.check_deposed();
+        lock(&self.let_go).clear();
         if self.unproven.swap(false, Ordering::Relaxed) {
             info!(owns = lock(&self.book).is_some(), "what was known before the standstill is proven or dropped");
         }
@@ -349,12 +357,47 @@
         self.store.health().failing_for(Instant::now()) < Duration::from_secs(2)
     }
 
-    /// Healthy: has read the store once, and is not the only one the store refuses.
+    /// What this controller can prove, and what it hears of the others.
+    fn seen(&self, now: Instant) -> Seen {
+        let (heard, answering) = lock(&self.heard).others(now);
+        let proof = self.fresh.age(now);
+        let refused = self.store.health().failing_for(now);
+        Seen { proof, refused, peers: self.settings.peers.len(), heard, answering }
+    }
+
+    /// Questions can be answered by what is stored.
+    pub fn can_answer(&self) -> bool {
+        let now = Instant::now();
+        lock(&self.mirror).ready && self.seen(now).standing(Patience::of_health(0)) == Standing::Sound
+    }
+
+    /// Healthy: has read the store once, and is not one that cannot answer where others may.
     pub fn healthy(&self) -> bool {
-        lock(&self.mirror).ready
-            && !self.unproven()
-            && self.catalog().is_some()
-            && (self.store_serves() || !lock(&self.heard).store_serves_others(Instant::now()))
+        // After a standstill a proof is a moment away, unless the store answers nobody.
+        let proving = self.unproven() && self.store_serves();
+        let read = {
+            let mirror = lock(&self.mirror);
+            mirror.ready || mirror.revision > 0
+        };
+        let now = Instant::now();
+        lock(&self.health).judge(read && !proving && self.catalog().is_some(), self.seen(now), now)
+    }
+
+    /// Whether what is known here of who owns may be acted on towards workers.
+    pub fn knows_owner(&self, now: Instant) -> bool {
+        self.seen(now).standing(Patience::of_ownership(self.properties.leader_lease)).speaks()
+    }
+
+    /// Whether this machine is held by an owner that may be one no more (`membership::standing`).
+    pub fn holds(&self, machine: &str, now: Instant) -> bool {
+        let (others, lease) = (self.settings.peers.len(), self.settings.params.workers.lease());
+        let mut let_go = lock(&self.let_go);
+        if let_go.remembered() == 0 {
+            warn!(
+                "neither the store nor another controller tells who owns: workers are let go, and held if they come back"
+            );
+        }
+        let_go.holds(machine, others, lease, now)
     }
 
     pub fn counts(&self, id: &JobId) -> Counts {
@@ -413,6 +456,7 @@
         held.push(("at_the_door", lock(&self.door).waiting()));
         held.push(("counts_heard", lock(&self.heard).counts.len()));
         held.push(("stranded", lock(&self.stranded).remembered()));
+        held.push(("let_go", lock(&self.let_go).remembered()));
         if let Some(book) = lock(&self.book).as_ref() {
             held.extend(book.held());
         }
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -1,12 +1,13 @@
 //! Keeps the mirror up to date, and proves on request that it is.
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use crate::sync::jitter;
 use tracing::{debug, warn};
 
 use super::StoreError;
+use super::client::Followed;
 use crate::history::upgrade;
 use crate::jobs::record::{MIRRORED, MIRRORED_AFTER};
 use crate::node::Node;
@@ -23,11 +24,34 @@
 /// A poll is waited for 2 s; past this, 503 tells its user to come again.
 const FRESH_WITHIN: Duration = Duration::from_millis(1500);
 
+/// Without a question this long, freshness is proven all the same: it is what health, redirects and the
+/// right to answer workers go by, and a watch that hangs is noticed by it.
+const PROOF_EVERY: Duration = Duration::from_secs(2);
+/// A proof that has not come by now is asked for once more beside it: a connection that a cut has left
+/// hanging costs this, and not all that a user waits.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(500);
+/// A page is asked for so often before all of them are read anew: where the limits are used up, a reading
+/// that begins again at every refusal never ends.
+const PAGE_TRIES: u32 = 12;
+
 /// Reads page by page into what is kept; what an earlier build has left is taken over first.
 async fn reload(node: &Node) -> Result<(), StoreError> {
     let mut loading = lock(&node.mirror).load();
     let mut pages = node.store.pages(MIRRORED, Some(MIRRORED_AFTER));
-    while let Some(page) = pages.next().await? {
+    let mut tries = 0;
+    loop {
+        let page = match pages.next().await {
+            Ok(Some(page)) => page,
+            Ok(None) => break,
+            Err(error) if tries < PAGE_TRIES => {
+                tries += 1;
+                debug!(%error, tries, "reading a page");
+                tokio::time::sleep(jitter(Duration::from_millis(200))).await;
+                continue;
+            }
+            Err(error) => return Err(error),
+        };
+        tries = 0;
         let news = lock(&node.mirror).take_page(&mut loading, &page);
         node.spread(news);
     }
@@ -36,6 +60,7 @@
     }
     let news = lock(&node.mirror).loaded(loading);
     node.spread(news);
+    node.fresh.wanted.notify_one();
     Ok(())
 }
 
@@ -63,24 +88,39 @@
     }
 }
 
+/// All changes since a revision, at once.
+async fn changes_now(node: &Node, revision: u64) -> Result<Followed, StoreError> {
+    let first = node.store.follow(MIRRORED, revision, Duration::ZERO);
+    tokio::pin!(first);
+    if let Ok(outcome) = tokio::time::timeout(ASK_AGAIN_AFTER, &mut first).await {
+        return outcome;
+    }
+    tokio::select! {
+        outcome = &mut first => outcome,
+        outcome = node.store.follow(MIRRORED, revision, Duration::ZERO) => outcome,
+    }
+}
+
 /// Serves those who wait in `fresh`: one zero-wait watch answers all that asked before it began.
 pub async fn run_fresh(node: Arc<Node>) {
     loop {
-        node.fresh.wanted.notified().await;
+        let _ = tokio::time::timeout(PROOF_EVERY, node.fresh.wanted.notified()).await;
         let ticket = node.fresh.ticket();
         let gaps = node.gaps();
+        let begun = Instant::now();
         let asking = lock(&node.mirror).asking();
         let Some(revision) = asking else {
             node.fresh.failed.send_replace(ticket);
             continue;
         };
-        match node.store.follow(MIRRORED, revision, Duration::ZERO).await {
+        match changes_now(&node, revision).await {
             Ok(followed) => {
                 let (taken, news) = lock(&node.mirror).apply(&followed);
                 node.spread(news);
                 // What was asked before a standstill proves nothing after it.
                 let taken = taken && node.gaps() == gaps;
                 if taken {
+                    node.fresh.proved(begun);
                     node.proven();
                 }
                 if taken { &node.fresh.proven } else { &node.fresh.failed }.send_replace(ticket);
@@ -89,6 +129,8 @@
                 lock(&node.mirror).ready = false;
                 node.fresh.failed.send_replace(ticket);
             }
+            // A moment's shortage: those who ask wait a little longer, and are not sent away together.
+            Err(StoreError::Unavailable(429)) => node.fresh.wanted.notify_one(),
             Err(error) => {
                 node.fresh.failed.send_replace(ticket);
                 debug!(%error, "no proof of freshness");
@@ -107,6 +149,8 @@
     pub wanted: tokio::sync::Notify,
     pub proven: tokio::sync::watch::Sender<u64>,
     pub failed: tokio::sync::watch::Sender<u64>,
+    /// When the last proof was asked for that came.
+    last: Mutex<Option<Instant>>,
 }
 
 impl Default for Fresh {
@@ -116,6 +160,7 @@
             wanted: tokio::sync::Notify::new(),
             proven: tokio::sync::watch::channel(0).0,
             failed: tokio::sync::watch::channel(0).0,
+            last: Mutex::default(),
         }
     }
 }
@@ -125,6 +170,21 @@
         self.drawn.load(std::sync::atomic::Ordering::Relaxed)
     }
 
+    /// All that was stored before this is known here.
+    fn proved(&self, begun: Instant) {
+        *lock(&self.last) = Some(begun);
+    }
+
+    /// This process stood still: until the next proof nothing is known to be so.
+    pub fn was_absent(&self) {
+        *lock(&self.last) = None;
+    }
+
+    /// How old what is known here may be; none if nothing is proven.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        lock(&self.last).map(|at| now.saturating_duration_since(at))
+    }
+
     /// True once the mirror holds everything stored before the call. A failure is told at once.
     pub async fn wait(&self) -> bool {
         let ticket = self.drawn.fetch_add(1, std::sync::atomic::Ordering::Relaxed) + 1;
@@ -132,6 +192,7 @@
         let (mut proven, mut failed) = (self.proven.subscribe(), self.failed.subscribe());
         let outcome = tokio::time::timeout(FRESH_WITHIN, async {
             tokio::select! {
+                biased;
                 r = proven.wait_for(|p| *p >= ticket) => r.is_ok(),
                 _ = failed.wait_for(|f| *f >= ticket) => false,
             }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -50,12 +50,16 @@
             } else {
                 let catalog = node.catalog();
                 let name = report.machine.clone();
+                let knows = node.knows_owner(now);
                 book.take_report(report, Via::Report, catalog.as_deref(), now);
-                let orders = if unproven { Vec::new() } else { book.orders_in_answer(&name, now) };
+                let orders = if unproven || !knows { Vec::new() } else { book.orders_in_answer(&name, now) };
                 let token = book.token;
                 drop(held);
                 node.wake.plan.notify_one();
                 node.wake.commit.notify_one();
+                if !knows && !node.holds(&name, now) {
+                    return Answer::Nobody;
+                }
                 return Answer::Orders(Orders { token, session: None, orders });
             }
         }
@@ -66,7 +70,8 @@
     }
     debug!(machine = report_from, owner = node.owner_node(), "a report for the owner");
     match node.owner_node() {
-        Some(owner) if owner != node.settings.node => {
+        // Sent to an owner of long ago, workers would only come and go.
+        Some(owner) if owner != node.settings.node && node.knows_owner(now) => {
             node.note_redirect(&report_from, now);
             Answer::Elsewhere(owner)
         }
