The end of an outage is not taken for a cut of one's own

Now another's word counts towards workers once it has held for the leader's lease; overdue proofs are asked for every 0.5 s.

--- a/src/membership/mesh.rs
+++ b/src/membership/mesh.rs
@@ -50,22 +50,30 @@
 
 #[derive(Debug, Default)]
 pub struct Heard {
-    /// Whether the store serves each, what it wants of it, and when it said so.
-    peers: HashMap<String, (bool, [Want; 2], Instant)>,
+    /// Since when each says that the store serves it, what it wants of it, and when it said so last.
+    peers: HashMap<String, (Option<Instant>, [Want; 2], Instant)>,
     pub counts: HashMap<JobId, Counts>,
     /// What the owner told last of who is served, and when that was heard.
     pub served: Option<(Vec<Row>, Instant)>,
 }
 
 impl Heard {
-    /// How many others were heard of lately, and how many of them said that the store serves them.
-    pub fn others(&self, now: Instant) -> (usize, usize) {
-        self.lately(now).fold((0, 0), |(all, served), (serves, _)| (all + 1, served + usize::from(serves)))
+    /// How many others were heard of lately, and for how long one of them has said that the store serves it.
+    pub fn others(&self, now: Instant) -> (usize, Option<Duration>) {
+        let longest = self.lately(now).filter_map(|(since, _)| Some(now.saturating_duration_since(since?))).max();
+        (self.lately(now).count(), longest)
     }
 
-    fn lately(&self, now: Instant) -> impl Iterator<Item = (bool, [Want; 2])> {
+    /// A line of a peer.
+    fn told(&mut self, node: String, serves: bool, wants: [Want; 2], now: Instant) {
+        let before = self.peers.get(&node).filter(|(.., at)| now.saturating_duration_since(*at) < STALE);
+        let since = serves.then(|| before.and_then(|(since, ..)| *since).unwrap_or(now));
+        self.peers.insert(node, (since, wants, now));
+    }
+
+    fn lately(&self, now: Instant) -> impl Iterator<Item = (Option<Instant>, [Want; 2])> {
         let fresh = self.peers.values().filter(move |(.., at)| now.saturating_duration_since(*at) < STALE);
-        fresh.map(|(serves, wants, _)| (*serves, *wants))
+        fresh.map(|(since, wants, _)| (*since, *wants))
     }
 
     /// Whether this controller was heard of lately.
@@ -111,7 +119,7 @@
         let many = {
             let mut heard = lock(&node.heard);
             if node.settings.peers.iter().any(|p| p.node == line.node) {
-                heard.peers.insert(line.node, (line.store_serves, line.wants, Instant::now()));
+                heard.told(line.node, line.store_serves, line.wants, Instant::now());
             }
             heard.counts.extend(line.counts);
             if !line.served.is_empty() {
@@ -163,3 +171,30 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// How long another has been answered tells an outage that has just ended from one of this controller's
+    /// own: by its word of the moment every owner let its workers go at the end of every outage.
+    #[test]
+    fn since_when_the_others_can_answer() {
+        let (t, s) = (Instant::now(), Duration::from_secs);
+        let mut heard = Heard::default();
+        for (at, node, serves, want) in [
+            (0, "b", true, (1, Some(0))),
+            (1, "b", true, (1, Some(1))),
+            (2, "c", false, (2, Some(2))),
+            (3, "b", false, (2, None)),
+            (4, "b", true, (2, Some(0))),
+            (5, "b", true, (2, Some(1))),
+            // Not heard for a while: whatever it said before is void.
+            (20, "b", true, (1, Some(0))),
+        ] {
+            heard.told(node.into(), serves, Default::default(), t + s(at));
+            assert_eq!(heard.others(t + s(at)), (want.0, want.1.map(s)), "{node} at {at}");
+        }
+        assert!(heard.hears("b", t + s(23)) && !heard.hears("b", t + s(24)) && !heard.hears("c", t + s(20)));
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -392,7 +392,7 @@
     pub fn holds(&self, machine: &str, now: Instant) -> bool {
         let (others, lease) = (self.settings.peers.len(), self.settings.params.workers.lease());
         let mut let_go = lock(&self.let_go);
-        if let_go.remembered() == 0 {
+        if let_go.begins() {
             warn!(
                 "neither the store nor another controller tells who owns: workers are let go, and held if they come back"
             );
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -27,6 +27,8 @@
 /// Without a question this long, freshness is proven all the same: it is what health, redirects and the
 /// right to answer workers go by, and a watch that hangs is noticed by it.
 const PROOF_EVERY: Duration = Duration::from_secs(2);
+/// The same once that is overdue: whoever is answered last after an outage should not be taken for cut off.
+const PROOF_OVERDUE: Duration = Duration::from_millis(500);
 /// A proof that has not come by now is asked for once more beside it: a connection that a cut has left
 /// hanging costs this, and not all that a user waits.
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(500);
@@ -104,7 +106,9 @@
 /// Serves those who wait in `fresh`: one zero-wait watch answers all that asked before it began.
 pub async fn run_fresh(node: Arc<Node>) {
     loop {
-        let _ = tokio::time::timeout(PROOF_EVERY, node.fresh.wanted.notified()).await;
+        let fresh = node.fresh.age(Instant::now()).is_some_and(|age| age < PROOF_EVERY * 2);
+        let pause = if fresh { PROOF_EVERY } else { PROOF_OVERDUE };
+        let _ = tokio::time::timeout(pause, node.fresh.wanted.notified()).await;
         let ticket = node.fresh.ticket();
         let gaps = node.gaps();
         let begun = Instant::now();
