--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -286,9 +286,15 @@
     }
 
     pub async fn follow(&self, prefix: &str, since: u64, wait: Duration) -> Result<Followed, StoreError> {
+        self.reserve(Urgent::First).await?;
+        self.follow_reserved(prefix, since, wait).await
+    }
+
+    /// The same, with a request that was reserved before.
+    pub async fn follow_reserved(&self, prefix: &str, since: u64, wait: Duration) -> Result<Followed, StoreError> {
         let path = format!("/follow?prefix={prefix}&since={since}&waitMs={}", wait.as_millis());
         let within = wait + ANSWER_WITHIN;
-        match self.call(Method::GET, &path, None, within, Urgent::First).await? {
+        match self.call_reserved(Method::GET, &path, None, within).await? {
             (200, body) => parse(&body),
             (410 | TOO_LARGE, _) => Err(StoreError::TooOld),
             (other, _) => Err(StoreError::Malformed(format!("{other} to a watch"))),
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -7,6 +7,7 @@
 use tracing::{debug, warn};
 
 use super::StoreError;
+use super::budget::Urgent;
 use super::client::Followed;
 use crate::history::upgrade;
 use crate::jobs::record::{MIRRORED, MIRRORED_AFTER};
@@ -92,7 +93,9 @@
 
 /// All changes since a revision, at once.
 async fn changes_now(node: &Node, revision: u64) -> Result<Followed, StoreError> {
-    let first = node.store.follow(MIRRORED, revision, Duration::ZERO);
+    // Waiting for one's own share is no sign of a connection that hangs.
+    node.store.reserve(Urgent::First).await?;
+    let first = node.store.follow_reserved(MIRRORED, revision, Duration::ZERO);
     tokio::pin!(first);
     if let Ok(outcome) = tokio::time::timeout(ASK_AGAIN_AFTER, &mut first).await {
         return outcome;
