--- a/tests/history.rs
+++ b/tests/history.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use hollylanding::history::ends::Ends;
 use hollylanding::wire::{self, Http};
 use hollylanding_emulator::world::store::Limits;
 use hyper::Method;
@@ -200,7 +201,7 @@
         assert_eq!(refused, 0, "the limits are kept whatever is asked");
         for controller in [&a, &b] {
             println!("held: {:?}", controller.node.held());
-            assert!(controller.held("ends") <= 8192 && controller.held("descriptions") <= 2000);
+            assert!(controller.held("ends") <= Ends::most() && controller.held("descriptions") <= 2000);
             until("it knows what is open", || async { controller.held("open_jobs") as u64 == open }).await;
             until("nobody waits", || async { (controller.held("asked"), controller.held("waiting")) == (0, 0) }).await;
         }
@@ -219,6 +220,54 @@
     among_ended_jobs(1_000_000, 500, 5_000, Some(500.0));
 }
 
+/// After all controllers were ended none has an end at hand, and everybody asks: whoever was told to come
+/// again does so every second (users wait 5 s). An owner's half of 80 requests a second
+/// compares 640 jobs a second: 12 s for these.
+#[test]
+fn everybody_has_an_answer_soon_after_all_controllers_were_ended() {
+    const ENDED: u64 = 8000;
+    let outside = Runtime::new().unwrap();
+    let (world, door) = outside.block_on(open_world());
+    {
+        let mut state = world.state.lock().unwrap();
+        state.page_most = 1000;
+        state.limit(Limits { requests_per_second: 80.0, changes_per_second: 40.0, value_kb: 8.0, txn_ops: 16 });
+        for n in 0..ENDED {
+            let key = if end_of(n) == "done" { "h/d/" } else { "h/w/" };
+            state.put(format!("{key}{}", id(n)), &ended_record(n));
+        }
+        state.put("c/upgraded".into(), &json!({"old_kept": false}));
+    }
+    let mut settings = settings("node-a", &["node-b", "node-c"], &door);
+    settings["params"]["state"] = json!({"rps": 80, "write_rps": 40, "value_kb": 8, "txn_ops": 16});
+    let http = Http::default();
+    let a = Controller::start(&world, &settings);
+    outside.block_on(async {
+        until("healthy", || async { ask(&http, Method::GET, &a.addr, "/healthz", None).await.0 == 200 }).await;
+        let begun = Instant::now();
+        let mut left: Vec<u64> = (0..ENDED).collect();
+        while !left.is_empty() {
+            let round = Instant::now();
+            let mut asked = JoinSet::new();
+            let turns = Arc::new(Semaphore::new(200));
+            for n in left {
+                let turn = turns.clone().acquire_owned().await.unwrap();
+                let (http, addr) = (http.clone(), a.addr.clone());
+                asked.spawn(async move {
+                    let (code, answer) = status(&http, &addr, n).await;
+                    drop(turn);
+                    assert!(code == 503 || (code == 200 && answer["status"] == end_of(n)), "{n}: {code} {answer}");
+                    (code == 503).then_some(n)
+                });
+            }
+            left = asked.join_all().await.into_iter().flatten().collect();
+            tokio::time::sleep_until((round + Duration::from_secs(1)).into()).await;
+        }
+        assert!(begun.elapsed() < Duration::from_secs(11), "{:?}", begun.elapsed());
+        assert!(a.held("ends") as u64 > ENDED * 9 / 10, "and they are at hand from then on");
+    });
+}
+
 /// A watch that has more to tell than a controller can take in is given up for a reading in pages:
 /// without that it would be asked again and again, or end the process for memory.
 #[test]
@@ -245,6 +294,27 @@
     });
 }
 
+/// A reading that began again at every refusal did not end within a minute where others use the limits up:
+/// its controller was not ready for as long, and answered nobody.
+#[test]
+fn a_reading_goes_on_where_it_was_refused() {
+    let outside = Runtime::new().unwrap();
+    let (world, door) = outside.block_on(open_world());
+    {
+        let mut state = world.state.lock().unwrap();
+        state.page_most = 1000;
+        state.limit(Limits { requests_per_second: 6.0, changes_per_second: 40.0, value_kb: 8.0, txn_ops: 24 });
+        (OPEN..OPEN + 5000).for_each(|n| state.put(format!("c/o/{}", id(n)), &open_record(n)));
+        state.put("c/upgraded".into(), &json!({"old_kept": false}));
+    }
+    let follower = Controller::start(&world, &settings("node-a", &["node-b"], &door));
+    outside.block_on(until("all are known", || async { follower.held("open_jobs") == 5000 }));
+    // 21 pages, and what begins beside them.
+    let state = world.state.lock().unwrap();
+    let served = state.requests - state.refused;
+    assert!(served <= 40, "{served} served, {} refused", state.refused);
+}
+
 fn old_keys(world: &World, n: u64, end: Option<&str>) {
     upload(world, &small(n), SHORT);
     let mut state = world.state.lock().unwrap();
@@ -304,8 +374,21 @@
         old_keys(&world, 70, None);
         until("taken over late", || async { status(&http, &two[1].addr, 70).await.1["status"] == "done" }).await;
         assert_eq!(submit(&http, &two[0].addr, &small(70)).await.1["status"], "done");
-        let state = world.state.lock().unwrap();
-        assert_eq!((state.count("c/o/"), state.count("h/d/")), (0, 21));
+        {
+            let mut state = world.state.lock().unwrap();
+            assert_eq!((state.count("c/o/"), state.count("h/d/")), (0, 21));
+            // Accepted, and unreadable since: no controller can run them, but they stay known, and
+            // whatever is asked about together with them is answered.
+            for key in ["c/j/run-000080", "c/o/run-000081"] {
+                state.put(key.into(), &json!({"spec": "?"}));
+            }
+        }
+        for controller in &two {
+            for (n, want) in [(80, "pending"), (81, "pending"), (70, "done"), (0, "done")] {
+                assert_eq!(status(&http, &controller.addr, n).await.1["status"], want, "{n}");
+            }
+            assert_eq!(status(&http, &controller.addr, 99).await.0, 404);
+        }
     });
 }
 
