Declared things: kinds, keys, shelf, table of kinds, and wishes in the book

Need: the calendar, heat rules and rollouts share how something is declared and carried out. Nothing reads any of it yet. Beyond the contract: Declared::act, by default a refusal, is what an operator's verb (confirm, pause, resume, back, finish) makes of a spec; one line a kind goes into declared::table::KINDS. Tests: keys read back, names are plain.

--- /dev/null
+++ b/src/declared/mod.rs
@@ -0,0 +1,109 @@
+//! What operators declare and controllers carry out.
+//!
+//! A spec is written by operators only, a status by the owner only: conditional on its assignment, on
+//! the spec's stamp and on the status's own. Whoever owns next reads both and goes on from there, at
+//! any point. Nothing acts on a status before it is stored: what is asked of placing, renting and
+//! sparing (`scheduling::wishes`) follows from statuses as the mirror has them, the book and the time.
+
+pub mod records;
+pub mod shelf;
+pub mod table;
+
+use std::time::Instant;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tracing::Level;
+
+use crate::jobs::{End, JobId};
+use crate::scheduling::Book;
+use crate::scheduling::wishes::Wishes;
+use crate::settings::{Params, Settings, Team};
+
+pub use records::Kind;
+pub use shelf::Shelf;
+
+/// A field of a spec that cannot be used, and why. Shown as `FIELD: WHY`.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{field}: {why}")]
+pub struct Problem {
+    pub field: String,
+    pub why: String,
+}
+
+impl Problem {
+    pub fn new(field: impl Into<String>, why: impl Into<String>) -> Self {
+        Self { field: field.into(), why: why.into() }
+    }
+}
+
+/// What a spec may name, for checks without any I/O.
+pub struct Names<'a> {
+    pub teams: &'a [Team],
+    /// Those that the objectives name.
+    pub classes: Vec<&'a str>,
+    pub zones: &'a [String],
+    pub params: &'a Params,
+}
+
+impl<'a> Names<'a> {
+    pub fn of(settings: &'a Settings) -> Self {
+        let params = &settings.params;
+        let mut classes: Vec<&str> = params.objectives.iter().map(|o| o.class.as_str()).collect();
+        classes.retain(|class| !class.is_empty());
+        classes.sort_unstable();
+        classes.dedup();
+        Self { teams: &params.teams, classes, zones: &params.zones, params }
+    }
+}
+
+/// State and time: all that a decision may look at.
+pub struct View<'a> {
+    pub book: &'a Book,
+    /// What is known here of ended jobs; not all is.
+    pub ended: &'a dyn Fn(&str) -> Option<End>,
+    /// All specs and statuses.
+    pub shelf: &'a Shelf,
+    pub now: Instant,
+    /// Time of day in ms since 1970. It may step, back as well.
+    pub now_ms: u64,
+    /// The owner's token.
+    pub epoch: u64,
+    pub settings: &'a Settings,
+}
+
+/// What an operator's verb makes of a spec.
+#[derive(Debug)]
+pub struct Acted<S> {
+    pub spec: S,
+    /// A job to be withdrawn as its user would, before the spec is written.
+    pub withdraw: Option<JobId>,
+}
+
+/// One kind of declared thing. All of it is pure.
+pub trait Declared {
+    const KIND: Kind;
+    type Spec: Serialize + DeserializeOwned + Clone + Send + Sync + 'static;
+    type Status: Serialize + DeserializeOwned + Clone + PartialEq + Default + Send + Sync + 'static;
+
+    /// Names the first field that cannot be used.
+    fn check(spec: &Self::Spec, names: &Names) -> Result<(), Problem>;
+
+    /// What the status is to be next; none: as it is. Asked again and again, at least each second.
+    fn step(name: &str, spec: &Self::Spec, status: &Self::Status, view: &View) -> Option<Self::Status>;
+
+    /// What it asks of placing, renting, holding and sparing, by what is stored.
+    fn wish(name: &str, spec: &Self::Spec, status: &Self::Status, view: &View, wishes: &mut Wishes);
+
+    /// Lines for operators.
+    fn tell(name: &str, spec: &Self::Spec, status: &Self::Status, now_ms: u64) -> Vec<String>;
+
+    /// Log lines owed for a change of status, told once it is stored.
+    fn news(name: &str, before: &Self::Status, after: &Self::Status) -> Vec<(Level, String)>;
+
+    /// What a verb of operators (`confirm`, `pause`, `resume`, `back`, `finish`) makes of a spec.
+    fn act(verb: &str, spec: &Self::Spec, status: &Self::Status, now_ms: u64) -> Result<Acted<Self::Spec>, Problem> {
+        let _ = (spec, status, now_ms);
+        Err(Problem::new("verb", format!("{verb:?} is nothing that can be done with a {}", Self::KIND.word())))
+    }
+}
--- /dev/null
+++ b/src/declared/records.rs
@@ -0,0 +1,111 @@
+//! Keys of what is declared, and how much of it there may be.
+//!
+//! They lie below the prefix that every controller mirrors already, so that nothing more is asked
+//! or watched: `c/s/KIND/NAME` is a spec, which operators alone write, and `c/t/KIND/NAME` its
+//! status, which the owner alone writes.
+
+use serde::{Deserialize, Serialize};
+
+pub const SPECS: &str = "c/s/";
+pub const STATUSES: &str = "c/t/";
+/// Every write of an operator moves this key, so that a copy of an earlier one that comes late finds
+/// another stamp. It lies before what controllers list.
+pub const OPERATORS: &str = "c/declared";
+
+/// Largest spec and largest status, in bytes of JSON; less where the state service takes less.
+pub const MOST_BYTES: usize = 8 * 1024;
+const LONGEST_NAME: usize = 64;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    Window,
+    Heat,
+    Reading,
+    Rollout,
+}
+
+impl Kind {
+    pub const ALL: [Self; 4] = [Self::Window, Self::Heat, Self::Reading, Self::Rollout];
+
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Window => "window",
+            Self::Heat => "heat",
+            Self::Reading => "reading",
+            Self::Rollout => "rollout",
+        }
+    }
+
+    pub fn of_word(word: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.word() == word)
+    }
+
+    /// Most of this kind that can be declared.
+    pub fn most(self) -> usize {
+        match self {
+            Self::Window => 1000,
+            Self::Heat | Self::Rollout => 50,
+            Self::Reading => 200,
+        }
+    }
+}
+
+/// What a key holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    Spec,
+    Status,
+}
+
+pub fn spec_key(kind: Kind, name: &str) -> String {
+    format!("{SPECS}{}/{name}", kind.word())
+}
+
+pub fn status_key(kind: Kind, name: &str) -> String {
+    format!("{STATUSES}{}/{name}", kind.word())
+}
+
+/// Whether a key is one of a spec or a status, of whatever kind.
+pub fn declared(path: &str) -> bool {
+    path.starts_with(SPECS) || path.starts_with(STATUSES)
+}
+
+/// Reads back what `spec_key` and `status_key` made; none of kinds that a later build knows.
+pub fn parse(path: &str) -> Option<(Part, Kind, &str)> {
+    let (part, rest) = match path.strip_prefix(SPECS) {
+        Some(rest) => (Part::Spec, rest),
+        None => (Part::Status, path.strip_prefix(STATUSES)?),
+    };
+    let (kind, name) = rest.split_once('/')?;
+    Some((part, Kind::of_word(kind)?, name)).filter(|_| well_formed(name))
+}
+
+/// 1 to 64 of small letters, digits, dots and dashes, beginning with a letter or a digit.
+pub fn well_formed(name: &str) -> bool {
+    let plain = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit();
+    name.len() <= LONGEST_NAME && name.starts_with(plain) && name.chars().all(|c| plain(c) || matches!(c, '.' | '-'))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A name becomes a part of a key and of a path in a request.
+    #[test]
+    fn keys_read_back_and_names_are_plain() {
+        for kind in Kind::ALL {
+            assert_eq!(parse(&spec_key(kind, "a.b-1")), Some((Part::Spec, kind, "a.b-1")));
+            assert_eq!(parse(&status_key(kind, "a.b-1")), Some((Part::Status, kind, "a.b-1")));
+            assert_eq!(serde_json::to_value(kind).unwrap(), kind.word());
+        }
+        for bad in ["c/s/window/", "c/s/window", "c/s/later/a", "c/t/window/A", "c/s/window/a/b", "c/o/window/a"] {
+            assert_eq!(parse(bad), None, "{bad}");
+        }
+        let longest = "a".repeat(64);
+        for (name, good) in [("7", true), (longest.as_str(), true), (".a", false), ("a b", false), ("é", false)] {
+            assert_eq!(well_formed(name), good, "{name}");
+        }
+        assert!(!well_formed(&"a".repeat(65)));
+    }
+}
--- /dev/null
+++ b/src/declared/shelf.rs
@@ -0,0 +1,188 @@
+//! Everything declared as the mirror has it: specs, statuses, and which statuses changed last.
+//!
+//! A value is read as its kind's type when somebody first asks for it. One that cannot be read is
+//! kept as it is and told once; it stops neither a page nor anything else.
+
+use std::any::Any;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, OnceLock};
+use std::time::Instant;
+
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use tracing::{error, warn};
+
+use super::Declared;
+use super::records::{Kind, MOST_BYTES, Part, parse};
+
+/// Changes of statuses kept until they are told; more are not told.
+const MOST_CHANGED: usize = 256;
+
+/// One value, and what it reads as.
+#[derive(Debug, Clone)]
+struct Kept {
+    value: Value,
+    stamp: u64,
+    read: OnceLock<Option<Arc<dyn Any + Send + Sync>>>,
+}
+
+impl Kept {
+    fn read<T: DeserializeOwned + Clone + Send + Sync + 'static>(&self, kind: Kind, name: &str) -> Option<T> {
+        let read = self.read.get_or_init(|| match T::deserialize(&self.value) {
+            Ok(read) => Some(Arc::new(read)),
+            Err(problem) => {
+                warn!(kind = kind.word(), name, %problem, "unreadable in the store; left as it is");
+                None
+            }
+        });
+        read.as_ref()?.downcast_ref::<T>().cloned()
+    }
+}
+
+/// A status that was stored over another, or dropped after its spec.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Changed {
+    pub kind: Kind,
+    pub name: String,
+    pub before: Option<Value>,
+    pub after: Option<Value>,
+    /// When this controller heard of it.
+    pub heard: Instant,
+}
+
+type Of = BTreeMap<Kind, BTreeMap<String, Kept>>;
+
+#[derive(Debug, Default)]
+pub struct Shelf {
+    specs: Of,
+    statuses: Of,
+    changed: VecDeque<Changed>,
+}
+
+impl Shelf {
+    pub fn is_empty(&self) -> bool {
+        self.entries() == 0
+    }
+
+    /// Specs and statuses.
+    pub fn entries(&self) -> usize {
+        self.specs.values().chain(self.statuses.values()).map(BTreeMap::len).sum()
+    }
+
+    /// What is declared of a kind and can be read, by name, with the stamps: the first ones by name
+    /// where there are more than may be, which every controller decides alike.
+    pub fn specs<D: Declared>(&self) -> impl Iterator<Item = (&str, D::Spec, u64)> {
+        self.specs
+            .get(&D::KIND)
+            .into_iter()
+            .flatten()
+            .take(D::KIND.most())
+            .filter_map(|(name, kept)| kept.read(D::KIND, name).map(|spec| (name.as_str(), spec, kept.stamp)))
+    }
+
+    pub fn spec<D: Declared>(&self, name: &str) -> Option<(D::Spec, u64)> {
+        let kept = self.specs.get(&D::KIND)?.get(name)?;
+        kept.read(D::KIND, name).map(|spec| (spec, kept.stamp))
+    }
+
+    pub fn status<D: Declared>(&self, name: &str) -> Option<(D::Status, u64)> {
+        let kept = self.statuses.get(&D::KIND)?.get(name)?;
+        kept.read(D::KIND, name).map(|status| (status, kept.stamp))
+    }
+
+    pub fn raw_spec(&self, kind: Kind, name: &str) -> Option<(&Value, u64)> {
+        self.specs.get(&kind)?.get(name).map(|kept| (&kept.value, kept.stamp))
+    }
+
+    pub fn raw_status(&self, kind: Kind, name: &str) -> Option<(&Value, u64)> {
+        self.statuses.get(&kind)?.get(name).map(|kept| (&kept.value, kept.stamp))
+    }
+
+    /// Names of a kind, readable or not: all that specs may be looked at of.
+    pub fn names(&self, kind: Kind) -> impl Iterator<Item = &str> {
+        self.specs.get(&kind).into_iter().flatten().take(kind.most()).map(|(name, _)| name.as_str())
+    }
+
+    /// Statuses whose spec is gone, with their stamps.
+    pub fn left_over(&self) -> impl Iterator<Item = (Kind, &str, u64)> {
+        let all = self.statuses.iter().flat_map(|(kind, of)| of.iter().map(move |(name, kept)| (*kind, name, kept)));
+        all.filter(|(kind, name, _)| !self.specs.get(kind).is_some_and(|of| of.contains_key(*name)))
+            .map(|(kind, name, kept)| (kind, name.as_str(), kept.stamp))
+    }
+
+    /// What the store holds under a key. False if it is none of what is declared.
+    pub fn put(&mut self, path: &str, value: &Value, stamp: u64) -> bool {
+        let Some((part, kind, name)) = parse(path) else { return false };
+        if value.to_string().len() > MOST_BYTES {
+            error!(path, "larger than anything declared may be; not taken in");
+            return self.drop_key(path);
+        }
+        let of = self.of(part).entry(kind).or_default();
+        // Operators' writes keep to half of this; a stranger's may take no more.
+        if !of.contains_key(name) && of.len() >= 2 * kind.most() {
+            error!(path, "too many of them; not taken in");
+            return true;
+        }
+        let kept = Kept { value: value.clone(), stamp, read: OnceLock::new() };
+        let before = of.insert(name.to_owned(), kept).map(|kept| kept.value);
+        if part == Part::Status && before.as_ref() != Some(value) {
+            self.note(kind, name, before, Some(value.clone()));
+        }
+        true
+    }
+
+    /// The same of a key that is no more.
+    pub fn drop_key(&mut self, path: &str) -> bool {
+        let Some((part, kind, name)) = parse(path) else { return false };
+        let before = self.of(part).get_mut(&kind).and_then(|of| of.remove(name));
+        if let Some(before) = before.filter(|_| part == Part::Status) {
+            self.note(kind, name, Some(before.value), None);
+        }
+        true
+    }
+
+    /// All of it was read anew. What changed meanwhile is noted, but nothing of a first reading.
+    pub fn replace(&mut self, read: Self, first: bool) {
+        let before = std::mem::replace(self, read);
+        self.changed = before.changed;
+        if first {
+            return;
+        }
+        let mut changes = Vec::new();
+        for kind in Kind::ALL {
+            let (was, is) = (before.statuses.get(&kind), self.statuses.get(&kind));
+            let mut names: Vec<&String> = was.into_iter().chain(is).flat_map(BTreeMap::keys).collect();
+            names.sort_unstable();
+            names.dedup();
+            for name in names {
+                let value = |of: Option<&BTreeMap<String, Kept>>| of.and_then(|of| Some(of.get(name)?.value.clone()));
+                let (was, is) = (value(was), value(is));
+                if was != is {
+                    changes.push((kind, name.clone(), was, is));
+                }
+            }
+        }
+        for (kind, name, was, is) in changes {
+            self.note(kind, &name, was, is);
+        }
+    }
+
+    /// Statuses that changed since the last call, oldest first.
+    pub fn take_changed(&mut self) -> Vec<Changed> {
+        self.changed.drain(..).collect()
+    }
+
+    fn of(&mut self, part: Part) -> &mut Of {
+        match part {
+            Part::Spec => &mut self.specs,
+            Part::Status => &mut self.statuses,
+        }
+    }
+
+    fn note(&mut self, kind: Kind, name: &str, before: Option<Value>, after: Option<Value>) {
+        if self.changed.len() >= MOST_CHANGED {
+            self.changed.pop_front();
+        }
+        self.changed.push_back(Changed { kind, name: name.to_owned(), before, after, heard: Instant::now() });
+    }
+}
--- /dev/null
+++ b/src/declared/table.rs
@@ -0,0 +1,147 @@
+//! Every kind of declared thing, whatever its types: one line each.
+
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use tracing::Level;
+
+use super::records::{Kind, MOST_BYTES};
+use super::{Acted, Declared, Names, Problem, View};
+use crate::scheduling::wishes::Wishes;
+
+/// All kinds that this build carries out.
+pub const KINDS: &[Entry] = &[
+    // Calendar.
+
+    // Heat.
+
+    // Rollouts.
+];
+
+/// A status that is to be stored, and what it was worked out from.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Decided {
+    pub spec_stamp: u64,
+    /// 0: there is none yet.
+    pub status_stamp: u64,
+    pub value: Value,
+}
+
+/// One declared thing as it stands in the store.
+#[derive(Debug, Clone, Copy)]
+pub struct Standing<'a> {
+    pub name: &'a str,
+    pub spec: &'a Value,
+    pub status: Option<&'a Value>,
+}
+
+/// Log lines.
+pub type News = Vec<(Level, String)>;
+pub type Lines = Result<Vec<String>, Problem>;
+
+/// What can be done with a kind.
+pub struct Entry {
+    pub kind: Kind,
+    /// Reads and checks a spec.
+    pub check: fn(&Value, &Names) -> Result<(), Problem>,
+    /// The status that one is to have next, by name.
+    pub step: fn(&str, &View) -> Option<Decided>,
+    /// What all of the kind ask for.
+    pub wish: fn(&View, &mut Wishes),
+    /// Lines for operators at a time of day in ms.
+    pub tell: fn(Standing, u64) -> Lines,
+    /// What is owed for a change of a status, by name.
+    pub news: fn(&str, Option<&Value>, &Value) -> News,
+    /// What a verb makes of a spec at a time of day in ms.
+    pub act: fn(&str, Standing, u64) -> Result<Acted<Value>, Problem>,
+}
+
+impl Entry {
+    pub const fn of<D: Declared>() -> Self {
+        Self {
+            kind: D::KIND,
+            check: check::<D>,
+            step: step::<D>,
+            wish: wish::<D>,
+            tell: tell::<D>,
+            news: news::<D>,
+            act: act::<D>,
+        }
+    }
+}
+
+/// The kind's entry among these, if it is carried out at all.
+pub fn entry(kinds: &[Entry], kind: Kind) -> Option<&Entry> {
+    kinds.iter().find(|entry| entry.kind == kind)
+}
+
+/// Reads a value and names the field that cannot be read.
+fn read<T: DeserializeOwned>(value: &Value) -> Result<T, Problem> {
+    serde_path_to_error::deserialize(value).map_err(|error| {
+        let field = match error.path().to_string() {
+            root if root == "." => "spec".to_owned(),
+            path => path,
+        };
+        Problem::new(field, error.inner().to_string())
+    })
+}
+
+fn read_status<D: Declared>(status: Option<&Value>) -> Result<D::Status, Problem> {
+    status.map_or_else(|| Ok(D::Status::default()), read)
+}
+
+fn write<T: serde::Serialize>(value: &T) -> Result<Value, Problem> {
+    serde_json::to_value(value).map_err(|error| Problem::new("spec", error.to_string()))
+}
+
+fn check<D: Declared>(value: &Value, names: &Names) -> Result<(), Problem> {
+    let most = MOST_BYTES.min((names.params.state.value_kb * 1024.0) as usize);
+    let size = value.to_string().len();
+    if size > most {
+        return Err(Problem::new("spec", format!("{size} bytes are more than the {most} that can be stored")));
+    }
+    D::check(&read(value)?, names)
+}
+
+fn step<D: Declared>(name: &str, view: &View) -> Option<Decided> {
+    let (spec, spec_stamp) = view.shelf.spec::<D>(name)?;
+    let stored = match view.shelf.raw_status(D::KIND, name) {
+        // One that cannot be read stays as it is: to begin afresh could do again what was done.
+        Some(_) => Some(view.shelf.status::<D>(name)?),
+        None => None,
+    };
+    let before = stored.as_ref().map(|(status, _)| status.clone()).unwrap_or_default();
+    let next = D::step(name, &spec, &before, view)?;
+    if stored.is_some() && next == before {
+        return None;
+    }
+    let value = serde_json::to_value(&next).ok()?;
+    Some(Decided { spec_stamp, status_stamp: stored.map_or(0, |(_, stamp)| stamp), value })
+}
+
+fn wish<D: Declared>(view: &View, wishes: &mut Wishes) {
+    for (name, spec, _) in view.shelf.specs::<D>() {
+        match view.shelf.status::<D>(name) {
+            Some((status, _)) => D::wish(name, &spec, &status, view, wishes),
+            None if view.shelf.raw_status(D::KIND, name).is_none() => {
+                D::wish(name, &spec, &D::Status::default(), view, wishes);
+            }
+            None => {}
+        }
+    }
+}
+
+fn tell<D: Declared>(of: Standing, now_ms: u64) -> Lines {
+    Ok(D::tell(of.name, &read(of.spec)?, &read_status::<D>(of.status)?, now_ms))
+}
+
+fn news<D: Declared>(name: &str, before: Option<&Value>, after: &Value) -> News {
+    match (read_status::<D>(before), read::<D::Status>(after)) {
+        (Ok(before), Ok(after)) => D::news(name, &before, &after),
+        _ => Vec::new(),
+    }
+}
+
+fn act<D: Declared>(verb: &str, of: Standing, now_ms: u64) -> Result<Acted<Value>, Problem> {
+    let acted = D::act(verb, &read(of.spec)?, &read_status::<D>(of.status)?, now_ms)?;
+    Ok(Acted { spec: write(&acted.spec)?, withdraw: acted.withdraw })
+}
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -27,6 +27,7 @@
 use super::served::Note;
 use super::served::floor::{Below, Lane};
 use super::served::promises::{Promise, next_start_s};
+use super::wishes::Wishes;
 use crate::fleet::orders::CloudOrder;
 use crate::jobs::record::{CHUNK, JobRecord, Stored};
 use crate::jobs::{JobId, JobSpec};
@@ -244,7 +245,7 @@
     /// Every type, zone and kind that a machine was ever of; machines name theirs by its place.
     kinds: Vec<Kind>,
     /// Something that placement depends on has changed since the last plan.
-    stirred: bool,
+    pub(super) stirred: bool,
     pub machines: BTreeMap<MachineId, Machine>,
     gone: VecDeque<MachineId>,
     gone_set: HashSet<MachineId>,
@@ -273,6 +274,8 @@
     pub lane: Lane,
     /// Orders to the cloud that an earlier owner has left, for whoever carries them out.
     pub inherited: Vec<CloudOrder>,
+    /// What operators have declared asks for.
+    pub wishes: Wishes,
     /// What the account is to be told next.
     notes: Vec<(JobId, Note, Instant)>,
 }
@@ -335,6 +338,7 @@
             evidence: Evidence::default(),
             lane: Lane::default(),
             inherited: Vec::new(),
+            wishes: Wishes::default(),
             notes: Vec::new(),
         }
     }
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -14,6 +14,7 @@
 pub mod served;
 #[cfg(test)]
 mod tests;
+pub mod wishes;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -56,6 +56,9 @@
     pub cloud: CloudParams,
     #[serde(rename = "resources")]
     pub limits: Limits,
+    /// How far two clocks may differ in the time of day, in milliseconds.
+    #[serde(default)]
+    pub skew_ms: f64,
 }
 
 /// Zero means none, for guarantees and for limits alike.
@@ -179,6 +182,9 @@
         if let Some(mb) = p.limits.memory_mb.filter(|mb| !(*mb > 0.0 && *mb <= 1e9)) {
             return Err(format!("params.resources.memory_mb: {mb} is not above 0 and at most 1000000000"));
         }
+        if !(p.skew_ms >= 0.0 && p.skew_ms <= 1e9) {
+            return Err(format!("params.skew_ms: {} is not between 0 and 1000000000", p.skew_ms));
+        }
         if p.state.txn_ops < 2 {
             return Err(format!("params.state.txn_ops: {} is below 2", p.state.txn_ops));
         }
