The mirror keeps what is declared, and its owner stores what follows from it

Need: specs and statuses reach every controller, and only the owner writes statuses. Change: Shelf in the mirror (c/s/, c/t/, by pages and events, bounded; News.declared); a driver without I/O (driver.rs) and its task (run.rs) with the trait Hands, which Node implements. One transaction of at most two statuses a second, on the assignment, the spec's stamp and the status's own; behind all else, after 5 s with placements. A write that was not answered is not repeated as it was but decided anew under the same stamps, of which the store takes one: nothing has to be remembered, and nothing is stored that is no longer meant. Changes of statuses are told from the mirror; an heir tells those of the last minute again. Wishes are worked out at a takeover before anything is decided, before placing once jobs have come, and each second. With nothing declared News are what they were.

--- /dev/null
+++ b/src/declared/driver.rs
@@ -0,0 +1,206 @@
+//! The owner's work on what is declared, without any I/O: what to store next, what is asked for by
+//! what is stored, and what is to be told.
+//!
+//! Every status is written on condition of the assignment, of the spec's stamp and of the status's own:
+//! a replaced owner stores nothing, nothing is worked out from a spec that was changed since, and of two
+//! writes that began from one status the store takes one. So nothing has to be remembered of a write
+//! that was not answered: what is decided next begins from the same stamps, and a late copy of either is
+//! refused once the other stands.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+use tracing::Level;
+
+use super::View;
+use super::records::{Kind, MOST_BYTES, spec_key, status_key};
+use super::shelf::{Changed, Shelf};
+use super::table::{Decided, Entry, News, entry};
+use crate::jobs::End;
+use crate::jobs::record::ASSIGNMENT;
+use crate::scheduling::Book;
+use crate::scheduling::wishes::Wishes;
+use crate::store::mirror::Mirror;
+use crate::store::{Change, Condition};
+
+/// Statuses stored in one transaction; there is one a second.
+pub const MOST_CHANGES: usize = 2;
+/// A change heard of so long ago was told by whoever owned then.
+const TOLD_BEFORE: Duration = Duration::from_secs(60);
+
+/// What is known here of how jobs ended.
+pub type Ended<'a> = &'a dyn Fn(&str) -> Option<End>;
+
+/// One change of a status.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Write {
+    pub kind: Kind,
+    pub name: String,
+    /// 0: the spec is gone, and its status goes after it.
+    pub spec_stamp: u64,
+    pub status_stamp: u64,
+    /// None where it is dropped.
+    pub value: Option<Value>,
+}
+
+impl Write {
+    fn change(&self) -> Change {
+        let key = status_key(self.kind, &self.name);
+        match &self.value {
+            Some(value) => Change::write(key, value.clone()),
+            None => Change::Drop { drop: key },
+        }
+    }
+}
+
+/// One transaction's conditions.
+pub fn conditions(writes: &[Write], token: u64) -> Vec<Condition> {
+    let of = |w: &Write| {
+        let spec = Condition::at(spec_key(w.kind, &w.name), w.spec_stamp);
+        [spec, Condition::at(status_key(w.kind, &w.name), w.status_stamp)]
+    };
+    std::iter::once(Condition::at(ASSIGNMENT, token)).chain(writes.iter().flat_map(of)).collect()
+}
+
+pub fn changes(writes: &[Write]) -> Vec<Change> {
+    writes.iter().map(Write::change).collect()
+}
+
+/// What comes of a look.
+#[derive(Debug, Default)]
+pub struct Looked {
+    /// To be stored together, if anything.
+    pub writes: Vec<Write>,
+    pub token: u64,
+    pub news: News,
+}
+
+pub struct Driver {
+    kinds: &'static [Entry],
+    /// Where to go on among the kinds, and in each kind: whoever wants changes each second keeps nobody
+    /// else from his.
+    turn: usize,
+    last: BTreeMap<Kind, String>,
+    /// Nothing is decided before the mirror holds this revision: what was stored last.
+    stored: u64,
+    /// Statuses that are too large to be stored, told once.
+    too_large: BTreeSet<(Kind, String)>,
+}
+
+impl Driver {
+    pub fn new(kinds: &'static [Entry]) -> Self {
+        Self { kinds, turn: 0, last: BTreeMap::new(), stored: 0, too_large: BTreeSet::new() }
+    }
+
+    /// These go to the store now, which is others' turn next.
+    pub fn sent(&mut self, writes: &[Write]) {
+        for write in writes.iter().filter(|w| w.value.is_some()) {
+            self.turn = self.kinds.iter().position(|entry| entry.kind == write.kind).map_or(0, |at| at + 1);
+            self.last.insert(write.kind, write.name.clone());
+        }
+    }
+
+    /// The last transaction was applied at this revision.
+    pub fn stored(&mut self, revision: u64) {
+        self.stored = self.stored.max(revision);
+    }
+
+    /// Everything that follows from how things stand. Nothing where the book is not whole yet, or the
+    /// mirror is being read anew: jobs unknown to it would look as if they were over.
+    pub fn look(&mut self, book: &mut Book, mirror: &mut Mirror, ended: Ended, now: Instant, now_ms: u64) -> Looked {
+        if !book.loaded || !mirror.ready {
+            return Looked::default();
+        }
+        let changed = mirror.shelf_mut().take_changed();
+        refresh(self.kinds, book, mirror.shelf(), ended, now, now_ms);
+        let mut looked = Looked { token: book.token, ..Looked::default() };
+        for change in changed.iter().filter(|c| now.saturating_duration_since(c.heard) < TOLD_BEFORE) {
+            looked.news.extend(news(self.kinds, change));
+        }
+        if mirror.revision >= self.stored {
+            let view = view(book, mirror.shelf(), ended, now, now_ms);
+            looked.writes = self.decide(&view, &mut looked.news);
+        }
+        looked
+    }
+
+    /// Up to `MOST_CHANGES`, of as many kinds as want any.
+    fn decide(&mut self, view: &View, told: &mut News) -> Vec<Write> {
+        let mut writes: Vec<Write> = left_over(view.shelf).take(1).collect();
+        let mut kinds: Vec<usize> = (0..self.kinds.len()).map(|n| (self.turn + n) % self.kinds.len()).collect();
+        while writes.len() < MOST_CHANGES && !kinds.is_empty() {
+            kinds.retain(|at| {
+                let found = (writes.len() < MOST_CHANGES).then(|| self.next_of(*at, view, &writes, told)).flatten();
+                let any = found.is_some();
+                writes.extend(found);
+                any
+            });
+        }
+        writes
+    }
+
+    /// The next one of a kind that wants a change, after the last one that got it.
+    fn next_of(&mut self, at: usize, view: &View, writes: &[Write], told: &mut News) -> Option<Write> {
+        let entry = &self.kinds[at];
+        let kind = entry.kind;
+        let last = self.last.get(&kind).cloned().unwrap_or_default();
+        let (before, after): (Vec<&str>, Vec<&str>) = view.shelf.names(kind).partition(|name| *name <= last.as_str());
+        let most = MOST_BYTES.min((view.settings.params.state.value_kb * 1024.0) as usize);
+        for name in after.into_iter().chain(before) {
+            if writes.iter().any(|w| w.kind == kind && w.name == name) {
+                continue;
+            }
+            let Some(Decided { spec_stamp, status_stamp, value }) = (entry.step)(name, view) else { continue };
+            let size = value.to_string().len();
+            if size > most {
+                if self.too_large.len() < kind.most() && self.too_large.insert((kind, name.to_owned())) {
+                    let line = format!("{} {name}: its status of {size} bytes cannot be stored", kind.word());
+                    told.push((Level::ERROR, line));
+                }
+                continue;
+            }
+            return Some(Write { kind, name: name.to_owned(), spec_stamp, status_stamp, value: Some(value) });
+        }
+        None
+    }
+}
+
+/// Statuses that are dropped since their spec is gone.
+fn left_over(shelf: &Shelf) -> impl Iterator<Item = Write> {
+    shelf.left_over().map(|(kind, name, status_stamp)| Write {
+        kind,
+        name: name.to_owned(),
+        spec_stamp: 0,
+        status_stamp,
+        value: None,
+    })
+}
+
+fn news(kinds: &[Entry], changed: &Changed) -> News {
+    let Changed { kind, name, before, after, .. } = changed;
+    match (after, entry(kinds, *kind)) {
+        (None, _) => vec![(Level::INFO, format!("{} {name}: removed", kind.word()))],
+        (Some(after), Some(entry)) => (entry.news)(name, before.as_ref(), after),
+        (Some(_), None) => Vec::new(),
+    }
+}
+
+fn view<'a>(book: &'a Book, shelf: &'a Shelf, ended: Ended<'a>, now: Instant, now_ms: u64) -> View<'a> {
+    View { book, ended, shelf, now, now_ms, epoch: book.token, settings: &book.settings }
+}
+
+/// Works out anew what is asked for by what is stored: before anything is decided after a takeover, when
+/// jobs have come, and each second. Does nothing as long as nothing is declared.
+pub fn refresh(kinds: &[Entry], book: &mut Book, shelf: &Shelf, ended: Ended, now: Instant, now_ms: u64) {
+    book.wishes_due = false;
+    if shelf.is_empty() && book.wishes.is_empty() {
+        return;
+    }
+    let mut wishes = Wishes::default();
+    let view = view(book, shelf, ended, now, now_ms);
+    for entry in kinds {
+        (entry.wish)(&view, &mut wishes);
+    }
+    book.set_wishes(wishes);
+}
--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -5,9 +5,13 @@
 //! any point. Nothing acts on a status before it is stored: what is asked of placing, renting and
 //! sparing (`scheduling::wishes`) follows from statuses as the mirror has them, the book and the time.
 
+pub mod driver;
 pub mod records;
+pub mod run;
 pub mod shelf;
 pub mod table;
+#[cfg(test)]
+mod tests;
 
 use std::time::Instant;
 
--- a/src/declared/shelf.rs
+++ b/src/declared/shelf.rs
@@ -110,14 +110,18 @@
             .map(|(kind, name, kept)| (kind, name.as_str(), kept.stamp))
     }
 
-    /// What the store holds under a key. False if it is none of what is declared.
+    /// What the store holds under a key since a revision. What is older than what is known, as after
+    /// reading anew, is passed over. False if the key is none of what is declared.
     pub fn put(&mut self, path: &str, value: &Value, stamp: u64) -> bool {
         let Some((part, kind, name)) = parse(path) else { return false };
         if value.to_string().len() > MOST_BYTES {
             error!(path, "larger than anything declared may be; not taken in");
-            return self.drop_key(path);
+            return self.drop_key(path, stamp);
         }
         let of = self.of(part).entry(kind).or_default();
+        if of.get(name).is_some_and(|kept| kept.stamp >= stamp) {
+            return true;
+        }
         // Operators' writes keep to half of this; a stranger's may take no more.
         if !of.contains_key(name) && of.len() >= 2 * kind.most() {
             error!(path, "too many of them; not taken in");
@@ -131,22 +135,26 @@
         true
     }
 
-    /// The same of a key that is no more.
-    pub fn drop_key(&mut self, path: &str) -> bool {
+    /// The same of a key that is no more since a revision.
+    pub fn drop_key(&mut self, path: &str, stamp: u64) -> bool {
         let Some((part, kind, name)) = parse(path) else { return false };
-        let before = self.of(part).get_mut(&kind).and_then(|of| of.remove(name));
+        let older = |kept: &Kept| kept.stamp <= stamp;
+        let of = self.of(part).get_mut(&kind).filter(|of| of.get(name).is_some_and(older));
+        let before = of.and_then(|of| of.remove(name));
         if let Some(before) = before.filter(|_| part == Part::Status) {
             self.note(kind, name, Some(before.value), None);
         }
         true
     }
 
-    /// All of it was read anew. What changed meanwhile is noted, but nothing of a first reading.
-    pub fn replace(&mut self, read: Self, first: bool) {
+    /// All of it was read anew. What changed meanwhile is noted, but nothing of a first reading. False
+    /// if nothing is declared and nothing was.
+    pub fn replace(&mut self, read: Self, first: bool) -> bool {
         let before = std::mem::replace(self, read);
+        let any = !before.is_empty() || !self.is_empty();
         self.changed = before.changed;
         if first {
-            return;
+            return any;
         }
         let mut changes = Vec::new();
         for kind in Kind::ALL {
@@ -165,6 +173,12 @@
         for (kind, name, was, is) in changes {
             self.note(kind, &name, was, is);
         }
+        any
+    }
+
+    /// Something changed that nobody has taken yet.
+    pub fn any_changed(&self) -> bool {
+        !self.changed.is_empty()
     }
 
     /// Statuses that changed since the last call, oldest first.
--- a/src/node.rs
+++ b/src/node.rs
@@ -8,6 +8,10 @@
 use tokio::sync::Notify;
 use tracing::{debug, error, info, warn};
 
+use crate::declared;
+use crate::declared::driver::{self, Ended};
+use crate::declared::run::Hands;
+use crate::declared::table::KINDS;
 use crate::fleet;
 use crate::fleet::cloud::CloudClient;
 use crate::history::reader::{self, History};
@@ -29,7 +33,7 @@
 use crate::store::follow::Fresh;
 use crate::store::mirror::{Mirror, News};
 use crate::store::share::{Parts, Want, by_need};
-use crate::store::{Change, Condition, StateClient, commit, follow};
+use crate::store::{Change, Condition, StateClient, StoreError, TxnOutcome, commit, follow};
 use crate::sync::lock;
 use crate::traffic::Traffic;
 use crate::wire::Http;
@@ -43,6 +47,7 @@
     pub commit: Notify,
     pub dispatch: Notify,
     pub fleet: Notify,
+    pub declared: Notify,
 }
 
 /// Rows of the account told at once: a line between controllers is bounded.
@@ -216,6 +221,9 @@
         if news.ownership {
             self.wake.membership.notify_one();
         }
+        if news.declared {
+            self.wake.declared.notify_one();
+        }
         let mirror = lock(&self.mirror);
         let (now, now_ms) = (Instant::now(), time_of_day_ms());
         {
@@ -264,6 +272,7 @@
         tasks.push(tokio::spawn(commit::run(self.clone())).abort_handle());
         tasks.push(tokio::spawn(dispatch::run(self.clone())).abort_handle());
         tasks.push(tokio::spawn(fleet::run(self.clone())).abort_handle());
+        tasks.push(tokio::spawn(declared::run::run(self.clone())).abort_handle());
     }
 
     /// Stops owning at once: somebody newer does.
@@ -300,6 +309,14 @@
         self.store.set_shares(share(0, REQUESTS, limits.rps), share(1, WRITES, limits.write_rps));
     }
 
+    /// What is declared asks something of jobs that have just come, before they are placed.
+    pub fn refresh_wishes(&self, now: Instant) {
+        let (mirror, mut held) = (lock(&self.mirror), lock(&self.book));
+        if let Some(book) = held.as_mut().filter(|b| b.wishes_due) {
+            driver::refresh(KINDS, book, mirror.shelf(), &|id| self.history.ended(id), now, time_of_day_ms());
+        }
+    }
+
     /// Compares the book's token with the assignment as mirrored.
     pub fn check_deposed(&self) {
         let newer =
@@ -403,6 +420,7 @@
             held.push(("open_jobs", mirror.open_jobs().count()));
             held.push(("open_tasks", mirror.held().tasks as usize));
             held.push(("descriptions", mirror.ended_kept()));
+            held.push(("declared", mirror.shelf().entries()));
         }
         let [ends, asked, waiting] = self.history.held();
         held.push(("audited", lock(&self.audit).remembered()));
@@ -426,6 +444,46 @@
     }
 }
 
+impl Hands for Node {
+    fn quiet(&self) -> bool {
+        let mirror = lock(&self.mirror);
+        let nothing = mirror.shelf().is_empty() && !mirror.shelf().any_changed();
+        nothing && lock(&self.book).as_ref().is_none_or(|b| b.wishes.is_empty())
+    }
+
+    fn look<T>(&self, look: impl FnOnce(&mut Book, &mut Mirror, Ended) -> T) -> Option<T> {
+        if self.unproven() {
+            return None;
+        }
+        let (mut mirror, mut held) = (lock(&self.mirror), lock(&self.book));
+        let book = held.as_mut()?;
+        Some(look(book, &mut mirror, &|id| self.history.ended(id)))
+    }
+
+    fn ready(&self, urgent: Urgent) -> usize {
+        self.store.writes_ready(urgent)
+    }
+
+    async fn store(
+        &self,
+        conditions: &[Condition],
+        changes: &[Change],
+        urgent: Urgent,
+    ) -> Result<TxnOutcome, StoreError> {
+        self.store.txn(conditions, changes, urgent).await
+    }
+
+    async fn refused(&self) {
+        self.fresh.wait().await;
+        self.check_deposed();
+        self.wake.membership.notify_one();
+    }
+
+    async fn woken(&self) {
+        self.wake.declared.notified().await;
+    }
+}
+
 /// The whole controller on the current thread, until it is killed.
 pub fn serve(settings: Settings, properties: Properties) -> std::io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
--- a/src/scheduling/book/jobs.rs
+++ b/src/scheduling/book/jobs.rs
@@ -81,6 +81,7 @@
             record,
         };
         self.stirred = true;
+        self.wishes_due = true;
         self.jobs.insert(id, job);
     }
 
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -276,6 +276,8 @@
     pub inherited: Vec<CloudOrder>,
     /// What operators have declared asks for.
     pub wishes: Wishes,
+    /// Jobs have come since that was worked out.
+    pub wishes_due: bool,
     /// What the account is to be told next.
     notes: Vec<(JobId, Note, Instant)>,
 }
@@ -339,6 +341,7 @@
             lane: Lane::default(),
             inherited: Vec::new(),
             wishes: Wishes::default(),
+            wishes_due: true,
             notes: Vec::new(),
         }
     }
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -56,6 +56,7 @@
         }
         let now = Instant::now();
         let mut placed = None;
+        node.refresh_wishes(now);
         if let (Some(book), Some(catalog)) = (lock(&node.book).as_mut(), node.catalog()) {
             if now.saturating_duration_since(ticked) >= TICK {
                 ticked = now;
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -1,4 +1,4 @@
-//! What every controller knows of open jobs and of ownership, as of one revision.
+//! What every controller knows of open jobs, of ownership and of what is declared, as of one revision.
 //!
 //! It changes by what the store lists and tells, and by nothing else: what this controller has
 //! itself seen stored ahead of its watch is kept elsewhere (`history`), so that no late answer can
@@ -14,6 +14,7 @@
 use tracing::warn;
 
 use super::client::{Event, Followed, Page};
+use crate::declared::{Shelf, records};
 use crate::jobs::JobId;
 use crate::jobs::limits::{self, Held};
 use crate::jobs::record::{ASSIGNMENT, JobRecord, LEADER, OPEN, PLEA, UPGRADED, Upgraded};
@@ -66,6 +67,7 @@
     /// and reading them one by one took it seconds.
     ended: LruCache<JobId, Arc<JobRecord>>,
     control: Control,
+    shelf: Shelf,
 }
 
 /// A reading under way, page by page.
@@ -73,6 +75,7 @@
     revision: Option<u64>,
     seen: HashSet<JobId>,
     control: Control,
+    shelf: Shelf,
 }
 
 impl Loading {
@@ -88,6 +91,8 @@
     pub opened: Vec<JobId>,
     pub ended: Vec<JobId>,
     pub ownership: bool,
+    /// A spec or a status changed.
+    pub declared: bool,
 }
 
 impl News {
@@ -109,6 +114,7 @@
             held: Held::default(),
             ended: LruCache::new(ENDED_KEPT),
             control: Control::default(),
+            shelf: Shelf::default(),
         }
     }
 }
@@ -149,6 +155,15 @@
         self.control.plea.as_ref()
     }
 
+    /// All that is declared.
+    pub fn shelf(&self) -> &Shelf {
+        &self.shelf
+    }
+
+    pub fn shelf_mut(&mut self) -> &mut Shelf {
+        &mut self.shelf
+    }
+
     /// Whether jobs may stand under an earlier build's keys; true as long as that is not known.
     pub fn old_kept(&self) -> bool {
         self.control.upgraded.is_none_or(|u| u.old_kept)
@@ -174,7 +189,7 @@
     /// page on.
     pub fn load(&mut self) -> Loading {
         self.ready = false;
-        Loading { revision: None, seen: HashSet::new(), control: Control::default() }
+        Loading { revision: None, seen: HashSet::new(), control: Control::default(), shelf: Shelf::default() }
     }
 
     /// Takes in one page. What has changed since the first one may or may not be included.
@@ -185,6 +200,10 @@
             if loading.control.put(&item.path, &item.value, item.stamp) {
                 continue;
             }
+            if records::declared(&item.path) {
+                loading.shelf.put(&item.path, &item.value, item.stamp);
+                continue;
+            }
             let Some(id) = item.path.strip_prefix(OPEN) else { continue };
             self.put(id, &item.path, &item.value, &mut news);
             if let Some((id, _)) = self.open.get_key_value(id) {
@@ -197,7 +216,8 @@
     /// The last page was taken in: whatever was not among them has ended.
     pub fn loaded(&mut self, loading: Loading) -> News {
         let gone: Vec<JobId> = self.open.keys().filter(|id| !loading.seen.contains(*id)).cloned().collect();
-        let mut news = News { ownership: true, ..News::default() };
+        let declared = self.shelf.replace(loading.shelf, self.revision == 0);
+        let mut news = News { ownership: true, declared, ..News::default() };
         for id in gone {
             self.end(&id, &mut news);
         }
@@ -226,12 +246,16 @@
         if let Some(path) = &event.write {
             if self.control.put(path, &event.value, event.stamp) {
                 news.ownership = true;
+            } else if records::declared(path) {
+                news.declared |= self.shelf.put(path, &event.value, event.stamp);
             } else if let Some(id) = path.strip_prefix(OPEN) {
                 self.put(id, path, &event.value, news);
             }
         } else if let Some(path) = &event.drop {
             if self.control.drop(path) {
                 news.ownership = true;
+            } else if records::declared(path) {
+                news.declared |= self.shelf.drop_key(path, event.stamp);
             } else if let Some(id) = path.strip_prefix(OPEN) {
                 self.end(id, news);
             }
@@ -262,6 +286,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::declared::Kind;
     use crate::jobs::record::open_key;
     use crate::jobs::tests::spec;
     use crate::store::client::Item;
@@ -334,4 +359,36 @@
         read_whole(&mut mirror, vec![page(vec![control], 97)]);
         assert!(!mirror.old_kept());
     }
+
+    /// Specs and statuses come with the same pages and answers as jobs do, are no jobs, and nobody hears
+    /// of them as long as there are none.
+    #[test]
+    fn what_is_declared_comes_with_the_rest() {
+        let write =
+            |path: &str, n: u64, stamp| Event { write: Some(path.into()), drop: None, value: json!({"n": n}), stamp };
+        let mut mirror = Mirror::default();
+        let news = read_whole(&mut mirror, vec![page(vec![opened(1, 1)], 1)]);
+        let want = News { opened: vec![], ended: vec![], ownership: true, declared: false };
+        assert_eq!(news, want, "with nothing declared as ever");
+        let (_, news) = mirror.apply(&followed(vec![opened(2, 2), ended(1, 3)], 3));
+        assert!(!news.declared && news.opened.len() == 1 && news.ended.len() == 1);
+
+        let (spec, status) = ("c/s/window/w", "c/t/window/w");
+        let (_, news) = mirror.apply(&followed(vec![write(spec, 1, 4), write(status, 1, 5)], 5));
+        assert_eq!(news, News { declared: true, ..News::default() });
+        assert_eq!(mirror.shelf().raw_status(Kind::Window, "w"), Some((&json!({"n": 1}), 5)));
+        // Read anew, and followed from its first page on: what a later page had already is passed over.
+        let pages = vec![page(vec![opened(2, 2)], 6), page(vec![write(spec, 1, 4), write(status, 3, 8)], 8)];
+        assert!(read_whole(&mut mirror, pages).declared);
+        mirror.apply(&followed(vec![write(status, 2, 7), write(status, 3, 8)], 8));
+        assert_eq!(mirror.shelf().raw_status(Kind::Window, "w"), Some((&json!({"n": 3}), 8)));
+        let told: Vec<_> = mirror.shelf_mut().take_changed().into_iter().map(|c| c.after).collect();
+        assert_eq!(told, [Some(json!({"n": 1})), Some(json!({"n": 3}))], "once each");
+        let drop = Event { write: None, drop: Some(spec.into()), value: Value::Null, stamp: 9 };
+        mirror.apply(&followed(vec![drop], 9));
+        assert_eq!(mirror.shelf().left_over().count(), 1, "a status whose spec is gone");
+        assert!(read_whole(&mut mirror, vec![page(vec![opened(2, 2)], 10)]).declared, "nothing is declared any more");
+        assert!(mirror.shelf().is_empty());
+        assert!(!read_whole(&mut mirror, vec![page(vec![opened(2, 2)], 11)]).declared);
+    }
 }
