Placing, holding, renting and sparing follow what operators ask for

Need: windows, heat rules and rollouts have to be felt in decisions, and nothing may differ without. Change: scheduling::wishes puts the queue into the order asked for: who goes ahead takes the first places that jobs of its urgency have beyond guarantees and floors, up to its part of what is given out (an array by single tasks); jobs of one window take the places they have in the order of their turns. Jobs whose turn has not come are not placed, rented for or counted as kept waiting. Holds at once and no patience in renting for who goes ahead, and its tasks are not moved. Room asked for is rented a boot and a fetch ahead where it is missing, kept from idle work and from being given up. Tests: cases, bounds as properties; wishes that name nobody change no decision on 300 books.

--- a/src/fleet/drain.rs
+++ b/src/fleet/drain.rs
@@ -9,6 +9,7 @@
 use crate::scheduling::filler;
 use crate::scheduling::plan::queue;
 use crate::scheduling::room::{Ground, Room, Zones, suspect_after, usable};
+use crate::scheduling::wishes;
 use crate::sla;
 use crate::wire::workers::{LegStatus, TaskKey};
 
@@ -117,7 +118,10 @@
     // what of it runs included, what is left.
     for turn in queue(book, now).into_iter().filter(|t| !t.suspected && !t.job.spec().is_idle()) {
         let (job, waiting) = (turn.job, turn.job.waiting.len() as u64);
-        pool.keep(job.spec(), &Zones::new(book, job), waiting, turn.age > job.agreement.run);
+        pool.keep(job.spec(), &Zones::new(book, job), waiting, turn.ahead || turn.age > job.agreement.run);
+    }
+    for (wish, _) in wishes::room_kept(book, &pool.ground) {
+        pool.keep(&wish.like, &Zones::none(&wish.like), wish.tasks, false);
     }
     for (class, expected) in book.arrivals.iter().filter(|(_, a)| !a.like.spec.is_idle()) {
         let spec = &expected.like.spec;
@@ -174,6 +178,9 @@
         if job.ended.is_some() || binding.halting.is_some() {
             continue;
         }
+        if book.wishes.ahead.as_ref().is_some_and(|a| a.names.has(spec)) {
+            return None;
+        }
         let ran = binding.running_since.filter(|_| binding.status == Some(LegStatus::Running));
         let ran = ran.map_or(Duration::ZERO, |s| now.saturating_duration_since(s));
         let rest = sla::remaining(job.agreement.run, ran);
--- a/src/fleet/rent.rs
+++ b/src/fleet/rent.rs
@@ -11,6 +11,7 @@
 use crate::scheduling::plan::{Quotas, Turn, queue};
 use crate::scheduling::room::{Ground, Offer, Room, Zones};
 use crate::scheduling::served::promises::starts_left_s;
+use crate::scheduling::wishes::{self, RoomWish};
 
 /// Grace on top of a type's usual boot time.
 const BOOT_GRACE: Duration = Duration::from_secs(10);
@@ -112,6 +113,8 @@
 const FRESH: Duration = Duration::from_secs(20);
 /// Renting must bring the start forward by at least this much.
 const GAIN_S: f64 = 3.0;
+/// Longer than the forecast looks ahead.
+const HELD_FOR_ROOM: Duration = Duration::from_secs(86_400);
 /// Tasks and jobs followed through the forecast; more than these wait for the next one.
 const MOST_FORECAST: usize = 20_000;
 const MOST_FOLLOWED: usize = 500;
@@ -139,19 +142,21 @@
     // For what fails everywhere nothing is rented.
     let turns = queue(book, now).into_iter().filter(|t| !t.suspected);
     let (idle, urgent): (Vec<Turn>, Vec<Turn>) = turns.partition(|t| t.job.spec().is_idle());
-    if idle.is_empty() && urgent.is_empty() {
+    let room = !book.wishes.room.is_empty();
+    if idle.is_empty() && urgent.is_empty() && !room {
         return Vec::new();
     }
     let ground = Ground::with_all_offers(book, catalog);
     let mut wishes = Wishes::new(book, &ground, refusals, asked, now);
     // Idle tasks give way, so that their room counts for others; what they wait for themselves is looked
     // at after that, on the machines as they are.
-    if !urgent.is_empty() {
+    if !urgent.is_empty() || room {
         let mut timelines = wishes.timelines(true);
         // Work that has waited will have to wait for what is yet to come as well: fresh work has the
         // higher return. What ends on the machines is not all theirs.
         let (fresh, waited): (Vec<Turn>, Vec<Turn>) = urgent.into_iter().partition(|t| t.age < FRESH);
         wishes.follow(fresh, &mut timelines);
+        wishes.follow_room(&mut timelines);
         if !waited.is_empty() {
             expect_arrivals(book, &ground, &mut timelines, now);
         }
@@ -237,7 +242,7 @@
         let open = ground.open_to(spec, &zones);
         let least = cheapest(ground, spec, spec.tasks, |at, _| open[at]).map_or(f64::INFINITY, |(.., cost)| cost);
         let least = least.max(1e-9);
-        let short = book.below.short.has(spec) && !spec.is_idle();
+        let short = (book.below.short.has(spec) && !spec.is_idle()) || turn.ahead;
         let mut slots = Slots::new(timelines, job, &open);
         let mut missing = job.waiting.len() as u64;
         let mut offer = None;
@@ -286,6 +291,50 @@
     }
 }
 
+impl<'a> Wishes<'a> {
+    /// Room that operators have declared: what will not be there in time is rented as late as a machine
+    /// takes to boot and fetch, and counts as taken for all that follows.
+    fn follow_room(&mut self, timelines: &mut Vec<Timeline<'a>>) {
+        let mut room: Vec<&RoomWish> = self.book.wishes.room.iter().collect();
+        room.sort_by(|a, b| a.in_s.total_cmp(&b.in_s));
+        for wish in room {
+            let mut like = self.book.as_if(&wish.like, self.now);
+            // All of it at one time: no place counts twice.
+            like.agreement.run = HELD_FOR_ROOM;
+            let (spec, zones) = (&wish.like, Zones::none(&wish.like));
+            let open = self.ground.open_to(spec, &zones);
+            let mut slots = Slots::new(timelines, &like, &open);
+            for n in 0..wish.tasks {
+                if self.followed >= MOST_FORECAST || !self.quotas.allows(spec, 1.0) {
+                    break;
+                }
+                self.followed += 1;
+                let existing = slots.next(timelines, self.ground, &zones);
+                let start = existing.map_or(f64::INFINITY, |slot| slot.at_s);
+                let may = |at: usize, _: &Offer| open[at] && !self.refused[at];
+                let offer = cheapest(self.ground, spec, wish.tasks - n, may).filter(|(_, offer, _)| {
+                    let boot_s = offer.of.boot_s;
+                    let fetch_s = spec.image_gb / offer.of.fetch_gb_per_s.max(0.001);
+                    start > wish.in_s
+                        && boot_s + GAIN_S < start
+                        && wish.in_s <= boot_s + fetch_s
+                        && self.total < self.book.properties.most_machines as u64
+                });
+                if let Some((at, chosen, _)) = offer {
+                    timelines.push(Timeline::new(Room::empty(chosen.of, at), chosen.of.boot_s));
+                    slots.push(timelines, timelines.len() - 1);
+                    *self.wanted.entry(chosen.kind()).or_default() += 1;
+                    self.total += 1;
+                }
+                let Some(mut slot) = slots.next(timelines, self.ground, &zones) else { break };
+                slot.at_s = slot.at_s.max(wish.in_s);
+                slots.take(timelines, slot);
+                self.quotas.take(spec, 1.0);
+            }
+        }
+    }
+}
+
 /// Places what is expected to come while a machine would boot, each task when it comes.
 fn expect_arrivals<'a>(book: &'a Book, ground: &Ground<'a>, timelines: &mut [Timeline<'a>], now: Instant) {
     for arrivals in book.arrivals.values() {
@@ -310,6 +359,7 @@
 /// Machines that boot for too long or stand idle for too long.
 pub fn to_give_up(book: &Book, catalog: &Catalog, now: Instant) -> Vec<(MachineId, &'static str)> {
     let mut out = Vec::new();
+    let kept = wishes::idle_kept(book, catalog, now);
     for machine in book.machines.values() {
         let age = now.saturating_duration_since(machine.since);
         match machine.standing {
@@ -326,7 +376,7 @@
             }
             Standing::Up => {
                 let idle = machine.idle_since.map_or(Duration::ZERO, |t| now.saturating_duration_since(t));
-                if machine.bound.is_empty() && idle > book.properties.idle {
+                if machine.bound.is_empty() && idle > book.properties.idle && !kept.contains(&machine.id) {
                     out.push((machine.id.clone(), "idle"));
                 }
             }
--- a/src/scheduling/book/jobs.rs
+++ b/src/scheduling/book/jobs.rs
@@ -56,14 +56,28 @@
         if self.jobs.contains_key(&id) {
             return;
         }
-        let n = record.spec.tasks as usize;
         let age = record.age(time_of_day_ms());
         self.note_arrival(&record, age, now);
+        let job = self.begin(record, now.checked_sub(age).unwrap_or(now), now);
+        self.stirred = true;
+        self.wishes_due = true;
+        self.jobs.insert(id, job);
+    }
+
+    /// One task of a job that is not in the book.
+    pub fn as_if(&self, spec: &JobSpec, now: Instant) -> JobState {
+        let spec = JobSpec { tasks: 1, ..spec.clone() };
+        self.begin(Arc::new(JobRecord { spec, at_ms: 0 }), now, now)
+    }
+
+    /// A job of which nothing has happened yet.
+    fn begin(&self, record: Arc<JobRecord>, since: Instant, now: Instant) -> JobState {
+        let n = record.spec.tasks as usize;
         let agreement = self.agreement(&record.spec);
         let promises = promises_of(&self.settings.params.objectives, &record.spec, &agreement);
-        let job = JobState {
+        JobState {
             agreement,
-            since: now.checked_sub(age).unwrap_or(now),
+            since,
             tasks: vec![Task { attempt: 0, phase: Phase::Waiting, stored: true }; n],
             waiting: (0..n as u32).collect(),
             bound: BTreeSet::new(),
@@ -79,10 +93,7 @@
             most_starts: 0,
             begun: false,
             record,
-        };
-        self.stirred = true;
-        self.wishes_due = true;
-        self.jobs.insert(id, job);
+        }
     }
 
     /// What is stored of one chunk of a job that was just added: at a takeover, before anything
--- a/src/scheduling/holds.rs
+++ b/src/scheduling/holds.rs
@@ -9,6 +9,7 @@
 use super::book::{Book, MachineId};
 use super::plan::{Quotas, Turn, queue};
 use super::room::{Ground, Room, Zones, suspect_after, usable};
+use super::wishes;
 use crate::jobs::JobId;
 use crate::kinds::Catalog;
 use crate::scheduling::forecast::{Slots, Timeline};
@@ -33,12 +34,13 @@
     let mut holds = HashMap::new();
     let mut turns: Vec<Turn> = queue(book, now)
         .into_iter()
-        .filter(|t| t.job.spec().is_gang() && !t.suspected && t.age >= HOLD_AFTER)
+        .filter(|t| t.job.spec().is_gang() && !t.suspected && (t.age >= HOLD_AFTER || t.ahead))
         .collect();
     if turns.is_empty() {
         return holds;
     }
     turns.sort_by_key(|t| (t.rank, Reverse(t.age)));
+    wishes::ahead_first(&mut turns);
     turns.truncate(MOST_HOLDERS);
     let ground = Ground::new(book, catalog);
     let suspect = suspect_after(book);
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -107,7 +107,8 @@
     }
     // What fails everywhere is nobody's to serve.
     let evidence = &book.evidence;
-    let open = book.jobs().filter(|(id, job)| job.ended.is_none() && !job.complete() && !evidence.suspects(id));
+    let left_out = |id| evidence.suspects(id) || book.wishes.not_yet.contains(id);
+    let open = book.jobs().filter(|(id, job)| job.ended.is_none() && !job.complete() && !left_out(id));
     let open = open.map(|(_, job)| Open {
         spec: job.spec(),
         promises: &job.promises,
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -14,6 +14,7 @@
 use super::filler::{self, Filler};
 use super::room::{Ground, Room, Zones, usable, usable_until_left};
 use super::served::floor::Rank;
+use super::wishes;
 use crate::jobs::{JobId, JobSpec};
 use crate::kinds::Catalog;
 use crate::sla;
@@ -50,6 +51,10 @@
     pub suspected: bool,
     task_return: f64,
     pub age: Duration,
+    /// Goes before others of its urgency, by what operators have declared.
+    pub ahead: bool,
+    /// Tasks that may be placed in its turn.
+    pub most: usize,
 }
 
 /// What fails everywhere last of all; else teams short of their guarantee first, then who is below the floor and can still be in time, then
@@ -59,6 +64,7 @@
         .jobs()
         .filter(|(_, job)| !job.waiting.is_empty() && job.ended.is_none() && !job.complete() && now >= job.not_before)
         .filter(|(_, job)| !job.spec().is_gang() || job.bound.is_empty())
+        .filter(|(id, _)| !book.wishes.not_yet.contains(*id))
         .map(|(id, job)| {
             let age = now.saturating_duration_since(job.since);
             let late = job.too_late(age);
@@ -71,6 +77,8 @@
                 suspected: book.evidence.suspects(id),
                 task_return: job.agreement.task_return(age + job.agreement.run),
                 age,
+                ahead: false,
+                most: usize::MAX,
             }
         })
         .collect();
@@ -82,6 +90,7 @@
             .then(b.age.cmp(&a.age))
             .then(a.id.cmp(b.id))
     });
+    wishes::order(book, &mut turns);
     turns
 }
 
@@ -415,14 +424,21 @@
             let boot_s = self.ground.longest_boot_s(&open);
             let objectives = &book.settings.params.objectives;
             let mut left = filler::kept_for(spec, arrivals.per_second(self.now), objectives, boot_s);
-            for room in self.rooms.iter_mut().filter(|r| !r.leaving && !r.kept && r.apt(spec)) {
-                if left == 0 {
-                    break;
-                }
-                let units = if open.get(room.kind) == Some(&true) { room.units(spec, left) } else { 0 };
-                room.kept = units > 0;
-                left -= units;
+            self.keep(spec, &open, &mut left);
+        }
+        for (wish, open) in wishes::room_kept(book, &self.ground) {
+            self.keep(&wish.like, &open, &mut wish.tasks.clone());
+        }
+    }
+
+    fn keep(&mut self, spec: &JobSpec, open: &[bool], left: &mut u64) {
+        for room in self.rooms.iter_mut().filter(|r| !r.leaving && !r.kept && r.apt(spec)) {
+            if *left == 0 {
+                break;
             }
+            let units = if open.get(room.kind) == Some(&true) { room.units(spec, *left) } else { 0 };
+            room.kept = units > 0;
+            *left -= units;
         }
     }
 
@@ -530,7 +546,7 @@
         }
         let job = turn.job;
         let spec = job.spec();
-        let mut most = MOST_PLACEMENTS - decisions.len();
+        let mut most = turn.most.min(MOST_PLACEMENTS - decisions.len());
         if spec.is_gang() {
             if !quotas.allows(spec, spec.tasks as f64) {
                 continue;
--- a/src/scheduling/tests.rs
+++ b/src/scheduling/tests.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+mod wishes;
+
 use super::book::{Book, Standing, Via};
 use super::plan;
 use super::preempt;
--- /dev/null
+++ b/src/scheduling/tests/wishes.rs
@@ -0,0 +1,297 @@
+//! What operators ask for, and that nothing differs where nobody does.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use super::*;
+use crate::scheduling::served::Whose;
+use crate::scheduling::served::floor::{Below, Names, Rank};
+use crate::scheduling::wishes::{Ahead, RoomWish, Turn, Wishes};
+
+fn class(name: &str) -> Names {
+    Names::of([(Whose::Class, name)].into_iter())
+}
+
+fn id(n: u32) -> crate::jobs::JobId {
+    format!("run-{n:06}").as_str().into()
+}
+
+fn order(book: &Book, now: Instant) -> Vec<u32> {
+    plan::queue(book, now).iter().map(|t| t.id[4..].parse().unwrap()).collect()
+}
+
+/// Jobs of all sorts, some of them placed, some waiting for long, on machines of all sorts.
+fn busy(seed: u64, start: Instant) -> (Book, Instant) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let names: Vec<String> = (0..rng.random_range(1..12)).map(|n| format!("m{n:02}")).collect();
+    let mut book = book(&[], start);
+    for name in &names {
+        let (of, zone) = (["c8", "g2"][rng.random_range(0..2)], ["a", "b"][rng.random_range(0..2)]);
+        book.take_report(report(name, of, zone, rng.random(), 1, vec![]), Via::Report, None, start);
+    }
+    let now = start + Duration::from_secs(100);
+    for n in 1..rng.random_range(4..30) {
+        if n == 8 {
+            let first = plan::place(&mut book, &catalog(), start);
+            book.bind_all(first, start);
+        }
+        let mut j = spec();
+        j.id = id(n);
+        j.class = ["c", "d", "e"][rng.random_range(0..3)].into();
+        j.team = ["blue", "red"][rng.random_range(0..2)].into();
+        j.shape = [Shape::Array, Shape::Gang, Shape::Service][rng.random_range(0..3)];
+        j.urgency = [Urgency::Idle, Urgency::Normal, Urgency::High][rng.random_range(0..3)];
+        j.tasks = rng.random_range(1..6);
+        j.cpus = f64::from(rng.random_range(1..9));
+        j.gpus = if rng.random_ratio(1, 5) { 1.0 } else { 0.0 };
+        j.estimate_s = f64::from(rng.random_range(1..400));
+        j.due_s = rng.random_ratio(1, 3).then(|| f64::from(rng.random_range(10..900)));
+        j.checkpoint_s = f64::from(rng.random_range(0..3)) * 10.0;
+        // Of no age by any time of day, so that a seed is always the same.
+        let record = JobRecord { spec: j, at_ms: u64::MAX };
+        book.add_job(Arc::new(record), if n < 8 { start } else { now });
+    }
+    if rng.random() {
+        book.set_below(Below { short: class("d"), first: class("d") });
+    }
+    for (name, seq) in names.iter().zip(2..) {
+        let (type_name, zone, spot) = {
+            let m = &book.machines[name.as_str()];
+            (m.type_name.clone(), m.zone.clone(), m.spot)
+        };
+        book.take_report(report(name, &type_name, &zone, spot, seq + 10, vec![]), Via::Report, None, now);
+    }
+    (book, now)
+}
+
+/// Every decision that wishes may touch.
+fn decided(book: &mut Book, now: Instant) -> String {
+    let catalog = catalog();
+    let queue: Vec<_> = plan::queue(book, now).iter().map(|t| t.id.clone()).collect();
+    let mut holds: Vec<_> = super::super::holds::choose(book, &catalog, now).into_iter().collect();
+    holds.sort_by(|a, b| a.0.cmp(&b.0));
+    let rented = rent::plan(book, &catalog, &Refusals::default(), &Default::default(), now);
+    let given_up = rent::to_give_up(book, &catalog, now);
+    let drained = drain::choose(book, &catalog, now);
+    let placed = plan::place(book, &catalog, now);
+    let holds: Vec<_> = holds.into_iter().map(|(m, h)| (m, h.job)).collect();
+    format!("{queue:?} {holds:?} {rented:?} {given_up:?} {drained:?} {placed:?}")
+}
+
+/// Wishes that name nobody change nothing, as none do: no decision looks at them but for those named.
+#[test]
+fn nothing_differs_for_whom_nothing_is_asked() {
+    let start = Instant::now();
+    for seed in 0..300 {
+        let (mut plain, now) = busy(seed, start);
+        let (mut book, _) = busy(seed, start);
+        book.set_wishes(Wishes {
+            turns: [(id(900), Turn { window: "w".into(), number: 1 })].into(),
+            not_yet: [id(901)].into(),
+            ahead: Some(Ahead { names: class("nobody"), most_part: 0.5 }),
+            room: vec![RoomWish { like: spec(), tasks: 0, in_s: 0.0 }],
+            ..Wishes::default()
+        });
+        assert_eq!(decided(&mut book, now), decided(&mut plain, now), "seed {seed}");
+    }
+}
+
+#[test]
+fn the_queue_with_wishes_by_cases() {
+    let now = Instant::now();
+    // By return: 1 (high) before 2 (short), 3, 4, 5; 6 is idle; 7 within its team's guarantee.
+    let make = || {
+        let mut book = book(&[("m1", "c8", "a", false)], now);
+        for (n, class, estimate_s) in [(1, "x", 5.0), (2, "x", 10.0), (3, "h", 20.0), (4, "x", 40.0), (5, "h", 80.0)] {
+            add(&mut book, n, now, |j| (j.class, j.estimate_s) = (class.into(), estimate_s));
+        }
+        add(&mut book, 6, now, |j| (j.class, j.urgency) = ("h".into(), Urgency::Idle));
+        add(&mut book, 7, now, |j| (j.class, j.team, j.estimate_s) = ("x".into(), "red".into(), 90.0));
+        add(&mut book, 8, now, |j| (j.class, j.urgency, j.estimate_s) = ("x".into(), Urgency::High, 30.0));
+        book
+    };
+    let turn = |n: u32, window: &str, number| (id(n), Turn { window: window.into(), number });
+    let ahead = |most_part| Some(Ahead { names: class("h"), most_part });
+    let given = |book: &mut Book| book.usage.insert("blue".into(), (100.0, 0.0));
+    type Change<'a> = &'a dyn Fn(&mut Book);
+    let cases: [(&str, Change, &[u32]); 9] = [
+        ("none", &|_| (), &[7, 8, 1, 2, 3, 4, 5, 6]),
+        ("not yet", &|b| b.wishes.not_yet = [id(2), id(7)].into(), &[8, 1, 3, 4, 5, 6]),
+        (
+            "in turn, in the places they have",
+            &|b| b.wishes.turns = [turn(5, "w", 1), turn(2, "w", 2), turn(1, "w", 3)].into(),
+            &[7, 8, 5, 2, 3, 4, 1, 6],
+        ),
+        (
+            "two windows, beside each other",
+            &|b| b.wishes.turns = [turn(3, "v", 1), turn(1, "v", 2), turn(4, "w", 1), turn(2, "w", 2)].into(),
+            &[7, 8, 3, 4, 1, 2, 5, 6],
+        ),
+        (
+            "the later turn waits where the earlier has no guarantee",
+            &|b| b.wishes.turns = [turn(4, "w", 1), turn(7, "w", 2)].into(),
+            &[8, 1, 2, 3, 4, 7, 5, 6],
+        ),
+        (
+            "ahead, behind the guaranteed and the more urgent",
+            &|b| {
+                given(b);
+                b.wishes.ahead = ahead(0.5);
+            },
+            &[7, 8, 3, 5, 1, 2, 4, 6],
+        ),
+        (
+            "behind who is below the floor",
+            &|b| {
+                given(b);
+                b.wishes.ahead = ahead(0.5);
+                b.set_below(Below { short: Names::default(), first: class("x") });
+            },
+            &[7, 8, 1, 2, 4, 3, 5, 6],
+        ),
+        (
+            "up to their part",
+            &|b| {
+                given(b);
+                b.wishes.ahead = ahead(0.011);
+            },
+            &[7, 8, 3, 1, 2, 4, 5, 6],
+        ),
+        ("one job in any case", &|b| b.wishes.ahead = ahead(0.0), &[7, 8, 3, 1, 2, 4, 5, 6]),
+    ];
+    for (name, change, want) in cases {
+        let mut book = make();
+        change(&mut book);
+        assert_eq!(order(&book, now), want, "{name}");
+    }
+}
+
+/// Who goes ahead finds the rule's bound, an array by single tasks.
+#[test]
+fn an_array_goes_ahead_as_far_as_the_bound() {
+    let now = Instant::now();
+    let mut book = book(&[("m1", "c8", "a", false), ("m2", "c8", "a", false)], now);
+    add(&mut book, 1, now, |j| (j.class, j.tasks, j.estimate_s) = ("h".into(), 16, 100.0));
+    add(&mut book, 2, now, |j| (j.class, j.tasks, j.estimate_s) = ("x".into(), 16, 10.0));
+    book.usage.insert("red".into(), (20.0, 0.0));
+    book.wishes.ahead = Some(Ahead { names: class("h"), most_part: 0.2 });
+    let placed = plan::place(&mut book, &catalog(), now);
+    let of = |n: u32| placed.iter().filter(|p| p.task.job == id(n)).count();
+    assert_eq!((of(1), of(2)), (4, 12));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(31), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whoever goes ahead never holds more than the rule's part of what is given out, or one job;
+    /// nobody of another urgency, within a guarantee or below the floor loses its place; and in no
+    /// window a later turn stands before an earlier one.
+    #[test]
+    fn bounds_of_wishes(seed in 0u64..10_000, most_part in 0.0..1.0f64) {
+        let (mut book, now) = busy(seed, Instant::now());
+        let plain: Vec<_> = plan::queue(&book, now).iter().map(|t| t.id.clone()).collect();
+        let ids: Vec<_> = plain.iter().cloned().enumerate().collect();
+        book.wishes.ahead = Some(Ahead { names: class("c"), most_part });
+        {
+            let turns = plan::queue(&book, now);
+            let held = |n: usize, job: &super::super::book::JobState| n as f64 * job.spec().cpus;
+            let theirs = book.jobs().filter(|(_, j)| j.spec().class == "c");
+            let before: f64 = theirs.map(|(_, j)| held(j.bound.len(), j)).sum();
+            let ahead = turns.iter().filter(|t| t.ahead);
+            let more: Vec<f64> = ahead.map(|t| held(t.most.min(t.job.waiting.len()), t.job)).collect();
+            let given: f64 = book.usage.values().map(|u| u.0).sum();
+            let by_return = |t: &&plan::Turn| !t.guaranteed && t.rank != Rank::First && !t.suspected;
+            let bounded = turns.iter().filter(|t| t.ahead).all(|t| by_return(&t));
+            let sum: f64 = before + more.iter().sum::<f64>();
+            let one = before == 0.0 && more.len() <= 1;
+            prop_assert!(!bounded || more.is_empty() || one || sum <= given * most_part + 0.01, "{sum} of {given}");
+            for (at, turn) in turns.iter().enumerate() {
+                let was = plain.iter().position(|id| id == turn.id).unwrap();
+                let other = &turns[was];
+                let alike = by_return(&turn) && turn.job.spec().urgency == other.job.spec().urgency;
+                prop_assert!(at == was || alike, "{} from {was} to {at}", turn.id);
+            }
+        }
+        let mut rng = StdRng::seed_from_u64(seed);
+        book.wishes.turns = ids.iter().filter(|(n, _)| n % 3 > 0).map(|(n, id)| {
+            (id.clone(), Turn { window: format!("w{}", n % 3), number: rng.random_range(1..20) })
+        }).collect();
+        let turns = plan::queue(&book, now);
+        prop_assert_eq!(turns.len(), plain.len());
+        for window in ["w1", "w2"] {
+            let of = turns.iter().filter(|t| !t.suspected).filter_map(|t| book.wishes.turns.get(t.id));
+            let numbers: Vec<u32> = of.filter(|t| t.window == window).map(|t| t.number).collect();
+            prop_assert!(numbers.is_sorted(), "{window}: {numbers:?}");
+        }
+    }
+}
+
+/// Room is rented a boot and a fetch ahead, where it is missing, once; it is kept as long as it is asked
+/// for, and given back when it is not.
+#[test]
+fn room_that_is_asked_for_by_cases() {
+    let start = Instant::now();
+    let room = |tasks, in_s| vec![RoomWish { like: JobSpec { cpus: 4.0, ..spec() }, tasks, in_s }];
+    // The type boots for 30 s, and a fetch takes one.
+    for (name, machines, tasks, in_s, want) in [
+        ("nothing asked", 0, 0, 0.0, 0),
+        ("time enough", 0, 4, 40.0, 0),
+        ("a boot and a fetch ahead", 0, 4, 31.0, 2),
+        ("at once", 0, 4, 0.0, 2),
+        ("there already", 2, 4, 0.0, 0),
+        ("half there", 1, 4, 20.0, 1),
+    ] {
+        let mut book = many(machines, start);
+        book.wishes.room = room(tasks, in_s);
+        let rent = |asked: &HashMap<Kind, u64>| {
+            let wanted = rent::plan(&book, &catalog(), &Refusals::default(), asked, start);
+            wanted.into_iter().collect::<HashMap<Kind, u64>>()
+        };
+        let wanted = rent(&HashMap::new());
+        assert_eq!(wanted.values().sum::<u64>(), want, "{name}");
+        assert!(rent(&wanted).is_empty(), "{name}: asked for once");
+    }
+    let long = start + Duration::from_secs(500);
+    for (name, tasks, in_s, kept) in [("not asked", 0, 0.0, 0), ("asked", 3, 20.0, 2), ("much later", 3, 300.0, 0)] {
+        let mut book = many(5, start);
+        for n in 0..5 {
+            let report = report(&format!("m{n:04}"), "c8", "a", false, 2, vec![]);
+            book.take_report(report, Via::Report, None, long);
+        }
+        book.wishes.room = room(tasks, in_s);
+        assert_eq!(rent::to_give_up(&book, &catalog(), long).len(), 5 - kept, "{name}: given up");
+        // One at a time is drained of so few.
+        let drained = drain::choose(&book, &catalog(), long);
+        assert_eq!(drained.len(), 1, "{name}");
+        book.wishes.room = room(10, in_s);
+        let spared = drain::choose(&book, &catalog(), long).len();
+        assert_eq!(spared, usize::from(in_s > 100.0), "{name}: all of it needed");
+    }
+}
+
+/// A gang that goes ahead is held for at once, and rented for without patience; its tasks are not moved.
+#[test]
+fn who_goes_ahead_is_not_kept_waiting() {
+    let now = Instant::now();
+    let make = |ahead: bool| {
+        let mut book = many(12, now);
+        add(&mut book, 1, now, |j| (j.tasks, j.cpus, j.estimate_s, j.zone) = (24, 4.0, 50.0, Some("a".into())));
+        let first = plan::place(&mut book, &catalog(), now);
+        book.bind_all(first, now);
+        add(&mut book, 2, now, |j| {
+            (j.class, j.shape, j.tasks, j.cpus, j.estimate_s) = ("h".into(), Shape::Gang, 2, 8.0, 2000.0);
+        });
+        let most_part = if ahead { 0.5 } else { 0.0 };
+        book.wishes.ahead = ahead.then(|| Ahead { names: class("h"), most_part });
+        book.arrivals.clear();
+        book
+    };
+    for ahead in [false, true] {
+        let book = make(ahead);
+        assert_eq!(!super::super::holds::choose(&book, &catalog(), now).is_empty(), ahead, "held at once");
+        let rented = rent::plan(&book, &catalog(), &Refusals::default(), &HashMap::new(), now);
+        assert_eq!(!rented.is_empty(), ahead, "rented at once");
+    }
+}
--- a/src/scheduling/wishes.rs
+++ b/src/scheduling/wishes.rs
@@ -2,11 +2,19 @@
 //! (`declared`) works it out from what is stored; here nobody knows why. With no wishes, not one
 //! decision differs.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::time::Instant;
 
-use super::book::Book;
-use super::served::floor::Names;
-use crate::jobs::{JobId, JobSpec};
+use super::book::{Book, MachineId, Standing};
+use super::plan;
+use super::room::{Ground, Room, SLACK, Zones, suspect_after, usable};
+use super::served::floor::{Names, Rank};
+use crate::jobs::{JobId, JobSpec, Urgency};
+use crate::kinds::Catalog;
+
+/// Machines that stand idle are kept for room that is asked for at most so much later than a new one
+/// would be there: a machine costs that long in any case.
+const KEPT_S: f64 = 60.0;
 
 /// A job's place in the order of its window.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -69,3 +77,128 @@
         self.wishes = wishes;
     }
 }
+
+/// Puts the queue, which is in the order of return, into the order that is asked for.
+pub fn order(book: &Book, turns: &mut [plan::Turn]) {
+    if let Some(ahead) = &book.wishes.ahead {
+        mark_ahead(book, ahead, turns);
+        ahead_first(turns);
+    }
+    if !book.wishes.turns.is_empty() {
+        in_turn(&book.wishes.turns, turns);
+    }
+}
+
+/// Beyond teams short of their guarantee and who is below the floor, who keep their place.
+fn by_return(turn: &plan::Turn) -> bool {
+    !turn.suspected && !turn.guaranteed && turn.rank != Rank::First
+}
+
+/// Who goes ahead, best return first, until they hold their part of what is given out: the next one
+/// would take them beyond it, and goes by return. If nothing of theirs runs, one job may in any case.
+fn mark_ahead(book: &Book, ahead: &Ahead, turns: &mut [plan::Turn]) {
+    let given: f64 = book.usage.values().map(|(cpus, _)| cpus).sum();
+    let theirs = book.jobs().map(|(_, job)| job).filter(|job| ahead.names.has(job.spec()));
+    let mut taken: f64 = theirs.map(|job| job.bound.len() as f64 * job.spec().cpus).sum();
+    let most = given * ahead.most_part;
+    for turn in turns.iter_mut().filter(|t| !t.suspected && ahead.names.has(t.job.spec())) {
+        let (spec, waiting) = (turn.job.spec(), turn.job.waiting.len());
+        let left = if taken > 0.0 { most - taken } else { most.max(turn.job.cores_at_once()) };
+        let tasks = if spec.cpus > 0.0 { ((left + SLACK) / spec.cpus).max(0.0) as usize } else { waiting };
+        if tasks == 0 || (spec.is_gang() && tasks < waiting) {
+            continue;
+        }
+        turn.ahead = true;
+        taken += tasks.min(waiting) as f64 * spec.cpus;
+        if by_return(turn) {
+            turn.most = tasks;
+        }
+    }
+}
+
+/// Among those of one urgency who go ahead take the first places that any of them has; nobody else's
+/// place changes.
+pub fn ahead_first(turns: &mut [plan::Turn]) {
+    let mut places: BTreeMap<Urgency, Vec<usize>> = BTreeMap::new();
+    for (at, turn) in turns.iter().enumerate().filter(|(_, t)| by_return(t)) {
+        places.entry(turn.job.spec().urgency).or_default().push(at);
+    }
+    for places in places.values() {
+        let mut of: Vec<plan::Turn> = places.iter().map(|at| turns[*at]).collect();
+        of.sort_by_key(|turn| !turn.ahead);
+        for (at, turn) in places.iter().zip(of) {
+            turns[*at] = turn;
+        }
+    }
+}
+
+/// Jobs of one window take the places that they have in the order of their turns. Where they stand
+/// apart for other reasons, as one that is below the floor, the later turn waits behind the earlier.
+fn in_turn(wished: &HashMap<JobId, Turn>, turns: &mut [plan::Turn]) {
+    let mut windows: BTreeMap<&str, Vec<(usize, u32)>> = BTreeMap::new();
+    for (at, turn) in turns.iter().enumerate().filter(|(_, t)| !t.suspected) {
+        if let Some(wish) = wished.get(turn.id) {
+            windows.entry(&wish.window).or_default().push((at, wish.number));
+        }
+    }
+    // Where each is to stand: at its place, or right behind another's.
+    let mut place: Vec<(usize, u32)> = (0..turns.len()).map(|at| (at, 0)).collect();
+    for mut of in windows.into_values() {
+        let alike = |at: usize| (turns[at].guaranteed, turns[at].rank);
+        let places: Vec<usize> = of.iter().map(|(at, _)| *at).collect();
+        of.sort_by_key(|(at, number)| (*number, *at));
+        let mut free = places.clone();
+        let mut last = 0;
+        for (at, number) in of {
+            let own = free.iter().position(|place| alike(*place) == alike(at)).map_or(at, |n| free.remove(n));
+            last = own.max(last);
+            place[at] = (last, number);
+        }
+    }
+    let before: Vec<plan::Turn> = turns.to_vec();
+    let mut order: Vec<usize> = (0..turns.len()).collect();
+    order.sort_by_key(|at| (place[*at], *at));
+    for (turn, at) in turns.iter_mut().zip(order) {
+        *turn = before[at];
+    }
+}
+
+/// When a machine of some kind that was asked for now would have run such a task's fetch.
+pub fn ready_s(spec: &JobSpec, ground: &Ground, open: &[bool]) -> f64 {
+    let offers = ground.offers.iter().zip(open).filter(|(_, open)| **open).filter_map(|(offer, _)| offer.as_ref());
+    let ready = offers.map(|o| o.of.boot_s + spec.image_gb / o.of.fetch_gb_per_s.max(0.001));
+    ready.fold(0.0, f64::max)
+}
+
+/// Room for which what there is is kept by now, with the kinds that may give it.
+pub fn room_kept<'b>(book: &'b Book, ground: &Ground) -> Vec<(&'b RoomWish, Vec<bool>)> {
+    let open = |wish: &'b RoomWish| (wish, ground.open_to(&wish.like, &Zones::none(&wish.like)));
+    let near = |(wish, open): &(&RoomWish, Vec<bool>)| wish.in_s <= ready_s(&wish.like, ground, open) + KEPT_S;
+    book.wishes.room.iter().map(open).filter(near).collect()
+}
+
+/// Idle machines that are needed for room that is asked for, beside those that run something.
+pub fn idle_kept(book: &Book, catalog: &Catalog, now: Instant) -> HashSet<MachineId> {
+    let mut kept = HashSet::new();
+    if book.wishes.room.is_empty() {
+        return kept;
+    }
+    let ground = Ground::new(book, catalog);
+    let suspect = suspect_after(book);
+    let there = book.machines.values().filter(|m| m.standing == Standing::Up && usable(m, suspect, now));
+    let mut rooms: Vec<Room> = there.filter_map(|m| ground.room(m)).collect();
+    rooms.sort_by_key(|room| room.machine.is_some_and(|m| m.bound.is_empty()));
+    for (wish, open) in room_kept(book, &ground) {
+        let mut left = wish.tasks;
+        for room in rooms.iter_mut().filter(|r| open.get(r.kind) == Some(&true)) {
+            let units = room.units(&wish.like, left);
+            let n = units as f64;
+            room.add(-n * wish.like.cpus, -n * wish.like.gpus, -n * wish.like.memory_gb);
+            left -= units;
+            if let Some(machine) = room.machine.filter(|m| units > 0 && m.bound.is_empty()) {
+                kept.insert(machine.id.clone());
+            }
+        }
+    }
+    kept
+}
