Declared values are kept as their text, and their sum is bounded

Change: the shelf keeps text and reads types when an owner asks; raw_spec and raw_status give owned values; all specs of a kind together are at most 2 MiB. Tests: the task sleeps without a timer where nothing is declared; a full shelf is 11 pages more at a start and two changes a second.

--- a/src/declared/driver.rs
+++ b/src/declared/driver.rs
@@ -178,10 +178,10 @@
 }
 
 fn news(kinds: &[Entry], changed: &Changed) -> News {
-    let Changed { kind, name, before, after, .. } = changed;
-    match (after, entry(kinds, *kind)) {
+    let Changed { kind, name, .. } = changed;
+    match (changed.after(), entry(kinds, *kind)) {
         (None, _) => vec![(Level::INFO, format!("{} {name}: removed", kind.word()))],
-        (Some(after), Some(entry)) => (entry.news)(name, before.as_ref(), after),
+        (Some(after), Some(entry)) => (entry.news)(name, changed.before().as_ref(), &after),
         (Some(_), None) => Vec::new(),
     }
 }
--- a/src/declared/operator.rs
+++ b/src/declared/operator.rs
@@ -10,7 +10,7 @@
 use hyper::Method;
 use serde_json::{Value, json};
 
-use super::records::{OPERATORS, Part, SPECS, STATUSES, parse, spec_key, status_key, well_formed};
+use super::records::{MOST_TOGETHER, OPERATORS, Part, SPECS, STATUSES, parse, spec_key, status_key, well_formed};
 use super::table::{Entry, Standing, entry};
 use super::{Kind, Names, Problem};
 use crate::jobs::record::time_of_day_ms;
@@ -161,6 +161,10 @@
             if all.len() > kind.most() {
                 return refused(too_many(kind, all.len()));
             }
+            let bytes: usize = all.values().map(|spec| spec.to_string().len()).sum();
+            if bytes > MOST_TOGETHER {
+                return refused(format!("{}: {bytes} bytes are more than the {MOST_TOGETHER} together", kind.word()));
+            }
             (entry.check_all)(&all)?;
             Ok(new)
         })
--- a/src/declared/records.rs
+++ b/src/declared/records.rs
@@ -14,6 +14,8 @@
 
 /// Largest spec and largest status, in bytes of JSON; less where the state service takes less.
 pub const MOST_BYTES: usize = 8 * 1024;
+/// All specs of a kind together: every controller holds them.
+pub const MOST_TOGETHER: usize = 2 * 1024 * 1024;
 const LONGEST_NAME: usize = 64;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
--- a/src/declared/shelf.rs
+++ b/src/declared/shelf.rs
@@ -1,7 +1,8 @@
 //! Everything declared as the mirror has it: specs, statuses, and which statuses changed last.
 //!
-//! A value is read as its kind's type when somebody first asks for it. One that cannot be read is
-//! kept as it is and told once; it stops neither a page nor anything else.
+//! A value is kept as the text it takes, and read as its kind's type when somebody first asks for it,
+//! which only owners do. One that cannot be read is kept as it is and told once; it stops neither a
+//! page nor anything else.
 
 use std::any::Any;
 use std::collections::{BTreeMap, VecDeque};
@@ -21,14 +22,14 @@
 /// One value, and what it reads as.
 #[derive(Debug, Clone)]
 struct Kept {
-    value: Value,
+    json: Box<str>,
     stamp: u64,
     read: OnceLock<Option<Arc<dyn Any + Send + Sync>>>,
 }
 
 impl Kept {
     fn read<T: DeserializeOwned + Clone + Send + Sync + 'static>(&self, kind: Kind, name: &str) -> Option<T> {
-        let read = self.read.get_or_init(|| match T::deserialize(&self.value) {
+        let read = self.read.get_or_init(|| match serde_json::from_str::<T>(&self.json) {
             Ok(read) => Some(Arc::new(read)),
             Err(problem) => {
                 warn!(kind = kind.word(), name, %problem, "unreadable in the store; left as it is");
@@ -39,17 +40,31 @@
     }
 }
 
+fn value(json: &str) -> Value {
+    serde_json::from_str(json).unwrap_or_default()
+}
+
 /// A status that was stored over another, or dropped after its spec.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Changed {
     pub kind: Kind,
     pub name: String,
-    pub before: Option<Value>,
-    pub after: Option<Value>,
+    before: Option<Box<str>>,
+    after: Option<Box<str>>,
     /// When this controller heard of it.
     pub heard: Instant,
 }
 
+impl Changed {
+    pub fn before(&self) -> Option<Value> {
+        self.before.as_deref().map(value)
+    }
+
+    pub fn after(&self) -> Option<Value> {
+        self.after.as_deref().map(value)
+    }
+}
+
 type Of = BTreeMap<Kind, BTreeMap<String, Kept>>;
 
 #[derive(Debug, Default)]
@@ -90,12 +105,17 @@
         kept.read(D::KIND, name).map(|status| (status, kept.stamp))
     }
 
-    pub fn raw_spec(&self, kind: Kind, name: &str) -> Option<(&Value, u64)> {
-        self.specs.get(&kind)?.get(name).map(|kept| (&kept.value, kept.stamp))
+    pub fn raw_spec(&self, kind: Kind, name: &str) -> Option<(Value, u64)> {
+        self.specs.get(&kind)?.get(name).map(|kept| (value(&kept.json), kept.stamp))
+    }
+
+    pub fn raw_status(&self, kind: Kind, name: &str) -> Option<(Value, u64)> {
+        self.statuses.get(&kind)?.get(name).map(|kept| (value(&kept.json), kept.stamp))
     }
 
-    pub fn raw_status(&self, kind: Kind, name: &str) -> Option<(&Value, u64)> {
-        self.statuses.get(&kind)?.get(name).map(|kept| (&kept.value, kept.stamp))
+    /// Whether there is a status, readable or not.
+    pub fn has_status(&self, kind: Kind, name: &str) -> bool {
+        self.statuses.get(&kind).is_some_and(|of| of.contains_key(name))
     }
 
     /// Names of a kind, readable or not: all that specs may be looked at of.
@@ -114,7 +134,8 @@
     /// reading anew, is passed over. False if the key is none of what is declared.
     pub fn put(&mut self, path: &str, value: &Value, stamp: u64) -> bool {
         let Some((part, kind, name)) = parse(path) else { return false };
-        if value.to_string().len() > MOST_BYTES {
+        let json = value.to_string().into_boxed_str();
+        if json.len() > MOST_BYTES {
             error!(path, "larger than anything declared may be; not taken in");
             return self.drop_key(path, stamp);
         }
@@ -127,10 +148,10 @@
             error!(path, "too many of them; not taken in");
             return true;
         }
-        let kept = Kept { value: value.clone(), stamp, read: OnceLock::new() };
-        let before = of.insert(name.to_owned(), kept).map(|kept| kept.value);
-        if part == Part::Status && before.as_ref() != Some(value) {
-            self.note(kind, name, before, Some(value.clone()));
+        let kept = Kept { json: json.clone(), stamp, read: OnceLock::new() };
+        let before = of.insert(name.to_owned(), kept).map(|kept| kept.json);
+        if part == Part::Status && before.as_ref() != Some(&json) {
+            self.note(kind, name, before, Some(json));
         }
         true
     }
@@ -142,7 +163,7 @@
         let of = self.of(part).get_mut(&kind).filter(|of| of.get(name).is_some_and(older));
         let before = of.and_then(|of| of.remove(name));
         if let Some(before) = before.filter(|_| part == Part::Status) {
-            self.note(kind, name, Some(before.value), None);
+            self.note(kind, name, Some(before.json), None);
         }
         true
     }
@@ -163,7 +184,7 @@
             names.sort_unstable();
             names.dedup();
             for name in names {
-                let value = |of: Option<&BTreeMap<String, Kept>>| of.and_then(|of| Some(of.get(name)?.value.clone()));
+                let value = |of: Option<&BTreeMap<String, Kept>>| of.and_then(|of| Some(of.get(name)?.json.clone()));
                 let (was, is) = (value(was), value(is));
                 if was != is {
                     changes.push((kind, name.clone(), was, is));
@@ -193,7 +214,7 @@
         }
     }
 
-    fn note(&mut self, kind: Kind, name: &str, before: Option<Value>, after: Option<Value>) {
+    fn note(&mut self, kind: Kind, name: &str, before: Option<Box<str>>, after: Option<Box<str>>) {
         if self.changed.len() >= MOST_CHANGED {
             self.changed.pop_front();
         }
--- a/src/declared/table.rs
+++ b/src/declared/table.rs
@@ -114,11 +114,8 @@
 
 fn step<D: Declared>(name: &str, view: &View) -> Option<Decided> {
     let (spec, spec_stamp) = view.shelf.spec::<D>(name)?;
-    let stored = match view.shelf.raw_status(D::KIND, name) {
-        // One that cannot be read stays as it is: to begin afresh could do again what was done.
-        Some(_) => Some(view.shelf.status::<D>(name)?),
-        None => None,
-    };
+    // One that cannot be read stays as it is: to begin afresh could do again what was done.
+    let stored = if view.shelf.has_status(D::KIND, name) { Some(view.shelf.status::<D>(name)?) } else { None };
     let before = stored.as_ref().map(|(status, _)| status.clone()).unwrap_or_default();
     let next = D::step(name, &spec, &before, view)?;
     if stored.is_some() && next == before {
@@ -132,7 +129,7 @@
     for (name, spec, _) in view.shelf.specs::<D>() {
         match view.shelf.status::<D>(name) {
             Some((status, _)) => D::wish(name, &spec, &status, view, wishes),
-            None if view.shelf.raw_status(D::KIND, name).is_none() => {
+            None if !view.shelf.has_status(D::KIND, name) => {
                 D::wish(name, &spec, &D::Status::default(), view, wishes);
             }
             None => {}
--- a/src/declared/tests.rs
+++ b/src/declared/tests.rs
@@ -3,6 +3,10 @@
 //! are replaced and go on without knowing, and stand still between any two of looked, sent and answered.
 
 use std::collections::{BTreeMap, HashMap};
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Waker};
 use std::time::Instant;
 
 use hollylanding_emulator::world::store::{Limits, Store};
@@ -12,9 +16,10 @@
 use serde_json::json;
 use tracing::Level;
 
-use super::driver::{Driver, Write, changes, conditions};
+use super::driver::{Driver, Ended, Write, changes, conditions};
 use super::operator::{Known, transaction};
 use super::records::{OPERATORS, spec_key, status_key};
+use super::run::{Hands, run};
 use super::table::Entry;
 use super::{Declared, Kind, Names, Problem, View};
 use crate::jobs::record::{ASSIGNMENT, MIRRORED, MIRRORED_AFTER};
@@ -22,8 +27,10 @@
 use crate::scheduling::wishes::Wishes;
 use crate::settings::Properties;
 use crate::settings::tests::example;
+use crate::store::budget::Urgent;
+use crate::store::client::Page;
 use crate::store::mirror::{Loading, Mirror};
-use crate::store::{Change, Condition};
+use crate::store::{Change, Condition, StoreError, TxnOutcome};
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Goal {
@@ -38,10 +45,10 @@
 }
 
 /// Counts up to its goal, and asks for as much as is stored: jobs named after it are not to be placed.
-pub struct Toy;
+pub struct Toy<const OF: usize>;
 
-impl Declared for Toy {
-    const KIND: Kind = Kind::Heat;
+impl<const OF: usize> Declared for Toy<OF> {
+    const KIND: Kind = Kind::ALL[OF];
     type Spec = Goal;
     type Status = Counted;
 
@@ -85,8 +92,11 @@
     }
 }
 
-static TOYS: [Entry; 1] = [Entry::of::<Toy>()];
-static BOTH: [Entry; 2] = [Entry::of::<Restless>(), Entry::of::<Toy>()];
+type Heat = Toy<1>;
+
+static TOYS: [Entry; 1] = [Entry::of::<Heat>()];
+static BOTH: [Entry; 2] = [Entry::of::<Restless>(), Entry::of::<Heat>()];
+static ALL: [Entry; 4] = [Entry::of::<Toy<0>>(), Entry::of::<Heat>(), Entry::of::<Toy<2>>(), Entry::of::<Toy<3>>()];
 
 /// What the play leaves out of each transaction's conditions.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -203,8 +213,8 @@
         }
         // What is asked for is what this controller's mirror has, never what is only decided.
         let shelf = controller.mirror.shelf();
-        for (name, _, _) in shelf.specs::<Toy>().filter(|_| controller.mirror.ready) {
-            let at = shelf.status::<Toy>(name).map_or(0, |(status, _)| status.at);
+        for (name, _, _) in shelf.specs::<Heat>().filter(|_| controller.mirror.ready) {
+            let at = shelf.status::<Heat>(name).map_or(0, |(status, _)| status.at);
             assert!(book.wishes.not_yet.contains(format!("{name}-{at}").as_str()), "asks for what is not stored");
         }
         if !looked.writes.is_empty() {
@@ -377,6 +387,15 @@
     }
 }
 
+/// As a controller reads them.
+fn pages(store: &Store) -> Vec<Page> {
+    let mut pages = vec![store.page(MIRRORED, MIRRORED_AFTER, 250)];
+    while let Some(last) = pages.last().filter(|page| page.more) {
+        pages.push(store.page(MIRRORED, &last.items[last.items.len() - 1].path, 250));
+    }
+    pages
+}
+
 fn owner(kinds: &'static [Entry], entries: &[(&str, serde_json::Value)]) -> (Book, Mirror, Driver, Store) {
     let mut store = Store::new(Limits::default());
     let token = store.apply_if(&[], &[Change::write(ASSIGNMENT, json!(0))]).unwrap();
@@ -385,7 +404,9 @@
     }
     let mut mirror = Mirror::default();
     let mut loading = mirror.load();
-    mirror.take_page(&mut loading, &store.page(MIRRORED, MIRRORED_AFTER, usize::MAX));
+    for page in pages(&store) {
+        mirror.take_page(&mut loading, &page);
+    }
     mirror.loaded(loading);
     let mut book = Book::new(token, example(), Properties::default(), Instant::now());
     book.loaded = true;
@@ -454,3 +475,68 @@
     }
     assert_eq!(shelf.take_changed().len(), 256);
 }
+
+/// A controller that is never asked for anything but whether there is something to do.
+#[derive(Default)]
+struct Idle {
+    touched: AtomicUsize,
+}
+
+impl Hands for Idle {
+    fn quiet(&self) -> bool {
+        true
+    }
+    fn look<T>(&self, _: impl FnOnce(&mut Book, &mut Mirror, Ended) -> T) -> Option<T> {
+        self.touched.fetch_add(1, Ordering::Relaxed);
+        None
+    }
+    fn ready(&self, _: Urgent) -> usize {
+        self.touched.fetch_add(1, Ordering::Relaxed)
+    }
+    async fn store(&self, _: &[Condition], _: &[Change], _: Urgent) -> Result<TxnOutcome, StoreError> {
+        self.touched.fetch_add(1, Ordering::Relaxed);
+        Err(StoreError::Unanswered)
+    }
+    async fn refused(&self) {
+        self.touched.fetch_add(1, Ordering::Relaxed);
+    }
+    async fn woken(&self) {
+        std::future::pending().await
+    }
+}
+
+/// Nothing declared: no look, no request, and no timer, which would need a runtime that is not there.
+#[test]
+fn where_nothing_is_declared_the_task_sleeps() {
+    let hands = Arc::new(Idle::default());
+    let mut task = std::pin::pin!(run(hands.clone()));
+    assert!(task.as_mut().poll(&mut Context::from_waker(Waker::noop())).is_pending());
+    assert_eq!(hands.touched.load(Ordering::Relaxed), 0);
+}
+
+/// 1,000 windows, 50 rules, 200 readings and 20 rollouts, each of half a KiB with its status: what they
+/// add to a controller's start, and what is stored a second. A takeover reads none of it: every
+/// controller has it.
+#[test]
+fn the_cost_of_a_full_shelf() {
+    let mut entries = Vec::new();
+    for (kind, n) in Kind::ALL.into_iter().zip([1000, 50, 200, 20]) {
+        for name in (0..n).map(|n| format!("{}-{n:04}", kind.word())) {
+            entries.push((spec_key(kind, &name), json!({"goal": 2, "more": "x".repeat(500)})));
+            entries.push((status_key(kind, &name), json!({"at": 1, "by": 1, "more": "x".repeat(500)})));
+        }
+    }
+    let bytes: usize = entries.iter().map(|(path, value)| path.len() + value.to_string().len()).sum();
+    let entries: Vec<(&str, serde_json::Value)> = entries.iter().map(|(k, v)| (k.as_str(), v.clone())).collect();
+    let (mut book, mut mirror, mut driver, mut store) = owner(&ALL, &entries);
+    let pages = pages(&store).len();
+    assert!(pages <= 11 && bytes < 1_500_000, "{pages} pages, {bytes} bytes");
+    for second in 0..20 {
+        let looked = driver.look(&mut book, &mut mirror, &|_| None, Instant::now(), 0);
+        assert_eq!(looked.writes.len(), 2, "in second {second}");
+        driver.sent(&looked.writes);
+        let conditions = conditions(&looked.writes, looked.token);
+        driver.stored(store.apply_if(&conditions, &changes(&looked.writes)).unwrap());
+        mirror.apply(&store.follow(MIRRORED, mirror.revision).unwrap());
+    }
+}
