Statuses are stored under any load and with the smallest share

Need: two changes were never ready at once where the owner's share holds fewer, and a series of them fell back behind everything else after each transaction. Change: as many as the share holds go; once something has waited for 5 s, all go with placements until nothing waits. Tests: the pace by cases; without the least of one it stores nothing at a small share.

--- a/src/declared/driver.rs
+++ b/src/declared/driver.rs
@@ -72,6 +72,8 @@
 pub struct Looked {
     /// To be stored together, if anything.
     pub writes: Vec<Write>,
+    /// There is nothing more to store: all that was is heard of.
+    pub settled: bool,
     pub token: u64,
     pub news: News,
 }
@@ -121,6 +123,7 @@
         if mirror.revision >= self.stored {
             let view = view(book, mirror.shelf(), ended, now, now_ms);
             looked.writes = self.decide(&view, &mut looked.news);
+            looked.settled = looked.writes.is_empty();
         }
         looked
     }
--- a/src/declared/run.rs
+++ b/src/declared/run.rs
@@ -45,10 +45,49 @@
     fn woken(&self) -> impl Future<Output = ()> + Send;
 }
 
+/// When a transaction may go, and by which right.
+struct Pace {
+    next: Instant,
+    /// Something has been waiting to be stored since then.
+    waits: Option<Instant>,
+    /// For so long that it goes with placements, until nothing waits any more.
+    pressed: bool,
+}
+
+impl Pace {
+    fn new(now: Instant) -> Self {
+        Self { next: now, waits: None, pressed: false }
+    }
+
+    fn settled(&mut self) {
+        (self.waits, self.pressed) = (None, false);
+    }
+
+    /// How many changes may go now, of which `any` wait.
+    fn most(&mut self, any: bool, now: Instant, ready: impl Fn(Urgent) -> usize) -> usize {
+        if !any || now < self.next {
+            return 0;
+        }
+        let since = *self.waits.get_or_insert(now);
+        self.pressed |= now.saturating_duration_since(since) >= PRESSED;
+        // The smallest share holds less than one change and its reserve.
+        if self.pressed { ready(Urgent::Second).max(1) } else { ready(Urgent::Last) }
+    }
+
+    fn sent(&mut self, now: Instant) -> Urgent {
+        self.next = now + EVERY;
+        if self.pressed {
+            return Urgent::Second;
+        }
+        self.waits = None;
+        Urgent::Last
+    }
+}
+
 /// For as long as this controller owns.
 pub async fn run<H: Hands>(hands: Arc<H>) {
     let mut driver = Driver::new(KINDS);
-    let (mut store_next, mut waits) = (Instant::now(), None::<Instant>);
+    let mut pace = Pace::new(Instant::now());
     loop {
         if hands.quiet() {
             hands.woken().await;
@@ -58,32 +97,27 @@
         let now = Instant::now();
         let looked = hands.look(|book, mirror, ended| driver.look(book, mirror, ended, now, time_of_day_ms()));
         let rest = GAP.max(now.elapsed() * REST);
-        let Looked { writes, token, news } = looked.unwrap_or_default();
+        let Looked { mut writes, settled, token, news } = looked.unwrap_or_default();
         for (level, line) in news {
             tell(level, &line);
         }
-        if writes.is_empty() {
-            waits = None;
-        } else if now >= store_next {
-            let since = *waits.get_or_insert(now);
-            let pressed = now.saturating_duration_since(since) >= PRESSED;
-            let urgent = if pressed { Urgent::Second } else { Urgent::Last };
-            if hands.ready(urgent) >= writes.len() {
-                store_next = now + EVERY;
-                driver.sent(&writes);
-                let (conditions, changes) = (conditions(&writes, token), changes(&writes));
-                let sent = hands.store(&conditions, &changes, urgent);
-                match tokio::time::timeout(STORE_WITHIN, sent).await {
-                    Ok(Ok(TxnOutcome::Applied(revision))) => {
-                        driver.stored(revision);
-                        waits = None;
-                    }
-                    Ok(Ok(outcome)) => {
-                        debug!(?outcome, "a status was not stored");
-                        hands.refused().await;
-                    }
-                    outcome => debug!(?outcome, "storing a status"),
+        if settled {
+            pace.settled();
+        }
+        let most = pace.most(!writes.is_empty(), now, |urgent| hands.ready(urgent));
+        writes.truncate(most);
+        if !writes.is_empty() {
+            driver.sent(&writes);
+            let urgent = pace.sent(now);
+            let (conditions, changes) = (conditions(&writes, token), changes(&writes));
+            let sent = hands.store(&conditions, &changes, urgent);
+            match tokio::time::timeout(STORE_WITHIN, sent).await {
+                Ok(Ok(TxnOutcome::Applied(revision))) => driver.stored(revision),
+                Ok(Ok(outcome)) => {
+                    debug!(?outcome, "a status was not stored");
+                    hands.refused().await;
                 }
+                outcome => debug!(?outcome, "storing a status"),
             }
         }
         tokio::time::sleep(rest).await;
@@ -97,3 +131,27 @@
         _ => info!("{line}"),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Behind everything else, yet an owner that never has an idle moment stores what is declared.
+    #[test]
+    fn one_transaction_a_second_and_none_waits_for_ever() {
+        let t = Instant::now();
+        let at = |s: f64| t + Duration::from_secs_f64(s);
+        let (idle, busy) = (|_: Urgent| 24, |urgent: Urgent| if urgent == Urgent::Second { 3 } else { 0 });
+        let mut pace = Pace::new(t);
+        assert_eq!(pace.most(false, t, idle), 0);
+        assert_eq!((pace.most(true, t, idle), pace.sent(t)), (24, Urgent::Last));
+        assert_eq!(pace.most(true, at(0.9), idle), 0, "not within a second");
+        assert_eq!(pace.most(true, at(1.0), busy), 0, "the others first");
+        assert_eq!(pace.most(true, at(5.9), busy), 0);
+        assert_eq!((pace.most(true, at(6.0), busy), pace.sent(at(6.0))), (3, Urgent::Second));
+        assert_eq!(pace.most(true, at(7.0), busy), 3, "until all that waits is through");
+        assert_eq!(pace.most(true, at(7.0), |_| 0), 1, "however small the share");
+        pace.settled();
+        assert_eq!(pace.most(true, at(8.0), busy), 0);
+    }
+}
