--- /dev/null
+++ b/src/declared/run.rs
@@ -0,0 +1,157 @@
+//! The owner's task: looks at what is declared, stores what follows, tells what is stored.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tracing::{Level, debug, error, info, warn};
+
+use super::driver::{Driver, Ended, Looked, changes, conditions};
+use super::table::KINDS;
+use crate::jobs::record::time_of_day_ms;
+use crate::scheduling::Book;
+use crate::store::budget::Urgent;
+use crate::store::mirror::Mirror;
+use crate::store::{Change, Condition, StoreError, TxnOutcome};
+
+/// As long as anything is declared it is looked at this often, and at most one transaction goes.
+const EVERY: Duration = Duration::from_secs(1);
+/// Between two looks, so that a burst of news is looked at once; and a look rests this many times as
+/// long as it took.
+const GAP: Duration = Duration::from_millis(250);
+const REST: u32 = 8;
+/// Behind acceptances, placements and ends, but not for ever: what has waited for so long goes with
+/// placements, which its two changes a second hardly notice.
+const PRESSED: Duration = Duration::from_secs(5);
+const STORE_WITHIN: Duration = Duration::from_secs(2);
+
+/// What the task may do with its controller.
+pub trait Hands: Send + Sync + 'static {
+    /// Nothing is declared, nothing was, and nothing of it is left to be told or asked for.
+    fn quiet(&self) -> bool;
+    /// Runs this on how things stand; none if nothing may be decided at the moment.
+    fn look<T>(&self, look: impl FnOnce(&mut Book, &mut Mirror, Ended) -> T) -> Option<T>;
+    /// How many changes of this right could be stored at once.
+    fn ready(&self, urgent: Urgent) -> usize;
+    fn store(
+        &self,
+        conditions: &[Condition],
+        changes: &[Change],
+        urgent: Urgent,
+    ) -> impl Future<Output = Result<TxnOutcome, StoreError>> + Send;
+    /// A transaction was refused: waits until the mirror is proven fresh, and sees who owns.
+    fn refused(&self) -> impl Future<Output = ()> + Send;
+    /// Until something declared changes.
+    fn woken(&self) -> impl Future<Output = ()> + Send;
+}
+
+/// When a transaction may go, and by which right.
+struct Pace {
+    next: Instant,
+    /// Something has been waiting to be stored since then.
+    waits: Option<Instant>,
+    /// For so long that it goes with placements, until nothing waits any more.
+    pressed: bool,
+}
+
+impl Pace {
+    fn new(now: Instant) -> Self {
+        Self { next: now, waits: None, pressed: false }
+    }
+
+    fn settled(&mut self) {
+        (self.waits, self.pressed) = (None, false);
+    }
+
+    /// How many changes may go now, of which `any` wait.
+    fn most(&mut self, any: bool, now: Instant, ready: impl Fn(Urgent) -> usize) -> usize {
+        if !any || now < self.next {
+            return 0;
+        }
+        let since = *self.waits.get_or_insert(now);
+        self.pressed |= now.saturating_duration_since(since) >= PRESSED;
+        // The smallest share holds less than one change and its reserve.
+        if self.pressed { ready(Urgent::Second).max(1) } else { ready(Urgent::Last) }
+    }
+
+    fn sent(&mut self, now: Instant) -> Urgent {
+        self.next = now + EVERY;
+        if self.pressed {
+            return Urgent::Second;
+        }
+        self.waits = None;
+        Urgent::Last
+    }
+}
+
+/// For as long as this controller owns.
+pub async fn run<H: Hands>(hands: Arc<H>) {
+    let mut driver = Driver::new(KINDS);
+    let mut pace = Pace::new(Instant::now());
+    loop {
+        if hands.quiet() {
+            hands.woken().await;
+        } else {
+            let _ = tokio::time::timeout(EVERY, hands.woken()).await;
+        }
+        let now = Instant::now();
+        let looked = hands.look(|book, mirror, ended| driver.look(book, mirror, ended, now, time_of_day_ms()));
+        let rest = GAP.max(now.elapsed() * REST);
+        let Looked { mut writes, settled, token, news } = looked.unwrap_or_default();
+        for (level, line) in news {
+            tell(level, &line);
+        }
+        if settled {
+            pace.settled();
+        }
+        let most = pace.most(!writes.is_empty(), now, |urgent| hands.ready(urgent));
+        writes.truncate(most);
+        if !writes.is_empty() {
+            driver.sent(&writes);
+            let urgent = pace.sent(now);
+            let (conditions, changes) = (conditions(&writes, token), changes(&writes));
+            let sent = hands.store(&conditions, &changes, urgent);
+            match tokio::time::timeout(STORE_WITHIN, sent).await {
+                Ok(Ok(TxnOutcome::Applied(revision))) => driver.stored(revision),
+                Ok(Ok(outcome)) => {
+                    debug!(?outcome, "a status was not stored");
+                    hands.refused().await;
+                }
+                outcome => debug!(?outcome, "storing a status"),
+            }
+        }
+        tokio::time::sleep(rest).await;
+    }
+}
+
+fn tell(level: Level, line: &str) {
+    match level {
+        Level::ERROR => error!("{line}"),
+        Level::WARN => warn!("{line}"),
+        _ => info!("{line}"),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Behind everything else, yet an owner that never has an idle moment stores what is declared.
+    #[test]
+    fn one_transaction_a_second_and_none_waits_for_ever() {
+        let t = Instant::now();
+        let at = |s: f64| t + Duration::from_secs_f64(s);
+        let (idle, busy) = (|_: Urgent| 24, |urgent: Urgent| if urgent == Urgent::Second { 3 } else { 0 });
+        let mut pace = Pace::new(t);
+        assert_eq!(pace.most(false, t, idle), 0);
+        assert_eq!((pace.most(true, t, idle), pace.sent(t)), (24, Urgent::Last));
+        assert_eq!(pace.most(true, at(0.9), idle), 0, "not within a second");
+        assert_eq!(pace.most(true, at(1.0), busy), 0, "the others first");
+        assert_eq!(pace.most(true, at(5.9), busy), 0);
+        assert_eq!((pace.most(true, at(6.0), busy), pace.sent(at(6.0))), (3, Urgent::Second));
+        assert_eq!(pace.most(true, at(7.0), busy), 3, "until all that waits is through");
+        assert_eq!(pace.most(true, at(7.0), |_| 0), 1, "however small the share");
+        pace.settled();
+        assert_eq!(pace.most(true, at(8.0), busy), 0);
+    }
+}
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -29,6 +29,7 @@
 use super::served::Note;
 use super::served::floor::{Below, Lane};
 use super::served::promises::{Promise, next_start_s};
+use super::wishes::Wishes;
 use crate::fleet::orders::CloudOrder;
 use crate::jobs::record::{CHUNK, JobRecord, Stored};
 use crate::jobs::{JobId, JobSpec};
@@ -260,7 +261,7 @@
     /// Every type, zone and kind that a machine was ever of; machines name theirs by its place.
     kinds: Vec<Kind>,
     /// Something that placement depends on has changed since the last plan.
-    stirred: bool,
+    pub(super) stirred: bool,
     pub machines: BTreeMap<MachineId, Machine>,
     gone: VecDeque<MachineId>,
     gone_set: HashSet<MachineId>,
@@ -291,6 +292,10 @@
     pub lane: Lane,
     /// Orders to the cloud that an earlier owner has left, for whoever carries them out.
     pub inherited: Vec<CloudOrder>,
+    /// What operators have declared asks for.
+    pub wishes: Wishes,
+    /// Jobs have come since that was worked out.
+    pub wishes_due: bool,
     /// What the account is to be told next.
     notes: Vec<(JobId, Note, Instant)>,
 }
@@ -354,6 +359,8 @@
             evidence: Evidence::default(),
             lane: Lane::default(),
             inherited: Vec::new(),
+            wishes: Wishes::default(),
+            wishes_due: true,
             notes: Vec::new(),
             properties,
         }
@@ -413,7 +420,12 @@
     /// What late work has earned is bounded by what the oldest of it needs.
     pub fn bound_lane(&mut self, now: Instant) {
         let waits = |job: &&JobState| !job.waiting.is_empty() && job.ended.is_none() && !job.complete();
-        let late = self.jobs.iter().filter(|(id, _)| !self.evidence.suspects(id)).map(|(_, job)| job).filter(waits);
+        let late = self
+            .jobs
+            .iter()
+            .filter(|(id, _)| !self.evidence.suspects(id) && !self.wishes.not_yet.contains(*id))
+            .map(|(_, job)| job)
+            .filter(waits);
         let late = late.filter(|job| job.too_late(now.saturating_duration_since(job.since)));
         let needs = late.min_by_key(|job| job.since).map(JobState::cores_at_once);
         self.lane.bound(needs);
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -16,6 +16,7 @@
 pub mod served;
 #[cfg(test)]
 mod tests;
+pub mod wishes;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -57,6 +58,7 @@
         }
         let now = Instant::now();
         let mut placed = None;
+        node.refresh_wishes(now);
         if let (Some(book), Some(catalog)) = (lock(&node.book).as_mut(), node.catalog()) {
             if now.saturating_duration_since(ticked) >= TICK {
                 ticked = now;
@@ -107,7 +109,8 @@
     }
     // What fails everywhere is nobody's to serve.
     let (evidence, large) = (&book.evidence, &book.large);
-    let open = book.jobs().filter(|(id, job)| job.ended.is_none() && !job.complete() && !evidence.suspects(id));
+    let left_out = |id| evidence.suspects(id) || book.wishes.not_yet.contains(id);
+    let open = book.jobs().filter(|(id, job)| job.ended.is_none() && !job.complete() && !left_out(id));
     let open = open.map(|(_, job)| Open {
         spec: job.spec(),
         promises: &job.promises,
