--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -437,7 +437,7 @@
             self.note_waits(spec, &demand.open, turn.suspected);
         }
         if short && keep {
-            self.keep(&demand);
+            self.keep_pieces(&demand);
         }
         // Spread work, and arrays that settled in one zone, were refused rooms that others may use.
         if short && !spec.spread && (spec.is_gang() || !spec.same_zone) {
@@ -448,7 +448,7 @@
     }
 
     /// Takes the room that there is for a gang, in the zone that has most of it, out of this plan.
-    fn keep(&mut self, demand: &Demand<'a>) {
+    fn keep_pieces(&mut self, demand: &Demand<'a>) {
         let spec = demand.job.spec();
         let need = demand.job.waiting.len() as u64;
         let mut zones = self.units_by_zone(demand);
