Emulator: deaf machines, late copies of reports, controllers alone with their workers

World: a deaf machine's reports go out, answers and commands are dropped; copies of reports outlive their machine and come to every controller, out of order. lone(WHO, S) holds the links to the state service and the other controllers. when() knows an election under way and may wait for a time; the soak draws the new faults and ends of 0.1 and 0.3 s. A naive scheduler's two new beliefs hold without the fault and not with it.

--- a/crates/emulator/src/driver/mod.rs
+++ b/crates/emulator/src/driver/mod.rs
@@ -10,7 +10,7 @@
 
 use hollylanding_wire::cloud::{Names, Rental};
 use hollylanding_wire::jobs::{JobSpec, Shape};
-use hollylanding_wire::workers::Orders;
+use hollylanding_wire::workers::{Orders, Report};
 use hollylanding_wire::{self as wire, Http};
 use hyper::Method;
 use salvo::conn::tcp::TcpListener;
@@ -199,11 +199,26 @@
                     cloud::Event::Taken(name) => self.with_fleet(|fleet, now| fleet.gone(&name, now)),
                 }
             }
-            self.with_fleet(|fleet, now| fleet.tick(now));
+            let copies = self.with_fleet(|fleet, now| {
+                fleet.tick(now);
+                fleet.copies_due(now)
+            });
+            copies.into_iter().for_each(|report| self.deliver_copy(report));
             tokio::time::sleep(STEP).await;
         }
     }
 
+    /// A late copy comes to every controller, whoever leads by now; what they answer reaches nobody.
+    fn deliver_copy(self: &Arc<Self>, mut report: Report) {
+        for (at, node) in lock(&self.nodes).clone().into_iter().enumerate() {
+            report.addr = self.addr_for(&report.machine, at).unwrap_or(report.addr);
+            let (world, body) = (self.clone(), Some(wire::encode(&report)));
+            tokio::spawn(
+                async move { world.http.call(Method::POST, &node.addr, "/v1/report", body, ANSWER_WITHIN).await },
+            );
+        }
+    }
+
     pub fn notice(&self, machine: &str, left: Duration) {
         self.with_fleet(|fleet, now| fleet.recall(machine, now + left));
     }
@@ -271,7 +286,17 @@
             };
             report.addr = self.addr_for(&name, at).unwrap_or(report.addr);
             let body = Some(wire::encode(&report));
-            match self.http.call(Method::POST, &node.addr, "/v1/report", body, ANSWER_WITHIN).await {
+            let answer = self.http.call(Method::POST, &node.addr, "/v1/report", body, ANSWER_WITHIN).await;
+            // What does not hear waits as long as for no answer, and turns to the next.
+            let hears = lock(&self.fleet).hears(&name, self.now());
+            if !hears {
+                tokio::time::sleep((sent + ANSWER_WITHIN).saturating_sub(self.now())).await;
+            }
+            match answer {
+                _ if !hears => {
+                    turn += 1;
+                    (told, earliest) = (None, self.now() + next_after);
+                }
                 Ok((200, body)) => {
                     if let Ok(orders) = wire::decode::<Orders>(&body) {
                         self.with_fleet(|fleet, now| fleet.answer(&name, report.session, sent, &orders, now));
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -163,7 +163,7 @@
 }
 
 /// Faults that a soak draws pairs of, in the words of scenarios.
-const DRAWN: [&str; 19] = [
+const DRAWN: [&str; 25] = [
     "lose_machines(0.5)",
     "lose_holder()",
     "take_spot(1.0)",
@@ -183,6 +183,12 @@
     "end(\"owner\", 2)",
     "end(\"all\", 2)",
     "pause(\"owner\", 7)",
+    "deaf(0.2, 12)",
+    "late_copies(0.5, 1, 14, 10)",
+    "lone(\"owner\", 8)",
+    "lone(1, 8)",
+    "end(\"owner\", 0.1)",
+    "end(\"all\", 0.3)",
 ];
 
 /// Pairs of faults by seed until the time is over; a failure can be played again by its own seed.
--- a/crates/emulator/src/rehearsal.rs
+++ b/crates/emulator/src/rehearsal.rs
@@ -202,6 +202,11 @@
             Condition::HoldsResult => self.world.with_fleet(|fleet, _| fleet.holders().next().is_some()),
             Condition::JustPlaced => lock(&self.world.starts).len() > self.placed,
             Condition::AcknowledgedOnly => lock(&self.world.state).faults.lost > 0,
+            // Nobody leads, and somebody did.
+            Condition::Election => {
+                let state = lock(&self.world.state);
+                state.store.has("c/owner/0") && !state.store.has("c/leader")
+            }
         }
     }
 
@@ -237,6 +242,14 @@
         self.later(time, Undo::Open(of, link));
     }
 
+    /// All links to the other controllers, both ways.
+    fn peers(&mut self, of: usize, passing: Passing, time: Duration) {
+        for other in (0..self.controllers.count()).filter(|n| *n != of) {
+            self.link(of, Link::Peer(other), passing, time);
+            self.link(other, Link::Peer(of), passing, time);
+        }
+    }
+
     /// Tried again until something runs that another machine has room for.
     fn start_twice(&mut self) {
         if !self.world.with_fleet(|fleet, now| fleet.start_twice(now)) {
@@ -269,6 +282,16 @@
                 let machines = self.some_machines(*many);
                 self.world.with_fleet(|fleet, now| machines.iter().for_each(|m| fleet.hang(m, now + *time)));
             }
+            Fault::Deaf(many, time) => {
+                let machines = self.some_machines(*many);
+                self.world.with_fleet(|fleet, now| machines.iter().for_each(|m| fleet.deafen(m, now + *time)));
+            }
+            Fault::LateCopies(many, from, to, time) => {
+                let machines = self.some_machines(*many);
+                self.world.with_fleet(|fleet, now| {
+                    machines.iter().for_each(|m| fleet.copy_reports(m, now + *time, *from, *to));
+                });
+            }
             Fault::Sick(many, time) => {
                 let machines = self.some_machines(*many);
                 self.world.with_fleet(|fleet, _| machines.iter().for_each(|m| fleet.set_sick(m, true)));
@@ -320,11 +343,12 @@
                 }
             }
             Fault::Peers(who, passing, time) => {
+                self.these(*who).into_iter().for_each(|of| self.peers(of, *passing, *time));
+            }
+            Fault::Lone(who, time) => {
                 for of in self.these(*who) {
-                    for other in (0..self.controllers.count()).filter(|n| *n != of) {
-                        self.link(of, Link::Peer(other), *passing, *time);
-                        self.link(other, Link::Peer(of), *passing, *time);
-                    }
+                    self.link(of, Link::Store, Passing::Held, *time);
+                    self.peers(of, Passing::Held, *time);
                 }
             }
             Fault::Refuse(who, time) => {
@@ -427,7 +451,7 @@
         let (due, rest): (Vec<_>, Vec<_>) =
             std::mem::take(&mut steps).into_iter().partition(|(trigger, _)| match trigger {
                 Trigger::At(at) => *at <= now,
-                Trigger::When(condition) => play.holds(*condition),
+                Trigger::When(condition, from) => *from <= now && play.holds(*condition),
             });
         steps = rest;
         for (_, fault) in due {
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -62,6 +62,12 @@
     DropLeases,
     StallWatches(Duration),
     ForgetLog,
+    /// Reports arrive, answers and commands do not.
+    Deaf(Many, Duration),
+    /// Copies of the reports of the last duration come again between the first and the second later.
+    LateCopies(Many, Duration, Duration, Duration),
+    /// Without the state service and the other controllers; workers and users still reach it.
+    Lone(Who, Duration),
     /// Ended without a word, and started again this much later.
     End(Who, Duration),
     Pause(Who, Duration),
@@ -76,18 +82,21 @@
     HoldsResult,
     JustPlaced,
     AcknowledgedOnly,
+    Election,
 }
 
-const CONDITIONS: [(&str, Condition); 3] = [
+const CONDITIONS: [(&str, Condition); 4] = [
     ("a machine holds a finished result", Condition::HoldsResult),
     ("the owner has just placed", Condition::JustPlaced),
     ("a write is acknowledged and not carried out", Condition::AcknowledgedOnly),
+    ("an election is under way", Condition::Election),
 ];
 
 #[derive(Debug, Clone, PartialEq)]
 pub enum Trigger {
     At(Duration),
-    When(Condition),
+    /// The first time that it is so, from this time on.
+    When(Condition, Duration),
 }
 
 /// Everything that is to go wrong, in the order in which it was written.
@@ -159,6 +168,12 @@
     Ok(Fault::Link(of, link, passing, time))
 }
 
+fn condition(so: &str) -> Told<Condition> {
+    let names: Vec<&str> = CONDITIONS.iter().map(|(name, _)| *name).collect();
+    let known = CONDITIONS.iter().find(|(name, _)| *name == so);
+    known.map(|(_, condition)| *condition).ok_or_else(|| format!("{so:?} is none of: {}", names.join("; ")).into())
+}
+
 fn add(plan: &Mutex<Plan>, trigger: Trigger, fault: Fault) -> Told<()> {
     let mut plan = lock(plan);
     if plan.steps.len() >= MOST_STEPS {
@@ -190,6 +205,10 @@
         .register_fn("hang", |n: Dynamic, s: Dynamic| Told::Ok(Fault::Hang(many(&n)?, seconds(&s)?)))
         .register_fn("sick", |n: Dynamic, s: Dynamic| Told::Ok(Fault::Sick(many(&n)?, seconds(&s)?)))
         .register_fn("slow", |n: Dynamic, by: Dynamic| Told::Ok(Fault::Slow(many(&n)?, number(&by)?.max(1.0))))
+        .register_fn("deaf", |n: Dynamic, s: Dynamic| Told::Ok(Fault::Deaf(many(&n)?, seconds(&s)?)))
+        .register_fn("late_copies", |n: Dynamic, from: Dynamic, to: Dynamic, s: Dynamic| {
+            Told::Ok(Fault::LateCopies(many(&n)?, seconds(&from)?, seconds(&to)?, seconds(&s)?))
+        })
         .register_fn("drift", |n: Dynamic, by: Dynamic| Told::Ok(Fault::Drift(many(&n)?, number(&by)?)))
         .register_fn("start_twice", || Fault::StartTwice)
         .register_fn("boots", |how: &str| {
@@ -224,6 +243,7 @@
         .register_fn("delay", |of: Dynamic, link: &str, by: Dynamic, s: Dynamic| {
             link_fault(&of, link, Passing::Delayed(seconds(&by)?), &s)
         })
+        .register_fn("lone", |of: Dynamic, s: Dynamic| Told::Ok(Fault::Lone(who(&of)?, seconds(&s)?)))
         .register_fn("end", |of: Dynamic, s: Dynamic| Told::Ok(Fault::End(who(&of)?, seconds(&s)?)))
         .register_fn("pause", |of: Dynamic, s: Dynamic| Told::Ok(Fault::Pause(who(&of)?, seconds(&s)?)))
         .register_fn("roll", |every: Dynamic| seconds(&every).map(Fault::Roll));
@@ -236,15 +256,15 @@
     machine_faults(&mut engine);
     store_faults(&mut engine);
     controller_faults(&mut engine);
-    let (at, when, some_time, sizes) = (plan.clone(), plan.clone(), plan.clone(), plan.clone());
+    let (at, when, then, some_time, sizes) = (plan.clone(), plan.clone(), plan.clone(), plan.clone(), plan.clone());
     let rng = Mutex::new(ChaCha8Rng::seed_from_u64(seed));
     engine
         .register_fn("at", move |s: Dynamic, fault: Fault| add(&at, Trigger::At(seconds(&s)?), fault))
         .register_fn("when", move |so: &str, fault: Fault| {
-            let known = CONDITIONS.iter().find(|(name, _)| *name == so);
-            let names: Vec<&str> = CONDITIONS.iter().map(|(name, _)| *name).collect();
-            let (_, condition) = known.ok_or_else(|| format!("{so:?} is none of: {}", names.join("; ")))?;
-            add(&when, Trigger::When(*condition), fault)
+            add(&when, Trigger::When(condition(so)?, Duration::ZERO), fault)
+        })
+        .register_fn("when", move |so: &str, from: Dynamic, fault: Fault| {
+            add(&then, Trigger::When(condition(so)?, seconds(&from)?), fault)
         })
         .register_fn("at_random", move |from: Dynamic, to: Dynamic, fault: Fault| {
             let (from, to) = (number(&from)?, number(&to)?);
@@ -271,7 +291,7 @@
     fn scripts_by_cases() {
         let s = Duration::from_secs;
         type Steps = Vec<(Trigger, Fault)>;
-        let rows: [(&str, Result<Steps, &str>); 9] = [
+        let rows: [(&str, Result<Steps, &str>); 10] = [
             (
                 "for n in 0..2 { at(10 + n, end(n, 3)) }",
                 Ok(vec![
@@ -282,10 +302,18 @@
             (
                 "when(\"the owner has just placed\", lose_machines(0.5));\nat(2, cut(\"owner\", \"store\", 9.0));",
                 Ok(vec![
-                    (Trigger::When(Condition::JustPlaced), Fault::LoseMachines(Many::Part(0.5))),
+                    (Trigger::When(Condition::JustPlaced, s(0)), Fault::LoseMachines(Many::Part(0.5))),
                     (Trigger::At(s(2)), Fault::Link(Who::Owner, Link::Store, Passing::Held, s(9))),
                 ]),
             ),
+            (
+                "when(\"an election is under way\", 9, end(1, 0.05)); at(1, late_copies(2, 1, 30, 9)); at(2, lone(1, 4))",
+                Ok(vec![
+                    (Trigger::When(Condition::Election, s(9)), Fault::End(Who::Number(1), Duration::from_millis(50))),
+                    (Trigger::At(s(1)), Fault::LateCopies(Many::Count(2), s(1), s(30), s(9))),
+                    (Trigger::At(s(2)), Fault::Lone(Who::Number(1), s(4))),
+                ]),
+            ),
             ("\n\nat(1, hang(2, ))", Err("line 3")),
             ("at(1, cut(\"owner\", \"moon\", 9))", Err("\"moon\" is no link")),
             ("at(-1, drop_leases())", Err("is not between")),
--- a/crates/emulator/src/world/fleet.rs
+++ b/crates/emulator/src/world/fleet.rs
@@ -13,6 +13,8 @@
 pub const ANSWER_TAKEN: Duration = Duration::from_secs(4);
 /// Gigabytes of images kept where a type says nothing.
 const CACHE_GB: f64 = 100.0;
+/// Copies of reports on their way at the most; no more are made then.
+const MOST_COPIES: usize = 20_000;
 
 /// The workers' part of the settings.
 #[derive(Debug, Clone, Copy)]
@@ -90,6 +92,10 @@
     /// Images held, the most recently used last, and what is left to fetch of each.
     images: VecDeque<(String, f64, f64)>,
     hangs_until: Duration,
+    /// Hears neither answers nor commands until then, though its own reports arrive.
+    deaf_until: Duration,
+    /// Until when a copy is kept of each of its reports, and after how long at the least and at the most it comes.
+    copied: (Duration, Duration, Duration),
     /// Fails every task that it starts.
     sick: bool,
     /// How fast its steady clock runs: 1 for a right one.
@@ -141,6 +147,8 @@
     /// Gangs that are done: if one task is, all are.
     gangs_done: HashSet<JobId>,
     happened: Vec<Happening>,
+    /// Copies of reports, and when each comes: kept here, since they outlive their machines.
+    copies: Vec<(Duration, Report)>,
     at: Duration,
 }
 
@@ -170,6 +178,7 @@
             broken: HashMap::new(),
             gangs_done: HashSet::new(),
             happened: Vec::new(),
+            copies: Vec::new(),
             at: Duration::ZERO,
         }
     }
@@ -192,6 +201,8 @@
             unknown: BTreeSet::new(),
             images: VecDeque::new(),
             hangs_until: Duration::ZERO,
+            deaf_until: Duration::ZERO,
+            copied: Default::default(),
             sick: false,
             clock: 1.0,
         };
@@ -288,6 +299,31 @@
         }
     }
 
+    /// What is sent to it does not arrive until then; what it sends does.
+    pub fn deafen(&mut self, name: &str, until: Duration) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.deaf_until = until;
+        }
+    }
+
+    pub fn hears(&self, name: &str, now: Duration) -> bool {
+        self.workers.get(name).is_some_and(|w| w.deaf_until <= now)
+    }
+
+    /// A copy of each of its reports until then comes between `from` and `to` later, in whatever order.
+    pub fn copy_reports(&mut self, name: &str, until: Duration, from: Duration, to: Duration) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.copied = (until, from, to.max(from));
+        }
+    }
+
+    /// Copies that come now: of machines that are gone, too.
+    pub fn copies_due(&mut self, now: Duration) -> Vec<Report> {
+        let (due, rest) = std::mem::take(&mut self.copies).into_iter().partition(|(at, _)| *at <= now);
+        self.copies = rest;
+        due.into_iter().map(|(_, report): (Duration, Report)| report).collect()
+    }
+
     pub fn set_sick(&mut self, name: &str, sick: bool) {
         if let Some(worker) = self.workers.get_mut(name) {
             worker.sick = sick;
@@ -327,6 +363,18 @@
 
     /// A report of a worker that answers, and the session it is of.
     pub fn report(&mut self, name: &str, now: Duration) -> Option<Report> {
+        let report = self.tell(name, now)?;
+        let (until, from, to) = self.workers.get(name)?.copied;
+        if now < until && self.copies.len() < MOST_COPIES {
+            let mut hasher = DefaultHasher::new();
+            (name, report.session, report.seq).hash(&mut hasher);
+            let part = f64::from(hasher.finish() as u8) / 255.0;
+            self.copies.push((now + from + (to - from).mul_f64(part), report.clone()));
+        }
+        Some(report)
+    }
+
+    fn tell(&mut self, name: &str, now: Duration) -> Option<Report> {
         self.tick(now);
         let worker = self.workers.get_mut(name).filter(|w| w.hangs_until <= now)?;
         worker.seq += 1;
@@ -366,7 +414,7 @@
     pub fn answer(&mut self, name: &str, session: u64, sent: Duration, orders: &Orders, now: Duration) -> bool {
         self.tick(now);
         let Some(worker) = self.workers.get_mut(name) else { return false };
-        let late = now.saturating_sub(sent) > ANSWER_TAKEN || worker.hangs_until > now;
+        let late = now.saturating_sub(sent) > ANSWER_TAKEN || worker.hangs_until.max(worker.deaf_until) > now;
         if late || worker.session != session || orders.token < worker.token {
             return false;
         }
@@ -379,13 +427,13 @@
     /// A direct command, of whatever age: whether it was executed, and the report after it.
     pub fn command(&mut self, name: &str, orders: &Orders, now: Duration) -> Option<(bool, Report)> {
         self.tick(now);
-        let worker = self.workers.get_mut(name).filter(|w| w.hangs_until <= now)?;
+        let worker = self.workers.get_mut(name).filter(|w| w.hangs_until.max(w.deaf_until) <= now)?;
         let taken = orders.token >= worker.token && orders.session == Some(worker.session);
         if taken {
             worker.token = orders.token;
             self.execute(name, &orders.orders, now);
         }
-        Some((taken, self.report(name, now)?))
+        Some((taken, self.tell(name, now)?))
     }
 
     fn execute(&mut self, name: &str, orders: &[Order], now: Duration) {
@@ -901,6 +949,26 @@
         }
     }
 
+    /// Deaf: reports go out, nothing comes in, and its lease ends again and again. Copies come in whatever order, also
+    /// when the machine is gone.
+    #[test]
+    fn deaf_machines_and_copies_of_reports() {
+        let mut fleet = fleet(1, vec![upload("run-1", |_| ())]);
+        fleet.deafen("m0", s(60.0));
+        fleet.copy_reports("m0", s(30.0), s(10.0), s(50.0));
+        let orders = Orders { token: 1, session: Some(1), orders: vec![launch("run-1", 0, 1)] };
+        assert!(fleet.command("m0", &orders, s(0.5)).is_none());
+        keep(&mut fleet, 1.0, 59.0);
+        let report = fleet.report("m0", s(59.5)).unwrap();
+        assert_eq!((report.session, report.token, report.legs.len()), (3, 0, 0), "two leases of 24 s");
+        fleet.gone("m0", s(59.6));
+        assert!(fleet.copies_due(s(10.9)).is_empty());
+        let mut copies = Vec::new();
+        (11..90).for_each(|at| copies.extend(fleet.copies_due(s(f64::from(at)))));
+        assert_eq!((copies.len(), copies.iter().map(|c| c.session).max()), (29, Some(2)));
+        assert!(copies.windows(2).any(|two| two[0].seq > two[1].seq), "out of order");
+    }
+
     #[test]
     fn gangs_start_end_and_break_together() {
         type Play = fn(&mut Fleet);
--- a/crates/emulator/tests/naive.rs
+++ b/crates/emulator/tests/naive.rs
@@ -111,7 +111,7 @@
 #[test]
 fn what_a_naive_scheduler_believes() {
     type Belief = fn(bool) -> bool;
-    let rows: [(&str, Belief); 18] = [
+    let rows: [(&str, Belief); 20] = [
         ("what was started ends", |f| {
             done_with(|fleet, at| {
                 if f && at == 5 {
@@ -145,6 +145,26 @@
             fleet(|fleet, at| doubled |= f && at == 5 && fleet.start_twice(s(at)));
             !doubled
         }),
+        ("whoever is heard hears", |f| {
+            let mut heard = false;
+            fleet(|fleet, at| {
+                if f {
+                    fleet.deafen("m1", s(30));
+                }
+                heard |= fleet.command("m1", &Orders { token: 1, session: Some(1), orders: vec![] }, s(at)).is_some();
+            });
+            heard
+        }),
+        ("a report is of a machine that is there", |f| {
+            let mut played = fleet(|fleet, at| {
+                if f {
+                    fleet.copy_reports("m1", s(9), s(5), s(30));
+                }
+                fleet.report("m1", s(at));
+            });
+            played.gone("m1", s(20));
+            played.copies_due(s(30)).is_empty()
+        }),
         ("what is rented comes up", |f| {
             let boots = if f { Boots::Never } else { Boots::Usual };
             rented(|cloud| cloud.set_boots(boots), false).tick(s(60)).len() == 3
