Rehearsals: each job answered, a class's largest, services' gaps, operators' verbs

Once nothing is wrong any more every job is asked about every 5 s by each controller's users; 75 s without an answer about one is a broken rule, and the time until all were answered is told. A class's top tenth by tasks must be half done and half begun within 240 s. The judge's table breaks both new rules on purpose, and finds each.

--- a/crates/emulator/src/controllers.rs
+++ b/crates/emulator/src/controllers.rs
@@ -18,6 +18,9 @@
 const PROPERTIES: &str = "leader.lease.seconds=1\nmachines.silence.seconds=4\nmachines.idle.seconds=30\n\
                           machines.refusal.seconds=3\n";
 
+/// How long a verb of the command line may take.
+const VERB_WITHIN: Duration = Duration::from_secs(10);
+
 #[derive(Debug, thiserror::Error)]
 pub enum ControllerError {
     #[error("{what}: {error}")]
@@ -31,6 +34,8 @@
     move |error| ControllerError::Io { what, error }
 }
 
+type BoxFuture<T> = std::pin::Pin<Box<dyn Future<Output = T> + Send>>;
+
 struct Controller {
     config: PathBuf,
     log: PathBuf,
@@ -44,6 +49,8 @@
 pub struct Controllers {
     binary: PathBuf,
     properties: PathBuf,
+    /// Settings for operators, whose way to the state service is never cut.
+    operators: PathBuf,
     list: Vec<Controller>,
     /// Where users reach each of them, past the link that may be cut.
     pub for_users: Vec<String>,
@@ -95,7 +102,9 @@
         let (zones, params) = (sizes.zones(), sizes.settings());
         let name = |i: usize| format!("node-{i}");
         let zone = |i: usize| zones[i % zones.len()].clone();
-        let mut all = Self { binary, properties, list: vec![], for_users: vec![], direct: apis.clone(), own_ends: 0 };
+        let operators = folder.join("operator.json");
+        let mut all =
+            Self { binary, properties, operators, list: vec![], for_users: vec![], direct: apis.clone(), own_ends: 0 };
         for i in 0..n {
             let door = world.door(i).await;
             let state = relay(door.clone(), world.gate(i, Link::Store)).await.map_err(io("a link"))?;
@@ -107,13 +116,19 @@
                 let to = relay(meshes[j].clone(), world.gate(i, Link::Peer(j))).await.map_err(io("a link"))?;
                 peers.push(json!({"host_name": name(j), "area": zone(j), "endpoint": to}));
             }
-            let settings = json!({
+            let mut settings = json!({
                 "host_name": name(i), "area": zone(i), "api_addr": apis[i], "mesh_addr": meshes[i], "peers": peers,
                 "endpoints": {"cloud": cloud, "state": state}, "params": params,
             });
             let config = folder.join(format!("{}.json", name(i)));
             let text = serde_json::to_string_pretty(&settings).unwrap_or_default();
             std::fs::write(&config, text).map_err(io(config.display().to_string()))?;
+            if i == 0 {
+                let door = world.door(n).await;
+                settings["endpoints"] = json!({"cloud": door.clone(), "state": door});
+                let text = serde_json::to_string_pretty(&settings).unwrap_or_default();
+                std::fs::write(&all.operators, text).map_err(io("operator.json"))?;
+            }
             lock(&world.nodes).push(Node { name: name(i), addr: workers });
             all.for_users.push(users);
             let log = folder.join(format!("{}.log", name(i)));
@@ -144,6 +159,31 @@
         Ok(())
     }
 
+    /// Whether all run and none stands still.
+    pub fn all_well(&self) -> bool {
+        self.list.iter().all(|c| c.starts.is_none() && c.resumes.is_none())
+    }
+
+    /// Runs the daemon's command line with these arguments whenever called: its exit status and what it said.
+    pub fn verbs(&self, args: Vec<String>) -> impl Fn() -> BoxFuture<(Option<i32>, String)> + Send + use<> {
+        let (binary, config) = (self.binary.clone(), self.operators.display().to_string());
+        let args: Vec<String> = args.iter().map(|arg| arg.replace("{config}", &config)).collect();
+        move || {
+            let mut command = Command::new(&binary);
+            command.args(&args).stdin(Stdio::null()).kill_on_drop(true);
+            Box::pin(async move {
+                match tokio::time::timeout(VERB_WITHIN, command.output()).await {
+                    Ok(Ok(out)) => {
+                        let said = [out.stdout, out.stderr].concat();
+                        (out.status.code(), String::from_utf8_lossy(&said).into_owned())
+                    }
+                    Ok(Err(error)) => (None, error.to_string()),
+                    Err(_) => (None, format!("nothing within {VERB_WITHIN:?}")),
+                }
+            })
+        }
+    }
+
     pub fn count(&self) -> usize {
         self.list.len()
     }
--- a/crates/emulator/src/judge.rs
+++ b/crates/emulator/src/judge.rs
@@ -42,6 +42,8 @@
         spot: bool,
     },
     Machine(Happening),
+    /// Nothing is wrong any more: every job has to be answered from now on.
+    Quiet,
 }
 
 #[derive(Debug, Clone)]
@@ -61,10 +63,12 @@
     NotDone,
     WentBack,
     NothingRan,
+    Unanswered,
+    Gap,
 }
 
 impl Rule {
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 11] = [
         Self::RanTwice,
         Self::Quota,
         Self::WrongPlace,
@@ -74,6 +78,8 @@
         Self::NotDone,
         Self::WentBack,
         Self::NothingRan,
+        Self::Unanswered,
+        Self::Gap,
     ];
 
     pub fn name(self) -> &'static str {
@@ -87,6 +93,8 @@
             Self::NotDone => "not_done",
             Self::WentBack => "went_back",
             Self::NothingRan => "nothing_ran",
+            Self::Unanswered => "unanswered",
+            Self::Gap => "gap",
         }
     }
 }
@@ -98,6 +106,24 @@
     pub quotas: HashMap<String, (f64, f64)>,
     /// From being told that a job is withdrawn until all of it must be gone.
     pub cancel: Duration,
+    /// Services that stand for one another, and how many of their replicas together have to run.
+    pub capacity: Vec<(Vec<JobId>, usize)>,
+}
+
+/// What became of a class's largest jobs: its top tenth by tasks, more where sizes are equal.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Largest {
+    pub class: String,
+    pub jobs: usize,
+    pub done: usize,
+    /// All of a gang, or the first of an array, on machines within `BEGIN_WITHIN` of the acceptance.
+    pub begun: usize,
+}
+
+impl Largest {
+    fn served(&self) -> bool {
+        self.done * 2 >= self.jobs && self.begun * 2 >= self.jobs
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -119,11 +145,13 @@
     /// Results that came more than once, each from a run of its own.
     pub repeated: usize,
     pub lost: Vec<TaskKey>,
+    pub largest: Vec<Largest>,
 }
 
 impl Verdict {
     pub fn clean(&self) -> bool {
-        self.breaks.is_empty() && self.delivered == self.expected && self.repeated == 0
+        let whole = self.breaks.is_empty() && self.delivered == self.expected && self.repeated == 0;
+        whole && self.largest.iter().all(Largest::served)
     }
 
     pub fn first(&self, rule: Rule) -> Option<&Break> {
@@ -137,7 +165,14 @@
         let rules = if rules.is_empty() { "none broken".to_owned() } else { format!("broken: {}", rules.join(", ")) };
         let each =
             if self.repeated == 0 { "each once".to_owned() } else { format!("{} more than once", self.repeated) };
-        format!("results: {} of {}, {each}; rules: {rules}", self.delivered, self.expected)
+        let sum = |count: fn(&Largest) -> usize| self.largest.iter().map(count).sum::<usize>();
+        let (all, done, begun) = (sum(|l| l.jobs), sum(|l| l.done), sum(|l| l.begun));
+        let under: Vec<&str> = self.largest.iter().filter(|l| !l.served()).map(|l| l.class.as_str()).collect();
+        let under = if under.is_empty() { String::new() } else { format!(", under half: {}", under.join(", ")) };
+        let (results, within) = (format!("results: {} of {}", self.delivered, self.expected), BEGIN_WITHIN.as_secs());
+        format!(
+            "{results}, {each}; rules: {rules}; largest: {done} of {all} done, {begun} begun within {within} s{under}"
+        )
     }
 }
 
@@ -145,12 +180,17 @@
 const HISTORY: usize = 40;
 /// Every poll failing for this long, while most others are answered, is forgetting.
 const UNANSWERED: Duration = Duration::from_secs(90);
+/// Once troubles are over, a job about which no question is answered for this long is forgotten, however others fare.
+pub const SILENT: Duration = Duration::from_secs(75);
+/// The largest have to begin within this.
+pub const BEGIN_WITHIN: Duration = Duration::from_secs(240);
 const SLACK: f64 = 1e-6;
 
 #[derive(Default)]
 struct Job {
     spec: Option<Arc<JobSpec>>,
-    accepted: bool,
+    accepted: Option<Duration>,
+    begun: Option<Duration>,
     withdrawal_asked: bool,
     /// What a user was last told of its end, and when first.
     told: Option<(Status, Duration)>,
@@ -158,6 +198,8 @@
     history: Vec<String>,
     /// Since when no poll was answered, and how many polls were made and answered by then.
     unanswered: Option<(Duration, u64, u64)>,
+    /// Since when no question was answered, once troubles were over.
+    silent: Option<Duration>,
 }
 
 struct Place {
@@ -180,6 +222,9 @@
     polls: u64,
     answered: u64,
     started: bool,
+    quiet: bool,
+    /// Which of `terms.capacity` were all there once.
+    full: HashSet<usize>,
     breaks: Vec<Break>,
 }
 
@@ -228,10 +273,16 @@
             Event::Machine(Happening::Ended { task, attempt, machine, cause }) => {
                 self.write(at, &task.job, format!("{}/{} ended on {machine}: {cause:?}", task.index, attempt));
                 self.leave(at, task, *attempt, machine);
-                if *cause == Cause::Done {
-                    self.deliver(task);
+                match cause {
+                    Cause::Done => self.deliver(task),
+                    Cause::Stopped => self.stopped(at, task),
+                    _ => {}
                 }
             }
+            Event::Quiet => {
+                self.quiet = true;
+                self.jobs.values_mut().for_each(|job| job.silent = None);
+            }
             Event::Machine(Happening::Lost { task, attempt, machine }) => {
                 self.write(at, &task.job, format!("{}/{} lost with {machine}", task.index, attempt));
                 self.leave(at, task, *attempt, machine);
@@ -276,6 +327,40 @@
             }
         }
         self.on.entry(task.clone()).or_default().push((machine.to_owned(), attempt));
+        let running = self.running(&task.job);
+        if let Some(job) = self.jobs.get_mut(&task.job)
+            && job.spec.as_ref().is_some_and(|s| !s.is_gang() || running as u64 == s.tasks)
+        {
+            job.begun.get_or_insert(at);
+        }
+        for n in 0..self.terms.capacity.len() {
+            if self.together(n) >= self.terms.capacity[n].1 {
+                self.full.insert(n);
+            }
+        }
+    }
+
+    /// Tasks of a job that are on machines.
+    fn running(&self, job: &JobId) -> usize {
+        let first = TaskKey { job: job.clone(), index: 0 };
+        self.on.range(first..).take_while(|(key, _)| key.job == *job).count()
+    }
+
+    fn together(&self, n: usize) -> usize {
+        self.terms.capacity[n].0.iter().map(|job| self.running(job)).sum()
+    }
+
+    /// Machines may be lost at any time; but nobody is told to stop where too few are left then.
+    fn stopped(&mut self, at: Duration, task: &TaskKey) {
+        for n in 0..self.terms.capacity.len() {
+            let (jobs, least) = &self.terms.capacity[n];
+            let asked = |job: &JobId| self.jobs.get(job).is_some_and(|j| j.withdrawal_asked);
+            let (left, least) = (self.together(n), *least);
+            if jobs.contains(&task.job) && !jobs.iter().any(asked) && self.full.contains(&n) && left < least {
+                let what = format!("{}/{} is stopped, and {left} of {least} are left", task.job, task.index);
+                self.find(Rule::Gap, at, &task.job, what);
+            }
+        }
     }
 
     fn place(&mut self, at: Duration, task: &TaskKey, machine: &str, spec: &JobSpec) {
@@ -351,19 +436,24 @@
             Some(200 | 201) if !known => {
                 return self.find(Rule::Invented, at, id, format!("{id}, which nobody submitted, is answered"));
             }
-            Some(404) if job.accepted => {
+            Some(404) if job.accepted.is_some() => {
                 return self.find(Rule::Forgotten, at, id, format!("{id} is answered 404"));
             }
-            Some(400 | 422) if job.accepted && ask == Ask::Submit => {
+            Some(400 | 422) if job.accepted.is_some() && ask == Ask::Submit => {
                 return self.find(Rule::Forgotten, at, id, format!("{id}, accepted before, is answered {code:?}"));
             }
-            Some(200 | 201) => job.accepted = true,
+            Some(200 | 201) => drop(job.accepted.get_or_insert(at)),
             _ => {}
         }
-        if ask == Ask::Status && job.accepted {
+        if ask == Ask::Status && job.accepted.is_some() {
             if answered {
-                job.unanswered = None;
+                (job.unanswered, job.silent) = (None, None);
             } else {
+                if self.quiet && at.saturating_sub(*job.silent.get_or_insert(at)) >= SILENT {
+                    job.silent = None;
+                    let what = format!("{id}: no question was answered for {:.0} s", SILENT.as_secs_f64());
+                    return self.find(Rule::Unanswered, at, id, what);
+                }
                 let (since, polls_then, heard_then) = *job.unanswered.get_or_insert((at, polls, heard));
                 let others = (polls - polls_then).saturating_sub(1);
                 if at.saturating_sub(since) >= UNANSWERED && (heard - heard_then) * 2 > others {
@@ -414,15 +504,20 @@
             });
         }
         let mut verdict = Verdict { breaks: self.breaks, repeated: self.repeated, ..Verdict::default() };
+        let mut served: BTreeMap<&str, Vec<(u64, bool, bool)>> = BTreeMap::new();
         let mut jobs: Vec<(&JobId, &Job)> = self.jobs.iter().collect();
         jobs.sort_by(|a, b| a.0.cmp(b.0));
         for (id, job) in jobs {
-            let Some(spec) = job.spec.as_ref().filter(|s| job.accepted && s.shape != Shape::Service) else { continue };
+            let Some(spec) = job.spec.as_ref().filter(|s| s.shape != Shape::Service) else { continue };
+            let Some(accepted) = job.accepted else { continue };
             let withdrawn = matches!(job.told, Some((Status::Withdrawn, _)));
             if withdrawn || (job.withdrawal_asked && job.told.is_none()) {
                 continue;
             }
             let gang_done = spec.is_gang() && !job.done.is_empty();
+            let done = gang_done || job.done.len() as u64 == spec.tasks;
+            let begun = job.begun.is_some_and(|at| at.saturating_sub(accepted) <= BEGIN_WITHIN);
+            served.entry(&spec.class).or_default().push((spec.tasks, done, begun));
             for index in 0..spec.tasks as u32 {
                 verdict.expected += 1;
                 if gang_done || job.done.contains(&index) {
@@ -432,10 +527,23 @@
                 }
             }
         }
+        verdict.largest = served.into_iter().map(|(class, jobs)| largest(class, jobs)).collect();
         verdict
     }
 }
 
+/// Of a class's jobs by tasks, done and begun.
+fn largest(class: &str, mut jobs: Vec<(u64, bool, bool)>) -> Largest {
+    jobs.sort_unstable_by(|a, b| b.cmp(a));
+    let least = jobs.get(jobs.len().div_ceil(10).saturating_sub(1)).map_or(0, |(tasks, ..)| *tasks);
+    let mut sum = Largest { class: class.to_owned(), ..Largest::default() };
+    for (_, done, begun) in jobs.iter().filter(|(tasks, ..)| *tasks >= least) {
+        (sum.jobs, sum.done, sum.begun) =
+            (sum.jobs + 1, sum.done + usize::from(*done), sum.begun + usize::from(*begun));
+    }
+    sum
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -497,7 +605,11 @@
     }
 
     fn terms() -> Terms {
-        Terms { quotas: [("blue".to_owned(), (6.0, 0.0))].into(), cancel: Duration::from_secs(20) }
+        Terms {
+            quotas: [("blue".to_owned(), (6.0, 0.0))].into(),
+            cancel: Duration::from_secs(20),
+            capacity: vec![(vec!["run-1".into(), "run-3".into()], 2)],
+        }
     }
 
     /// A day on which all goes well: one job is done, with a machine lost on the way, one withdrawn.
@@ -534,14 +646,17 @@
     fn a_good_day_is_clean() {
         let verdict = judge(&good(), &terms());
         assert!(verdict.clean(), "{:?}", verdict.breaks);
-        assert_eq!(verdict.line(), "results: 2 of 2, each once; rules: none broken");
+        assert_eq!(
+            verdict.line(),
+            "results: 2 of 2, each once; rules: none broken; largest: 1 of 1 done, 1 begun within 240 s"
+        );
     }
 
     /// Each rule is broken once on purpose in a copy of the good day, and found, and no other is.
     #[test]
     fn each_broken_rule_is_found() {
         type Break = fn(&mut Vec<Entry>);
-        let rows: [(&str, Break, Rule); 15] = [
+        let rows: [(&str, Break, Rule); 17] = [
             ("on two machines", |h| h.insert(10, started(3.2, "run-1", 1, 7, "m1")), Rule::RanTwice),
             ("above the limit", |h| (2..5).for_each(|n| h.insert(13, started(5.5, "run-1", n, 1, "m1"))), Rule::Quota),
             ("another type", |h| h[8] = started(3.0, "run-1", 0, 1, "m5"), Rule::WrongPlace),
@@ -564,6 +679,18 @@
                 |h| h[23] = told(60.0, "run-2", Ask::Status, 200, Status::Done),
                 Rule::WentBack,
             ),
+            ("stopped with too few", |h| h.insert(13, ended(5.5, "run-1", 0, 1, "m1", Cause::Stopped)), Rule::Gap),
+            (
+                "asked for 80 s once all is well",
+                |h| {
+                    h.push(entry(61.0, Event::Quiet));
+                    (62..=142).step_by(5).for_each(|at| {
+                        let (job, ask) = ("run-1".into(), Ask::Status);
+                        h.push(entry(f64::from(at), Event::Answered { job, ask, code: Some(503), status: None }));
+                    });
+                },
+                Rule::Unanswered,
+            ),
             ("nothing", |h| h.retain(|e| !matches!(e.event, Event::Machine(_))), Rule::NothingRan),
         ];
         for (name, damage, rule) in rows {
@@ -576,7 +703,7 @@
             assert!(rule == Rule::NothingRan || verdict.breaks.iter().all(|b| b.rule == rule), "{name}: {verdict:?}");
             assert!(!verdict.clean());
         }
-        assert_eq!(Rule::ALL.iter().filter(|r| rows.iter().any(|(_, _, rule)| rule == *r)).count(), 9, "all of them");
+        assert_eq!(Rule::ALL.iter().filter(|r| rows.iter().any(|(_, _, rule)| rule == *r)).count(), 11, "all of them");
     }
 
     #[test]
@@ -599,6 +726,23 @@
         }
     }
 
+    #[test]
+    fn the_largest_of_a_class_are_told() {
+        type Row = (&'static [(u64, bool, bool)], (usize, usize, usize), bool);
+        let rows: [Row; 4] = [
+            (&[(3, true, true), (9, false, true), (3, true, true)], (1, 0, 1), false),
+            (&[(9, true, true), (9, false, true), (3, false, false)], (2, 1, 2), true),
+            (&[(9, true, false), (9, true, false), (3, true, true)], (2, 2, 0), false),
+            (&[], (0, 0, 0), true),
+        ];
+        for (jobs, want, served) in rows {
+            let told = largest("c", jobs.to_vec());
+            assert_eq!((told.jobs, told.done, told.begun), want, "{jobs:?}");
+            let verdict = Verdict { largest: vec![told], ..Verdict::default() };
+            assert_eq!((verdict.clean(), verdict.line().contains("under half: c")), (served, !served), "{jobs:?}");
+        }
+    }
+
     #[test]
     fn a_result_that_never_came_is_missed() {
         let mut history = good();
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -136,8 +136,16 @@
 }
 
 /// Plays one plan, writes its report, and says whether all went well.
-fn rehearse(title: &str, plan: &Plan, sizes: &Sizes, seed: u64, folder: &Path) -> Result<bool, String> {
+fn rehearse(
+    title: &str,
+    file: Option<&Path>,
+    plan: &Plan,
+    sizes: &Sizes,
+    seed: u64,
+    folder: &Path,
+) -> Result<bool, String> {
     let binary = daemon().map_err(|e| e.to_string())?;
+    let beside = file.and_then(Path::parent).unwrap_or(Path::new(""));
     let runtime = Runtime::new().map_err(|e| e.to_string())?;
     let style = ProgressStyle::with_template("{msg} [{elapsed}] {bar:40} {pos} of {len} tasks done")
         .map_err(|e| e.to_string())?;
@@ -147,7 +155,7 @@
         bar.set_position(done as u64);
     };
     let outcome: rehearsal::Outcome =
-        runtime.block_on(play(sizes, plan, seed, binary, folder, told)).map_err(|e| e.to_string())?;
+        runtime.block_on(play(sizes, plan, seed, binary, folder, beside, told)).map_err(|e| e.to_string())?;
     // What still waits to answer somebody must not keep the program.
     runtime.shutdown_background();
     bar.finish_and_clear();
@@ -157,9 +165,13 @@
     for broken in &outcome.verdict.breaks {
         println!("{:.1} s: {}: {}", broken.at.as_secs_f64(), broken.rule.name(), broken.what);
     }
+    outcome.failed.iter().for_each(|verb| println!("an operator's verb failed: {verb}"));
     println!("report: {}", path.display());
+    if let Some(took) = outcome.settled {
+        println!("once all was well, every job was answered by every controller after {:.1} s", took.as_secs_f64());
+    }
     println!("{}", outcome.verdict.line());
-    Ok(outcome.verdict.clean() && outcome.own_ends == 0)
+    Ok(outcome.verdict.clean() && outcome.own_ends == 0 && outcome.failed.is_empty())
 }
 
 /// Faults that a soak draws pairs of, in the words of scenarios.
@@ -202,7 +214,7 @@
         let script = format!("at({first_at:.2}, {first}); at({second_at:.2}, {second});");
         println!("seed {seed}: {script}");
         let plan = scenario::read(&script, seed).map_err(|e| e.to_string())?;
-        if !rehearse(&format!("seed {seed}"), &plan, sizes, seed, folder)? {
+        if !rehearse(&format!("seed {seed}"), None, &plan, sizes, seed, folder)? {
             println!("again: rehearse --soak 0.1 --seed {seed}");
             return Ok(false);
         }
@@ -221,7 +233,7 @@
         Command::Rehearse { file: None, sizes, seed, soak: minutes, folder } => match read_sizes(sizes.as_deref()) {
             Ok(sizes) => match minutes {
                 Some(minutes) => soak(minutes, seed, &sizes, &folder),
-                None => rehearse("nothing goes wrong", &Plan::default(), &sizes, seed, &folder),
+                None => rehearse("nothing goes wrong", None, &Plan::default(), &sizes, seed, &folder),
             },
             Err(problem) => return unusable(problem),
         },
@@ -229,7 +241,7 @@
             match read_scenario(&file, sizes.as_deref(), seed) {
                 Ok((plan, sizes)) => {
                     let title = file.file_stem().map(|s| s.to_string_lossy().into_owned()).unwrap_or_default();
-                    rehearse(&title, &plan, &sizes, seed, &folder)
+                    rehearse(&title, Some(&file), &plan, &sizes, seed, &folder)
                 }
                 Err(problem) => return unusable(problem),
             }
--- a/crates/emulator/src/rehearsal.rs
+++ b/crates/emulator/src/rehearsal.rs
@@ -1,25 +1,27 @@
 //! Plays a scenario: the world, controllers as processes, users, faults; and keeps what the judge
 //! and the report need.
 
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
-use hollylanding_wire::jobs::{JobId, JobSpec};
+use hollylanding_wire::jobs::{JobId, JobSpec, Shape};
 use hollylanding_wire::users::{JobAnswer, Status};
 use hollylanding_wire::{self as wire, Http};
 use hyper::Method;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use tokio::task::JoinSet;
 
 use crate::controllers::{ControllerError, Controllers};
 use crate::driver::relay::Passing;
 use crate::driver::{Link, World, lock};
-use crate::judge::{Ask, Event, Verdict, judge};
-use crate::scenario::{Condition, Fault, Plan, Trigger, Who};
+use crate::judge::{Ask, Event, SILENT, Terms, Verdict, judge};
+use crate::scenario::{Condition, Fault, Plan, Trigger, Verb, Who};
 use crate::sizes::Sizes;
 use crate::world::fleet::Upload;
 
@@ -30,6 +32,12 @@
 const ASK_WITHIN: Duration = Duration::from_secs(2);
 const COME_AGAIN: Duration = Duration::from_secs(1);
 const POLL: Duration = Duration::from_millis(1000);
+/// Once nothing is wrong any more each job is asked about by each controller's users in this time; of more jobs than
+/// that, evenly chosen ones.
+const ROUND: Duration = Duration::from_secs(5);
+const MOST_ASKED: usize = 2000;
+/// A verb that did not do what was wanted is tried again for this long.
+const VERB_FOR: Duration = Duration::from_secs(20);
 /// Longest answer time that is told apart, in milliseconds.
 const LONGEST_MS: u64 = 120_000;
 const DIGITS: u8 = 3;
@@ -59,6 +67,10 @@
     pub accepted_ms: Histogram<u64>,
     pub jobs: usize,
     pub own_ends: usize,
+    /// From when nothing was wrong any more until every controller had answered about every job.
+    pub settled: Option<Duration>,
+    /// Verbs of operators that did not do what was wanted.
+    pub failed: Vec<String>,
     pub refused: u64,
     pub spent: f64,
     pub seconds: f64,
@@ -71,6 +83,14 @@
     http: Http,
     accepted_ms: Mutex<Histogram<u64>>,
     left: Mutex<usize>,
+    /// Jobs that are withdrawn only at the end, and whether that has come.
+    lingering: Mutex<usize>,
+    closing: AtomicBool,
+    /// Times as often as usual that users ask.
+    often: f64,
+    accepted: Mutex<Vec<JobId>>,
+    /// Who has answered about which job since all has been well.
+    answered: Mutex<HashSet<(usize, JobId)>>,
     rng: Mutex<ChaCha8Rng>,
 }
 
@@ -98,7 +118,7 @@
     }
 
     /// A user from the first attempt to submit until the job has ended.
-    async fn user(self: Arc<Self>, spec: JobSpec, withdraw_after: Option<Duration>) {
+    async fn user(self: Arc<Self>, spec: JobSpec, withdraw_after: Option<Duration>, lingers: bool) {
         let (job, begun) = (spec.id.clone(), Instant::now());
         let body = wire::encode(&spec);
         self.world.note(Event::Submitted(Arc::new(spec)));
@@ -107,8 +127,13 @@
         }
         let took = u64::try_from(begun.elapsed().as_millis()).unwrap_or(LONGEST_MS);
         let _ = lock(&self.accepted_ms).record(took.clamp(1, LONGEST_MS));
-        if let Some(after) = withdraw_after {
-            tokio::time::sleep(after).await;
+        lock(&self.accepted).push(job.clone());
+        while lingers && !self.closing.load(Ordering::Relaxed) {
+            tokio::time::sleep(POLL.div_f64(self.often)).await;
+            self.ask(&self.any(), &job, Ask::Status, None).await;
+        }
+        if withdraw_after.is_some() || lingers {
+            tokio::time::sleep(withdraw_after.unwrap_or_default()).await;
             self.world.note(Event::WithdrawalAsked(job.clone()));
             while !matches!(
                 self.ask(&self.any(), &job, Ask::Withdraw, None).await,
@@ -118,13 +143,40 @@
             }
         } else {
             loop {
-                tokio::time::sleep(POLL).await;
+                tokio::time::sleep(POLL.div_f64(self.often)).await;
                 if let Some(Status::Done | Status::Withdrawn) = self.ask(&self.any(), &job, Ask::Status, None).await {
                     break;
                 }
             }
         }
-        *lock(&self.left) -= 1;
+        *lock(if lingers { &self.lingering } else { &self.left }) -= 1;
+    }
+
+    /// Asks one controller about every job, round after round, spread over time.
+    async fn ask_on(self: Arc<Self>, controller: usize) {
+        let Some(addr) = self.addrs.get(controller).cloned() else { return };
+        loop {
+            let jobs = lock(&self.accepted).clone();
+            let jobs: Vec<JobId> = jobs.iter().step_by(jobs.len().div_ceil(MOST_ASKED).max(1)).cloned().collect();
+            let pause = ROUND.div_f64(self.often * jobs.len().max(1) as f64);
+            for job in jobs {
+                let (desk, addr) = (self.clone(), addr.clone());
+                tokio::spawn(async move {
+                    if desk.ask(&addr, &job, Ask::Status, None).await.is_some() {
+                        lock(&desk.answered).insert((controller, job));
+                    }
+                });
+                tokio::time::sleep(pause).await;
+            }
+            tokio::time::sleep(STEP).await;
+        }
+    }
+
+    /// Whether every controller has answered about every job that is asked about.
+    fn all_answered(&self) -> bool {
+        let jobs = lock(&self.accepted).len();
+        let asked = jobs.div_ceil(jobs.div_ceil(MOST_ASKED).max(1));
+        lock(&self.answered).len() >= asked * self.addrs.len()
     }
 
     /// Asks every controller once more about every job: an end stays an end.
@@ -138,8 +190,23 @@
     }
 }
 
-/// Jobs with when they come and, if so, how long after their acceptance they are withdrawn.
-fn jobs(sizes: &Sizes, rng: &mut ChaCha8Rng) -> VecDeque<(f64, JobSpec, f64, Option<Duration>)> {
+struct Coming {
+    at_s: f64,
+    spec: JobSpec,
+    run_s: f64,
+    /// How long after its acceptance, if at all.
+    withdrawn: Option<Duration>,
+    broken: bool,
+}
+
+impl Coming {
+    /// Never ends by itself: withdrawn at the end.
+    fn lingers(&self) -> bool {
+        self.withdrawn.is_none() && (self.broken || self.spec.shape == Shape::Service)
+    }
+}
+
+fn jobs(sizes: &Sizes, rng: &mut ChaCha8Rng) -> VecDeque<Coming> {
     let mut all = Vec::new();
     for work in &sizes.work {
         for at in work.arrivals() {
@@ -150,8 +217,8 @@
     }
     all.sort_by(|a, b| a.0.total_cmp(&b.0));
     let job = |(n, (at, work, withdrawn)): (usize, (f64, &crate::sizes::Work, Option<Duration>))| {
-        let id = format!("run-{:06}", n + 1);
-        (at, work.spec(&id), work.run_s * rng.random_range(0.7..1.3), withdrawn)
+        let spec = work.spec(&format!("run-{:06}", n + 1));
+        Coming { at_s: at, spec, run_s: work.run_s * rng.random_range(0.7..1.3), withdrawn, broken: work.broken }
     };
     all.into_iter().enumerate().map(job).collect()
 }
@@ -164,6 +231,13 @@
     undo: Vec<(Instant, Undo)>,
     told: Vec<(f64, String)>,
     placed: usize,
+    /// Who led and who owned at the last look.
+    led: [String; 2],
+    folder: PathBuf,
+    beside: PathBuf,
+    /// Verbs that are being run, and what became of those that failed.
+    verbs: JoinSet<Result<String, String>>,
+    failed: Vec<String>,
 }
 
 enum Undo {
@@ -174,6 +248,22 @@
     Well(Vec<String>),
     End(usize),
     StartTwice,
+    /// It is over by itself.
+    Over,
+}
+
+/// So long after the beginning, by an operator's time of day, in an offset in which the beginning is around noon.
+fn times(text: &str, begun_s: u64) -> String {
+    let offset_min = 720 - (begun_s / 60 % 1440) as i64;
+    let mut out = text.replace("\"{offset}\"", &offset_min.to_string());
+    while let Some(from) = out.find("{clock:") {
+        let Some(to) = out[from..].find('}').map(|n| from + n) else { break };
+        let later: u64 = out[from + 7..to].trim().parse().unwrap_or(0);
+        let at = 12 * 3600 + begun_s % 60 + later;
+        let clock = format!("{:02}:{:02}:{:02}", at / 3600 % 24, at / 60 % 60, at % 60);
+        out.replace_range(from..=to, &clock);
+    }
+    out
 }
 
 impl Play {
@@ -183,6 +273,56 @@
         owner.strip_prefix("node-").and_then(|n| n.parse().ok()).unwrap_or(0)
     }
 
+    fn leads(&self) -> [String; 2] {
+        let state = lock(&self.world.state);
+        ["c/leader", "c/owner/0"].map(|key| state.store.value(key).map_or_else(String::new, |v| v.to_string()))
+    }
+
+    /// An operator's verb, tried again until it does what is wanted or its time is over.
+    fn operate(&mut self, verb: &Verb) {
+        let begun_s = std::time::SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default().as_secs();
+        let begun_s = begun_s.saturating_sub(self.world.now().as_secs());
+        let file = self.folder.join(format!("spec-{}.json", self.told.len()));
+        if let Some(spec) = &verb.spec
+            && let Err(error) = std::fs::write(&file, times(spec, begun_s))
+        {
+            return self.failed.push(format!("{}: {error}", file.display()));
+        }
+        let arg = |arg: &String| {
+            let arg = times(arg, begun_s).replace("{spec}", &file.display().to_string());
+            match arg.strip_prefix("{file:").and_then(|name| name.strip_suffix('}')) {
+                Some(name) => self.beside.join(name).display().to_string(),
+                None => arg,
+            }
+        };
+        let args: Vec<String> = verb.args.iter().map(arg).collect();
+        let (verb, until) = (verb.clone(), Instant::now() + VERB_FOR);
+        let runs = self.controllers.verbs(args);
+        self.verbs.spawn(async move {
+            loop {
+                let (exit, said) = runs().await;
+                if exit == Some(verb.exit) && said.contains(&verb.says) {
+                    return Ok(said);
+                }
+                if Instant::now() > until {
+                    return Err(format!("{}: exit {exit:?}: {said}", verb.args.join(" ")));
+                }
+                tokio::time::sleep(COME_AGAIN).await;
+            }
+        });
+    }
+
+    /// What became of verbs that have been run.
+    fn verbs_done(&mut self) {
+        while let Some(done) = self.verbs.try_join_next() {
+            let at = self.world.now().as_secs_f64();
+            match done.unwrap_or_else(|error| Err(error.to_string())) {
+                Ok(said) => self.told.push((at, format!("an operator was told: {said}"))),
+                Err(why) => self.failed.push(why),
+            }
+        }
+    }
+
     fn these(&self, who: Who) -> Vec<usize> {
         match who {
             Who::All => (0..self.controllers.count()).collect(),
@@ -202,11 +342,8 @@
             Condition::HoldsResult => self.world.with_fleet(|fleet, _| fleet.holders().next().is_some()),
             Condition::JustPlaced => lock(&self.world.starts).len() > self.placed,
             Condition::AcknowledgedOnly => lock(&self.world.state).faults.lost > 0,
-            // Nobody leads, and somebody did.
-            Condition::Election => {
-                let state = lock(&self.world.state);
-                state.store.has("c/owner/0") && !state.store.has("c/leader")
-            }
+            // Somebody led, and now nobody or another does; or who leads does not own yet.
+            Condition::Election => !self.led[0].is_empty() && self.leads() != self.led,
         }
     }
 
@@ -232,6 +369,7 @@
                     machines.iter().for_each(|m| fleet.set_sick(m, false));
                 }),
                 Undo::StartTwice => self.start_twice(),
+                Undo::Over => {}
                 Undo::End(of) => self.controllers.end(of, Duration::from_secs(1)).await,
             }
         }
@@ -281,16 +419,19 @@
             Fault::Hang(many, time) => {
                 let machines = self.some_machines(*many);
                 self.world.with_fleet(|fleet, now| machines.iter().for_each(|m| fleet.hang(m, now + *time)));
+                self.later(*time, Undo::Over);
             }
             Fault::Deaf(many, time) => {
                 let machines = self.some_machines(*many);
                 self.world.with_fleet(|fleet, now| machines.iter().for_each(|m| fleet.deafen(m, now + *time)));
+                self.later(*time, Undo::Over);
             }
             Fault::LateCopies(many, from, to, time) => {
                 let machines = self.some_machines(*many);
                 self.world.with_fleet(|fleet, now| {
                     machines.iter().for_each(|m| fleet.copy_reports(m, now + *time, *from, *to));
                 });
+                self.later(*time + *to, Undo::Over);
             }
             Fault::Sick(many, time) => {
                 let machines = self.some_machines(*many);
@@ -376,6 +517,8 @@
                     self.later(every.mul_f64(of as f64), Undo::End(of));
                 }
             }
+            Fault::Operator(verb) => self.operate(verb),
+            Fault::WillWithdraw(job) => self.world.note(Event::WithdrawalAsked(job.clone())),
             other => {
                 self.on_machines(other);
                 self.on_store(other);
@@ -417,34 +560,58 @@
     seed: u64,
     binary: PathBuf,
     folder: &Path,
+    beside: &Path,
     progress: impl Fn(usize, usize),
 ) -> Result<Outcome, ControllerError> {
     let world = World::open(sizes.world(seed, true));
     let controllers = Controllers::start(&world, sizes, binary, folder).await?;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut coming = jobs(sizes, &mut rng);
-    let (total, tasks) = (coming.len(), coming.iter().map(|(_, spec, ..)| spec.tasks as usize).sum::<usize>());
-    let ids: Vec<JobId> = coming.iter().map(|(_, spec, ..)| spec.id.clone()).collect();
+    let (total, tasks) = (coming.len(), coming.iter().map(|c| c.spec.tasks as usize).sum::<usize>());
+    let ids: Vec<JobId> = coming.iter().map(|c| c.spec.id.clone()).collect();
+    let lingering = coming.iter().filter(|c| c.lingers()).count();
     let desk = Arc::new(Desk {
         world: world.clone(),
         addrs: controllers.for_users.clone(),
         http: Http::default(),
         accepted_ms: Mutex::new(Histogram::new(DIGITS).expect("three digits are allowed")),
-        left: Mutex::new(total),
+        left: Mutex::new(total - lingering),
+        lingering: Mutex::new(lingering),
+        closing: AtomicBool::new(false),
+        often: plan.often.max(1.0),
+        accepted: Mutex::default(),
+        answered: Mutex::default(),
         rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed ^ 1)),
     });
-    let mut play = Play { world: world.clone(), controllers, rng, undo: vec![], told: vec![], placed: 0 };
+    let mut play = Play {
+        world: world.clone(),
+        controllers,
+        rng,
+        undo: vec![],
+        told: vec![],
+        placed: 0,
+        led: Default::default(),
+        folder: folder.to_owned(),
+        beside: beside.to_owned(),
+        verbs: JoinSet::new(),
+        failed: vec![],
+    };
+    // Since when nothing is wrong any more, and until when all were answered by all.
+    let (mut quiet, mut settled): (Option<Duration>, Option<Duration>) = (None, None);
+    let mut askers = JoinSet::new();
     let mut steps = plan.steps.clone();
     let (mut samples, mut sampled, mut counted) = (Vec::new(), Duration::ZERO, (0, 0, 0));
     let mut asked_for = 0;
     let limit = Duration::from_secs_f64(sizes.seconds);
     while world.now() < limit {
         let now = world.now();
-        while coming.front().is_some_and(|(at, ..)| *at <= now.as_secs_f64()) {
-            let Some((_, spec, run_s, withdrawn)) = coming.pop_front() else { break };
-            asked_for += spec.tasks as usize;
-            world.upload(Upload { spec: spec.clone(), run: Duration::from_secs_f64(run_s), broken: false });
-            tokio::spawn(desk.clone().user(spec, withdrawn));
+        while coming.front().is_some_and(|c| c.at_s <= now.as_secs_f64()) {
+            let Some(job) = coming.pop_front() else { break };
+            asked_for += job.spec.tasks as usize;
+            let (spec, run, lingers) = (job.spec.clone(), Duration::from_secs_f64(job.run_s), job.lingers());
+            let run = if spec.shape == Shape::Service { Duration::ZERO } else { run };
+            world.upload(Upload { spec, run, broken: job.broken });
+            tokio::spawn(desk.clone().user(job.spec, job.withdrawn, lingers));
         }
         play.controllers.tick()?;
         play.undo_due().await;
@@ -457,7 +624,8 @@
         for (_, fault) in due {
             play.apply(&fault).await;
         }
-        play.placed = lock(&world.starts).len();
+        play.verbs_done();
+        (play.placed, play.led) = (lock(&world.starts).len(), play.leads());
         if now.saturating_sub(sampled) >= SAMPLE {
             let sample = play.sample(&mut counted, now - sampled, asked_for);
             progress(sample.done, tasks);
@@ -465,19 +633,44 @@
             sampled = now;
         }
         let timed = steps.iter().any(|(trigger, _)| matches!(trigger, Trigger::At(_)));
-        if *lock(&desk.left) == 0 && !timed && play.undo.is_empty() {
-            break;
+        if timed || !play.undo.is_empty() || !play.controllers.all_well() {
+            (quiet, settled) = (None, None);
+            askers.abort_all();
+        } else if quiet.is_none() {
+            quiet = Some(now);
+            world.note(Event::Quiet);
+            lock(&desk.answered).clear();
+            askers = (0..desk.addrs.len()).map(|n| desk.clone().ask_on(n)).collect();
+        }
+        if quiet.is_some() && *lock(&desk.left) == 0 && desk.all_answered() {
+            settled = settled.or(Some(now));
+        }
+        // Longer than a job may stay unanswered there is nothing to wait for.
+        let over = |q: Duration| {
+            (settled.is_some() && now >= q + plan.quiet) || now > q + plan.quiet.max(SILENT) + ROUND.mul_f64(3.0)
+        };
+        if *lock(&desk.left) == 0 && play.verbs.is_empty() && quiet.is_some_and(over) {
+            desk.closing.store(true, Ordering::Relaxed);
+            if *lock(&desk.lingering) == 0 {
+                break;
+            }
         }
         tokio::time::sleep(STEP).await;
     }
+    askers.abort_all();
     if *lock(&desk.left) == 0 {
         desk.ask_all(&ids).await;
     }
+    play.verbs_done();
+    let (late, failed) = (play.verbs.len(), std::mem::take(&mut play.failed));
     let record = std::mem::take(&mut *lock(&world.record));
     let (refused, spent) = (lock(&world.state).refused, lock(&world.cloud).spent());
     let accepted_ms = lock(&desk.accepted_ms).clone();
+    let terms = Terms { capacity: plan.capacity.clone(), ..sizes.terms() };
     Ok(Outcome {
-        verdict: judge(&record, &sizes.terms()),
+        verdict: judge(&record, &terms),
+        settled: quiet.zip(settled).map(|(quiet, settled)| settled.saturating_sub(quiet)),
+        failed: failed.into_iter().chain((late > 0).then(|| format!("{late} verbs were not over"))).collect(),
         samples,
         faults: play.told,
         accepted_ms,
@@ -488,3 +681,20 @@
         seconds: world.now().as_secs_f64(),
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn times_of_day_are_around_noon_wherever_a_rehearsal_begins() {
+        for begun_s in [0, 86_399, 43_200 + 59, 1_790_000_007] {
+            let text = times(r#"{"utc_offset_min": "{offset}", "opens": "{clock:75}"}"#, begun_s);
+            let read: serde_json::Value = serde_json::from_str(&text).unwrap();
+            let local = begun_s as i64 + read["utc_offset_min"].as_i64().unwrap() * 60;
+            assert_eq!(local.rem_euclid(86_400) / 60, 720, "{begun_s}");
+            let at = local.rem_euclid(86_400) + 75;
+            assert_eq!(read["opens"], format!("{:02}:{:02}:{:02}", at / 3600, at / 60 % 60, at % 60), "{begun_s}");
+        }
+    }
+}
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use hollylanding_wire::jobs::JobId;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rhai::{Dynamic, Engine, EvalAltResult};
@@ -73,6 +74,9 @@
     Pause(Who, Duration),
     /// One after the other, so far apart.
     Roll(Duration),
+    Operator(Verb),
+    /// Somebody who is no user of the rehearsal is about to withdraw a job.
+    WillWithdraw(JobId),
     /// Breaks a rule on purpose: a running task is started on a second machine.
     StartTwice,
 }
@@ -105,6 +109,25 @@
     pub steps: Vec<(Trigger, Fault)>,
     /// The file of sizes that the script asks for, beside it.
     pub sizes: Option<String>,
+    /// Users ask so many times as often.
+    pub often: f64,
+    /// Once nothing is wrong any more, every job is asked about for so long at the least.
+    pub quiet: Duration,
+    /// Jobs of services, and how many of their replicas together have to run.
+    pub capacity: Vec<(Vec<JobId>, usize)>,
+}
+
+/// A verb of the daemon's command line, as an operator runs it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Verb {
+    /// `{config}` stands for a settings file, `{spec}` for the file that `spec` is written to, `{file:NAME}` for a file
+    /// beside the scenario.
+    pub args: Vec<String>,
+    /// JSON; `{clock:S}` in it stands for the time of day S seconds after the beginning, `{time:S}` for the whole date.
+    pub spec: Option<String>,
+    /// The exit status and the words wanted; tried again for a while.
+    pub exit: i32,
+    pub says: String,
 }
 
 #[derive(Debug, thiserror::Error)]
@@ -249,6 +272,27 @@
         .register_fn("roll", |every: Dynamic| seconds(&every).map(Fault::Roll));
 }
 
+fn verb(args: rhai::Array, spec: Option<String>) -> Told<Fault> {
+    let args: Result<Vec<String>, _> = args.into_iter().map(|arg| arg.into_string()).collect();
+    let args = args.map_err(|kind| format!("arguments are strings, and not {kind}"))?;
+    Ok(Fault::Operator(Verb { args, spec, exit: 0, says: String::new() }))
+}
+
+fn operators(engine: &mut Engine) {
+    engine
+        .register_fn("operator", |args: rhai::Array| verb(args, None))
+        .register_fn("operator", |args: rhai::Array, spec: rhai::Map| verb(args, Some(rhai::format_map_as_json(&spec))))
+        .register_fn("says", |words: &str, fault: Fault| match fault {
+            Fault::Operator(verb) => Told::Ok(Fault::Operator(Verb { says: words.into(), ..verb })),
+            other => Err(format!("{other:?} says nothing").into()),
+        })
+        .register_fn("exits", |status: i64, fault: Fault| match fault {
+            Fault::Operator(verb) => Told::Ok(Fault::Operator(Verb { exit: status as i32, ..verb })),
+            other => Err(format!("{other:?} has no exit status").into()),
+        })
+        .register_fn("will_withdraw", |job: &str| Fault::WillWithdraw(job.into()));
+}
+
 /// Reads a script; luck comes from the seed.
 pub fn read(script: &str, seed: u64) -> Result<Plan, ScriptError> {
     let plan = Arc::new(Mutex::new(Plan::default()));
@@ -256,6 +300,14 @@
     machine_faults(&mut engine);
     store_faults(&mut engine);
     controller_faults(&mut engine);
+    operators(&mut engine);
+    let (often, quiet, capacity) = (plan.clone(), plan.clone(), plan.clone());
+    engine
+        .register_fn("ask_often", move |times: Dynamic| number(&times).map(|times| lock(&often).often = times))
+        .register_fn("quiet", move |s: Dynamic| seconds(&s).map(|time| lock(&quiet).quiet = time))
+        .register_fn("capacity", move |old: &str, new: &str, least: i64| {
+            lock(&capacity).capacity.push((vec![old.into(), new.into()], usize::try_from(least).unwrap_or(0)));
+        });
     let (at, when, then, some_time, sizes) = (plan.clone(), plan.clone(), plan.clone(), plan.clone(), plan.clone());
     let rng = Mutex::new(ChaCha8Rng::seed_from_u64(seed));
     engine
@@ -291,7 +343,7 @@
     fn scripts_by_cases() {
         let s = Duration::from_secs;
         type Steps = Vec<(Trigger, Fault)>;
-        let rows: [(&str, Result<Steps, &str>); 10] = [
+        let rows: [(&str, Result<Steps, &str>); 12] = [
             (
                 "for n in 0..2 { at(10 + n, end(n, 3)) }",
                 Ok(vec![
@@ -314,6 +366,19 @@
                     (Trigger::At(s(2)), Fault::Lone(Who::Number(1), s(4))),
                 ]),
             ),
+            (
+                "at(3, says(\"met\", exits(2, operator([\"declare\", \"{spec}\"], #{name: \"w\"}))))",
+                Ok(vec![(
+                    Trigger::At(s(3)),
+                    Fault::Operator(Verb {
+                        args: vec!["declare".into(), "{spec}".into()],
+                        spec: Some("{\"name\":\"w\"}".into()),
+                        exit: 2,
+                        says: "met".into(),
+                    }),
+                )]),
+            ),
+            ("at(1, says(\"met\", drop_leases()))", Err("says nothing")),
             ("\n\nat(1, hang(2, ))", Err("line 3")),
             ("at(1, cut(\"owner\", \"moon\", 9))", Err("\"moon\" is no link")),
             ("at(-1, drop_leases())", Err("is not between")),
--- a/crates/emulator/src/sizes.rs
+++ b/crates/emulator/src/sizes.rs
@@ -119,6 +119,9 @@
 #[serde(deny_unknown_fields)]
 pub struct Work {
     pub name: String,
+    /// The class of its jobs, where it is not the name.
+    #[serde(default)]
+    pub class: Option<String>,
     pub team: String,
     pub shape: Shape,
     #[serde(default = "normal")]
@@ -146,13 +149,18 @@
     pub same_zone: bool,
     #[serde(default)]
     pub spread: bool,
-    /// Jobs at the start, and more of them a second for so long.
+    /// Jobs at `from_s`, and more of them a second for so long.
     #[serde(default)]
     pub jobs: u64,
     #[serde(default)]
     pub per_second: f64,
     #[serde(default)]
     pub for_s: f64,
+    #[serde(default)]
+    pub from_s: f64,
+    /// Submitted with a mistake: fails everywhere, and is withdrawn at the end, as services are.
+    #[serde(default)]
+    pub broken: bool,
     /// The part of them whose users withdraw them a few seconds later.
     #[serde(default)]
     pub withdrawn: f64,
@@ -163,7 +171,7 @@
     pub fn spec(&self, id: &str) -> JobSpec {
         JobSpec {
             id: id.into(),
-            class: self.name.clone(),
+            class: self.class.clone().unwrap_or_else(|| self.name.clone()),
             team: self.team.clone(),
             shape: self.shape,
             urgency: self.urgency,
@@ -189,7 +197,7 @@
     pub fn arrivals(&self) -> impl Iterator<Item = f64> {
         let later = (self.per_second * self.for_s) as u64;
         let every = 1.0 / self.per_second.max(1e-9);
-        (0..self.jobs).map(|_| 0.0).chain((1..=later).map(move |n| n as f64 * every))
+        (0..self.jobs).map(|_| 0.0).chain((1..=later).map(move |n| n as f64 * every)).map(|at| at + self.from_s)
     }
 }
 
@@ -235,6 +243,7 @@
         for work in &self.work {
             let field = |name: &str| format!("work.{}.{name}", work.name);
             amounts.push((field("run_s"), work.run_s, 0.0, 86_400.0));
+            amounts.push((field("from_s"), work.from_s, 0.0, 86_400.0));
             amounts.push((field("withdrawn"), work.withdrawn, 0.0, 1.0));
             amounts.push((field("jobs"), work.jobs as f64 + work.per_second * work.for_s, 0.0, MOST));
             if let Err(problem) = work.spec("run-1").check() {
@@ -333,7 +342,7 @@
 
     pub fn terms(&self) -> Terms {
         let quotas = self.teams.iter().map(|t| (t.name.clone(), (t.cpus_max, t.accelerators_max)));
-        Terms { quotas: quotas.collect(), cancel: Duration::from_secs_f64(self.workers.cancel_s) }
+        Terms { quotas: quotas.collect(), cancel: Duration::from_secs_f64(self.workers.cancel_s), capacity: vec![] }
     }
 
     /// `params` of a controller's settings.
