--- a/crates/emulator/src/judge.rs
+++ b/crates/emulator/src/judge.rs
@@ -10,7 +10,9 @@
 use hollylanding_wire::jobs::{JobId, JobSpec, Shape};
 use hollylanding_wire::users::Status;
 use hollylanding_wire::workers::{Cause, TaskKey};
+use serde_json::Value;
 
+use crate::declared::Declared;
 use crate::world::fleet::Happening;
 
 /// What a user asked.
@@ -42,6 +44,13 @@
         spot: bool,
     },
     Machine(Happening),
+    /// The controllers stored a status of something declared.
+    Declared {
+        kind: String,
+        name: String,
+        spec: Value,
+        status: Value,
+    },
     /// Nothing is wrong any more: every job has to be answered from now on.
     Quiet,
 }
@@ -65,10 +74,12 @@
     NothingRan,
     Unanswered,
     Gap,
+    Window,
+    Vents,
 }
 
 impl Rule {
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 13] = [
         Self::RanTwice,
         Self::Quota,
         Self::WrongPlace,
@@ -80,6 +91,8 @@
         Self::NothingRan,
         Self::Unanswered,
         Self::Gap,
+        Self::Window,
+        Self::Vents,
     ];
 
     pub fn name(self) -> &'static str {
@@ -95,6 +108,8 @@
             Self::NothingRan => "nothing_ran",
             Self::Unanswered => "unanswered",
             Self::Gap => "gap",
+            Self::Window => "window",
+            Self::Vents => "vents",
         }
     }
 }
@@ -108,6 +123,8 @@
     pub cancel: Duration,
     /// Services that stand for one another, and how many of their replicas together have to run.
     pub capacity: Vec<(Vec<JobId>, usize)>,
+    /// Time of day at the beginning, in ms since 1970.
+    pub begun_ms: u64,
 }
 
 /// What became of a class's largest jobs: its top tenth by tasks, more where sizes are equal.
@@ -225,6 +242,7 @@
     quiet: bool,
     /// Which of `terms.capacity` were all there once.
     full: HashSet<usize>,
+    declared: Declared,
     breaks: Vec<Break>,
 }
 
@@ -279,6 +297,11 @@
                     _ => {}
                 }
             }
+            Event::Declared { kind, name, spec, status } => {
+                for wrong in self.declared.stored(at, kind, name, spec, status) {
+                    self.find(Rule::Window, at, &name.as_str().into(), wrong);
+                }
+            }
             Event::Quiet => {
                 self.quiet = true;
                 self.jobs.values_mut().for_each(|job| job.silent = None);
@@ -315,6 +338,12 @@
             self.find(Rule::RanCancelled, at, &task.job, what);
         }
         if let Some(spec) = spec {
+            let waits = |j: &&Job| j.accepted.is_some() && j.begun.is_none() && j.told.is_none();
+            let waiting = self.jobs.values().filter(waits).filter_map(|j| j.spec.as_deref());
+            for job in self.declared.begins(&spec, waiting) {
+                let what = format!("{job} waits while it is hot, and {} is one of many that begin ahead", spec.id);
+                self.find(Rule::Vents, at, &job, what);
+            }
             self.place(at, task, machine, &spec);
             let used = self.used.entry(spec.team.clone()).or_default();
             (used.0, used.1) = (used.0 + spec.cpus, used.1 + spec.gpus);
@@ -503,6 +532,10 @@
                 history: vec![],
             });
         }
+        let end_ms = self.terms.begun_ms + end.as_millis() as u64;
+        for what in self.declared.close(end_ms, |job| self.jobs.get(job)?.begun) {
+            self.breaks.push(Break { rule: Rule::Window, at: end, what, history: vec![] });
+        }
         let mut verdict = Verdict { breaks: self.breaks, repeated: self.repeated, ..Verdict::default() };
         let mut served: BTreeMap<&str, Vec<(u64, bool, bool)>> = BTreeMap::new();
         let mut jobs: Vec<(&JobId, &Job)> = self.jobs.iter().collect();
@@ -548,6 +581,7 @@
 mod tests {
     use super::*;
     use hollylanding_wire::jobs::Urgency;
+    use serde_json::json;
 
     fn spec(id: &str) -> JobSpec {
         JobSpec {
@@ -604,11 +638,17 @@
         entry(0.0, Event::Up { machine, type_name, zone, spot })
     }
 
+    fn declared(kind: &str, status: Value) -> Entry {
+        let spec = json!({"classes": ["vent"]});
+        entry(60.5, Event::Declared { kind: kind.into(), name: "x".into(), spec, status })
+    }
+
     fn terms() -> Terms {
         Terms {
             quotas: [("blue".to_owned(), (6.0, 0.0))].into(),
             cancel: Duration::from_secs(20),
             capacity: vec![(vec!["run-1".into(), "run-3".into()], 2)],
+            begun_ms: 0,
         }
     }
 
@@ -656,7 +696,7 @@
     #[test]
     fn each_broken_rule_is_found() {
         type Break = fn(&mut Vec<Entry>);
-        let rows: [(&str, Break, Rule); 17] = [
+        let rows: [(&str, Break, Rule); 19] = [
             ("on two machines", |h| h.insert(10, started(3.2, "run-1", 1, 7, "m1")), Rule::RanTwice),
             ("above the limit", |h| (2..5).for_each(|n| h.insert(13, started(5.5, "run-1", n, 1, "m1"))), Rule::Quota),
             ("another type", |h| h[8] = started(3.0, "run-1", 0, 1, "m5"), Rule::WrongPlace),
@@ -691,6 +731,29 @@
                 },
                 Rule::Unanswered,
             ),
+            (
+                "a window that ends twice",
+                |h| {
+                    ["met", "missed"].iter().for_each(|how| {
+                        h.push(declared("window", json!({"last": {"day": 1, "outcome": how}})));
+                    })
+                },
+                Rule::Window,
+            ),
+            (
+                "vents wait while others begin",
+                |h| {
+                    h.insert(5, declared("heat", json!({"on": true})));
+                    let vents = JobSpec { class: "vent".into(), ..spec("run-3") };
+                    h.insert(6, entry(0.5, Event::Submitted(Arc::new(vents))));
+                    h.insert(7, told(0.6, "run-3", Ask::Submit, 201, Status::Pending));
+                    (0..24).for_each(|n| {
+                        h.push(started(61.0, "run-1", 9, 9 + n, "m1"));
+                        h.push(ended(61.0, "run-1", 9, 9 + n, "m1", Cause::Error));
+                    });
+                },
+                Rule::Vents,
+            ),
             ("nothing", |h| h.retain(|e| !matches!(e.event, Event::Machine(_))), Rule::NothingRan),
         ];
         for (name, damage, rule) in rows {
@@ -703,7 +766,7 @@
             assert!(rule == Rule::NothingRan || verdict.breaks.iter().all(|b| b.rule == rule), "{name}: {verdict:?}");
             assert!(!verdict.clean());
         }
-        assert_eq!(Rule::ALL.iter().filter(|r| rows.iter().any(|(_, _, rule)| rule == *r)).count(), 11, "all of them");
+        assert_eq!(Rule::ALL.iter().filter(|r| rows.iter().any(|(_, _, rule)| rule == *r)).count(), 13, "all of them");
     }
 
     #[test]
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`scenario`] read what is to be played, [`rehearsal`] plays it against controllers that run as
 //! processes, and [`report`] tells of it.
 
+mod declared;
 pub mod driver;
 pub mod judge;
 pub mod world;
--- a/crates/emulator/src/rehearsal.rs
+++ b/crates/emulator/src/rehearsal.rs
@@ -231,6 +231,10 @@
     undo: Vec<(Instant, Undo)>,
     told: Vec<(f64, String)>,
     placed: usize,
+    /// Time of day at the beginning.
+    begun_ms: u64,
+    /// Revision up to which it is known what was stored of what operators declare.
+    seen: u64,
     /// Who led and who owned at the last look.
     led: [String; 2],
     folder: PathBuf,
@@ -280,8 +284,7 @@
 
     /// An operator's verb, tried again until it does what is wanted or its time is over.
     fn operate(&mut self, verb: &Verb) {
-        let begun_s = std::time::SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default().as_secs();
-        let begun_s = begun_s.saturating_sub(self.world.now().as_secs());
+        let begun_s = self.begun_ms / 1000;
         let file = self.folder.join(format!("spec-{}.json", self.told.len()));
         if let Some(spec) = &verb.spec
             && let Err(error) = std::fs::write(&file, times(spec, begun_s))
@@ -312,6 +315,25 @@
         });
     }
 
+    /// Tells the judge what the controllers have stored of what operators declare.
+    fn look_at_declared(&mut self) {
+        let state = lock(&self.world.state);
+        let Ok(told) = state.store.follow("c/t/", self.seen) else {
+            self.seen = state.store.revision();
+            return;
+        };
+        self.seen = told.revision;
+        for event in told.log {
+            let Some((kind, name)) = event.write.as_ref().and_then(|key| key.strip_prefix("c/t/")?.split_once('/'))
+            else {
+                continue;
+            };
+            let spec = state.store.value(&format!("c/s/{kind}/{name}")).cloned().unwrap_or_default();
+            let (kind, name, status) = (kind.to_owned(), name.to_owned(), event.value.clone());
+            self.world.note(Event::Declared { kind, name, spec, status });
+        }
+    }
+
     /// What became of verbs that have been run.
     fn verbs_done(&mut self) {
         while let Some(done) = self.verbs.try_join_next() {
@@ -564,6 +586,7 @@
     progress: impl Fn(usize, usize),
 ) -> Result<Outcome, ControllerError> {
     let world = World::open(sizes.world(seed, true));
+    let begun = std::time::SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
     let controllers = Controllers::start(&world, sizes, binary, folder).await?;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut coming = jobs(sizes, &mut rng);
@@ -590,6 +613,8 @@
         undo: vec![],
         told: vec![],
         placed: 0,
+        begun_ms: begun.as_millis() as u64,
+        seen: 0,
         led: Default::default(),
         folder: folder.to_owned(),
         beside: beside.to_owned(),
@@ -625,6 +650,7 @@
             play.apply(&fault).await;
         }
         play.verbs_done();
+        play.look_at_declared();
         (play.placed, play.led) = (lock(&world.starts).len(), play.leads());
         if now.saturating_sub(sampled) >= SAMPLE {
             let sample = play.sample(&mut counted, now - sampled, asked_for);
@@ -666,7 +692,7 @@
     let record = std::mem::take(&mut *lock(&world.record));
     let (refused, spent) = (lock(&world.state).refused, lock(&world.cloud).spent());
     let accepted_ms = lock(&desk.accepted_ms).clone();
-    let terms = Terms { capacity: plan.capacity.clone(), ..sizes.terms() };
+    let terms = Terms { capacity: plan.capacity.clone(), begun_ms: play.begun_ms, ..sizes.terms() };
     Ok(Outcome {
         verdict: judge(&record, &terms),
         settled: quiet.zip(settled).map(|(quiet, settled)| settled.saturating_sub(quiet)),
--- a/crates/emulator/src/sizes.rs
+++ b/crates/emulator/src/sizes.rs
@@ -342,7 +342,7 @@
 
     pub fn terms(&self) -> Terms {
         let quotas = self.teams.iter().map(|t| (t.name.clone(), (t.cpus_max, t.accelerators_max)));
-        Terms { quotas: quotas.collect(), cancel: Duration::from_secs_f64(self.workers.cancel_s), capacity: vec![] }
+        Terms { quotas: quotas.collect(), cancel: Duration::from_secs_f64(self.workers.cancel_s), ..Terms::default() }
     }
 
     /// `params` of a controller's settings.
