--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -168,7 +168,10 @@
     outcome.failed.iter().for_each(|verb| println!("an operator's verb failed: {verb}"));
     println!("report: {}", path.display());
     if let Some(took) = outcome.settled {
-        println!("once all was well, every job was answered by every controller after {:.1} s", took.as_secs_f64());
+        println!(
+            "once all was well, every job accepted by then was answered by every controller after {:.1} s",
+            took.as_secs_f64()
+        );
     }
     println!("{}", outcome.verdict.line());
     Ok(outcome.verdict.clean() && outcome.own_ends == 0 && outcome.failed.is_empty())
