Calendar of planning windows: spec, course, turns, room

Operators need deadlines that belong to no single job, and none of them to slip past unseen. A window's course is a pure function of spec, stored status, jobs and time of day; ends, claims and turns only grow. Tables and properties: one end each in order, turns in order, catching up equals stepping each second.

--- /dev/null
+++ b/src/calendar/declare.rs
@@ -0,0 +1,87 @@
+//! The calendar as one kind of what is declared.
+
+use tracing::Level;
+
+use super::round::{Round, Standing};
+use super::spec::{Spec, date_of, day_of};
+use super::status::{self, Status};
+use super::step::{Facts, Fate, needs_s, next};
+use super::wish::{Left, wish};
+use crate::declared::{Acted, Declared, Kind, Names, Problem, View};
+use crate::jobs::{End, JobId};
+use crate::scheduling::wishes::Wishes;
+
+pub struct Window;
+
+/// What is known of a job that was accepted: one that is neither open nor known to have ended is over.
+fn fate(view: &View, id: &JobId) -> Fate {
+    match ((view.ended)(id), view.book.job(id)) {
+        (Some(End::Done), _) => Fate::Done { at_ms: None },
+        (Some(End::Withdrawn), _) => Fate::Withdrawn,
+        (None, Some(job)) if job.ended.is_none() => Fate::Open {
+            begun: job.untouched() < 1.0,
+            at_ms: job.record.at_ms,
+            needs_s: needs_s(job.agreement.run.as_secs_f64(), job.spec().image_gb),
+        },
+        (None, _) => Fate::Unknown,
+    }
+}
+
+fn round<'v>(view: &'v View) -> &'v Round {
+    view.round.get_or_init(|| {
+        let standing = |(name, spec, _): (&str, Spec, u64)| {
+            let status = view.shelf.status::<Window>(name).map(|(status, _)| status).unwrap_or_default();
+            Standing { name: name.to_owned(), spec, status }
+        };
+        let windows: Vec<Standing> = view.shelf.specs::<Window>().map(standing).collect();
+        let open = view.book.jobs().filter(|(_, job)| job.ended.is_none());
+        Round::of(&windows, open.map(|(_, job)| &job.record))
+    })
+}
+
+impl Declared for Window {
+    const KIND: Kind = Kind::Window;
+    type Spec = Spec;
+    type Status = Status;
+
+    fn check(spec: &Spec, names: &Names) -> Result<(), Problem> {
+        spec.check(names)
+    }
+
+    fn step(name: &str, spec: &Spec, status: &Status, view: &View) -> Option<Status> {
+        let facts = Facts { now_ms: view.now_ms, fate: &|id| fate(view, id), comers: round(view).comers(name) };
+        let next = next(spec, status, &facts);
+        (next != *status).then_some(next)
+    }
+
+    fn wish(name: &str, spec: &Spec, status: &Status, view: &View, wishes: &mut Wishes) {
+        let facts = Facts { now_ms: view.now_ms, fate: &|id| fate(view, id), comers: round(view).comers(name) };
+        let (cpus, gpus) = view.book.usage.get(&spec.team).copied().unwrap_or_default();
+        let within = |limit: f64, used: f64| if limit > 0.0 { limit - used } else { f64::INFINITY };
+        let left = view.settings.team(&spec.team).map_or(Left { cpus: 0.0, gpus: 0.0 }, |team| Left {
+            cpus: within(team.cpus_max, cpus),
+            gpus: within(team.gpus_max, gpus),
+        });
+        let shape = |id: &JobId| view.book.job(id).map(|job| job.spec().clone());
+        wish(name, spec, status, &facts, &shape, left, wishes);
+    }
+
+    fn tell(name: &str, spec: &Spec, status: &Status, now_ms: u64) -> Vec<String> {
+        status::tell(name, spec, status, now_ms)
+    }
+
+    fn news(name: &str, before: &Status, after: &Status) -> Vec<(Level, String)> {
+        status::news(name, before, after)
+    }
+
+    fn act(verb: &str, spec: &Spec, status: &Status, _: u64) -> Result<Acted<Spec>, Problem> {
+        if verb != "confirm" {
+            return Err(Problem::new("verb", format!("{verb:?} is nothing that can be done with a window")));
+        }
+        let confirmed = spec.confirmed.as_deref().and_then(day_of);
+        let Some(day) = status.confirmable().filter(|day| confirmed.is_none_or(|before| *day > before)) else {
+            return Err(Problem::new("confirm", "nothing of it is to be confirmed"));
+        };
+        Ok(Acted { spec: Spec { confirmed: Some(date_of(day)), ..spec.clone() }, withdraw: None })
+    }
+}
--- /dev/null
+++ b/src/calendar/due.rs
@@ -0,0 +1,47 @@
+//! Accepted jobs with a due time: each is a window by itself, open from its acceptance, claimed by
+//! itself, met if it is done in time. All of it follows from what is stored of the job already.
+
+use std::time::{Duration, Instant};
+
+use crate::jobs::JobId;
+use crate::scheduling::Book;
+
+/// The open ones of them, bounded however many there are.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Due {
+    pub open: usize,
+    /// Not begun at the latest possible start, and not past their time yet.
+    pub late: usize,
+    /// Past their time.
+    pub missed: usize,
+    /// The one that is furthest past its latest possible start, or its time, and by how much.
+    pub worst: Option<(JobId, Duration)>,
+}
+
+impl Due {
+    /// A job of this age that has a due time, its run time, and whether it has begun.
+    pub fn note(&mut self, id: &JobId, due: Duration, run: Duration, age: Duration, begun: bool) {
+        self.open += 1;
+        let latest = if begun { due } else { due.saturating_sub(run) };
+        let by = age.saturating_sub(latest);
+        match (age >= due, by > Duration::ZERO) {
+            (true, _) => self.missed += 1,
+            (false, true) => self.late += 1,
+            (false, false) => return,
+        }
+        if self.worst.as_ref().is_none_or(|(_, worst)| by > *worst) {
+            self.worst = Some((id.clone(), by));
+        }
+    }
+}
+
+pub fn due(book: &Book, now: Instant) -> Due {
+    let mut due = Due::default();
+    for (id, job) in book.jobs().filter(|(_, job)| job.ended.is_none() && !job.complete()) {
+        if let Some(within) = job.spec().due() {
+            let age = now.saturating_duration_since(job.since);
+            due.note(id, within, job.agreement.run, age, job.untouched() < 1.0);
+        }
+    }
+    due
+}
--- /dev/null
+++ b/src/calendar/mod.rs
@@ -0,0 +1,19 @@
+//! The calendar of planning windows: what opens and closes when, whose turn it is, and that none
+//! slips past unclaimed without a word. docs/calendar.md has the argument.
+//!
+//! Jobs come from users alone: nothing here submits, withdraws or ends one.
+
+mod declare;
+pub mod due;
+mod round;
+mod spec;
+mod status;
+mod step;
+#[cfg(test)]
+mod tests;
+mod wish;
+
+pub use declare::Window;
+pub use round::Round;
+pub use spec::Spec;
+pub use status::Status;
--- /dev/null
+++ b/src/calendar/round.rs
@@ -0,0 +1,79 @@
+//! Which window each open job belongs to, worked out once for all windows.
+//!
+//! By the specs alone a job belongs to one window at the most, so that two windows never give it a
+//! turn each: to one whose turns name it, else to the one that closes first, else to the first by
+//! name. A claim that is stored stays where it is, however specs change.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+
+use super::spec::{Span, Spec};
+use super::status::Status;
+use super::step::Comer;
+use crate::jobs::record::JobRecord;
+use crate::jobs::{JobId, Shape};
+
+/// A window as it stands.
+pub struct Standing {
+    pub name: String,
+    pub spec: Spec,
+    pub status: Status,
+}
+
+impl Standing {
+    /// The instance that a job accepted at this moment belongs to. One that is stored keeps its times.
+    fn taking(&self, at_ms: u64) -> Option<Span> {
+        let Some(current) = self.status.current.as_ref() else { return self.spec.taking(at_ms) };
+        let from = current.opens_ms.saturating_sub(u64::from(self.spec.early_s) * 1000);
+        if (from..current.closes_ms).contains(&at_ms) {
+            return Some(current.span());
+        }
+        self.spec.taking(at_ms).filter(|span| span.day != current.day)
+    }
+}
+
+/// Open jobs by window, as they were accepted.
+#[derive(Debug, Default)]
+pub struct Round {
+    comers: HashMap<String, Vec<Comer>>,
+}
+
+impl Round {
+    pub fn of<'a>(windows: &[Standing], jobs: impl Iterator<Item = &'a Arc<JobRecord>>) -> Self {
+        let mut by_class: HashMap<(&str, &str), Vec<&Standing>> = HashMap::new();
+        let mut claimed: HashSet<&JobId> = HashSet::new();
+        for window in windows {
+            for class in &window.spec.classes {
+                by_class.entry((&window.spec.team, class)).or_default().push(window);
+            }
+            claimed.extend(window.status.current.iter().flat_map(|i| &i.claims).map(|claim| &claim.job));
+        }
+        let mut comers: HashMap<String, Vec<Comer>> = HashMap::new();
+        for record in jobs {
+            let job = &record.spec;
+            // A service never ends: it could not be done by a closing.
+            if job.shape == Shape::Service || claimed.contains(&job.id) {
+                continue;
+            }
+            let Some(of_class) = by_class.get(&(job.team.as_str(), job.class.as_str())) else { continue };
+            let taking = of_class.iter().filter_map(|window| Some((*window, window.taking(record.at_ms)?)));
+            let first = taking.min_by_key(|(window, span)| {
+                let named = window.spec.turns.iter().any(|turn| **turn == *job.id);
+                (!named, span.closes_ms, window.name.as_str())
+            });
+            let open = |(window, span): &(&Standing, Span)| window.status.last_day().is_none_or(|last| span.day > last);
+            if let Some((window, span)) = first.filter(open) {
+                let comer = Comer { record: record.clone(), day: span.day };
+                comers.entry(window.name.clone()).or_default().push(comer);
+            }
+        }
+        for of_window in comers.values_mut() {
+            of_window.sort_by(|a, b| (a.record.at_ms, &a.record.spec.id).cmp(&(b.record.at_ms, &b.record.spec.id)));
+        }
+        Self { comers }
+    }
+
+    pub fn comers(&self, window: &str) -> &[Comer] {
+        self.comers.get(window).map_or(&[], Vec::as_slice)
+    }
+}
--- /dev/null
+++ b/src/calendar/spec.rs
@@ -0,0 +1,248 @@
+//! A window as operators declare it, and when its instances open and close.
+//!
+//! An instance is named by its day: the local date of its opening, counted from 1970. Dates come
+//! from plain offsets; there is no time zone database, so summer time is a spec written anew.
+
+use chrono::{Datelike, NaiveDate, NaiveTime, Timelike, Weekday};
+use serde::{Deserialize, Serialize};
+
+use crate::declared::{Names, Problem};
+use crate::jobs::well_formed_id;
+
+/// Days since 1970, in the window's own offset from UTC.
+pub type Day = i32;
+
+const DAY_MS: i64 = 24 * 3600 * 1000;
+const MINUTE_MS: i64 = 60_000;
+/// The day that chrono calls the first, counted from 1970.
+const FIRST_OF_ERA: i32 = 719_163;
+
+/// Turns of one instance: what is stored of each has to fit a status.
+pub const MOST_TURNS: u32 = 32;
+const MOST_CLASSES: usize = 16;
+const LONGEST_NAME: usize = 64;
+const MOST_CORES: f64 = 1e6;
+/// Offsets from UTC that are in use somewhere.
+const OFFSETS: std::ops::RangeInclusive<i32> = -720..=840;
+/// With an instance of at most a day, two days hold every instance a moment may belong to.
+const MOST_EARLY_S: u32 = 12 * 3600;
+const MOST_ROOM_S: u32 = 12 * 3600;
+
+fn one() -> u32 {
+    1
+}
+
+fn ten_minutes() -> u32 {
+    600
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Spec {
+    pub team: String,
+    /// Jobs of these may claim its turns.
+    pub classes: Vec<String>,
+    /// Time of day, as 06:00.
+    pub opens: String,
+    pub closes: String,
+    /// The closing is that of the day after the opening.
+    #[serde(default)]
+    pub closes_next_day: bool,
+    /// As "mon"; neither days nor a date: daily.
+    #[serde(default)]
+    pub days: Option<Vec<String>>,
+    /// As 2026-12-24, once.
+    #[serde(default)]
+    pub date: Option<String>,
+    #[serde(default)]
+    pub utc_offset_min: i32,
+    /// Jobs that have to be done by the closing.
+    #[serde(default = "one")]
+    pub jobs: u32,
+    /// Cores that they take at once, all together; 0: what they took last time.
+    #[serde(default)]
+    pub cores: f64,
+    /// Run time of one of them in seconds; 0: what the last ones said.
+    #[serde(default)]
+    pub estimate_s: f64,
+    /// Job ids or classes in the order of their turns; jobs beyond them as they were accepted.
+    #[serde(default)]
+    pub turns: Vec<String>,
+    /// Jobs accepted so long before the opening belong to it too, and wait for it.
+    #[serde(default)]
+    pub early_s: u32,
+    /// Room for what is not claimed is kept for so long after the opening.
+    #[serde(default = "ten_minutes")]
+    pub room_s: u32,
+    /// Instances up to this date were confirmed by an operator.
+    #[serde(default)]
+    pub confirmed: Option<String>,
+    /// When it was declared, by the operator's time of day: what closed before is none of its.
+    #[serde(default)]
+    pub declared_ms: Option<u64>,
+}
+
+/// One opening and closing, in ms since 1970.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Span {
+    pub day: Day,
+    pub opens_ms: u64,
+    pub closes_ms: u64,
+}
+
+/// As 06:00 or 06:00:30, in ms since midnight.
+fn time(text: &str) -> Option<i64> {
+    let read = NaiveTime::parse_from_str(text, "%H:%M").or_else(|_| NaiveTime::parse_from_str(text, "%H:%M:%S"));
+    read.ok().map(|t| i64::from(t.num_seconds_from_midnight()) * 1000)
+}
+
+pub fn day_of(text: &str) -> Option<Day> {
+    let date = NaiveDate::parse_from_str(text, "%Y-%m-%d").ok()?;
+    Some(date.num_days_from_ce() - FIRST_OF_ERA)
+}
+
+pub fn date_of(day: Day) -> String {
+    let date = day.checked_add(FIRST_OF_ERA).and_then(NaiveDate::from_num_days_from_ce_opt);
+    date.map_or_else(|| format!("day {day}"), |date| date.to_string())
+}
+
+/// 1970 began on a Thursday.
+fn weekday_of(day: Day) -> Weekday {
+    Weekday::try_from((day + 3).rem_euclid(7) as u8).unwrap_or(Weekday::Mon)
+}
+
+impl Spec {
+    /// Names the first field that cannot be used.
+    pub fn check(&self, names: &Names) -> Result<(), Problem> {
+        let refuse = |field: &str, why: String| Err(Problem::new(field, why));
+        let Some(team) = names.teams.iter().find(|t| t.name == self.team) else {
+            return refuse("team", format!("{:?} is no team of the settings", self.team));
+        };
+        if self.classes.is_empty() || self.classes.len() > MOST_CLASSES {
+            return refuse("classes", format!("{} are not between 1 and {MOST_CLASSES}", self.classes.len()));
+        }
+        for (at, class) in self.classes.iter().enumerate() {
+            if !names.classes.contains(&class.as_str()) {
+                return refuse(&format!("classes[{at}]"), format!("{class:?} is no class of the settings"));
+            }
+        }
+        let (Some(opens), Some(closes)) = (time(&self.opens), time(&self.closes)) else {
+            let (field, value) =
+                if time(&self.opens).is_none() { ("opens", &self.opens) } else { ("closes", &self.closes) };
+            return refuse(field, format!("{value:?} is no time of day such as 06:00"));
+        };
+        if closes <= opens && !self.closes_next_day {
+            let why = format!("{} is not after {}; with closes_next_day it is the next day's", self.closes, self.opens);
+            return refuse("closes", why);
+        }
+        if closes > opens && self.closes_next_day {
+            return refuse("closes", format!("{} is more than a day after {}", self.closes, self.opens));
+        }
+        if self.days.is_some() && self.date.is_some() {
+            return refuse("date", "there are days as well; one of the two".into());
+        }
+        if let Some(days) = &self.days {
+            if days.is_empty() {
+                return refuse("days", "[] never comes; left out it is daily".into());
+            }
+            for (at, day) in days.iter().enumerate() {
+                if day.parse::<Weekday>().is_err() {
+                    return refuse(&format!("days[{at}]"), format!("{day:?} is no weekday such as \"mon\""));
+                }
+            }
+        }
+        for (field, date) in [("date", &self.date), ("confirmed", &self.confirmed)] {
+            if let Some(date) = date.as_ref().filter(|d| day_of(d).is_none()) {
+                return refuse(field, format!("{date:?} is no date such as 2026-12-24"));
+            }
+        }
+        if !OFFSETS.contains(&self.utc_offset_min) {
+            return refuse("utc_offset_min", format!("{} is not between -720 and 840", self.utc_offset_min));
+        }
+        if !(1..=MOST_TURNS).contains(&self.jobs) {
+            return refuse("jobs", format!("{} is not between 1 and {MOST_TURNS}", self.jobs));
+        }
+        let most = if team.cpus_max > 0.0 { team.cpus_max } else { MOST_CORES };
+        if !(0.0..=most).contains(&self.cores) {
+            return refuse("cores", format!("{} is not between 0 and {most}, what its team may have", self.cores));
+        }
+        if !(0.0..=DAY_MS as f64 / 1000.0).contains(&self.estimate_s) {
+            return refuse("estimate_s", format!("{} is not between 0 and a day", self.estimate_s));
+        }
+        if self.turns.len() > self.jobs as usize {
+            return refuse("turns", format!("{} are more than the {} of jobs", self.turns.len(), self.jobs));
+        }
+        for (at, turn) in self.turns.iter().enumerate() {
+            if turn.len() > LONGEST_NAME || !(well_formed_id(turn) || self.classes.contains(turn)) {
+                let why = format!("{turn:?} is neither a job id nor one of its classes");
+                return refuse(&format!("turns[{at}]"), why);
+            }
+            if well_formed_id(turn) && self.turns.iter().take(at).any(|other| other == turn) {
+                return refuse(&format!("turns[{at}]"), format!("{turn:?} has a turn already"));
+            }
+        }
+        for (field, value, most) in [("early_s", self.early_s, MOST_EARLY_S), ("room_s", self.room_s, MOST_ROOM_S)] {
+            if value > most {
+                return refuse(field, format!("{value} is more than {most}"));
+            }
+        }
+        Ok(())
+    }
+
+    fn falls_on(&self, day: Day) -> bool {
+        match (&self.date, &self.days) {
+            (Some(date), _) => day_of(date) == Some(day),
+            (None, Some(days)) => days.iter().any(|d| d.parse::<Weekday>() == Ok(weekday_of(day))),
+            (None, None) => true,
+        }
+    }
+
+    fn local_day(&self, ms: u64) -> Day {
+        let local = i64::try_from(ms).unwrap_or(i64::MAX / 2) + i64::from(self.utc_offset_min) * MINUTE_MS;
+        Day::try_from(local.div_euclid(DAY_MS)).unwrap_or(Day::MAX / 2)
+    }
+
+    /// The instance that opens on a day, if one does.
+    pub fn on(&self, day: Day) -> Option<Span> {
+        if !self.falls_on(day) {
+            return None;
+        }
+        let midnight = i64::from(day) * DAY_MS - i64::from(self.utc_offset_min) * MINUTE_MS;
+        let (opens, closes) = (time(&self.opens)?, time(&self.closes)?);
+        let next_day = if self.closes_next_day { DAY_MS } else { 0 };
+        let at = |ms: i64| u64::try_from(midnight + ms).ok();
+        Some(Span { day, opens_ms: at(opens)?, closes_ms: at(closes + next_day)? })
+    }
+
+    /// The first instance after a day; without one the first that closes after `from_ms`, or the
+    /// declared date whenever it is: what is past already when it is declared is told as missed.
+    pub fn following(&self, after: Option<Day>, from_ms: u64) -> Option<Span> {
+        if let Some(date) = &self.date {
+            return day_of(date).filter(|day| after.is_none_or(|after| *day > after)).and_then(|day| self.on(day));
+        }
+        // What closed before the spec was written is none of its, however its days were before.
+        let first = after.map_or(Day::MIN, |day| day.saturating_add(1)).max(self.local_day(from_ms).saturating_sub(1));
+        (first..first.saturating_add(9)).filter_map(|day| self.on(day)).find(|span| span.closes_ms > from_ms)
+    }
+
+    /// The instance that a job accepted at this moment belongs to: one that is open, before one
+    /// that is about to open.
+    pub fn taking(&self, at_ms: u64) -> Option<Span> {
+        let early = u64::from(self.early_s) * 1000;
+        let last = self.local_day(at_ms.saturating_add(early));
+        let mut spans = (last.saturating_sub(1)..=last).filter_map(|day| self.on(day));
+        spans.find(|span| (span.opens_ms.saturating_sub(early)..span.closes_ms).contains(&at_ms))
+    }
+
+    /// How operators read when it is.
+    pub fn when(&self) -> String {
+        let days = match (&self.date, &self.days) {
+            (Some(date), _) => date.clone(),
+            (None, Some(days)) => days.join(","),
+            (None, None) => "daily".to_owned(),
+        };
+        let (sign, offset) = (if self.utc_offset_min < 0 { '-' } else { '+' }, self.utc_offset_min.abs());
+        let next = if self.closes_next_day { " the next day" } else { "" };
+        format!("{days} {}-{}{next} UTC{sign}{:02}:{:02}", self.opens, self.closes, offset / 60, offset % 60)
+    }
+}
--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -9,12 +9,14 @@
 pub mod shelf;
 pub mod table;
 
+use std::cell::OnceCell;
 use std::time::Instant;
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tracing::Level;
 
+use crate::calendar::Round;
 use crate::jobs::{End, JobId};
 use crate::scheduling::Book;
 use crate::scheduling::wishes::Wishes;
@@ -70,6 +72,8 @@
     /// The owner's token.
     pub epoch: u64,
     pub settings: &'a Settings,
+    /// Which window each open job belongs to, worked out when it is first asked for.
+    pub round: OnceCell<Round>,
 }
 
 /// What an operator's verb makes of a spec.
--- a/src/declared/table.rs
+++ b/src/declared/table.rs
@@ -11,7 +11,7 @@
 /// All kinds that this build carries out.
 pub const KINDS: &[Entry] = &[
     // Calendar.
-
+    Entry::of::<crate::calendar::Window>(),
     // Heat.
 
     // Rollouts.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 //! what an operator hands over and `cli` the commands; `kinds` and `sync` are what all of them
 //! know. I/O stays at the edges; decisions take state and time.
 
+pub mod calendar;
 pub mod cli;
 pub mod declared;
 pub mod fleet;
