--- a/src/declared/driver.rs
+++ b/src/declared/driver.rs
@@ -7,6 +7,7 @@
 //! that was not answered: what is decided next begins from the same stamps, and a late copy of either is
 //! refused once the other stands.
 
+use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
@@ -187,7 +188,7 @@
 }
 
 fn view<'a>(book: &'a Book, shelf: &'a Shelf, ended: Ended<'a>, now: Instant, now_ms: u64) -> View<'a> {
-    View { book, ended, shelf, now, now_ms, epoch: book.token, settings: &book.settings }
+    View { book, ended, shelf, now, now_ms, epoch: book.token, settings: &book.settings, round: OnceCell::new() }
 }
 
 /// Works out anew what is asked for by what is stored: before anything is decided after a takeover, when
