Calendar: interleavings of three controllers; how a job ended is asked of the store

Wishes now see what the step sees. Jobs over of which nothing is known here are asked about in the existing batches.

--- a/src/calendar/declare.rs
+++ b/src/calendar/declare.rs
@@ -23,7 +23,10 @@
             at_ms: job.record.at_ms,
             needs_s: needs_s(job.agreement.run.as_secs_f64(), job.spec().image_gb),
         },
-        (None, _) => Fate::Unknown,
+        (None, _) => {
+            view.ask(id);
+            Fate::Unknown
+        }
     }
 }
 
--- a/src/calendar/step.rs
+++ b/src/calendar/step.rs
@@ -90,6 +90,17 @@
     (instance.live() + awaited < spec.jobs as usize).then_some(last.max(spec.turns.len() as u32) + 1)
 }
 
+/// Claimed jobs that are over by now.
+pub fn see(instance: &mut Instance, facts: &Facts) {
+    for claim in instance.claims.iter_mut().filter(|claim| claim.over.is_none()) {
+        claim.over = match (facts.fate)(&claim.job) {
+            Fate::Done { at_ms } => Some(Over::Done(at_ms.unwrap_or(facts.now_ms))),
+            Fate::Withdrawn => Some(Over::Withdrawn),
+            Fate::Open { .. } | Fate::Unknown => None,
+        };
+    }
+}
+
 /// Jobs that would claim now, in order, with their turns.
 pub fn claims(spec: &Spec, instance: &Instance, comers: &[Comer]) -> Vec<Claim> {
     let mut with = instance.clone();
@@ -181,13 +192,7 @@
 
 /// One instance as far as the time and the jobs have brought it.
 fn progress(spec: &Spec, status: &mut Status, instance: &mut Instance, facts: &Facts) {
-    for claim in instance.claims.iter_mut().filter(|claim| claim.over.is_none()) {
-        claim.over = match (facts.fate)(&claim.job) {
-            Fate::Done { at_ms } => Some(Over::Done(at_ms.unwrap_or(facts.now_ms))),
-            Fate::Withdrawn => Some(Over::Withdrawn),
-            Fate::Open { .. } | Fate::Unknown => None,
-        };
-    }
+    see(instance, facts);
     let claims = claims(spec, instance, facts.comers);
     for claim in &claims {
         if let Some(comer) = facts.comers.iter().find(|comer| comer.record.spec.id == claim.job) {
--- /dev/null
+++ b/src/calendar/tests/interleavings.rs
@@ -0,0 +1,329 @@
+//! Seeded interleavings of three controllers, users and the store, with two windows under way: the real
+//! mirror, shelf and driver. Owners are lost between any two of decided, sent and answered, copies come
+//! late, clocks differ and step back, and at times nobody looks for longer than a window.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Instant;
+
+use hollylanding_emulator::world::store::{Limits, Store};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+
+use super::{HOUR, MIDNIGHT, job, window};
+use crate::calendar::Window;
+use crate::calendar::spec::{Day, Spec};
+use crate::calendar::status::{Outcome, Over, Status};
+use crate::calendar::step::{GRACE_MS, latest_ms};
+use crate::declared::Kind;
+use crate::declared::driver::{Driver, Write, changes, conditions, refresh};
+use crate::declared::records::{spec_key, status_key};
+use crate::declared::table::Entry;
+use crate::jobs::record::{ASSIGNMENT, JobRecord, MIRRORED, MIRRORED_AFTER, Stored, open_key};
+use crate::jobs::{End, JobId};
+use crate::scheduling::Book;
+use crate::settings::Properties;
+use crate::settings::tests::example;
+use crate::store::mirror::Mirror;
+use crate::store::{Change, Condition};
+
+static KINDS: [Entry; 1] = [Entry::of::<Window>()];
+const NAMES: [&str; 2] = ["one", "two"];
+
+/// What the play leaves out.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Without {
+    Nothing,
+    /// The condition on the status that was read.
+    Status,
+    /// Waiting for what is stored: whoever was accepted may begin at once.
+    Turns,
+}
+
+#[derive(Default)]
+struct Controller {
+    mirror: Mirror,
+    owner: Option<(Book, Driver)>,
+    decided: Option<(Vec<Write>, u64)>,
+    /// What is known of ends; lost with the process, asked for again.
+    ends: HashMap<JobId, End>,
+    skew_ms: i64,
+}
+
+struct Play {
+    rng: StdRng,
+    store: Store,
+    specs: BTreeMap<&'static str, Spec>,
+    controllers: Vec<Controller>,
+    owner: usize,
+    late: Vec<(Vec<Condition>, Vec<Change>)>,
+    without: Without,
+    now_ms: u64,
+    jobs: usize,
+    begun: BTreeSet<JobId>,
+    over: BTreeMap<JobId, End>,
+    ended: BTreeMap<(String, Day), Outcome>,
+    claimed: HashMap<JobId, (String, Day, u32)>,
+    broken: Vec<String>,
+}
+
+impl Play {
+    fn new(seed: u64, without: Without) -> Self {
+        let start = MIDNIGHT + 6 * HOUR - 120_000;
+        let turns = |closes: &str, turns| window(json!({"closes": closes, "turns": turns, "declared_ms": start}));
+        let specs =
+            BTreeMap::from([("one", turns("06:40", json!(["roster", "plan"]))), ("two", turns("07:10", json!([])))]);
+        let mut store = Store::new(Limits::default());
+        for (name, spec) in &specs {
+            let spec = serde_json::to_value(spec).unwrap();
+            store.apply_if(&[], &[Change::write(spec_key(Kind::Window, name), spec)]).unwrap();
+        }
+        let controllers = (0..3).map(|n| Controller { skew_ms: (n - 1) * 900, ..Controller::default() }).collect();
+        let mut play = Self {
+            rng: StdRng::seed_from_u64(seed),
+            store,
+            specs,
+            controllers,
+            owner: 0,
+            late: Vec::new(),
+            without,
+            now_ms: start,
+            jobs: 0,
+            begun: BTreeSet::new(),
+            over: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            claimed: HashMap::new(),
+            broken: Vec::new(),
+        };
+        play.assign(0);
+        play
+    }
+
+    fn follow(&mut self, at: usize) {
+        let Controller { mirror, owner, ends, .. } = &mut self.controllers[at];
+        match mirror.asking().map(|revision| self.store.follow(MIRRORED, revision)) {
+            Some(Ok(followed)) => drop(mirror.apply(&followed)),
+            _ => {
+                let mut loading = mirror.load();
+                mirror.take_page(&mut loading, &self.store.page(MIRRORED, MIRRORED_AFTER, usize::MAX));
+                mirror.loaded(loading);
+            }
+        };
+        let Some((book, _)) = owner.as_mut() else { return };
+        let gone: Vec<JobId> = book.jobs().map(|(id, _)| id).filter(|id| mirror.open(id).is_none()).cloned().collect();
+        gone.iter().for_each(|id| book.end_job(id, ends.get(id).copied(), Instant::now()));
+        mirror.open_jobs().for_each(|(_, record)| book.add_job(record.clone(), Instant::now()));
+    }
+
+    /// Another owns, or the same process anew. Who owned before goes on, unknowing.
+    fn assign(&mut self, at: usize) {
+        let token = self.store.apply_if(&[], &[Change::write(ASSIGNMENT, json!(at))]).unwrap();
+        self.controllers[at].owner = None;
+        self.controllers[at].decided = None;
+        self.controllers[at].ends.clear();
+        self.follow(at);
+        let mut book = Book::new(token, example(), Properties::default(), Instant::now());
+        for (id, record) in self.controllers[at].mirror.open_jobs() {
+            book.add_job(record.clone(), Instant::now());
+            if self.begun.contains(id) {
+                book.load_chunk(id, 0, 1, vec![Stored::Bound(1, "host-1".into())], Instant::now());
+            }
+        }
+        book.loaded = true;
+        self.controllers[at].owner = Some((book, Driver::new(&KINDS)));
+        self.owner = at;
+    }
+
+    fn look(&mut self, at: usize) {
+        let now_ms = self.now_ms.saturating_add_signed(self.controllers[at].skew_ms);
+        let Controller { mirror, owner, decided, ends, .. } = &mut self.controllers[at];
+        let Some((book, driver)) = owner.as_mut() else { return };
+        let looked = driver.look(book, mirror, &|id| ends.get(id).copied(), Instant::now(), now_ms);
+        for id in looked.unknown {
+            if let Some(end) = self.over.get(&id).filter(|_| self.rng.random_ratio(1, 2)) {
+                ends.insert(id, *end);
+            }
+        }
+        if !looked.writes.is_empty() {
+            driver.sent(&looked.writes);
+            *decided = Some((looked.writes, looked.token));
+        }
+    }
+
+    fn send(&mut self, at: usize) {
+        let Some((writes, token)) = self.controllers[at].decided.take() else { return };
+        let left_out = |c: &Condition| self.without == Without::Status && c.path.starts_with("c/t/");
+        let conditions: Vec<_> = conditions(&writes, token).into_iter().filter(|c| !left_out(c)).collect();
+        let sent = (conditions, changes(&writes));
+        let (twice, lost) = (self.rng.random_ratio(1, 4), self.rng.random_ratio(1, 4));
+        if twice || lost {
+            self.late.push(sent.clone());
+        }
+        if !lost
+            && let Some(revision) = self.apply(&sent)
+            && let Some((_, driver)) = self.controllers[at].owner.as_mut()
+        {
+            driver.stored(revision);
+        }
+    }
+
+    fn status(&self, name: &str) -> Status {
+        let stored = self.store.value(&status_key(Kind::Window, name));
+        stored.map(|value| serde_json::from_value(value.clone()).unwrap()).unwrap_or_default()
+    }
+
+    /// Every rule that a stored change can break.
+    fn apply(&mut self, (conditions, changes): &(Vec<Condition>, Vec<Change>)) -> Option<u64> {
+        let before = NAMES.map(|name| self.status(name));
+        let revision = self.store.apply_if(conditions, changes).ok()?;
+        for (name, before) in NAMES.into_iter().zip(before) {
+            let after = self.status(name);
+            for ended in after.missed.iter().chain(&after.last) {
+                let known = self.ended.entry((name.to_owned(), ended.day)).or_insert(ended.outcome);
+                if *known != ended.outcome {
+                    self.broken.push(format!("{name} {}: ended twice", ended.day));
+                }
+            }
+            if after.last_day() < before.last_day() {
+                self.broken.push(format!("{name}: opened again"));
+            }
+            let Some(now) = &after.current else { continue };
+            for claim in &now.claims {
+                let has = (name.to_owned(), now.day, claim.turn);
+                if *self.claimed.entry(claim.job.clone()).or_insert_with(|| has.clone()) != has {
+                    self.broken.push(format!("{name}: {} has two turns", claim.job));
+                }
+            }
+            let was = before.current.filter(|was| was.day == now.day);
+            if was.is_some_and(|was| was.turn > now.turn || was.claims.len() > now.claims.len()) {
+                self.broken.push(format!("{name}: a turn or a claim was taken back"));
+            }
+        }
+        Some(revision)
+    }
+
+    fn submit(&mut self) {
+        if self.jobs < 16 {
+            let class = ["plan", "roster"][self.rng.random_range(0..2)];
+            let record: JobRecord = JobRecord::clone(&job(self.jobs, class, self.now_ms));
+            self.jobs += 1;
+            let value = serde_json::to_value(&record).unwrap();
+            self.store.apply_if(&[], &[Change::write(open_key(&record.spec.id), value)]).unwrap();
+        }
+    }
+
+    /// The owner places a job that it may: the lesser turn first.
+    fn begin(&mut self) {
+        let Controller { mirror, owner, ends, skew_ms, .. } = &mut self.controllers[self.owner];
+        let Some((book, _)) = owner.as_mut() else { return };
+        if book.wishes_due {
+            let now_ms = self.now_ms.saturating_add_signed(*skew_ms);
+            refresh(&KINDS, book, mirror.shelf(), &|id| ends.get(id).copied(), Instant::now(), now_ms);
+        }
+        let may = |id: &&JobId| self.without == Without::Turns || !book.wishes.not_yet.contains(*id);
+        let number = |id: &JobId| book.wishes.turns.get(id).map(|t| t.number);
+        let open = book.jobs().filter(|(id, j)| j.ended.is_none() && !self.begun.contains(*id)).map(|(id, _)| id);
+        let Some(id) = open.filter(may).min_by_key(|id| (number(id), (*id).clone())).cloned() else { return };
+        book.load_chunk(&id, 0, 1, vec![Stored::Bound(1, "host-1".into())], Instant::now());
+        self.begun.insert(id.clone());
+        // Out of turn: another of its window waits for an earlier turn that has not been passed over.
+        for name in NAMES {
+            let Some(instance) = self.status(name).current else { continue };
+            let Some(mine) = instance.claims.iter().find(|claim| claim.job == id) else { continue };
+            let waits =
+                |turn: u32, job: &JobId| turn < mine.turn && !self.begun.contains(job) && !self.over.contains_key(job);
+            if mine.turn > instance.turn && instance.claims.iter().any(|c| waits(c.turn, &c.job)) {
+                self.broken.push(format!("{name}: {id} begins out of turn"));
+            }
+        }
+    }
+
+    fn end(&mut self) {
+        let open = self.begun.iter().filter(|id| !self.over.contains_key(*id)).cloned().collect::<Vec<_>>();
+        if open.is_empty() {
+            return;
+        }
+        let id = open[self.rng.random_range(0..open.len())].clone();
+        let end = if self.rng.random_ratio(1, 6) { End::Withdrawn } else { End::Done };
+        self.store.apply_if(&[], &[Change::Drop { drop: open_key(&id) }]).unwrap();
+        self.controllers[self.owner].ends.insert(id.clone(), end);
+        self.over.insert(id, end);
+    }
+
+    fn step(&mut self) {
+        let at = self.rng.random_range(0..3);
+        match self.rng.random_range(0..40) {
+            0 => self.assign(at),
+            1..3 => self.submit(),
+            3..7 => self.begin(),
+            7..9 => self.end(),
+            9..18 => self.follow(self.owner),
+            18..25 => self.look(self.owner),
+            25 => self.look(at),
+            26..33 => self.send(self.owner),
+            33 => self.send(at),
+            34 if !self.late.is_empty() => {
+                let n = self.rng.random_range(0..self.late.len());
+                let sent = self.late.swap_remove(n);
+                self.apply(&sent);
+            }
+            35 => self.now_ms -= self.rng.random_range(0..20) * 1000,
+            36 if self.rng.random_ratio(1, 12) => self.now_ms += self.rng.random_range(1..30) * HOUR,
+            _ => self.now_ms += self.rng.random_range(0..60) * 1000,
+        }
+    }
+
+    /// Whoever owns last goes on alone, two days on.
+    fn settle(&mut self) {
+        self.assign(0);
+        for round in 0..160 {
+            self.now_ms += if round < 40 { HOUR } else { 1000 };
+            (self.follow(0), self.look(0), self.send(0));
+            if let Some(sent) = self.late.pop() {
+                self.apply(&sent);
+            }
+        }
+        for (name, spec) in &self.specs {
+            let mut due = spec.following(None, spec.declared_ms.unwrap());
+            while let Some(span) = due.filter(|s| latest_ms(self.now_ms, 120.0) >= s.closes_ms + GRACE_MS) {
+                if !self.ended.contains_key(&((*name).to_owned(), span.day)) {
+                    self.broken.push(format!("{name} {} slipped past", span.day));
+                }
+                due = spec.following(Some(span.day), 0);
+            }
+        }
+    }
+}
+
+fn play(seed: u64, without: Without) -> Play {
+    let mut play = Play::new(seed, without);
+    (0..700).for_each(|_| play.step());
+    play.settle();
+    play
+}
+
+/// Each window ends once, in order; none slips past; turns and claims are never given twice or taken
+/// back, and nothing begins before its turn is stored, whoever owns and whatever comes late.
+#[test]
+fn owners_come_and_go_and_no_window_slips_past() {
+    let (mut met, mut claims, mut over) = (0, 0, 0);
+    for seed in 0..120 {
+        let play = play(seed, Without::Nothing);
+        assert!(play.broken.is_empty(), "seed {seed}: {:?}", play.broken);
+        met += play.ended.values().filter(|end| **end == Outcome::Met).count();
+        claims += play.claimed.len();
+        let stored = |name| play.status(name).current.map_or(Vec::new(), |i| i.claims);
+        over += NAMES.iter().flat_map(|n| stored(n)).filter(|c| matches!(c.over, Some(Over::Done(_)))).count();
+    }
+    // The plays come to what they are to guard.
+    assert!(met > 20 && claims > 120, "{met} met, {claims} claims, {over} over");
+}
+
+/// The plays find what breaks without the condition on the status, and without waiting for turns.
+#[test]
+fn the_play_finds_what_breaks() {
+    for without in [Without::Status, Without::Turns] {
+        let found = (0..60).find(|seed| !play(*seed, without).broken.is_empty());
+        assert!(found.is_some(), "{without:?}");
+    }
+}
--- a/src/calendar/tests/mod.rs
+++ b/src/calendar/tests/mod.rs
@@ -1,3 +1,4 @@
+mod interleavings;
 mod properties;
 
 use std::collections::HashMap;
--- a/src/calendar/wish.rs
+++ b/src/calendar/wish.rs
@@ -5,7 +5,7 @@
 
 use super::spec::Spec;
 use super::status::{Instance, Status};
-use super::step::{Facts, Fate, claims, latest_ms, unclaimed_latest_ms};
+use super::step::{Facts, Fate, claims, latest_ms, see, unclaimed_latest_ms};
 use crate::jobs::{JobId, JobSpec, Shape, Urgency};
 use crate::scheduling::wishes::{RoomWish, Turn, Wishes};
 
@@ -93,12 +93,16 @@
     wishes: &mut Wishes,
 ) {
     let now_ms = facts.now_ms;
-    let Some(instance) = status.instance(spec, now_ms) else { return };
+    let Some(mut instance) = status.instance(spec, now_ms) else { return };
+    // A withdrawn job makes way for another, which waits from here on as if it had claimed.
+    see(&mut instance, facts);
     let still = |closes_ms, fate| match fate {
         Fate::Open { needs_s, .. } => now_ms < latest_ms(closes_ms, needs_s),
         _ => false,
     };
-    for claim in claims(spec, &instance, facts.comers) {
+    // One that claims alone keeps nobody's turn: it need not wait for the write once it is open.
+    let alone = spec.jobs == 1 && now_ms >= instance.opens_ms;
+    for claim in claims(spec, &instance, facts.comers).into_iter().filter(|_| !alone) {
         if still(instance.closes_ms, (facts.fate)(&claim.job)) {
             wishes.not_yet.insert(claim.job);
         }
--- a/src/declared/driver.rs
+++ b/src/declared/driver.rs
@@ -7,7 +7,7 @@
 //! that was not answered: what is decided next begins from the same stamps, and a late copy of either is
 //! refused once the other stands.
 
-use std::cell::OnceCell;
+use std::cell::{OnceCell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
@@ -18,8 +18,8 @@
 use super::records::{Kind, MOST_BYTES, spec_key, status_key};
 use super::shelf::{Changed, Shelf};
 use super::table::{Decided, Entry, News, entry};
-use crate::jobs::End;
 use crate::jobs::record::ASSIGNMENT;
+use crate::jobs::{End, JobId};
 use crate::scheduling::Book;
 use crate::scheduling::wishes::Wishes;
 use crate::store::mirror::Mirror;
@@ -75,6 +75,8 @@
     pub writes: Vec<Write>,
     pub token: u64,
     pub news: News,
+    /// Jobs of which it has to be known how they ended.
+    pub unknown: BTreeSet<JobId>,
 }
 
 pub struct Driver {
@@ -122,6 +124,7 @@
         if mirror.revision >= self.stored {
             let view = view(book, mirror.shelf(), ended, now, now_ms);
             looked.writes = self.decide(&view, &mut looked.news);
+            looked.unknown = view.unknown.into_inner();
         }
         looked
     }
@@ -188,7 +191,17 @@
 }
 
 fn view<'a>(book: &'a Book, shelf: &'a Shelf, ended: Ended<'a>, now: Instant, now_ms: u64) -> View<'a> {
-    View { book, ended, shelf, now, now_ms, epoch: book.token, settings: &book.settings, round: OnceCell::new() }
+    View {
+        book,
+        ended,
+        shelf,
+        now,
+        now_ms,
+        epoch: book.token,
+        settings: &book.settings,
+        round: OnceCell::new(),
+        unknown: RefCell::default(),
+    }
 }
 
 /// Works out anew what is asked for by what is stored: before anything is decided after a takeover, when
--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -13,7 +13,8 @@
 #[cfg(test)]
 mod tests;
 
-use std::cell::OnceCell;
+use std::cell::{OnceCell, RefCell};
+use std::collections::BTreeSet;
 use std::time::Instant;
 
 use serde::Serialize;
@@ -78,6 +79,21 @@
     pub settings: &'a Settings,
     /// Which window each open job belongs to, worked out when it is first asked for.
     pub round: OnceCell<Round>,
+    /// Jobs that are over, and how is not known here: the store is asked.
+    pub unknown: RefCell<BTreeSet<JobId>>,
+}
+
+/// Jobs asked about at once.
+const MOST_ASKED: usize = 64;
+
+impl View<'_> {
+    /// Asks how a job ended; a later look may know.
+    pub fn ask(&self, id: &JobId) {
+        let mut unknown = self.unknown.borrow_mut();
+        if unknown.len() < MOST_ASKED {
+            unknown.insert(id.clone());
+        }
+    }
 }
 
 /// What an operator's verb makes of a spec.
--- a/src/declared/run.rs
+++ b/src/declared/run.rs
@@ -8,6 +8,7 @@
 
 use super::driver::{Driver, Ended, Looked, changes, conditions};
 use super::table::KINDS;
+use crate::jobs::JobId;
 use crate::jobs::record::time_of_day_ms;
 use crate::scheduling::Book;
 use crate::store::budget::Urgent;
@@ -31,6 +32,8 @@
     fn quiet(&self) -> bool;
     /// Runs this on how things stand; none if nothing may be decided at the moment.
     fn look<T>(&self, look: impl FnOnce(&mut Book, &mut Mirror, Ended) -> T) -> Option<T>;
+    /// Asks the store how a job ended; `look` is told once it has answered.
+    fn ask(&self, id: &JobId);
     /// How many changes of this right could be stored at once.
     fn ready(&self, urgent: Urgent) -> usize;
     fn store(
@@ -58,7 +61,8 @@
         let now = Instant::now();
         let looked = hands.look(|book, mirror, ended| driver.look(book, mirror, ended, now, time_of_day_ms()));
         let rest = GAP.max(now.elapsed() * REST);
-        let Looked { writes, token, news } = looked.unwrap_or_default();
+        let Looked { writes, token, news, unknown } = looked.unwrap_or_default();
+        unknown.iter().for_each(|id| hands.ask(id));
         for (level, line) in news {
             tell(level, &line);
         }
--- a/src/history/reader.rs
+++ b/src/history/reader.rs
@@ -61,6 +61,14 @@
         }
     }
 
+    /// Asks for nobody: once answered, `ended` knows it for a while.
+    pub fn look_up(&self, id: &JobId) {
+        let (waiter, _) = oneshot::channel();
+        if lock(&self.desk).ask(id, waiter, Instant::now()).is_ok() {
+            self.wanted.notify_one();
+        }
+    }
+
     pub fn held(&self) -> [usize; 3] {
         lock(&self.desk).held()
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -460,6 +460,10 @@
         Some(look(book, &mut mirror, &|id| self.history.ended(id)))
     }
 
+    fn ask(&self, id: &JobId) {
+        self.history.look_up(id);
+    }
+
     fn ready(&self, urgent: Urgent) -> usize {
         self.store.writes_ready(urgent)
     }
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -24,6 +24,7 @@
 pub use book::Book;
 use served::{Account, Open, Row};
 
+use crate::calendar::due::{Due, due};
 use crate::node::Node;
 use crate::sync::lock;
 
@@ -69,6 +70,7 @@
                 if now >= tell_next {
                     tell_next = now + TELL_EVERY;
                     tell(account.rows());
+                    tell_due(&due(book, now));
                 }
             }
             if now >= hold_next {
@@ -143,6 +145,13 @@
     }
 }
 
+/// Jobs with a due time that may miss it, or have.
+fn tell_due(due: &Due) {
+    if let Some((job, by)) = &due.worst {
+        info!(open = due.open, late = due.late, missed = due.missed, worst = %job, by_s = by.as_secs(), "due");
+    }
+}
+
 /// Everything stored before this controller's assignment is read; nothing older can come after,
 /// since every placement is conditional on the assignment it was made under.
 async fn load(node: &Arc<Node>) {
