--- a/src/calendar/spec.rs
+++ b/src/calendar/spec.rs
@@ -122,7 +122,8 @@
             return refuse("classes", format!("{} are not between 1 and {MOST_CLASSES}", self.classes.len()));
         }
         for (at, class) in self.classes.iter().enumerate() {
-            if !names.classes.contains(&class.as_str()) {
+            // Settings without objectives name no classes at all.
+            if !names.classes.is_empty() && !names.classes.contains(&class.as_str()) {
                 return refuse(&format!("classes[{at}]"), format!("{class:?} is no class of the settings"));
             }
         }
--- a/src/calendar/step.rs
+++ b/src/calendar/step.rs
@@ -204,7 +204,7 @@
         return;
     }
     let unclaimed_ms = unclaimed_latest_ms(spec, status, instance);
-    instance.turn = turn(spec, instance, unclaimed_ms, facts).max(instance.turn);
+    instance.turn = turn(spec, instance, unclaimed_ms, facts);
     instance.unclaimed |= facts.now_ms >= unclaimed_ms && instance.live() < spec.jobs as usize;
     instance.late |= instance.claims.iter().filter(|claim| claim.over.is_none()).any(|claim| {
         let fate = (facts.fate)(&claim.job);
--- a/src/calendar/tests/mod.rs
+++ b/src/calendar/tests/mod.rs
@@ -211,6 +211,8 @@
         let last = status.last.clone().unwrap();
         assert_eq!((last.outcome, last.claimed, last.done, last.day), (want, claimed, done, DAY), "{name}");
         assert_eq!(status.missed.len(), usize::from(want != Outcome::Met), "{name}");
+        let asked_s = (last.at_ms - last.closes_ms.min(last.at_ms)) / 1000;
+        assert_eq!(asked_s > 60, name.starts_with("over"), "{name}: the store is asked first");
         // A time of day that steps back opens nothing again, not even for jobs that come now.
         world.now_ms = MIDNIGHT + 7 * HOUR;
         world.submit(9, "plan");
