--- a/src/calendar/declare.rs
+++ b/src/calendar/declare.rs
@@ -51,6 +51,13 @@
         spec.check(names)
     }
 
+    /// What was confirmed stays so. New times count from now on: what closed before is none of theirs.
+    fn declared(spec: Spec, before: Option<&Spec>, now_ms: u64) -> Spec {
+        let confirmed = before.and_then(|before| before.confirmed.clone());
+        let since = before.filter(|before| before.when() == spec.when()).and_then(|before| before.declared_ms);
+        Spec { confirmed: spec.confirmed.or(confirmed), declared_ms: since.or(Some(now_ms)), ..spec }
+    }
+
     fn step(name: &str, spec: &Spec, status: &Status, view: &View) -> Option<Status> {
         let facts = Facts { now_ms: view.now_ms, fate: &|id| fate(view, id), comers: round(view).comers(name) };
         let next = next(spec, status, &facts);
--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -6,6 +6,7 @@
 //! sparing (`scheduling::wishes`) follows from statuses as the mirror has them, the book and the time.
 
 pub mod driver;
+pub mod operator;
 pub mod records;
 pub mod run;
 pub mod shelf;
@@ -14,7 +15,7 @@
 mod tests;
 
 use std::cell::{OnceCell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
 use serde::Serialize;
@@ -113,6 +114,18 @@
     /// Names the first field that cannot be used.
     fn check(spec: &Self::Spec, names: &Names) -> Result<(), Problem>;
 
+    /// The same of all specs of this kind together, as they would be.
+    fn check_all(all: &BTreeMap<String, Self::Spec>) -> Result<(), Problem> {
+        let _ = all;
+        Ok(())
+    }
+
+    /// A checked spec as it is written over the one that stands, at a time of day in ms.
+    fn declared(spec: Self::Spec, before: Option<&Self::Spec>, now_ms: u64) -> Self::Spec {
+        let _ = (before, now_ms);
+        spec
+    }
+
     /// What the status is to be next; none: as it is. Asked again and again, at least each second.
     fn step(name: &str, spec: &Self::Spec, status: &Self::Status, view: &View) -> Option<Self::Status>;
 
--- a/src/declared/table.rs
+++ b/src/declared/table.rs
@@ -1,5 +1,7 @@
 //! Every kind of declared thing, whatever its types: one line each.
 
+use std::collections::BTreeMap;
+
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use tracing::Level;
@@ -43,6 +45,10 @@
     pub kind: Kind,
     /// Reads and checks a spec.
     pub check: fn(&Value, &Names) -> Result<(), Problem>,
+    /// Checks all specs of the kind together, passing over those that cannot be read.
+    pub check_all: fn(&BTreeMap<String, Value>) -> Result<(), Problem>,
+    /// What is written of a spec that is declared over another, at a time of day in ms.
+    pub declared: fn(&Value, Option<&Value>, u64) -> Result<Value, Problem>,
     /// The status that one is to have next, by name.
     pub step: fn(&str, &View) -> Option<Decided>,
     /// What all of the kind ask for.
@@ -60,6 +66,8 @@
         Self {
             kind: D::KIND,
             check: check::<D>,
+            check_all: check_all::<D>,
+            declared: declared::<D>,
             step: step::<D>,
             wish: wish::<D>,
             tell: tell::<D>,
@@ -102,6 +110,17 @@
     D::check(&read(value)?, names)
 }
 
+fn check_all<D: Declared>(all: &BTreeMap<String, Value>) -> Result<(), Problem> {
+    let specs = all.iter().filter_map(|(name, spec)| Some((name.clone(), read(spec).ok()?)));
+    D::check_all(&specs.collect())
+}
+
+fn declared<D: Declared>(spec: &Value, before: Option<&Value>, now_ms: u64) -> Result<Value, Problem> {
+    // One that a later build wrote and this one cannot read is written over.
+    let before = before.and_then(|before| read::<D::Spec>(before).ok());
+    write(&D::declared(read(spec)?, before.as_ref(), now_ms))
+}
+
 fn step<D: Declared>(name: &str, view: &View) -> Option<Decided> {
     let (spec, spec_stamp) = view.shelf.spec::<D>(name)?;
     let stored = match view.shelf.raw_status(D::KIND, name) {
