--- a/src/calendar/declare.rs
+++ b/src/calendar/declare.rs
@@ -16,7 +16,13 @@
 /// What is known of a job that was accepted: one that is neither open nor known to have ended is over.
 fn fate(view: &View, id: &JobId) -> Fate {
     match ((view.ended)(id), view.book.job(id)) {
-        (Some(End::Done), _) => Fate::Done { at_ms: None },
+        (Some(End::Done), _) => Fate::Done {
+            // However late its window's turn to be stored comes.
+            at_ms: view.book.ended_at(id).map(|at| {
+                let ago = view.now.saturating_duration_since(at).as_millis();
+                view.now_ms.saturating_sub(u64::try_from(ago).unwrap_or(u64::MAX))
+            }),
+        },
         (Some(End::Withdrawn), _) => Fate::Withdrawn,
         (None, Some(job)) if job.ended.is_none() => Fate::Open {
             begun: job.untouched() < 1.0,
--- a/src/calendar/wish.rs
+++ b/src/calendar/wish.rs
@@ -100,9 +100,7 @@
         Fate::Open { needs_s, .. } => now_ms < latest_ms(closes_ms, needs_s),
         _ => false,
     };
-    // One that claims alone keeps nobody's turn: it need not wait for the write once it is open.
-    let alone = spec.jobs == 1 && now_ms >= instance.opens_ms;
-    for claim in claims(spec, &instance, facts.comers).into_iter().filter(|_| !alone) {
+    for claim in claims(spec, &instance, facts.comers) {
         if still(instance.closes_ms, (facts.fate)(&claim.job)) {
             wishes.not_yet.insert(claim.job);
         }
--- a/src/scheduling/book/jobs.rs
+++ b/src/scheduling/book/jobs.rs
@@ -29,6 +29,11 @@
         self.jobs.len()
     }
 
+    /// When this owner heard that a job ended, if it was lately.
+    pub fn ended_at(&self, id: &JobId) -> Option<Instant> {
+        self.ended_at.peek(id).copied()
+    }
+
     pub fn counts(&self, id: &JobId) -> Counts {
         self.jobs.get(id).map_or_else(Counts::default, count)
     }
@@ -200,6 +205,7 @@
             return;
         }
         job.ended = Some(now);
+        self.ended_at.put(id.clone(), now);
         job.waiting.clear();
         self.evidence.job_over(id);
         self.ending.insert(id.clone());
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -44,6 +44,9 @@
 /// Classes of jobs of which anything is remembered: users name them as they like.
 const MOST_CLASSES: NonZeroUsize = NonZeroUsize::new(256).unwrap();
 
+/// Jobs of which it is kept when they ended.
+const ENDED_KEPT: NonZeroUsize = NonZeroUsize::new(4096).unwrap();
+
 /// Notes for the account between two looks; more are not counted.
 const MOST_NOTES: usize = 20_000;
 
@@ -274,6 +277,8 @@
     pub lane: Lane,
     /// Orders to the cloud that an earlier owner has left, for whoever carries them out.
     pub inherited: Vec<CloudOrder>,
+    /// When jobs ended, of the last ones that this owner heard of.
+    ended_at: LruCache<JobId, Instant>,
     /// What operators have declared asks for.
     pub wishes: Wishes,
     /// Jobs have come since that was worked out.
@@ -340,6 +345,7 @@
             evidence: Evidence::default(),
             lane: Lane::default(),
             inherited: Vec::new(),
+            ended_at: LruCache::new(ENDED_KEPT),
             wishes: Wishes::default(),
             wishes_due: true,
             notes: Vec::new(),
