--- a/src/calendar/declare.rs
+++ b/src/calendar/declare.rs
@@ -40,7 +40,7 @@
     view.round.get_or_init(|| {
         let standing = |(name, spec, _): (&str, Spec, u64)| {
             let status = view.shelf.status::<Window>(name).map(|(status, _)| status).unwrap_or_default();
-            Standing { name: name.to_owned(), spec, status }
+            Standing::new(name, spec, status)
         };
         let windows: Vec<Standing> = view.shelf.specs::<Window>().map(standing).collect();
         let open = view.book.jobs().filter(|(_, job)| job.ended.is_none());
@@ -82,8 +82,8 @@
         wish(name, spec, status, &facts, &shape, left, wishes);
     }
 
-    fn tell(name: &str, spec: &Spec, status: &Status, now_ms: u64) -> Vec<String> {
-        status::tell(name, spec, status, now_ms)
+    fn tell(_: &str, spec: &Spec, status: &Status, now_ms: u64) -> Vec<String> {
+        status::tell(spec, status, now_ms)
     }
 
     fn news(name: &str, before: &Status, after: &Status) -> Vec<(Level, String)> {
--- a/src/calendar/round.rs
+++ b/src/calendar/round.rs
@@ -7,7 +7,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
-use super::spec::{Span, Spec};
+use super::spec::{Span, Spec, Times};
 use super::status::Status;
 use super::step::Comer;
 use crate::jobs::record::JobRecord;
@@ -18,17 +18,23 @@
     pub name: String,
     pub spec: Spec,
     pub status: Status,
+    times: Option<Times>,
 }
 
 impl Standing {
+    pub fn new(name: &str, spec: Spec, status: Status) -> Self {
+        Self { name: name.to_owned(), times: spec.times(), spec, status }
+    }
+
     /// The instance that a job accepted at this moment belongs to. One that is stored keeps its times.
     fn taking(&self, at_ms: u64) -> Option<Span> {
-        let Some(current) = self.status.current.as_ref() else { return self.spec.taking(at_ms) };
+        let by_spec = || self.times.as_ref()?.taking(at_ms);
+        let Some(current) = self.status.current.as_ref() else { return by_spec() };
         let from = current.opens_ms.saturating_sub(u64::from(self.spec.early_s) * 1000);
         if (from..current.closes_ms).contains(&at_ms) {
             return Some(current.span());
         }
-        self.spec.taking(at_ms).filter(|span| span.day != current.day)
+        by_spec().filter(|span| span.day != current.day)
     }
 }
 
--- a/src/calendar/spec.rs
+++ b/src/calendar/spec.rs
@@ -190,49 +190,32 @@
         Ok(())
     }
 
-    fn falls_on(&self, day: Day) -> bool {
-        match (&self.date, &self.days) {
-            (Some(date), _) => day_of(date) == Some(day),
-            (None, Some(days)) => days.iter().any(|d| d.parse::<Weekday>() == Ok(weekday_of(day))),
-            (None, None) => true,
-        }
-    }
-
-    fn local_day(&self, ms: u64) -> Day {
-        let local = i64::try_from(ms).unwrap_or(i64::MAX / 2) + i64::from(self.utc_offset_min) * MINUTE_MS;
-        Day::try_from(local.div_euclid(DAY_MS)).unwrap_or(Day::MAX / 2)
+    /// Its times, read once; none where they cannot be read.
+    pub fn times(&self) -> Option<Times> {
+        let next_day = if self.closes_next_day { DAY_MS } else { 0 };
+        let on = match (&self.date, &self.days) {
+            (Some(date), _) => On::Date(day_of(date)?),
+            (None, Some(days)) => On::Days(days.iter().filter_map(|day| day.parse().ok()).collect()),
+            (None, None) => On::Daily,
+        };
+        Some(Times {
+            opens: time(&self.opens)?,
+            closes: time(&self.closes)? + next_day,
+            offset: i64::from(self.utc_offset_min) * MINUTE_MS,
+            early: u64::from(self.early_s) * 1000,
+            on,
+        })
     }
 
     /// The instance that opens on a day, if one does.
     pub fn on(&self, day: Day) -> Option<Span> {
-        if !self.falls_on(day) {
-            return None;
-        }
-        let midnight = i64::from(day) * DAY_MS - i64::from(self.utc_offset_min) * MINUTE_MS;
-        let (opens, closes) = (time(&self.opens)?, time(&self.closes)?);
-        let next_day = if self.closes_next_day { DAY_MS } else { 0 };
-        let at = |ms: i64| u64::try_from(midnight + ms).ok();
-        Some(Span { day, opens_ms: at(opens)?, closes_ms: at(closes + next_day)? })
+        self.times()?.on(day)
     }
 
     /// The first instance after a day; without one the first that closes after `from_ms`, or the
     /// declared date whenever it is: what is past already when it is declared is told as missed.
     pub fn following(&self, after: Option<Day>, from_ms: u64) -> Option<Span> {
-        if let Some(date) = &self.date {
-            return day_of(date).filter(|day| after.is_none_or(|after| *day > after)).and_then(|day| self.on(day));
-        }
-        // What closed before the spec was written is none of its, however its days were before.
-        let first = after.map_or(Day::MIN, |day| day.saturating_add(1)).max(self.local_day(from_ms).saturating_sub(1));
-        (first..first.saturating_add(9)).filter_map(|day| self.on(day)).find(|span| span.closes_ms > from_ms)
-    }
-
-    /// The instance that a job accepted at this moment belongs to: one that is open, before one
-    /// that is about to open.
-    pub fn taking(&self, at_ms: u64) -> Option<Span> {
-        let early = u64::from(self.early_s) * 1000;
-        let last = self.local_day(at_ms.saturating_add(early));
-        let mut spans = (last.saturating_sub(1)..=last).filter_map(|day| self.on(day));
-        spans.find(|span| (span.opens_ms.saturating_sub(early)..span.closes_ms).contains(&at_ms))
+        self.times()?.following(after, from_ms)
     }
 
     /// How operators read when it is.
@@ -247,3 +230,59 @@
         format!("{days} {}-{}{next} UTC{sign}{:02}:{:02}", self.opens, self.closes, offset / 60, offset % 60)
     }
 }
+
+#[derive(Debug)]
+enum On {
+    Daily,
+    Days(Vec<Weekday>),
+    Date(Day),
+}
+
+/// When a window opens and closes, in ms since midnight of its offset from UTC.
+#[derive(Debug)]
+pub struct Times {
+    opens: i64,
+    closes: i64,
+    offset: i64,
+    early: u64,
+    on: On,
+}
+
+impl Times {
+    fn falls_on(&self, day: Day) -> bool {
+        match &self.on {
+            On::Daily => true,
+            On::Days(days) => days.contains(&weekday_of(day)),
+            On::Date(date) => *date == day,
+        }
+    }
+
+    fn local_day(&self, ms: u64) -> Day {
+        let local = i64::try_from(ms).unwrap_or(i64::MAX / 2) + self.offset;
+        Day::try_from(local.div_euclid(DAY_MS)).unwrap_or(Day::MAX / 2)
+    }
+
+    fn on(&self, day: Day) -> Option<Span> {
+        let midnight = i64::from(day) * DAY_MS - self.offset;
+        let at = |ms: i64| u64::try_from(midnight + ms).ok();
+        let span = Span { day, opens_ms: at(self.opens)?, closes_ms: at(self.closes)? };
+        Some(span).filter(|_| self.falls_on(day))
+    }
+
+    fn following(&self, after: Option<Day>, from_ms: u64) -> Option<Span> {
+        if let On::Date(day) = self.on {
+            return self.on(day).filter(|_| after.is_none_or(|after| day > after));
+        }
+        // What closed before the spec was written is none of its, however its days were before.
+        let first = after.map_or(Day::MIN, |day| day.saturating_add(1)).max(self.local_day(from_ms).saturating_sub(1));
+        (first..first.saturating_add(9)).filter_map(|day| self.on(day)).find(|span| span.closes_ms > from_ms)
+    }
+
+    /// The instance that a job accepted at this moment belongs to: one that is open, before one
+    /// that is about to open.
+    pub fn taking(&self, at_ms: u64) -> Option<Span> {
+        let last = self.local_day(at_ms.saturating_add(self.early));
+        let mut spans = (last.saturating_sub(1)..=last).filter_map(|day| self.on(day));
+        spans.find(|span| (span.opens_ms.saturating_sub(self.early)..span.closes_ms).contains(&at_ms))
+    }
+}
--- a/src/calendar/status.rs
+++ b/src/calendar/status.rs
@@ -228,9 +228,9 @@
 }
 
 /// Lines for operators: when it is, the instance to come, what ended last, what is to be confirmed.
-pub fn tell(name: &str, spec: &Spec, status: &Status, now_ms: u64) -> Vec<String> {
-    let cores = if spec.cores > 0.0 { format!(", {} cores", spec.cores) } else { String::new() };
-    let mut lines = vec![format!("{name}: {}, team {}, {} jobs{cores}", spec.when(), spec.team, spec.jobs)];
+pub fn tell(spec: &Spec, status: &Status, now_ms: u64) -> Vec<String> {
+    let cores = if spec.cores > 0.0 { format!(", cores {}", spec.cores) } else { String::new() };
+    let mut lines = vec![format!("{}, team {}, jobs {}{cores}", spec.when(), spec.team, spec.jobs)];
     match status.instance(spec, now_ms) {
         None => lines.push("  nothing more to come".into()),
         Some(instance) => {
--- a/src/calendar/tests/mod.rs
+++ b/src/calendar/tests/mod.rs
@@ -70,7 +70,7 @@
     }
 
     pub fn comers(&self, name: &str, spec: &Spec, status: &Status) -> Vec<Comer> {
-        let standing = Standing { name: name.into(), spec: spec.clone(), status: status.clone() };
+        let standing = Standing::new(name, spec.clone(), status.clone());
         let open = |r: &&Arc<JobRecord>| matches!(self.fates.get(&r.spec.id), Some(Fate::Open { .. }));
         Round::of(&[standing], self.jobs.iter().filter(open)).comers(name).to_vec()
     }
@@ -164,7 +164,7 @@
     ];
     for (name, fields, hours, belongs, first) in cases {
         let (spec, at) = (window(fields), MIDNIGHT + (hours * HOUR as f64) as u64);
-        assert_eq!(spec.taking(at).map(|span| span.day - DAY), belongs, "{name}");
+        assert_eq!(spec.times().unwrap().taking(at).map(|span| span.day - DAY), belongs, "{name}");
         assert_eq!(spec.following(None, at).map(|span| span.day - DAY), Some(first), "{name}");
     }
     assert_eq!(window(json!({"date": "2026-12-02"})).following(Some(DAY), 0), None, "once, and over");
@@ -358,8 +358,7 @@
 /// A job has a turn in one window at the most, and a claim that is stored stays.
 #[test]
 fn jobs_belong_to_one_window() {
-    let standing =
-        |name: &str, fields: Value| Standing { name: name.into(), spec: window(fields), status: Status::default() };
+    let standing = |name: &str, fields: Value| Standing::new(name, window(fields), Status::default());
     let at = MIDNIGHT + 7 * HOUR;
     let of = |windows: &[Standing], record: &Arc<JobRecord>| -> Vec<String> {
         let round = Round::of(windows, std::iter::once(record));
@@ -410,7 +409,7 @@
         "window w 2026-12-02 missed: unclaimed (0 of 2 claimed, 0 done in time)",
     ];
     assert_eq!(told, stages, "each once");
-    assert!(tell("w", &spec, &status, world.now_ms).iter().any(|l| l.contains("2026-12-02 missed: unclaimed")));
+    assert!(tell(&spec, &status, world.now_ms).iter().any(|l| l.contains("2026-12-02 missed: unclaimed")));
 
     // Twenty days on, and nobody looked: all are told in order, with how late.
     world.now_ms += 20 * 24 * HOUR;
