--- a/src/calendar/status.rs
+++ b/src/calendar/status.rs
@@ -142,7 +142,7 @@
 
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Status {
-    /// When an owner first saw it.
+    /// When an owner first saw it, where its spec does not tell since when it is.
     #[serde(default)]
     pub from_ms: Option<u64>,
     /// The instance that ended last. None up to this day is ever looked at again.
--- a/src/calendar/step.rs
+++ b/src/calendar/step.rs
@@ -216,7 +216,10 @@
 /// The status that follows from spec, status, jobs and time, whatever was missed meanwhile.
 pub fn next(spec: &Spec, status: &Status, facts: &Facts) -> Status {
     let mut next = status.clone();
-    next.from_ms.get_or_insert(facts.now_ms);
+    // Where the spec tells since when it is, nothing is stored before there is something to remember.
+    if spec.declared_ms.is_none() {
+        next.from_ms.get_or_insert(facts.now_ms);
+    }
     if let Some(day) = spec.confirmed.as_deref().and_then(super::spec::day_of) {
         next.confirm(day);
     }
