--- a/src/declared/driver.rs
+++ b/src/declared/driver.rs
@@ -73,6 +73,8 @@
 pub struct Looked {
     /// To be stored together, if anything.
     pub writes: Vec<Write>,
+    /// There is nothing more to store: all that was is heard of.
+    pub settled: bool,
     pub token: u64,
     pub news: News,
     /// Jobs of which it has to be known how they ended.
@@ -125,6 +127,7 @@
             let view = view(book, mirror.shelf(), ended, now, now_ms);
             looked.writes = self.decide(&view, &mut looked.news);
             looked.unknown = view.unknown.into_inner();
+            looked.settled = looked.writes.is_empty();
         }
         looked
     }
@@ -182,10 +185,10 @@
 }
 
 fn news(kinds: &[Entry], changed: &Changed) -> News {
-    let Changed { kind, name, before, after, .. } = changed;
-    match (after, entry(kinds, *kind)) {
+    let Changed { kind, name, .. } = changed;
+    match (changed.after(), entry(kinds, *kind)) {
         (None, _) => vec![(Level::INFO, format!("{} {name}: removed", kind.word()))],
-        (Some(after), Some(entry)) => (entry.news)(name, before.as_ref(), after),
+        (Some(after), Some(entry)) => (entry.news)(name, changed.before().as_ref(), &after),
         (Some(_), None) => Vec::new(),
     }
 }
