--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -14,13 +14,15 @@
 #[cfg(test)]
 mod tests;
 
-use std::collections::BTreeMap;
+use std::cell::{OnceCell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tracing::Level;
 
+use crate::calendar::Round;
 use crate::jobs::{End, JobId};
 use crate::scheduling::Book;
 use crate::scheduling::wishes::Wishes;
@@ -76,6 +78,23 @@
     /// The owner's token.
     pub epoch: u64,
     pub settings: &'a Settings,
+    /// Which window each open job belongs to, worked out when it is first asked for.
+    pub round: OnceCell<Round>,
+    /// Jobs that are over, and how is not known here: the store is asked.
+    pub unknown: RefCell<BTreeSet<JobId>>,
+}
+
+/// Jobs asked about at once.
+const MOST_ASKED: usize = 64;
+
+impl View<'_> {
+    /// Asks how a job ended; a later look may know.
+    pub fn ask(&self, id: &JobId) {
+        let mut unknown = self.unknown.borrow_mut();
+        if unknown.len() < MOST_ASKED {
+            unknown.insert(id.clone());
+        }
+    }
 }
 
 /// What an operator's verb makes of a spec.
@@ -101,6 +120,12 @@
         Ok(())
     }
 
+    /// A checked spec as it is written over the one that stands, at a time of day in ms.
+    fn declared(spec: Self::Spec, before: Option<&Self::Spec>, now_ms: u64) -> Self::Spec {
+        let _ = (before, now_ms);
+        spec
+    }
+
     /// What the status is to be next; none: as it is. Asked again and again, at least each second.
     fn step(name: &str, spec: &Self::Spec, status: &Self::Status, view: &View) -> Option<Self::Status>;
 
--- a/src/declared/operator.rs
+++ b/src/declared/operator.rs
@@ -155,9 +155,15 @@
             let stand = known.specs.iter().filter(|((k, _), _)| *k == kind);
             let mut all: BTreeMap<String, Value> =
                 stand.map(|((_, name), (spec, _))| (name.clone(), spec.clone())).collect();
-            let new = specs.iter().filter(|(name, spec)| all.get(*name) != Some(spec));
-            let new: Writes = new.map(|(name, spec)| (name.clone(), Some(spec.clone()))).collect();
-            all.extend(specs.iter().map(|(name, spec)| (name.clone(), spec.clone())));
+            let mut new = Writes::new();
+            for (name, spec) in specs {
+                let before = all.get(name);
+                let spec = (entry.declared)(spec, before, time_of_day_ms())?;
+                if before != Some(&spec) {
+                    new.insert(name.clone(), Some(spec.clone()));
+                    all.insert(name.clone(), spec);
+                }
+            }
             if all.len() > kind.most() {
                 return refused(too_many(kind, all.len()));
             }
--- a/src/declared/table.rs
+++ b/src/declared/table.rs
@@ -13,7 +13,7 @@
 /// All kinds that this build carries out.
 pub const KINDS: &[Entry] = &[
     // Calendar.
-
+    Entry::of::<crate::calendar::Window>(),
     // Heat.
 
     // Rollouts.
@@ -47,6 +47,8 @@
     pub check: fn(&Value, &Names) -> Result<(), Problem>,
     /// Checks all specs of the kind together, passing over those that cannot be read.
     pub check_all: fn(&BTreeMap<String, Value>) -> Result<(), Problem>,
+    /// What is written of a spec that is declared over another, at a time of day in ms.
+    pub declared: fn(&Value, Option<&Value>, u64) -> Result<Value, Problem>,
     /// The status that one is to have next, by name.
     pub step: fn(&str, &View) -> Option<Decided>,
     /// What all of the kind ask for.
@@ -65,6 +67,7 @@
             kind: D::KIND,
             check: check::<D>,
             check_all: check_all::<D>,
+            declared: declared::<D>,
             step: step::<D>,
             wish: wish::<D>,
             tell: tell::<D>,
@@ -112,6 +115,12 @@
     D::check_all(&specs.collect())
 }
 
+fn declared<D: Declared>(spec: &Value, before: Option<&Value>, now_ms: u64) -> Result<Value, Problem> {
+    // One that a later build wrote and this one cannot read is written over.
+    let before = before.and_then(|before| read::<D::Spec>(before).ok());
+    write(&D::declared(read(spec)?, before.as_ref(), now_ms))
+}
+
 fn step<D: Declared>(name: &str, view: &View) -> Option<Decided> {
     let (spec, spec_stamp) = view.shelf.spec::<D>(name)?;
     // One that cannot be read stays as it is: to begin afresh could do again what was done.
--- a/src/declared/tests.rs
+++ b/src/declared/tests.rs
@@ -22,6 +22,7 @@
 use super::run::{Hands, run};
 use super::table::Entry;
 use super::{Declared, Kind, Names, Problem, View};
+use crate::jobs::JobId;
 use crate::jobs::record::{ASSIGNMENT, MIRRORED, MIRRORED_AFTER};
 use crate::scheduling::Book;
 use crate::scheduling::wishes::Wishes;
@@ -490,6 +491,7 @@
         self.touched.fetch_add(1, Ordering::Relaxed);
         None
     }
+    fn ask(&self, _: &JobId) {}
     fn ready(&self, _: Urgent) -> usize {
         self.touched.fetch_add(1, Ordering::Relaxed)
     }
