--- a/src/declared/table.rs
+++ b/src/declared/table.rs
@@ -6,6 +6,7 @@
 
 use super::records::{Kind, MOST_BYTES};
 use super::{Acted, Declared, Names, Problem, View};
+use crate::heat;
 use crate::scheduling::wishes::Wishes;
 
 /// All kinds that this build carries out.
@@ -13,7 +14,8 @@
     // Calendar.
 
     // Heat.
-
+    Entry::of::<heat::Rule>(),
+    Entry::of::<heat::Reading>(),
     // Rollouts.
 ];
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,13 +4,14 @@
 //! how it is stored, `users` the public API, `workers` reports and commands, `scheduling` the
 //! book of who runs what and the placement decisions, `fleet` the machines and the cloud,
 //! `store` the state service, `traffic` counts of what passes, `history` what has ended,
-//! `membership` who leads and who owns, `declared` what operators ask for beside jobs, `settings`
-//! what an operator hands over and `cli` the commands; `kinds` and `sync` are what all of them
+//! `membership` who leads and who owns, `declared` what operators ask for beside jobs, `heat` who
+//! goes ahead on hot days, `settings` what an operator hands over and `cli` the commands; `kinds` and `sync` are what all of them
 //! know. I/O stays at the edges; decisions take state and time.
 
 pub mod cli;
 pub mod declared;
 pub mod fleet;
+pub mod heat;
 pub mod history;
 pub mod jobs;
 pub mod kinds;
--- a/src/scheduling/served/floor.rs
+++ b/src/scheduling/served/floor.rs
@@ -29,6 +29,12 @@
         of
     }
 
+    /// All that either names.
+    pub fn join(&mut self, other: Self) {
+        self.classes.extend(other.classes);
+        self.teams.extend(other.teams);
+    }
+
     pub fn has(&self, spec: &JobSpec) -> bool {
         self.classes.contains(&spec.class) || self.teams.contains(&spec.team)
     }
