Heat: properties of going ahead, and controllers that fail between deciding and storing

Tests: order and bound by property; floors of others while somebody goes ahead; starts sooner, the largest too; nobody of the same urgency stopped; interleavings of three owners with clocks that differ.

--- a/src/heat/tests.rs
+++ b/src/heat/tests/mod.rs
@@ -1,4 +1,6 @@
-//! Rules by cases: what is refused, the hours, what is hot, on and off through time; and several controllers.
+//! Rules by cases: what is refused, the hours, what is hot, on and off through time; then several controllers.
+
+mod interleavings;
 
 use super::decide::{Turned, Why, decide};
 use super::readings::{AHEAD_MS, settle};
--- a/src/scheduling/ahead.rs
+++ b/src/scheduling/ahead.rs
@@ -1,10 +1,12 @@
 //! Who goes ahead of others of the same urgency, as somebody asks for it (`wishes`): the order and its bound.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use super::book::Book;
 use super::plan::{Quotas, Turn};
 use super::room::SLACK;
+use super::wishes::Ahead;
 use crate::jobs::{JobId, JobSpec, Urgency};
 
 impl Book {
@@ -14,37 +16,42 @@
     }
 }
 
-/// Cores that work may yet take before others: of all that are given out its part, less what it holds.
-fn cores_left(book: &Book) -> f64 {
-    let Some(ahead) = &book.wishes.ahead else { return 0.0 };
+/// Cores that work may take before others: its part of all that are given out; and what it holds already.
+fn cores(book: &Book, ahead: &Ahead) -> (f64, f64) {
     let held = book.jobs().filter(|(_, job)| ahead.names.has(job.spec()));
-    let held: f64 = held.map(|(_, job)| job.bound.len() as f64 * job.spec().cpus).sum();
+    let held = held.map(|(_, job)| job.bound.len() as f64 * job.spec().cpus).sum();
     let given_out: f64 = book.usage.values().map(|used| used.0).sum();
-    given_out * ahead.most_part - held
+    (given_out * ahead.most_part, held)
 }
 
 /// Marks those of the queue that go ahead, with how many tasks of them, and puts them there. Teams short of
 /// their guarantee and whoever is below the floor stay where they are.
+///
+/// What may be taken is given to the longest waiting first, and kept for a gang until all of it may go: else
+/// the small ones of its class would always leave it too little.
 pub fn put_first(turns: &mut Vec<Turn>, book: &Book) {
-    if book.wishes.ahead.is_none() {
-        return;
-    }
-    let mut left = cores_left(book);
+    let Some(ahead) = &book.wishes.ahead else { return };
+    let (bound, held) = cores(book, ahead);
+    let mut left = bound - held;
     let mut quotas = Quotas::new(book);
-    for turn in turns.iter_mut().filter(|turn| !turn.suspected) {
-        let (job, spec) = (turn.job, turn.job.spec());
-        if !book.goes_ahead(spec) {
+    let mut asked: Vec<&mut Turn> =
+        turns.iter_mut().filter(|turn| !turn.suspected && ahead.names.has(turn.job.spec())).collect();
+    asked.sort_by_key(|turn| Reverse(turn.age));
+    for turn in asked {
+        let (spec, waiting) = (turn.job.spec(), turn.job.waiting.len());
+        let together = if spec.is_gang() { waiting } else { 1 };
+        let needs = together as f64 * spec.cpus;
+        // What its team may not run, or is more than may ever go, takes nothing from the others.
+        if !quotas.allows(spec, together as f64) || needs > bound + SLACK {
             continue;
         }
-        let waiting = job.waiting.len();
-        let most = if spec.cpus > 0.0 { ((left + SLACK) / spec.cpus).max(0.0) as usize } else { waiting };
-        let tasks = if spec.is_gang() && most < waiting { 0 } else { most.min(waiting) };
-        // What its team may not run takes nothing from the others that go ahead.
-        if tasks > 0 && quotas.allows(spec, if spec.is_gang() { tasks as f64 } else { 1.0 }) {
-            turn.ahead = tasks;
-            left -= tasks as f64 * spec.cpus;
-            quotas.take(spec, tasks as f64);
+        if needs > left + SLACK {
+            break;
         }
+        let most = if spec.cpus > 0.0 { ((left + SLACK) / spec.cpus) as usize } else { waiting };
+        turn.ahead = if spec.is_gang() { waiting } else { most.min(waiting) };
+        left -= turn.ahead as f64 * spec.cpus;
+        quotas.take(spec, turn.ahead as f64);
     }
     gather(turns, |turn| (turn.suspected, turn.guaranteed, turn.rank, turn.job.spec().urgency));
 }
--- a/src/scheduling/served/tests/mod.rs
+++ b/src/scheduling/served/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Who is served, by cases, by properties on the book itself in counted time, and through a takeover.
 
+mod ahead;
 mod weigh;
 
 use std::collections::HashMap;
@@ -19,6 +20,7 @@
 use crate::kinds::tests::machine_type;
 use crate::scheduling::book::{Book, Via};
 use crate::scheduling::plan;
+use crate::scheduling::wishes::Wishes;
 use crate::settings::tests::example;
 use crate::sla::priority_worth;
 use crate::wire::workers::{Cause, Leg, LegStatus, Order, Report, TaskKey};
@@ -316,10 +318,15 @@
 /// A class in its ordinary numbers beside one that floods: both are served, whichever floods, and no
 /// machine stands idle while anything fits it.
 fn flooded(flood: &str, times: u32, gang: u64, floor: f64, seed: u64) -> World {
+    flooded_with(flood, times, gang, floor, seed, Wishes::default())
+}
+
+fn flooded_with(flood: &str, times: u32, gang: u64, floor: f64, seed: u64, wishes: Wishes) -> World {
     use rand::{Rng, SeedableRng, rngs::StdRng};
     let mut rng = StdRng::seed_from_u64(seed);
     let mut world =
         World::new(10, Properties { served_floor: floor, served_window: s(120.0), ..Properties::default() });
+    world.book.set_wishes(wishes);
     for t in 0..1500u32 {
         if t >= 300 && world.book.job_count() == 0 {
             break;
