--- a/src/fleet/drain.rs
+++ b/src/fleet/drain.rs
@@ -117,8 +117,7 @@
     // what of it runs included, what is left.
     for turn in queue(book, now).into_iter().filter(|t| !t.suspected && !t.job.spec().is_idle()) {
         let (job, waiting) = (turn.job, turn.job.waiting.len() as u64);
-        let waits = turn.age > job.agreement.run || book.goes_ahead(job.spec());
-        pool.keep(job.spec(), &Zones::new(book, job), waiting, waits);
+        pool.keep(job.spec(), &Zones::new(book, job), waiting, turn.age > job.agreement.run);
     }
     for (class, expected) in book.arrivals.iter().filter(|(_, a)| !a.like.spec.is_idle()) {
         let spec = &expected.like.spec;
@@ -126,7 +125,7 @@
         let boot_s = pool.ground.longest_boot_s(&open);
         let asked = &book.settings.params.objectives;
         let prompt = asked.iter().any(|o| o.kind == "wait" && o.class == *class && o.within_s < boot_s);
-        let boots = if prompt || book.goes_ahead(spec) { SPARE_BOOTS_PROMPT } else { SPARE_BOOTS };
+        let boots = if prompt { SPARE_BOOTS_PROMPT } else { SPARE_BOOTS };
         let tasks = (expected.per_second(now) * boot_s * boots).round() as u64;
         pool.keep(spec, &Zones::none(spec), tasks, false);
     }
@@ -182,7 +181,7 @@
         let can_move = spec.checkpoint_s > 0.0 && !(spec.is_gang() && spec.tasks > 1) && tries < MOST_TRIES;
         if can_move && rest > WORTH_MOVING {
             // Something on its way, or just begun, is not torn down again.
-            if ran < RUN_BEFORE_MOVE || (book.goes_ahead(spec) && !spec.is_idle()) {
+            if ran < RUN_BEFORE_MOVE {
                 return None;
             }
             if spec.is_idle() && of.gpus > 0.0 && spec.gpus <= 0.0 {
--- a/src/fleet/rent.rs
+++ b/src/fleet/rent.rs
@@ -237,7 +237,7 @@
         let open = ground.open_to(spec, &zones);
         let least = cheapest(ground, spec, spec.tasks, |at, _| open[at]).map_or(f64::INFINITY, |(.., cost)| cost);
         let least = least.max(1e-9);
-        let short = (book.below.short.has(spec) || book.goes_ahead(spec)) && !spec.is_idle();
+        let short = book.below.short.has(spec) && !spec.is_idle();
         let mut slots = Slots::new(timelines, job, &open);
         let mut missing = job.waiting.len() as u64;
         let mut offer = None;
@@ -254,7 +254,7 @@
                 let boot_s = offer.of.boot_s;
                 let promised = promises.iter().copied().find(|s| *s >= boot_s);
                 let slack = promised.unwrap_or(job.agreement.run.as_secs_f64());
-                // Who is below the floor or goes ahead has no time to wait for something cheaper.
+                // Who is below the floor has no time to wait for something cheaper.
                 let patience = if short { 0.0 } else { (PATIENCE * cost / least).min(1.0) };
                 let bearable = slack * patience;
                 self.total < book.properties.most_machines as u64
--- a/src/scheduling/holds.rs
+++ b/src/scheduling/holds.rs
@@ -6,7 +6,6 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use super::ahead;
 use super::book::{Book, MachineId};
 use super::plan::{Quotas, Turn, queue};
 use super::room::{Ground, Room, Zones, suspect_after, usable};
@@ -40,7 +39,6 @@
         return holds;
     }
     turns.sort_by_key(|t| (t.rank, Reverse(t.age)));
-    ahead::gather(&mut turns, |t| (t.rank, t.job.spec().urgency));
     turns.truncate(MOST_HOLDERS);
     let ground = Ground::new(book, catalog);
     let suspect = suspect_after(book);
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -1,6 +1,5 @@
 //! Which task runs where: the owner's book, the decisions taken on it, and their loop.
 
-pub mod ahead;
 pub mod book;
 pub mod evidence;
 pub mod filler;
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -9,7 +9,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use super::ahead;
 use super::book::{Book, JobState, MachineId};
 use super::evidence::{Evidence, PROBES};
 use super::filler::{self, Filler};
@@ -51,8 +50,6 @@
     pub suspected: bool,
     task_return: f64,
     pub age: Duration,
-    /// Tasks of it that go ahead of others of the same urgency.
-    pub ahead: usize,
 }
 
 /// What fails everywhere last of all; else teams short of their guarantee first, then who is below the floor and can still be in time, then
@@ -74,7 +71,6 @@
                 suspected: book.evidence.suspects(id),
                 task_return: job.agreement.task_return(age + job.agreement.run),
                 age,
-                ahead: 0,
             }
         })
         .collect();
@@ -86,7 +82,6 @@
             .then(b.age.cmp(&a.age))
             .then(a.id.cmp(b.id))
     });
-    ahead::put_first(&mut turns, book);
     turns
 }
 
@@ -175,9 +170,8 @@
     over: Instant,
     /// Hard work that would be late for waiting; nothing is held against it.
     pressed: bool,
-    /// Who goes first is not kept out by what is held for others; who goes ahead not by what is held for these.
+    /// Who goes first is not kept out by what is held for others.
     first: bool,
-    passes: Vec<&'a JobId>,
     /// Idle work, and what others wait for by now.
     filler: Option<Rc<Filler>>,
     /// Idle work gives way for it on machines as it needs them: it takes no cores that an accelerator
@@ -207,7 +201,6 @@
             over: now + agreement.run,
             pressed: agreement.within_reach(age) && !agreement.within_reach(age + PRESSED_WITHIN),
             first: turn.rank == Rank::First,
-            passes: Vec::new(),
             filler,
             apt_only: false,
             waited: age,
@@ -235,10 +228,9 @@
                 }
                 None => !room.leaving,
             }
-            && room.hold.is_none_or(|hold| {
-                (self.pressed || self.first || hold.job == *self.id || self.over <= hold.until)
-                    || self.passes.contains(&&hold.job)
-            })
+            && room
+                .hold
+                .is_none_or(|hold| self.pressed || self.first || hold.job == *self.id || self.over <= hold.until)
     }
 
     fn candidate(&self, at: usize, room: &Room) -> Option<Candidate> {
@@ -299,7 +291,6 @@
 
 /// One plan: the rooms there are, and how many were looked at, by which its work is bounded.
 pub struct Plan<'a> {
-    book: &'a Book,
     evidence: &'a Evidence,
     ground: Ground<'a>,
     rooms: Vec<Room<'a>>,
@@ -328,7 +319,6 @@
             .collect();
         let giving = giving(book, &ground, suspect, now);
         Self {
-            book,
             evidence: &book.evidence,
             giving,
             ground,
@@ -385,10 +375,7 @@
         let filler = spec.is_idle().then(|| self.wanted.clone());
         let mut demand = Demand::new(turn, self.evidence, filler, open, self.now);
         demand.apt_only = !spec.is_idle() && self.gives_way(spec, &demand.open, job.waiting.len() as u64);
-        if turn.ahead > 0 {
-            demand.passes = ahead::gives_way(self.book, spec.urgency);
-        }
-        let holds = |room: &Room| room.hold.is_some_and(|h| h.job == *turn.id || demand.passes.contains(&&h.job));
+        let holds = |room: &Room| room.hold.is_some_and(|h| h.job == *turn.id);
         if !demand.pressed
             && self.unfit.iter().any(|u| u.covers(job, tasks, &demand.open))
             && !self.rooms.iter().any(holds)
@@ -559,10 +546,6 @@
         if let Some((_, tasks)) = earned.filter(|(id, _)| *id == turn.id && !spec.is_gang()) {
             most = most.min(tasks);
         }
-        // The rest of it in its ordinary turn, with the next plan.
-        if turn.ahead > 0 && !spec.is_gang() {
-            most = most.min(turn.ahead);
-        }
         if turn.suspected && !spec.is_gang() {
             most = most.min(PROBES.saturating_sub(job.bound.len()));
         }
