Going ahead: the longest waiting first, and past what is held for others of no higher urgency

Change: holds of jobs of no higher urgency, for which nobody was stopped, do not keep out who goes ahead; the part is given to the longest waiting; a plan follows what was placed, since the bound grows with it. Floors of others and preemption as before.

--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -179,8 +179,9 @@
     over: Instant,
     /// Hard work that would be late for waiting; nothing is held against it.
     pressed: bool,
-    /// Who goes first is not kept out by what is held for others.
+    /// Who goes first is not kept out by what is held for others; who goes ahead not by what is held for these.
     first: bool,
+    passes: Vec<&'a JobId>,
     /// Idle work, and what others wait for by now.
     filler: Option<Rc<Filler>>,
     /// Idle work gives way for it on machines as it needs them: it takes no cores that an accelerator
@@ -210,6 +211,7 @@
             over: now + agreement.run,
             pressed: agreement.within_reach(age) && !agreement.within_reach(age + PRESSED_WITHIN),
             first: turn.rank == Rank::First,
+            passes: Vec::new(),
             filler,
             apt_only: false,
             waited: age,
@@ -237,9 +239,10 @@
                 }
                 None => !room.leaving,
             }
-            && room
-                .hold
-                .is_none_or(|hold| self.pressed || self.first || hold.job == *self.id || self.over <= hold.until)
+            && room.hold.is_none_or(|hold| {
+                (self.pressed || self.first || hold.job == *self.id || self.over <= hold.until)
+                    || self.passes.contains(&&hold.job)
+            })
     }
 
     fn candidate(&self, at: usize, room: &Room) -> Option<Candidate> {
@@ -300,6 +303,7 @@
 
 /// One plan: the rooms there are, and how many were looked at, by which its work is bounded.
 pub struct Plan<'a> {
+    book: &'a Book,
     evidence: &'a Evidence,
     ground: Ground<'a>,
     rooms: Vec<Room<'a>>,
@@ -328,6 +332,7 @@
             .collect();
         let giving = giving(book, &ground, suspect, now);
         Self {
+            book,
             evidence: &book.evidence,
             giving,
             ground,
@@ -384,7 +389,10 @@
         let filler = spec.is_idle().then(|| self.wanted.clone());
         let mut demand = Demand::new(turn, self.evidence, filler, open, self.now);
         demand.apt_only = !spec.is_idle() && self.gives_way(spec, &demand.open, job.waiting.len() as u64);
-        let holds = |room: &Room| room.hold.is_some_and(|h| h.job == *turn.id);
+        if turn.ahead {
+            demand.passes = wishes::passed_by(self.book, spec.urgency);
+        }
+        let holds = |room: &Room| room.hold.is_some_and(|h| h.job == *turn.id || demand.passes.contains(&&h.job));
         if !demand.pressed
             && self.unfit.iter().any(|u| u.covers(job, tasks, &demand.open))
             && !self.rooms.iter().any(holds)
--- a/src/scheduling/wishes.rs
+++ b/src/scheduling/wishes.rs
@@ -2,6 +2,7 @@
 //! (`declared`) works it out from what is stored; here nobody knows why. With no wishes, not one
 //! decision differs.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Instant;
 
@@ -94,14 +95,17 @@
     !turn.suspected && !turn.guaranteed && turn.rank != Rank::First
 }
 
-/// Who goes ahead, best return first, until they hold their part of what is given out: the next one
+/// Who goes ahead, the longest waiting first, until they hold their part of what is given out: the next one
 /// would take them beyond it, and goes by return. If nothing of theirs runs, one job may in any case.
 fn mark_ahead(book: &Book, ahead: &Ahead, turns: &mut [plan::Turn]) {
     let given: f64 = book.usage.values().map(|(cpus, _)| cpus).sum();
     let theirs = book.jobs().map(|(_, job)| job).filter(|job| ahead.names.has(job.spec()));
     let mut taken: f64 = theirs.map(|job| job.bound.len() as f64 * job.spec().cpus).sum();
     let most = given * ahead.most_part;
-    for turn in turns.iter_mut().filter(|t| !t.suspected && ahead.names.has(t.job.spec())) {
+    let mut asked: Vec<&mut plan::Turn> =
+        turns.iter_mut().filter(|t| !t.suspected && ahead.names.has(t.job.spec())).collect();
+    asked.sort_by_key(|turn| Reverse(turn.age));
+    for turn in asked {
         let (spec, waiting) = (turn.job.spec(), turn.job.waiting.len());
         let left = if taken > 0.0 { most - taken } else { most.max(turn.job.cores_at_once()) };
         let tasks = if spec.cpus > 0.0 { ((left + SLACK) / spec.cpus).max(0.0) as usize } else { waiting };
@@ -132,6 +136,19 @@
     }
 }
 
+/// Whose holds do not keep out work that goes ahead: jobs of no higher urgency that do not go ahead themselves,
+/// and for which nobody was stopped.
+pub fn passed_by(book: &Book, urgency: Urgency) -> Vec<&JobId> {
+    let ahead = |spec: &JobSpec| book.wishes.ahead.as_ref().is_some_and(|ahead| ahead.names.has(spec));
+    let behind = |spec: &JobSpec| spec.urgency <= urgency && !ahead(spec);
+    let mut jobs: Vec<&JobId> = book.holds.values().map(|hold| &hold.job).collect();
+    jobs.sort_unstable();
+    jobs.dedup();
+    jobs.retain(|id| book.job(id).is_some_and(|job| behind(job.spec())));
+    jobs.retain(|id| !book.reserved.values().any(|hold| hold.job == **id));
+    jobs
+}
+
 /// Jobs of one window take the places that they have in the order of their turns. Where they stand
 /// apart for other reasons, as one that is below the floor, the later turn waits behind the earlier.
 fn in_turn(wished: &HashMap<JobId, Turn>, turns: &mut [plan::Turn]) {
