--- a/src/heat/mod.rs
+++ b/src/heat/mod.rs
@@ -143,10 +143,10 @@
     fn wish(_: &str, _: &Reading, _: &(), _: &View, _: &mut Wishes) {}
 
     fn tell(_: &str, spec: &Reading, _: &(), now_ms: u64) -> Vec<String> {
-        let age = spec
-            .age_ms(now_ms)
-            .map_or("ahead of this clock: it does not count".to_owned(), |age| format!("{} s old", age / 1000));
-        vec![format!("{} at {}, {age}", spec.value, spec.at.format("%Y-%m-%d %H:%M:%SZ"))]
+        let age = spec.age_ms(now_ms).map_or("at a time ahead of this clock: it does not count".to_owned(), |age| {
+            format!("{} s ago", age / 1000)
+        });
+        vec![format!("{}, read {age}", spec.value)]
     }
 
     fn news(_: &str, _: &(), _: &()) -> Vec<(Level, String)> {
--- a/src/heat/readings.rs
+++ b/src/heat/readings.rs
@@ -1,6 +1,5 @@
 //! What operators hand in: one value of a named sensor with its time, and how several are settled.
 
-use chrono::{DateTime, Utc};
 use serde::{Deserialize, Serialize};
 
 /// Beyond this nothing is a temperature, whatever it is measured in.
@@ -14,8 +13,8 @@
 pub struct Reading {
     /// In whatever unit the rules' thresholds are.
     pub value: f64,
-    /// When it was measured.
-    pub at: DateTime<Utc>,
+    /// When it was measured: time of day in milliseconds since 1970.
+    pub at_ms: u64,
 }
 
 impl Reading {
@@ -25,8 +24,7 @@
 
     /// How old it is; none for one from further ahead than clocks differ.
     pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
-        let at_ms = u64::try_from(self.at.timestamp_millis()).ok()?;
-        (at_ms <= now_ms.saturating_add(AHEAD_MS)).then(|| now_ms.saturating_sub(at_ms))
+        (self.at_ms <= now_ms.saturating_add(AHEAD_MS)).then(|| now_ms.saturating_sub(self.at_ms))
     }
 }
 
--- a/src/heat/tests/mod.rs
+++ b/src/heat/tests/mod.rs
@@ -24,7 +24,7 @@
 }
 
 fn read(value: f64, at_ms: u64) -> Reading {
-    Reading { value, at: DateTime::from_timestamp_millis(at_ms as i64).unwrap() }
+    Reading { value, at_ms }
 }
 
 /// A mistake in a spec must not be found at noon: each is named by field and value.
