--- a/src/heat/tests/mod.rs
+++ b/src/heat/tests/mod.rs
@@ -66,6 +66,18 @@
     }
 }
 
+/// What operators copy must be well formed.
+#[test]
+fn the_example_can_be_declared() {
+    let mut rules: Vec<serde_json::Value> =
+        serde_json::from_str(include_str!("../../../deploy/example-heat.json")).unwrap();
+    for rule in &mut rules {
+        rule.as_object_mut().unwrap().remove("name");
+        let rule: Rule = serde_json::from_value(rule.clone()).unwrap();
+        assert_eq!(rule.check(&["airflow-solve"], &[]), Ok(()));
+    }
+}
+
 #[test]
 fn hours_by_cases() {
     // (name, from, to, offset, moment, day and when they began and end in hours since the 14th in UTC)
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -182,6 +182,8 @@
     /// Who goes first is not kept out by what is held for others; who goes ahead not by what is held for these.
     first: bool,
     passes: Vec<&'a JobId>,
+    /// Holds for these stand against it even if it is pressed: they go ahead.
+    ahead: Vec<&'a JobId>,
     /// Idle work, and what others wait for by now.
     filler: Option<Rc<Filler>>,
     /// Idle work gives way for it on machines as it needs them: it takes no cores that an accelerator
@@ -212,6 +214,7 @@
             pressed: agreement.within_reach(age) && !agreement.within_reach(age + PRESSED_WITHIN),
             first: turn.rank == Rank::First,
             passes: Vec::new(),
+            ahead: Vec::new(),
             filler,
             apt_only: false,
             waited: age,
@@ -240,7 +243,10 @@
                 None => !room.leaving,
             }
             && room.hold.is_none_or(|hold| {
-                (self.pressed || self.first || hold.job == *self.id || self.over <= hold.until)
+                ((self.pressed && !self.ahead.contains(&&hold.job))
+                    || self.first
+                    || hold.job == *self.id
+                    || self.over <= hold.until)
                     || self.passes.contains(&&hold.job)
             })
     }
@@ -390,7 +396,9 @@
         let mut demand = Demand::new(turn, self.evidence, filler, open, self.now);
         demand.apt_only = !spec.is_idle() && self.gives_way(spec, &demand.open, job.waiting.len() as u64);
         if turn.ahead {
-            demand.passes = wishes::passed_by(self.book, spec.urgency);
+            demand.passes = wishes::holders(self.book, |other, ahead| !ahead && other <= spec.urgency);
+        } else if demand.pressed {
+            demand.ahead = wishes::holders(self.book, |other, ahead| ahead && other >= spec.urgency);
         }
         let holds = |room: &Room| room.hold.is_some_and(|h| h.job == *turn.id || demand.passes.contains(&&h.job));
         if !demand.pressed
--- a/src/scheduling/wishes.rs
+++ b/src/scheduling/wishes.rs
@@ -136,15 +136,14 @@
     }
 }
 
-/// Whose holds do not keep out work that goes ahead: jobs of no higher urgency that do not go ahead themselves,
-/// and for which nobody was stopped.
-pub fn passed_by(book: &Book, urgency: Urgency) -> Vec<&JobId> {
-    let ahead = |spec: &JobSpec| book.wishes.ahead.as_ref().is_some_and(|ahead| ahead.names.has(spec));
-    let behind = |spec: &JobSpec| spec.urgency <= urgency && !ahead(spec);
+/// Jobs for which machines are held, of these urgencies and going ahead or not. None for which others were
+/// stopped, and none while nobody is asked to go ahead.
+pub fn holders(book: &Book, of: impl Fn(Urgency, bool) -> bool) -> Vec<&JobId> {
+    let Some(ahead) = &book.wishes.ahead else { return Vec::new() };
     let mut jobs: Vec<&JobId> = book.holds.values().map(|hold| &hold.job).collect();
     jobs.sort_unstable();
     jobs.dedup();
-    jobs.retain(|id| book.job(id).is_some_and(|job| behind(job.spec())));
+    jobs.retain(|id| book.job(id).is_some_and(|job| of(job.spec().urgency, ahead.names.has(job.spec()))));
     jobs.retain(|id| !book.reserved.values().any(|hold| hold.job == **id));
     jobs
 }
