--- a/src/membership/mesh.rs
+++ b/src/membership/mesh.rs
@@ -13,6 +13,7 @@
 use crate::jobs::{Counts, JobId};
 use crate::node::Node;
 use crate::scheduling::served::Row;
+use crate::settings::Peer;
 use crate::store::share::Want;
 use crate::sync::lock;
 
@@ -26,12 +27,15 @@
 const MOST_COUNTS: usize = 2000;
 /// Counts kept before those of ended jobs are looked for; open jobs are what remains.
 const MOST_HEARD: usize = 10_000;
+/// A connection to a peer that says nothing itself is made anew after this.
+const ANEW_AFTER: Duration = Duration::from_secs(5);
 /// What was heard longer ago says nothing.
 const STALE: Duration = Duration::from_secs(4);
 
 #[derive(Debug, Serialize, Deserialize)]
 struct Line {
     node: String,
+    /// Whether the sender can answer questions by what is stored.
     store_serves: bool,
     /// What the sender wants of the state service, in requests and in changes.
     #[serde(default)]
@@ -46,22 +50,35 @@
 
 #[derive(Debug, Default)]
 pub struct Heard {
-    /// Whether the store serves each, what it wants of it, and when it said so.
-    peers: HashMap<String, (bool, [Want; 2], Instant)>,
+    /// Since when each says that the store serves it, what it wants of it, and when it said so last.
+    peers: HashMap<String, (Option<Instant>, [Want; 2], Instant)>,
     pub counts: HashMap<JobId, Counts>,
     /// What the owner told last of who is served, and when that was heard.
     pub served: Option<(Vec<Row>, Instant)>,
 }
 
 impl Heard {
-    /// Whether another controller said lately that the store serves it.
-    pub fn store_serves_others(&self, now: Instant) -> bool {
-        self.lately(now).any(|(serves, _)| serves)
+    /// How many others were heard of lately, and for how long one of them has said that the store serves it.
+    pub fn others(&self, now: Instant) -> (usize, Option<Duration>) {
+        let longest = self.lately(now).filter_map(|(since, _)| Some(now.saturating_duration_since(since?))).max();
+        (self.lately(now).count(), longest)
     }
 
-    fn lately(&self, now: Instant) -> impl Iterator<Item = (bool, [Want; 2])> {
+    /// A line of a peer.
+    fn told(&mut self, node: String, serves: bool, wants: [Want; 2], now: Instant) {
+        let before = self.peers.get(&node).filter(|(.., at)| now.saturating_duration_since(*at) < STALE);
+        let since = serves.then(|| before.and_then(|(since, ..)| *since).unwrap_or(now));
+        self.peers.insert(node, (since, wants, now));
+    }
+
+    fn lately(&self, now: Instant) -> impl Iterator<Item = (Option<Instant>, [Want; 2])> {
         let fresh = self.peers.values().filter(move |(.., at)| now.saturating_duration_since(*at) < STALE);
-        fresh.map(|(serves, wants, _)| (*serves, *wants))
+        fresh.map(|(since, wants, _)| (*since, *wants))
+    }
+
+    /// Whether this controller was heard of lately.
+    pub fn hears(&self, node: &str, now: Instant) -> bool {
+        self.peers.get(node).is_some_and(|(.., at)| now.saturating_duration_since(*at) < STALE)
     }
 
     /// What those want of the state service that were heard of lately.
@@ -102,7 +119,7 @@
         let many = {
             let mut heard = lock(&node.heard);
             if node.settings.peers.iter().any(|p| p.node == line.node) {
-                heard.peers.insert(line.node, (line.store_serves, line.wants, Instant::now()));
+                heard.told(line.node, line.store_serves, line.wants, Instant::now());
             }
             heard.counts.extend(line.counts);
             if !line.served.is_empty() {
@@ -117,17 +134,18 @@
 }
 
 /// One connection to one peer, made again whenever it breaks.
-pub async fn tell(node: Arc<Node>, addr: String) {
+pub async fn tell(node: Arc<Node>, peer: Peer) {
     loop {
-        if let Ok(Ok(stream)) = tokio::time::timeout(WRITE_WITHIN, TcpStream::connect(&addr)).await {
-            let error = tell_over(&node, stream).await;
-            debug!(?error, addr, "connection to another controller");
+        if let Ok(Ok(stream)) = tokio::time::timeout(WRITE_WITHIN, TcpStream::connect(&peer.addr)).await {
+            let error = tell_over(&node, &peer.node, stream).await;
+            debug!(?error, peer = peer.node, "connection to another controller");
         }
         tokio::time::sleep(crate::sync::jitter(EVERY)).await;
     }
 }
 
-async fn tell_over(node: &Node, mut stream: TcpStream) -> std::io::Result<()> {
+async fn tell_over(node: &Node, peer: &str, mut stream: TcpStream) -> std::io::Result<()> {
+    let begun = Instant::now();
     let mut told: HashMap<JobId, Counts> = HashMap::new();
     let mut served_next = Instant::now();
     loop {
@@ -138,12 +156,45 @@
             served = node.served_to_tell();
         }
         let (name, wants) = (node.settings.node.clone(), node.wants());
-        let line = Line { node: name, store_serves: node.store_serves(), wants, counts, served };
+        let line = Line { node: name, store_serves: node.can_answer(), wants, counts, served };
         let mut text = serde_json::to_string(&line).unwrap_or_default();
         text.push('\n');
         tokio::time::timeout(WRITE_WITHIN, stream.write_all(text.as_bytes()))
             .await
             .map_err(|_| std::io::ErrorKind::TimedOut)??;
         tokio::time::sleep(EVERY).await;
+        // Lines go into a dead connection for minutes before it is known to be dead, and after a cut it
+        // is tried again only after as long as the cut took.
+        let now = Instant::now();
+        if now.saturating_duration_since(begun) > ANEW_AFTER && !lock(&node.heard).hears(peer, now) {
+            return Err(std::io::ErrorKind::TimedOut.into());
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// How long another has been answered tells an outage that has just ended from one of this controller's
+    /// own: by its word of the moment every owner let its workers go at the end of every outage.
+    #[test]
+    fn since_when_the_others_can_answer() {
+        let (t, s) = (Instant::now(), Duration::from_secs);
+        let mut heard = Heard::default();
+        for (at, node, serves, want) in [
+            (0, "b", true, (1, Some(0))),
+            (1, "b", true, (1, Some(1))),
+            (2, "c", false, (2, Some(2))),
+            (3, "b", false, (2, None)),
+            (4, "b", true, (2, Some(0))),
+            (5, "b", true, (2, Some(1))),
+            // Not heard for a while: whatever it said before is void.
+            (20, "b", true, (1, Some(0))),
+        ] {
+            heard.told(node.into(), serves, Default::default(), t + s(at));
+            assert_eq!(heard.others(t + s(at)), (want.0, want.1.map(s)), "{node} at {at}");
+        }
+        assert!(heard.hears("b", t + s(23)) && !heard.hears("b", t + s(24)) && !heard.hears("c", t + s(20)));
     }
 }
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -7,6 +7,7 @@
 
 mod bindings;
 mod commands;
+mod deaf;
 mod failures;
 mod jobs;
 mod machine;
@@ -24,6 +25,7 @@
 
 use super::evidence::Evidence;
 use super::holds::Hold;
+use super::large::Large;
 use super::served::Note;
 use super::served::floor::{Below, Lane};
 use super::served::promises::{Promise, next_start_s};
@@ -42,7 +44,7 @@
 /// Types, zones and kinds kept apart.
 const MOST_KINDS: usize = 1000;
 /// Classes of jobs of which anything is remembered: users name them as they like.
-const MOST_CLASSES: NonZeroUsize = NonZeroUsize::new(256).unwrap();
+pub const MOST_CLASSES: NonZeroUsize = NonZeroUsize::new(256).unwrap();
 
 /// Notes for the account between two looks; more are not counted.
 const MOST_NOTES: usize = 20_000;
@@ -162,6 +164,11 @@
         1.0 - self.touched as f64 / self.tasks.len().max(1) as f64
     }
 
+    /// This owner knows that it runs, or has.
+    pub fn begun(&self) -> bool {
+        self.begun
+    }
+
     /// A gang runs once all its tasks do; of anything else one is enough. A task that is done has run.
     fn runs(&self) -> bool {
         let runs = |index: &u32| {
@@ -234,12 +241,21 @@
     pub tasks: Vec<Stored>,
 }
 
+/// Users choose the ids, so they are digested as nobody can foresee; in tests alike in every run, so that a
+/// seed plays the same interleaving again.
+#[cfg(not(test))]
+type Hashing = std::hash::RandomState;
+#[cfg(test)]
+type Hashing = std::hash::BuildHasherDefault<std::hash::DefaultHasher>;
+
 pub struct Book {
     pub token: u64,
+    /// The token it began with: a worker that has seen it has heard this owner.
+    epoch: u64,
     pub loaded: bool,
     pub settings: Settings,
     pub properties: Properties,
-    jobs: HashMap<JobId, JobState>,
+    jobs: HashMap<JobId, JobState, Hashing>,
     /// Jobs whose end is known and of which something is still bound.
     ending: BTreeSet<JobId>,
     /// Every type, zone and kind that a machine was ever of; machines name theirs by its place.
@@ -262,6 +278,8 @@
     /// By class: how observed run times compare with the owners' estimates (sum of logs, count).
     observed: LruCache<String, (f64, f64)>,
     pub arrivals: BTreeMap<String, Arrivals>,
+    /// What the largest gangs offer and earn.
+    pub large: Large,
     /// Machines kept for gangs that will soon fit.
     pub holds: HashMap<MachineId, Hold>,
     /// Machines on which others were stopped for a job, until it has come there.
@@ -315,10 +333,10 @@
     pub fn new(token: u64, settings: Settings, properties: Properties, now: Instant) -> Self {
         Self {
             token,
+            epoch: token,
             loaded: false,
             settings,
-            properties,
-            jobs: HashMap::new(),
+            jobs: HashMap::default(),
             ending: BTreeSet::new(),
             kinds: Vec::new(),
             stirred: true,
@@ -334,6 +352,7 @@
             absent: None,
             observed: LruCache::new(MOST_CLASSES),
             arrivals: BTreeMap::new(),
+            large: Large::new(&properties, now),
             holds: HashMap::new(),
             reserved: HashMap::new(),
             below: Below::default(),
@@ -343,6 +362,7 @@
             wishes: Wishes::default(),
             wishes_due: true,
             notes: Vec::new(),
+            properties,
         }
     }
 
@@ -359,7 +379,7 @@
     }
 
     /// Entries of everything that could grow, by name.
-    pub fn held(&self) -> [(&'static str, usize); 11] {
+    pub fn held(&self) -> [(&'static str, usize); 12] {
         let [machines_suspected, jobs_suspected, jobs_failing] = self.evidence.held();
         [
             ("machines_suspected", machines_suspected),
@@ -368,6 +388,7 @@
             ("book_jobs", self.jobs.len()),
             ("ending", self.ending.len()),
             ("machines", self.machines.len()),
+            ("deaf", self.machines.values().filter(|m| m.deaf).count()),
             ("returned", self.gone.len()),
             ("kinds", self.kinds.len()),
             ("classes", self.observed.len().max(self.arrivals.len())),
@@ -408,6 +429,8 @@
         let late = late.filter(|job| job.too_late(now.saturating_duration_since(job.since)));
         let needs = late.min_by_key(|job| job.since).map(JobState::cores_at_once);
         self.lane.bound(needs);
+        let waits = self.jobs.iter().filter(|(id, _)| !self.evidence.suspects(id)).map(|(_, job)| job).filter(waits);
+        self.large.bound(waits, self.properties.large_begin, now);
     }
 
     fn note(&mut self, id: &JobId, note: Note, now: Instant) {
--- a/src/scheduling/holds.rs
+++ b/src/scheduling/holds.rs
@@ -39,7 +39,7 @@
     if turns.is_empty() {
         return holds;
     }
-    turns.sort_by_key(|t| (t.rank, Reverse(t.age)));
+    turns.sort_by_key(|t| (Reverse(t.owed), t.rank, Reverse(t.age)));
     wishes::ahead_first(&mut turns);
     turns.truncate(MOST_HOLDERS);
     let ground = Ground::new(book, catalog);
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -4,9 +4,11 @@
 pub mod evidence;
 pub mod filler;
 pub mod forecast;
+pub mod hearing;
 pub mod holds;
 #[cfg(test)]
 mod interleavings;
+pub mod large;
 pub mod load;
 pub mod plan;
 pub mod preempt;
@@ -106,7 +108,7 @@
         }
     }
     // What fails everywhere is nobody's to serve.
-    let evidence = &book.evidence;
+    let (evidence, large) = (&book.evidence, &book.large);
     let left_out = |id| evidence.suspects(id) || book.wishes.not_yet.contains(id);
     let open = book.jobs().filter(|(id, job)| job.ended.is_none() && !job.complete() && !left_out(id));
     let open = open.map(|(_, job)| Open {
@@ -116,6 +118,7 @@
         run: job.agreement.run,
         waits: !job.waiting.is_empty(),
         untouched: job.untouched(),
+        large_waits: !job.waiting.is_empty() && !job.begun() && large.is(job.spec()),
     });
     let below = Account::below(account.look(open, now));
     book.set_below(below);
