--- a/scenarios/heat.rhai
+++ b/scenarios/heat.rhai
@@ -1,4 +1,4 @@
-// A rule is on at noon; its owner ends in the flood, the heir goes on. Readings contradict one another, one is too old.
+// A rule is on at noon; its owner ends in the flood, the heir goes on. Readings contradict one another.
 // Then it cools down, and the rule is off.
 sizes("heat.toml");
 let to = ["--config", "{config}"];
