--- a/src/declared/table.rs
+++ b/src/declared/table.rs
@@ -8,6 +8,7 @@
 
 use super::records::{Kind, MOST_BYTES};
 use super::{Acted, Declared, Names, Problem, View};
+use crate::heat;
 use crate::scheduling::wishes::Wishes;
 
 /// All kinds that this build carries out.
@@ -15,7 +16,8 @@
     // Calendar.
     Entry::of::<crate::calendar::Window>(),
     // Heat.
-
+    Entry::of::<heat::Rule>(),
+    Entry::of::<heat::Reading>(),
     // Rollouts.
 ];
 
