Rollouts on the real book; an owner stays the same under a raised token

Cause: a raised token looked like another owner, so that failures were counted again and every replica was in doubt until its machine had seen it. Change: Book::first_token; a machine that can be spared goes on with its replicas, which count (two of four on such machines were a deadlock). Tests: a rollout on the real book, who may not begin, two rollouts that share a job.

--- a/src/rollouts/look.rs
+++ b/src/rollouts/look.rs
@@ -24,7 +24,7 @@
         no_room: None,
         suspected,
         now_ms: view.now_ms,
-        epoch: view.epoch,
+        epoch: view.book.first_token,
     };
     seen.unfit = rival(name, spec, status, view);
     if !begun {
@@ -60,8 +60,9 @@
         if let Some(machine) = book.machines.get(&binding.machine) {
             (replica.type_name, replica.zone) = (machine.type_name.clone(), machine.zone.clone());
             replica.heard = machine.reported() && since(machine.heard) < suspect;
-            let stays = machine.standing == Standing::Up && machine.recall.is_none();
-            replica.sure = running && replica.heard && stays && machine.token >= view.epoch;
+            // One that can be spared goes on with what can't move.
+            let stays = machine.standing != Standing::Condemned && machine.recall.is_none();
+            replica.sure = running && replica.heard && stays && machine.token >= book.first_token;
         }
         Some((*index, replica))
     };
--- a/src/rollouts/seen.rs
+++ b/src/rollouts/seen.rs
@@ -26,7 +26,7 @@
     /// Its machine was heard of lately.
     pub heard: bool,
     /// Runs and will go on, for all that is known: its machine was heard of lately, is not to be taken
-    /// or left, and has seen this owner's token, so that no earlier owner's stop can arrive any more.
+    /// or returned, and has seen a token of this owner, so that no earlier owner's stop can arrive any more.
     pub sure: bool,
     /// Seconds for which this owner has known it running, and for which it has had its machine.
     pub ran_s: f64,
@@ -85,6 +85,6 @@
     pub suspected: BTreeSet<String>,
     /// Time of day, in ms since 1970.
     pub now_ms: u64,
-    /// The owner's token.
+    /// The token under which this owner began.
     pub epoch: u64,
 }
--- a/src/rollouts/tests/mod.rs
+++ b/src/rollouts/tests/mod.rs
@@ -1,5 +1,6 @@
 //! A rollout by cases; `model` plays them with failing controllers.
 
+mod book;
 mod model;
 
 use std::collections::BTreeSet;
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -236,6 +236,9 @@
 
 pub struct Book {
     pub token: u64,
+    /// The token under which it began. Under later ones the same owner goes on, which knows what it has
+    /// told under this one.
+    pub first_token: u64,
     pub loaded: bool,
     pub settings: Settings,
     pub properties: Properties,
@@ -315,6 +318,7 @@
     pub fn new(token: u64, settings: Settings, properties: Properties, now: Instant) -> Self {
         Self {
             token,
+            first_token: token,
             loaded: false,
             settings,
             properties,
@@ -399,8 +403,13 @@
     /// What late work has earned is bounded by what the oldest of it needs.
     pub fn bound_lane(&mut self, now: Instant) {
         let waits = |job: &&JobState| !job.waiting.is_empty() && job.ended.is_none() && !job.complete();
-        let late = self.jobs.iter().filter(|(id, job)| !self.evidence.suspects(id) && self.wishes.waiting(id, job) > 0);
-        let late = late.map(|(_, job)| job).filter(waits);
+        let late = self
+            .jobs
+            .iter()
+            .filter(|(id, _)| !self.evidence.suspects(id) && !self.wishes.not_yet.contains(*id))
+            .filter(|(id, job)| self.wishes.waiting(id, job) > 0)
+            .map(|(_, job)| job)
+            .filter(waits);
         let late = late.filter(|job| job.too_late(now.saturating_duration_since(job.since)));
         let needs = late.min_by_key(|job| job.since).map(JobState::cores_at_once);
         self.lane.bound(needs);
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -108,9 +108,10 @@
     }
     // What fails everywhere is nobody's to serve, nor are replicas that a rollout holds back.
     let (evidence, wishes) = (&book.evidence, &book.wishes);
-    let held = |id: &JobId| wishes.replicas.contains_key(id);
-    let open = book.jobs().filter(|(id, job)| job.ended.is_none() && !job.complete() && !evidence.suspects(id));
-    let open = open.filter(|(id, job)| !held(id) || wishes.waiting(id, job) > 0);
+    let left_out = |id| evidence.suspects(id) || wishes.not_yet.contains(id);
+    let open = book.jobs().filter(|(id, job)| job.ended.is_none() && !job.complete() && !left_out(id));
+    let held = |id: &JobId, job| wishes.replicas.contains_key(id) && wishes.waiting(id, job) == 0;
+    let open = open.filter(|(id, job)| !held(id, job));
     let open = open.map(|(_, job)| Open {
         spec: job.spec(),
         promises: &job.promises,
