--- a/src/rollouts/tests/book.rs
+++ b/src/rollouts/tests/book.rs
@@ -19,7 +19,7 @@
 use crate::rollouts::status::{Phase, Status};
 use crate::scheduling::book::{Book, Via};
 use crate::scheduling::plan;
-use crate::scheduling::wishes::Wishes;
+use crate::scheduling::wishes::{Replicas, Wishes};
 use crate::settings::Properties;
 use crate::settings::tests::example;
 use crate::wire::workers::{Leg, LegStatus, Report, TaskKey};
@@ -238,3 +238,34 @@
     bench.turn();
     assert_eq!((bench.status("a").phase, bench.status("b").phase), (Phase::Growing, Phase::Refused));
 }
+
+/// What is asked of one job's replicas, each by itself.
+#[test]
+fn replicas_stop_stay_and_are_not_placed() {
+    let mut bench = Bench::new();
+    bench.add(1, |job| (job.tasks, job.cpus) = (3, 3.0));
+    // Two fill the first machine.
+    assert_eq!(bench.turn().len(), 3);
+    for gone in ["m2", "m3"] {
+        bench.book.machine_gone(&gone.into(), bench.now);
+    }
+    bench.pass(1);
+    let ask = |stop: &[u32], stay| {
+        let of = Replicas { most: 3, stop: stop.iter().copied().collect(), stay, ahead: false };
+        Wishes { replicas: [("run-1".into(), of)].into(), ..Wishes::default() }
+    };
+    bench.book.set_wishes(ask(&[0], false));
+    bench.pass(100);
+    assert_eq!(bench.running(1), 2, "stopped, and only that one");
+    assert!(plan::place(&mut bench.book, &bench.catalog, bench.now).is_empty(), "and not placed again");
+    let moved =
+        |bench: &Bench| drain::choose(&bench.book, &bench.catalog, bench.now).iter().any(|d| !d.moves.is_empty());
+    assert!(moved(&bench), "the two others fit on one machine");
+    bench.book.set_wishes(ask(&[0], true));
+    assert!(!moved(&bench));
+    bench.book.set_wishes(ask(&[0, 1], true));
+    bench.pass(1);
+    bench.book.set_wishes(ask(&[0], true));
+    let placed = plan::place(&mut bench.book, &bench.catalog, bench.now);
+    assert_eq!(placed.iter().map(|p| p.task.index).collect::<Vec<_>>(), [1], "only the one that may");
+}
