--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use hollylanding_wire::jobs::JobId;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rhai::{Dynamic, Engine, EvalAltResult};
@@ -62,11 +63,20 @@
     DropLeases,
     StallWatches(Duration),
     ForgetLog,
+    /// Reports arrive, answers and commands do not.
+    Deaf(Many, Duration),
+    /// Copies of the reports of the last duration come again between the first and the second later.
+    LateCopies(Many, Duration, Duration, Duration),
+    /// Without the state service and the other controllers; workers and users still reach it.
+    Lone(Who, Duration),
     /// Ended without a word, and started again this much later.
     End(Who, Duration),
     Pause(Who, Duration),
     /// One after the other, so far apart.
     Roll(Duration),
+    Operator(Verb),
+    /// Somebody who is no user of the rehearsal is about to withdraw a job.
+    WillWithdraw(JobId),
     /// Breaks a rule on purpose: a running task is started on a second machine.
     StartTwice,
 }
@@ -76,18 +86,21 @@
     HoldsResult,
     JustPlaced,
     AcknowledgedOnly,
+    Election,
 }
 
-const CONDITIONS: [(&str, Condition); 3] = [
+const CONDITIONS: [(&str, Condition); 4] = [
     ("a machine holds a finished result", Condition::HoldsResult),
     ("the owner has just placed", Condition::JustPlaced),
     ("a write is acknowledged and not carried out", Condition::AcknowledgedOnly),
+    ("an election is under way", Condition::Election),
 ];
 
 #[derive(Debug, Clone, PartialEq)]
 pub enum Trigger {
     At(Duration),
-    When(Condition),
+    /// The first time that it is so, from this time on.
+    When(Condition, Duration),
 }
 
 /// Everything that is to go wrong, in the order in which it was written.
@@ -96,6 +109,25 @@
     pub steps: Vec<(Trigger, Fault)>,
     /// The file of sizes that the script asks for, beside it.
     pub sizes: Option<String>,
+    /// Users ask so many times as often.
+    pub often: f64,
+    /// Once nothing is wrong any more, every job is asked about for so long at the least.
+    pub quiet: Duration,
+    /// Jobs of services, and how many of their replicas together have to run.
+    pub capacity: Vec<(Vec<JobId>, usize)>,
+}
+
+/// A verb of the daemon's command line, as an operator runs it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Verb {
+    /// `{config}` stands for a settings file, `{spec}` for the file that `spec` is written to, `{file:NAME}` for a file
+    /// beside the scenario.
+    pub args: Vec<String>,
+    /// JSON; `{clock:S}` in it stands for the time of day S seconds after the beginning, `{time:S}` for the whole date.
+    pub spec: Option<String>,
+    /// The exit status and the words wanted; tried again for a while.
+    pub exit: i32,
+    pub says: String,
 }
 
 #[derive(Debug, thiserror::Error)]
@@ -159,6 +191,12 @@
     Ok(Fault::Link(of, link, passing, time))
 }
 
+fn condition(so: &str) -> Told<Condition> {
+    let names: Vec<&str> = CONDITIONS.iter().map(|(name, _)| *name).collect();
+    let known = CONDITIONS.iter().find(|(name, _)| *name == so);
+    known.map(|(_, condition)| *condition).ok_or_else(|| format!("{so:?} is none of: {}", names.join("; ")).into())
+}
+
 fn add(plan: &Mutex<Plan>, trigger: Trigger, fault: Fault) -> Told<()> {
     let mut plan = lock(plan);
     if plan.steps.len() >= MOST_STEPS {
@@ -190,6 +228,10 @@
         .register_fn("hang", |n: Dynamic, s: Dynamic| Told::Ok(Fault::Hang(many(&n)?, seconds(&s)?)))
         .register_fn("sick", |n: Dynamic, s: Dynamic| Told::Ok(Fault::Sick(many(&n)?, seconds(&s)?)))
         .register_fn("slow", |n: Dynamic, by: Dynamic| Told::Ok(Fault::Slow(many(&n)?, number(&by)?.max(1.0))))
+        .register_fn("deaf", |n: Dynamic, s: Dynamic| Told::Ok(Fault::Deaf(many(&n)?, seconds(&s)?)))
+        .register_fn("late_copies", |n: Dynamic, from: Dynamic, to: Dynamic, s: Dynamic| {
+            Told::Ok(Fault::LateCopies(many(&n)?, seconds(&from)?, seconds(&to)?, seconds(&s)?))
+        })
         .register_fn("drift", |n: Dynamic, by: Dynamic| Told::Ok(Fault::Drift(many(&n)?, number(&by)?)))
         .register_fn("start_twice", || Fault::StartTwice)
         .register_fn("boots", |how: &str| {
@@ -224,11 +266,33 @@
         .register_fn("delay", |of: Dynamic, link: &str, by: Dynamic, s: Dynamic| {
             link_fault(&of, link, Passing::Delayed(seconds(&by)?), &s)
         })
+        .register_fn("lone", |of: Dynamic, s: Dynamic| Told::Ok(Fault::Lone(who(&of)?, seconds(&s)?)))
         .register_fn("end", |of: Dynamic, s: Dynamic| Told::Ok(Fault::End(who(&of)?, seconds(&s)?)))
         .register_fn("pause", |of: Dynamic, s: Dynamic| Told::Ok(Fault::Pause(who(&of)?, seconds(&s)?)))
         .register_fn("roll", |every: Dynamic| seconds(&every).map(Fault::Roll));
 }
 
+fn verb(args: rhai::Array, spec: Option<String>) -> Told<Fault> {
+    let args: Result<Vec<String>, _> = args.into_iter().map(|arg| arg.into_string()).collect();
+    let args = args.map_err(|kind| format!("arguments are strings, and not {kind}"))?;
+    Ok(Fault::Operator(Verb { args, spec, exit: 0, says: String::new() }))
+}
+
+fn operators(engine: &mut Engine) {
+    engine
+        .register_fn("operator", |args: rhai::Array| verb(args, None))
+        .register_fn("operator", |args: rhai::Array, spec: rhai::Map| verb(args, Some(rhai::format_map_as_json(&spec))))
+        .register_fn("says", |words: &str, fault: Fault| match fault {
+            Fault::Operator(verb) => Told::Ok(Fault::Operator(Verb { says: words.into(), ..verb })),
+            other => Err(format!("{other:?} says nothing").into()),
+        })
+        .register_fn("exits", |status: i64, fault: Fault| match fault {
+            Fault::Operator(verb) => Told::Ok(Fault::Operator(Verb { exit: status as i32, ..verb })),
+            other => Err(format!("{other:?} has no exit status").into()),
+        })
+        .register_fn("will_withdraw", |job: &str| Fault::WillWithdraw(job.into()));
+}
+
 /// Reads a script; luck comes from the seed.
 pub fn read(script: &str, seed: u64) -> Result<Plan, ScriptError> {
     let plan = Arc::new(Mutex::new(Plan::default()));
@@ -236,15 +300,23 @@
     machine_faults(&mut engine);
     store_faults(&mut engine);
     controller_faults(&mut engine);
-    let (at, when, some_time, sizes) = (plan.clone(), plan.clone(), plan.clone(), plan.clone());
+    operators(&mut engine);
+    let (often, quiet, capacity) = (plan.clone(), plan.clone(), plan.clone());
+    engine
+        .register_fn("ask_often", move |times: Dynamic| number(&times).map(|times| lock(&often).often = times))
+        .register_fn("quiet", move |s: Dynamic| seconds(&s).map(|time| lock(&quiet).quiet = time))
+        .register_fn("capacity", move |old: &str, new: &str, least: i64| {
+            lock(&capacity).capacity.push((vec![old.into(), new.into()], usize::try_from(least).unwrap_or(0)));
+        });
+    let (at, when, then, some_time, sizes) = (plan.clone(), plan.clone(), plan.clone(), plan.clone(), plan.clone());
     let rng = Mutex::new(ChaCha8Rng::seed_from_u64(seed));
     engine
         .register_fn("at", move |s: Dynamic, fault: Fault| add(&at, Trigger::At(seconds(&s)?), fault))
         .register_fn("when", move |so: &str, fault: Fault| {
-            let known = CONDITIONS.iter().find(|(name, _)| *name == so);
-            let names: Vec<&str> = CONDITIONS.iter().map(|(name, _)| *name).collect();
-            let (_, condition) = known.ok_or_else(|| format!("{so:?} is none of: {}", names.join("; ")))?;
-            add(&when, Trigger::When(*condition), fault)
+            add(&when, Trigger::When(condition(so)?, Duration::ZERO), fault)
+        })
+        .register_fn("when", move |so: &str, from: Dynamic, fault: Fault| {
+            add(&then, Trigger::When(condition(so)?, seconds(&from)?), fault)
         })
         .register_fn("at_random", move |from: Dynamic, to: Dynamic, fault: Fault| {
             let (from, to) = (number(&from)?, number(&to)?);
@@ -271,7 +343,7 @@
     fn scripts_by_cases() {
         let s = Duration::from_secs;
         type Steps = Vec<(Trigger, Fault)>;
-        let rows: [(&str, Result<Steps, &str>); 9] = [
+        let rows: [(&str, Result<Steps, &str>); 12] = [
             (
                 "for n in 0..2 { at(10 + n, end(n, 3)) }",
                 Ok(vec![
@@ -282,10 +354,31 @@
             (
                 "when(\"the owner has just placed\", lose_machines(0.5));\nat(2, cut(\"owner\", \"store\", 9.0));",
                 Ok(vec![
-                    (Trigger::When(Condition::JustPlaced), Fault::LoseMachines(Many::Part(0.5))),
+                    (Trigger::When(Condition::JustPlaced, s(0)), Fault::LoseMachines(Many::Part(0.5))),
                     (Trigger::At(s(2)), Fault::Link(Who::Owner, Link::Store, Passing::Held, s(9))),
                 ]),
             ),
+            (
+                "when(\"an election is under way\", 9, end(1, 0.05)); at(1, late_copies(2, 1, 30, 9)); at(2, lone(1, 4))",
+                Ok(vec![
+                    (Trigger::When(Condition::Election, s(9)), Fault::End(Who::Number(1), Duration::from_millis(50))),
+                    (Trigger::At(s(1)), Fault::LateCopies(Many::Count(2), s(1), s(30), s(9))),
+                    (Trigger::At(s(2)), Fault::Lone(Who::Number(1), s(4))),
+                ]),
+            ),
+            (
+                "at(3, says(\"met\", exits(2, operator([\"declare\", \"{spec}\"], #{name: \"w\"}))))",
+                Ok(vec![(
+                    Trigger::At(s(3)),
+                    Fault::Operator(Verb {
+                        args: vec!["declare".into(), "{spec}".into()],
+                        spec: Some("{\"name\":\"w\"}".into()),
+                        exit: 2,
+                        says: "met".into(),
+                    }),
+                )]),
+            ),
+            ("at(1, says(\"met\", drop_leases()))", Err("says nothing")),
             ("\n\nat(1, hang(2, ))", Err("line 3")),
             ("at(1, cut(\"owner\", \"moon\", 9))", Err("\"moon\" is no link")),
             ("at(-1, drop_leases())", Err("is not between")),
