--- a/crates/emulator/src/rehearsal.rs
+++ b/crates/emulator/src/rehearsal.rs
@@ -424,6 +424,10 @@
                     self.world.kill(&machine);
                 }
             }
+            Fault::LoseZone(zone) => {
+                let lost: Vec<String> = self.world.with_fleet(|fleet, _| fleet.in_zone(zone).cloned().collect());
+                lost.iter().for_each(|machine| self.world.kill(machine));
+            }
             Fault::LoseHolder => {
                 let holder = self.world.with_fleet(|fleet, _| fleet.holders().next().cloned());
                 if let Some(machine) = holder {
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -39,6 +39,8 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Fault {
     LoseMachines(Many),
+    /// All machines of a zone vanish.
+    LoseZone(String),
     /// A machine that holds a finished result vanishes.
     LoseHolder,
     TakeSpot(f64),
@@ -223,6 +225,7 @@
     engine
         .register_type_with_name::<Fault>("Fault")
         .register_fn("lose_machines", |n: Dynamic| many(&n).map(Fault::LoseMachines))
+        .register_fn("lose_zone", |zone: &str| Fault::LoseZone(zone.into()))
         .register_fn("lose_holder", || Fault::LoseHolder)
         .register_fn("take_spot", |part: Dynamic| number(&part).map(Fault::TakeSpot))
         .register_fn("hang", |n: Dynamic, s: Dynamic| Told::Ok(Fault::Hang(many(&n)?, seconds(&s)?)))
--- a/crates/emulator/src/world/fleet.rs
+++ b/crates/emulator/src/world/fleet.rs
@@ -288,6 +288,10 @@
         }
     }
 
+    pub fn in_zone(&self, zone: &str) -> impl Iterator<Item = &String> {
+        self.workers.iter().filter(move |(_, worker)| worker.machine.zone == zone).map(|(name, _)| name)
+    }
+
     pub fn names(&self) -> impl Iterator<Item = &String> {
         self.workers.keys()
     }
--- a/src/rollouts/mod.rs
+++ b/src/rollouts/mod.rs
@@ -106,7 +106,8 @@
                 Err(Problem::new("wanted", "finished: its old job is withdrawn"))
             }
             "back" => said(Wanted::Back),
-            "finish" if status.phase == Phase::Done => {
+            // One that was told to go back may have begun to.
+            "finish" if status.phase == Phase::Done && spec.wanted != Wanted::Back => {
                 Ok(Acted { spec: spec.said(Wanted::Finish), withdraw: status.old.clone() })
             }
             "finish" => {
--- a/src/rollouts/tests/book.rs
+++ b/src/rollouts/tests/book.rs
@@ -183,7 +183,8 @@
     let blue: fn(&mut Bench) = |_| ();
     // The team's limit is 20 cores.
     let red: Change = |j| j.team = "red".into();
-    let cases: [(&str, Change, Value, fn(&mut Bench), Phase, &str); 8] = [
+    type Case = (&'static str, Change, Value, fn(&mut Bench), Phase, &'static str);
+    let cases: [Case; 8] = [
         ("good", |_| (), json!({}), blue, Phase::Growing, ""),
         ("no service", |j| j.shape = Shape::Array, json!({}), blue, Phase::Refused, "new: run-2 is no service"),
         ("too few", |j| j.tasks = 3, json!({}), blue, Phase::Refused, "replicas: 4 are asked, and run-2 has 3"),
