Rollouts: what a new owner has not heard of yet is not made up for, and a step holds on

Change: only what is known to be lost is made up for; a step that holds goes on holding while nothing is known to be wrong, and is over only once all its replicas have run for ready_s under this owner.

--- a/src/rollouts/look.rs
+++ b/src/rollouts/look.rs
@@ -62,6 +62,7 @@
             replica.heard = machine.reported() && since(machine.heard) < suspect;
             // One that can be spared goes on with what can't move.
             let stays = machine.standing != Standing::Condemned && machine.recall.is_none();
+            replica.leaving = !stays;
             replica.sure = running && replica.heard && stays && machine.token >= book.first_token;
         }
         Some((*index, replica))
--- a/src/rollouts/seen.rs
+++ b/src/rollouts/seen.rs
@@ -25,6 +25,8 @@
     pub stopping: bool,
     /// Its machine was heard of lately.
     pub heard: bool,
+    /// Its machine is to be taken or returned.
+    pub leaving: bool,
     /// Runs and will go on, for all that is known: its machine was heard of lately, is not to be taken
     /// or returned, and has seen a token of this owner, so that no earlier owner's stop can arrive any more.
     pub sure: bool,
@@ -33,6 +35,13 @@
     pub bound_s: f64,
 }
 
+impl Replica {
+    /// Runs, or may for all that is known: a new owner has heard of nothing yet.
+    pub fn may_run(&self) -> bool {
+        !self.stopping && !self.leaving && (self.running || !self.heard)
+    }
+}
+
 /// One of the two jobs.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Side {
@@ -53,6 +62,11 @@
         self.running_for(may, 0.0)
     }
 
+    /// Those of the allowed replicas that are not known to be lost.
+    pub fn not_lost(&self, may: &BTreeSet<u32>) -> usize {
+        self.replicas.iter().filter(|(i, r)| may.contains(i) && r.may_run()).count()
+    }
+
     /// Those that have counted for so many seconds.
     pub fn running_for(&self, may: &BTreeSet<u32>, seconds: f64) -> BTreeSet<u32> {
         if self.known == Known::Over {
--- a/src/rollouts/step.rs
+++ b/src/rollouts/step.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeSet;
 
 use super::against::Verdict;
-use super::seen::{Known, Seen};
+use super::seen::{Known, Replica, Seen};
 use super::spec::{Spec, Wanted};
 use super::status::{Against, Phase, Status};
 
@@ -159,9 +159,11 @@
         if serving >= floor || self.seen.old.known == Known::Over {
             return serving < floor;
         }
-        let may = self.may_old();
-        let coming = may.len() - self.seen.old.live(&may).len();
-        for _ in coming..floor - serving {
+        let (may, old, new) = (self.may_old(), &self.seen.old, &self.seen.new);
+        // What is not known to be lost is not made up for: a new owner would bring back old ones each time.
+        let left = old.not_lost(&may);
+        let coming = may.len() - left;
+        for _ in coming..floor.saturating_sub(left + new.not_lost(&self.status.may_new.0)) {
             self.unmark_old();
         }
         true
@@ -297,7 +299,11 @@
         let (spec, seen) = (self.spec, self.seen);
         let settled = self.settled_new();
         let may_old = self.may_old();
-        if settled.len() < target as usize || self.status.may_new.0.len() > target as usize {
+        // To a new owner all of them are unknown at first: that is no reason to hold anew.
+        let may_run = |i: &u32| seen.new.replicas.get(i).is_some_and(Replica::may_run);
+        let held = self.status.phase == Phase::Holding && self.status.may_new.0.iter().all(may_run);
+        let runs = if held { self.status.may_new.0.len() } else { settled.len() };
+        if runs < target as usize || self.status.may_new.0.len() > target as usize {
             let missing = self.status.may_new.0.difference(&settled).map(|i| seen.new.replicas.get(i));
             let missing: Vec<_> = missing.collect();
             let fetching = missing.iter().any(Option::is_some) && missing.iter().flatten().all(|r| !r.running);
@@ -314,7 +320,7 @@
             return self.be(Phase::Holding, why);
         }
         let held_s = seen.now_ms.saturating_sub(self.status.since_ms) as f64 / 1000.0;
-        if held_s >= spec.hold_s {
+        if held_s >= spec.hold_s && settled.len() >= target as usize {
             if self.status.step >= last {
                 return self.be(Phase::Done, why);
             }
@@ -333,10 +339,8 @@
         }
         self.be(Phase::GoingBack, why);
         let new_over = seen.new.known == Known::Over;
-        self.status
-            .may_new
-            .0
-            .retain(|i| !new_over && seen.new.replicas.get(i).is_some_and(|r| !r.stopping && (r.running || !r.heard)));
+        let may_run = |i: &u32| seen.new.replicas.get(i).is_some_and(Replica::may_run);
+        self.status.may_new.0.retain(|i| !new_over && may_run(i));
         self.grow_old(spec.replicas as usize);
         let floor = floor(spec, &self.status, seen);
         let settled = seen.old.running_for(&self.may_old(), spec.ready_s());
--- a/src/rollouts/tests/mod.rs
+++ b/src/rollouts/tests/mod.rs
@@ -61,7 +61,7 @@
     const NONE: Replicas = &[];
     const THREE: Replicas = &[(0, "a", 900.0), (1, "b", 900.0), (2, "a", 900.0)];
     const TWO: Replicas = &[(0, "a", 900.0), (1, "b", 900.0)];
-    let cases: [Case; 36] = [
+    let cases: [Case; 37] = [
         ("it begins", (Planned, 0, &[], &[]), (&OLD, NONE), |_, _, _| (), (Growing, &[], &[])),
         (
             "the new job is not there",
@@ -150,6 +150,18 @@
             |_, s, _| s.now_ms += 10_000,
             (Growing, &[3], &[0]),
         ),
+        (
+            "it holds on under a new owner, which has heard of nothing yet",
+            (Holding, 0, &[3], &[0]),
+            (THREE, &[(0, "a", 20.0)]),
+            |_, s, _| {
+                let new = s.new.replicas.get_mut(&0).unwrap();
+                (new.heard, new.running, new.sure) = (false, false, false);
+                s.old.replicas.values_mut().for_each(|r| (r.heard, r.running, r.sure) = (false, false, false));
+                s.now_ms += 10_000;
+            },
+            (Holding, &[3], &[0]),
+        ),
         (
             "a clock was set back",
             (Holding, 0, &[3], &[0]),
--- a/src/rollouts/tests/model.rs
+++ b/src/rollouts/tests/model.rs
@@ -405,6 +405,7 @@
                     running,
                     stopping: h.stopping,
                     heard,
+                    leaving: false,
                     sure: heard && running && h.token >= owner.epoch,
                     ran_s: h.running_since.map_or(0.0, |at| (self.now - at) as f64),
                     bound_s: (self.now - h.since) as f64,
