--- a/src/declared/table.rs
+++ b/src/declared/table.rs
@@ -19,6 +19,7 @@
     Entry::of::<heat::Rule>(),
     Entry::of::<heat::Reading>(),
     // Rollouts.
+    Entry::of::<crate::rollouts::Rollout>(),
 ];
 
 /// A status that is to be stored, and what it was worked out from.
--- /dev/null
+++ b/src/rollouts/tests/book.rs
@@ -0,0 +1,282 @@
+//! A rollout on the real book: what its wishes change of placing, renting, stopping and sparing.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use crate::declared::records::{spec_key, status_key};
+use crate::declared::{Declared, Kind, Shelf, View};
+use crate::fleet::drain;
+use crate::fleet::rent::{self, Refusals};
+use crate::jobs::record::{JobRecord, time_of_day_ms};
+use crate::jobs::tests::spec as job_spec;
+use crate::jobs::{JobSpec, Shape};
+use crate::kinds::tests::machine_type;
+use crate::kinds::{Catalog, MachineType};
+use crate::rollouts::Rollout;
+use crate::rollouts::status::{Phase, Status};
+use crate::scheduling::book::{Book, Via};
+use crate::scheduling::plan;
+use crate::scheduling::wishes::{Replicas, Wishes};
+use crate::settings::Properties;
+use crate::settings::tests::example;
+use crate::wire::workers::{Leg, LegStatus, Report, TaskKey};
+
+struct Bench {
+    book: Book,
+    shelf: Shelf,
+    catalog: Catalog,
+    now: Instant,
+    seq: u64,
+    stamp: u64,
+}
+
+impl Bench {
+    /// Machines of 8 cores, m0 to m3, in two zones; services of 4 replicas that take 2 cores each.
+    fn new() -> Self {
+        let of = MachineType { zones: vec!["a".into(), "b".into()], ..machine_type("c8", 8.0, 0.0, 1.0) };
+        let now = Instant::now();
+        let mut book = Book::new(7, example(), Properties::default(), now);
+        book.loaded = true;
+        let mut bench =
+            Self { book, shelf: Shelf::default(), catalog: Catalog { types: vec![of] }, now, seq: 0, stamp: 0 };
+        bench.report();
+        bench
+    }
+
+    fn add(&mut self, n: u32, change: impl FnOnce(&mut JobSpec)) {
+        let mut job =
+            JobSpec { id: format!("run-{n}").into(), shape: Shape::Service, tasks: 4, cpus: 2.0, ..job_spec() };
+        (job.estimate_s, job.checkpoint_s, job.team) = (5000.0, 10.0, "blue".into());
+        change(&mut job);
+        self.book.add_job(Arc::new(JobRecord { spec: job, at_ms: time_of_day_ms() }), self.now);
+    }
+
+    fn put(&mut self, path: &str, value: Value) {
+        self.stamp += 1;
+        assert!(self.shelf.put(path, &value, self.stamp));
+    }
+
+    fn declare(&mut self, name: &str, change: Value) {
+        let mut spec = json!({"old": "run-1", "new": "run-2", "replicas": 4, "hold_s": 5, "surge": 1});
+        spec.as_object_mut().unwrap().extend(change.as_object().unwrap().clone());
+        self.put(&spec_key(Kind::Rollout, name), spec);
+    }
+
+    /// All machines say that what is bound to them runs, but what was told to stop, which is gone.
+    fn report(&mut self) {
+        self.seq += 1;
+        for n in 0..4 {
+            let id = format!("m{n}");
+            let bound = self.book.machines.get(id.as_str()).map(|m| m.bound.clone()).unwrap_or_default();
+            let runs = |key: &TaskKey| {
+                let job = self.book.job(&key.job).unwrap();
+                let attempt = job.tasks[key.index as usize].attempt;
+                let stops = job.binding(key.index).unwrap().halting.is_some();
+                let leg = Leg { task: key.clone(), attempt, status: LegStatus::Running, cause: None, saved: None };
+                (!stops).then_some(leg)
+            };
+            let report = Report {
+                machine: id,
+                addr: "127.0.0.1:9".into(),
+                type_name: "c8".into(),
+                zone: ["a", "b"][n % 2].into(),
+                spot: false,
+                session: 1,
+                seq: self.seq,
+                token: 7,
+                notice_s: None,
+                legs: bound.iter().filter_map(runs).collect(),
+            };
+            self.book.take_report(report, Via::Report, Some(&self.catalog), self.now);
+        }
+    }
+
+    fn with_view<T>(&self, f: impl FnOnce(&View) -> T) -> T {
+        let (book, shelf, now) = (&self.book, &self.shelf, self.now);
+        let now_ms = 1_000_000 + (now - self.book.machines["m0"].since).as_millis() as u64;
+        f(&View {
+            book,
+            ended: &|_| None,
+            shelf,
+            now,
+            now_ms,
+            epoch: 7,
+            settings: &book.settings,
+            round: Default::default(),
+            unknown: Default::default(),
+        })
+    }
+
+    /// Wishes by what is stored, then the next statuses, as the owner's task does; then a plan.
+    fn turn(&mut self) -> Vec<String> {
+        let names: Vec<String> = self.shelf.names(Kind::Rollout).map(str::to_owned).collect();
+        let mut wishes = Wishes::default();
+        let next: Vec<(String, Option<Status>)> = self.with_view(|view| {
+            let of = |name: &String| {
+                let (spec, _) = view.shelf.spec::<Rollout>(name).unwrap();
+                let status = view.shelf.status::<Rollout>(name).map(|(s, _)| s).unwrap_or_default();
+                Rollout::wish(name, &spec, &status, view, &mut wishes);
+                (name.clone(), Rollout::step(name, &spec, &status, view))
+            };
+            names.iter().map(of).collect()
+        });
+        self.book.set_wishes(wishes);
+        for (name, status) in next {
+            if let Some(status) = status {
+                self.put(&status_key(Kind::Rollout, &name), serde_json::to_value(status).unwrap());
+            }
+        }
+        let placed = plan::place(&mut self.book, &self.catalog, self.now);
+        let names = placed.iter().map(|p| format!("{}/{}", p.task.job, p.task.index)).collect();
+        self.book.bind_all(placed, self.now);
+        names
+    }
+
+    fn status(&self, name: &str) -> Status {
+        self.shelf.status::<Rollout>(name).unwrap().0
+    }
+
+    fn running(&self, n: u32) -> u64 {
+        self.book.counts(&format!("run-{n}").as_str().into()).running
+    }
+
+    fn pass(&mut self, seconds: u64) {
+        self.now += Duration::from_secs(seconds);
+        self.report();
+    }
+}
+
+/// From nothing of the new version to nothing of the old one, with no fewer than four at any moment.
+#[test]
+fn a_rollout_on_the_book() {
+    let mut bench = Bench::new();
+    bench.add(1, |_| ());
+    assert_eq!(bench.turn().len(), 4);
+    bench.declare("r", json!({"steps": [1, 0.5]}));
+    // Submitted after it was declared: nothing of it is placed, and nothing rented, before its step.
+    bench.add(2, |_| ());
+    assert!(bench.turn().is_empty());
+    let refusals = Refusals::default();
+    assert!(rent::plan(&bench.book, &bench.catalog, &refusals, &HashMap::new(), bench.now).is_empty());
+    let mut phases = Vec::new();
+    for _ in 0..120 {
+        bench.pass(1);
+        bench.turn();
+        let phase = bench.status("r").phase;
+        if phases.last() != Some(&phase) {
+            phases.push(phase);
+        }
+        let (old, new) = (bench.running(1), bench.running(2));
+        assert!(old + new >= 4 && old + new <= 5, "{old} and {new} run, {phase:?}");
+        // What a rollout moves is not moved to spare a machine as well.
+        let moved = drain::choose(&bench.book, &bench.catalog, bench.now);
+        assert!(phase == Phase::Done || moved.iter().all(|d| d.moves.is_empty()), "{moved:?}");
+    }
+    assert_eq!((bench.running(1), bench.running(2)), (0, 4), "{phases:?}");
+    assert_eq!(phases.last(), Some(&Phase::Done));
+    assert!(bench.book.has_job(&"run-1".into()), "held at no replicas, and known");
+    // Withdrawn as its user would, and removed: the new job is as any other.
+    bench.book.end_job(&"run-1".into(), None, bench.now);
+    bench.pass(1);
+    assert!(bench.turn().is_empty());
+    bench.shelf.drop_key(&spec_key(Kind::Rollout, "r"), 1000);
+    assert!(bench.turn().is_empty() && bench.book.wishes.is_empty());
+}
+
+/// Refused, or kept from beginning, by what the book says of the jobs and the team.
+#[test]
+fn who_may_not_begin_by_cases() {
+    type Change = fn(&mut JobSpec);
+    let blue: fn(&mut Bench) = |_| ();
+    // The team's limit is 20 cores.
+    let red: Change = |j| j.team = "red".into();
+    type Case = (&'static str, Change, Value, fn(&mut Bench), Phase, &'static str);
+    let cases: [Case; 8] = [
+        ("good", |_| (), json!({}), blue, Phase::Growing, ""),
+        ("no service", |j| j.shape = Shape::Array, json!({}), blue, Phase::Refused, "new: run-2 is no service"),
+        ("too few", |j| j.tasks = 3, json!({}), blue, Phase::Refused, "replicas: 4 are asked, and run-2 has 3"),
+        ("too many", |j| j.tasks = 600, json!({}), blue, Phase::Refused, "new: run-2 has 600 replicas"),
+        ("room in the limit", red, json!({"surge": 2}), blue, Phase::Growing, ""),
+        (
+            "larger ones",
+            |j| (j.team, j.cpus) = ("red".into(), 5.0),
+            json!({}),
+            blue,
+            Phase::Planned,
+            "surge: 1 more than 4",
+        ),
+        ("not there", |_| (), json!({"new": "run-9"}), blue, Phase::Planned, "waits for run-9"),
+        (
+            "a job of another's",
+            |_| (),
+            json!({}),
+            |bench| bench.declare("a", json!({"old": "run-2", "new": "run-3"})),
+            Phase::Refused,
+            "rollout a has one of its jobs",
+        ),
+    ];
+    for (name, change, with, before, want, why) in cases {
+        let mut bench = Bench::new();
+        bench.add(1, |job| job.team = "red".into());
+        bench.add(2, change);
+        before(&mut bench);
+        bench.declare("r", with);
+        bench.turn();
+        let status = bench.status("r");
+        assert!(status.phase == want && status.why.contains(why), "{name}: {:?} {}", status.phase, status.why);
+    }
+}
+
+/// Whatever order they are heard of in, one of two that share a job goes on; who has begun keeps it.
+#[test]
+fn two_rollouts_that_share_a_job() {
+    let mut bench = Bench::new();
+    (1..4).for_each(|n| bench.add(n, |_| ()));
+    bench.declare("b", json!({}));
+    bench.turn();
+    bench.declare("a", json!({"old": "run-2", "new": "run-3"}));
+    // The operator's word makes the one that has begun the later one to be written.
+    bench.declare("b", json!({"wanted": "paused", "word": 1}));
+    bench.turn();
+    bench.turn();
+    assert_eq!((bench.status("a").phase, bench.status("b").phase), (Phase::Refused, Phase::Paused));
+    // Both begun, each before the other was heard of.
+    let begun = json!({"phase": "growing", "old": "run-2", "new": "run-3"});
+    bench.put(&status_key(Kind::Rollout, "a"), begun);
+    bench.turn();
+    assert_eq!((bench.status("a").phase, bench.status("b").phase), (Phase::Growing, Phase::Refused));
+}
+
+/// What is asked of one job's replicas, each by itself.
+#[test]
+fn replicas_stop_stay_and_are_not_placed() {
+    let mut bench = Bench::new();
+    bench.add(1, |job| (job.tasks, job.cpus) = (3, 3.0));
+    // Two fill the first machine.
+    assert_eq!(bench.turn().len(), 3);
+    for gone in ["m2", "m3"] {
+        bench.book.machine_gone(&gone.into(), bench.now);
+    }
+    bench.pass(1);
+    let ask = |stop: &[u32], stay| {
+        let of = Replicas { most: 3, stop: stop.iter().copied().collect(), stay, ahead: false };
+        Wishes { replicas: [("run-1".into(), of)].into(), ..Wishes::default() }
+    };
+    bench.book.set_wishes(ask(&[0], false));
+    bench.pass(100);
+    assert_eq!(bench.running(1), 2, "stopped, and only that one");
+    assert!(plan::place(&mut bench.book, &bench.catalog, bench.now).is_empty(), "and not placed again");
+    let moved =
+        |bench: &Bench| drain::choose(&bench.book, &bench.catalog, bench.now).iter().any(|d| !d.moves.is_empty());
+    assert!(moved(&bench), "the two others fit on one machine");
+    bench.book.set_wishes(ask(&[0], true));
+    assert!(!moved(&bench));
+    bench.book.set_wishes(ask(&[0, 1], true));
+    bench.pass(1);
+    bench.book.set_wishes(ask(&[0], true));
+    let placed = plan::place(&mut bench.book, &bench.catalog, bench.now);
+    assert_eq!(placed.iter().map(|p| p.task.index).collect::<Vec<_>>(), [1], "only the one that may");
+}
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -253,8 +253,9 @@
 
 pub struct Book {
     pub token: u64,
-    /// The token it began with: a worker that has seen it has heard this owner.
-    epoch: u64,
+    /// The token under which it began. Under later ones the same owner goes on, which knows what it has
+    /// told under this one.
+    pub first_token: u64,
     pub loaded: bool,
     pub settings: Settings,
     pub properties: Properties,
@@ -338,7 +339,7 @@
     pub fn new(token: u64, settings: Settings, properties: Properties, now: Instant) -> Self {
         Self {
             token,
-            epoch: token,
+            first_token: token,
             loaded: false,
             settings,
             jobs: HashMap::default(),
@@ -430,6 +431,7 @@
             .jobs
             .iter()
             .filter(|(id, _)| !self.evidence.suspects(id) && !self.wishes.not_yet.contains(*id))
+            .filter(|(id, job)| self.wishes.waiting(id, job) > 0)
             .map(|(_, job)| job)
             .filter(waits);
         let late = late.filter(|job| job.too_late(now.saturating_duration_since(job.since)));
--- a/src/scheduling/book/reports.rs
+++ b/src/scheduling/book/reports.rs
@@ -46,7 +46,7 @@
         machine.heard = now;
         machine.hearing.heard_of(&report, via, self.settings.params.workers.lease(), now);
         // It was made after the worker had heard this owner, so it is no copy of before.
-        if report.token >= self.epoch && !std::mem::replace(&mut machine.known, true) {
+        if report.token >= self.first_token && !std::mem::replace(&mut machine.known, true) {
             self.stirred = true;
         }
         machine.addr = Some(report.addr);
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -27,6 +27,7 @@
 use served::{Account, Open, Row};
 
 use crate::calendar::due::{Due, due};
+use crate::jobs::JobId;
 use crate::node::Node;
 use crate::sync::lock;
 
@@ -109,10 +110,12 @@
             account.note(note, job.spec(), &job.promises, at.saturating_duration_since(job.since), at);
         }
     }
-    // What fails everywhere is nobody's to serve.
-    let (evidence, large) = (&book.evidence, &book.large);
-    let left_out = |id| evidence.suspects(id) || book.wishes.not_yet.contains(id);
+    // What fails everywhere is nobody's to serve, nor are replicas that a rollout holds back.
+    let (evidence, large, wishes) = (&book.evidence, &book.large, &book.wishes);
+    let left_out = |id| evidence.suspects(id) || wishes.not_yet.contains(id);
     let open = book.jobs().filter(|(id, job)| job.ended.is_none() && !job.complete() && !left_out(id));
+    let held = |id: &JobId, job| wishes.replicas.contains_key(id) && wishes.waiting(id, job) == 0;
+    let open = open.filter(|(id, job)| !held(id, job));
     let open = open.map(|(_, job)| Open {
         spec: job.spec(),
         promises: &job.promises,
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -14,7 +14,7 @@
 use super::filler::{self, Filler};
 use super::room::{Ground, Room, Zones, usable, usable_until_left};
 use super::served::floor::Rank;
-use super::wishes;
+use super::wishes::{self, Wishes};
 use crate::jobs::{JobId, JobSpec};
 use crate::kinds::Catalog;
 use crate::sla;
@@ -65,6 +65,7 @@
     let mut turns: Vec<Turn> = book
         .jobs()
         .filter(|(_, job)| !job.waiting.is_empty() && job.ended.is_none() && !job.complete() && now >= job.not_before)
+        .filter(|(id, job)| book.wishes.waiting(id, job) > 0)
         .filter(|(_, job)| !job.spec().is_gang() || job.bound.is_empty())
         .filter(|(id, _)| !book.wishes.not_yet.contains(*id))
         .map(|(id, job)| {
@@ -74,7 +75,7 @@
                 id,
                 job,
                 guaranteed: within_guarantee(book, job.spec()),
-                rank: Rank::of(book.below.first.has(job.spec()), late, job.spec().is_idle()),
+                rank: Rank::of(book.below.first.has(job.spec()) || book.wishes.short(id), late, job.spec().is_idle()),
                 late,
                 owed: false,
                 suspected: book.evidence.suspects(id),
@@ -331,6 +332,7 @@
 pub struct Plan<'a> {
     book: &'a Book,
     evidence: &'a Evidence,
+    wishes: &'a Wishes,
     ground: Ground<'a>,
     rooms: Vec<Room<'a>>,
     unfit: Vec<Unfit<'a>>,
@@ -364,6 +366,7 @@
         Self {
             book,
             evidence: &book.evidence,
+            wishes: &book.wishes,
             giving,
             sought,
             ground,
@@ -427,7 +430,9 @@
         let tasks = if spec.is_gang() { job.waiting.len() } else { 1 };
         let filler = spec.is_idle().then(|| self.wanted.clone());
         let mut demand = Demand::new(turn, self.evidence, filler, open, self.sought.clone(), self.now);
-        demand.apt_only = !spec.is_idle() && self.gives_way(spec, &demand.open, job.waiting.len() as u64);
+        demand.held_back.extend(self.wishes.stopped(turn.id));
+        let waiting = self.wishes.waiting(turn.id, job);
+        demand.apt_only = !spec.is_idle() && self.gives_way(spec, &demand.open, waiting as u64);
         if turn.ahead {
             demand.passes = wishes::holders(self.book, |other, ahead| !ahead && other <= spec.urgency);
         } else if demand.pressed {
@@ -448,7 +453,7 @@
         } else {
             self.fill(&demand, &mut zones, most, None)
         };
-        let short = if spec.is_gang() { placed.is_empty() } else { placed.len() < most.min(job.waiting.len()) };
+        let short = if spec.is_gang() { placed.is_empty() } else { placed.len() < most.min(waiting) };
         if short {
             self.note_waits(spec, &demand.open, turn.suspected);
         }
@@ -653,7 +658,7 @@
         } else {
             // Few teams have limits; counting up to the limit is cheap next to placing.
             let mut n = 0;
-            while n < most.min(job.waiting.len()) && quotas.allows(spec, (n + 1) as f64) {
+            while n < most.min(book.wishes.waiting(turn.id, job)) && quotas.allows(spec, (n + 1) as f64) {
                 n += 1;
             }
             most = n;
