--- a/src/calendar/mod.rs
+++ b/src/calendar/mod.rs
@@ -4,7 +4,6 @@
 //! Jobs come from users alone: nothing here submits, withdraws or ends one.
 
 mod declare;
-pub mod due;
 mod round;
 mod spec;
 mod status;
--- a/src/history/sweep.rs
+++ b/src/history/sweep.rs
@@ -11,7 +11,8 @@
 
 use super::ends::Ends;
 use super::moves::{Place, place_of};
-use crate::node::Node;
+use super::reader::History;
+use crate::store::StateClient;
 use crate::store::budget::Urgent;
 use crate::sync::jitter;
 
@@ -65,27 +66,27 @@
 pub const COST: f64 = 2.0;
 
 /// Reads whenever it is wanted, one page at a time, ahead of comparisons: it answers more.
-pub async fn run(node: Arc<Node>) {
+pub async fn run(history: Arc<History>, store: Arc<StateClient>) {
     loop {
-        let since = match node.history.sweep(|sweep| sweep.next(Instant::now()).map(|s| s.map(str::to_owned))) {
+        let since = match history.sweep(|sweep| sweep.next(Instant::now()).map(|s| s.map(str::to_owned))) {
             Some(since) => since,
             None => {
-                node.history.sweep_wanted().await;
+                history.sweep_wanted().await;
                 continue;
             }
         };
-        let page = node.store.names(ENDED, since.as_deref(), PAGE, Urgent::Second);
-        let (page, ()) = tokio::join!(page, tokio::time::sleep(node.store.time_for(COST)));
+        let page = store.names(ENDED, since.as_deref(), PAGE, Urgent::Second);
+        let (page, ()) = tokio::join!(page, tokio::time::sleep(store.time_for(COST)));
         match page {
             Ok((names, more)) => {
                 let ends = names.iter().filter_map(|name| match place_of(name)? {
                     (id, Place::Ended(end)) => Some((id, end)),
                     _ => None,
                 });
-                node.history.note_ends(ends);
-                let over = node.history.sweep(|sweep| sweep.took(names.last().cloned(), more, Instant::now()));
+                history.note_ends(ends);
+                let over = history.sweep(|sweep| sweep.took(names.last().cloned(), more, Instant::now()));
                 if over {
-                    let [at_hand, ..] = node.history.held();
+                    let [at_hand, ..] = history.held();
                     info!(at_hand, "read how jobs ended, since many are asked about");
                 }
             }
--- a/src/node.rs
+++ b/src/node.rs
@@ -62,11 +62,11 @@
     pub incarnation: String,
     pub http: Http,
     pub traffic: Arc<Traffic>,
-    pub store: StateClient,
+    pub store: Arc<StateClient>,
     pub cloud: CloudClient,
     pub mirror: Mutex<Mirror>,
     pub fresh: Fresh,
-    pub history: History,
+    pub history: Arc<History>,
     pub audit: Mutex<Audit>,
     pub catalog: Mutex<Option<Arc<Catalog>>>,
     /// The book of tasks and machines, while this controller owns them.
@@ -108,7 +108,7 @@
         };
         let (requests, writes) = (make(REQUESTS, limits.rps), make(WRITES, limits.write_rps));
         let state = settings.endpoints.state.clone();
-        let store = StateClient::new(http.clone(), state, requests, writes, traffic.clone());
+        let store = Arc::new(StateClient::new(http.clone(), state, requests, writes, traffic.clone()));
         let cloud = CloudClient::new(http.clone(), &settings, traffic.clone(), now);
         Arc::new(Self {
             incarnation: format!("{:016x}", rand::random::<u64>()),
@@ -118,7 +118,7 @@
             cloud,
             mirror: Mutex::default(),
             fresh: Fresh::default(),
-            history: History::new(&settings),
+            history: Arc::new(History::new(&settings)),
             audit: Mutex::default(),
             catalog: Mutex::default(),
             book: Mutex::default(),
@@ -142,7 +142,7 @@
         tokio::spawn(follow::run(self.clone()));
         tokio::spawn(follow::run_fresh(self.clone()));
         tokio::spawn(reader::run(self.clone()));
-        tokio::spawn(sweep::run(self.clone()));
+        tokio::spawn(sweep::run(self.history.clone(), self.store.clone()));
         tokio::spawn(audit::run(self.clone()));
         tokio::spawn(membership::run(self.clone()));
         tokio::spawn(mesh::listen(self.clone()));
@@ -323,10 +323,15 @@
     pub fn refresh_wishes(&self, now: Instant) {
         let (mirror, mut held) = (lock(&self.mirror), lock(&self.book));
         if let Some(book) = held.as_mut().filter(|b| b.wishes_due) {
-            driver::refresh(KINDS, book, mirror.shelf(), &|id| self.history.ended(id), now, time_of_day_ms());
+            self.wishes_of(book, &mirror, now);
         }
     }
 
+    /// What is declared asks of this book, by what is stored; to be called before anything is placed by it.
+    pub fn wishes_of(&self, book: &mut Book, mirror: &Mirror, now: Instant) {
+        driver::refresh(KINDS, book, mirror.shelf(), &|id| self.history.ended(id), now, time_of_day_ms());
+    }
+
     /// Compares the book's token with the assignment as mirrored.
     pub fn check_deposed(&self) {
         let newer =
--- a/src/calendar/due.rs
+++ b/src/scheduling/due.rs
@@ -3,8 +3,8 @@
 
 use std::time::{Duration, Instant};
 
+use super::Book;
 use crate::jobs::JobId;
-use crate::scheduling::Book;
 
 /// The open ones of them, bounded however many there are.
 #[derive(Debug, Clone, PartialEq, Default)]
--- a/src/scheduling/load.rs
+++ b/src/scheduling/load.rs
@@ -8,11 +8,9 @@
 use tokio::task::JoinSet;
 use tracing::{error, info};
 
-use crate::declared::driver;
-use crate::declared::table::KINDS;
 use crate::fleet::orders::{CloudOrder, ORDERS};
 use crate::jobs::record::{
-    DONE, JobRecord, Stored, TASKS, decode_chunk, ended_key, ended_keys, old_job_key, parse_chunk_key, time_of_day_ms,
+    DONE, JobRecord, Stored, TASKS, decode_chunk, ended_key, ended_keys, old_job_key, parse_chunk_key,
 };
 use crate::jobs::{End, JobId};
 use crate::node::Node;
@@ -94,7 +92,7 @@
         book.inherit_orders(orders, now);
         book.finish_load(now);
         // Before anything else is decided.
-        driver::refresh(KINDS, book, mirror.shelf(), &|id| node.history.ended(id), now, time_of_day_ms());
+        node.wishes_of(book, &mirror, now);
         let (jobs, machines) = (book.job_count(), book.machines.len());
         info!(
             jobs,
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -1,6 +1,7 @@
 //! Which task runs where: the owner's book, the decisions taken on it, and their loop.
 
 pub mod book;
+pub mod due;
 pub mod evidence;
 pub mod filler;
 pub mod forecast;
@@ -26,10 +27,10 @@
 pub use book::Book;
 use served::{Account, Open, Row};
 
-use crate::calendar::due::{Due, due};
 use crate::jobs::JobId;
 use crate::node::Node;
 use crate::sync::lock;
+use due::{Due, due};
 
 /// Placement follows events; this bounds how often, so that a burst is planned as one.
 const GAP: Duration = Duration::from_millis(60);
