Vents are passed over once they wait for longer than a takeover; up names the verbs' settings

Change: the judge counts from 10 s of waiting. The table's row still finds vents that wait for a minute.

--- a/crates/emulator/src/judge.rs
+++ b/crates/emulator/src/judge.rs
@@ -78,6 +78,10 @@
     Vents,
 }
 
+/// Vents are passed over once they have waited for longer than a takeover, a place and a start told take: what
+/// begins sooner had its place before them.
+const PASSED_AFTER: Duration = Duration::from_secs(10);
+
 impl Rule {
     pub const ALL: [Self; 13] = [
         Self::RanTwice,
@@ -338,7 +342,8 @@
             self.find(Rule::RanCancelled, at, &task.job, what);
         }
         if let Some(spec) = spec {
-            let waits = |j: &&Job| j.accepted.is_some() && j.begun.is_none() && j.told.is_none();
+            let long = |since: Duration| at.saturating_sub(since) >= PASSED_AFTER;
+            let waits = |j: &&Job| j.accepted.is_some_and(long) && j.begun.is_none() && j.told.is_none();
             let waiting = self.jobs.values().filter(waits).filter_map(|j| j.spec.as_deref());
             for job in self.declared.begins(&spec, waiting) {
                 let what = format!("{job} waits while it is hot, and {} is one of many that begin ahead", spec.id);
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -123,6 +123,7 @@
         println!("  {binary} submit --node {node} {}", job.display());
         println!("  {binary} status --node {node} run-000001");
         println!("  {binary} withdraw --node {node} run-000001");
+        println!("  {binary} show --config {}", folder.join("operator.json").display());
         println!("Ctrl-C ends it all.");
         loop {
             tokio::select! {
