Tests of what is declared share one stage: controllers, store, late copies

Cause: the seeded plays of declared, calendar and heat each built the same three controllers: mirror read by pages, owner under a token, what is decided, sent, doubled, lost and late, clocks that differ.

Nothing but tests is touched, apart from `tests` in declared/mod.rs being pub(crate) under cfg(test). The rollouts' model has no mirror, store or driver and stays as it is.

--- a/src/calendar/tests/interleavings.rs
+++ b/src/calendar/tests/interleavings.rs
@@ -5,9 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Instant;
 
-use hollylanding_emulator::world::store::{Limits, Store};
-use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
+use rand::Rng;
 use serde_json::json;
 
 use super::{HOUR, MIDNIGHT, job, window};
@@ -16,16 +14,13 @@
 use crate::calendar::status::{Outcome, Over, Status};
 use crate::calendar::step::{GRACE_MS, latest_ms};
 use crate::declared::Kind;
-use crate::declared::driver::{Driver, Write, changes, conditions, refresh};
+use crate::declared::driver::refresh;
 use crate::declared::records::{spec_key, status_key};
 use crate::declared::table::Entry;
-use crate::jobs::record::{ASSIGNMENT, JobRecord, MIRRORED, MIRRORED_AFTER, Stored, open_key};
+use crate::declared::tests::play::{Controller, Sent, Stage};
+use crate::jobs::record::{JobRecord, Stored, open_key};
 use crate::jobs::{End, JobId};
-use crate::scheduling::Book;
-use crate::settings::Properties;
-use crate::settings::tests::example;
-use crate::store::mirror::Mirror;
-use crate::store::{Change, Condition};
+use crate::store::Change;
 
 static KINDS: [Entry; 1] = [Entry::of::<Window>()];
 const NAMES: [&str; 2] = ["one", "two"];
@@ -40,23 +35,11 @@
     Turns,
 }
 
-#[derive(Default)]
-struct Controller {
-    mirror: Mirror,
-    owner: Option<(Book, Driver)>,
-    decided: Option<(Vec<Write>, u64)>,
-    /// What is known of ends; lost with the process, asked for again.
-    ends: HashMap<JobId, End>,
-    skew_ms: i64,
-}
-
 struct Play {
-    rng: StdRng,
-    store: Store,
+    /// Each controller keeps what it knows of ends; lost with the process, asked for again.
+    stage: Stage<HashMap<JobId, End>>,
     specs: BTreeMap<&'static str, Spec>,
-    controllers: Vec<Controller>,
     owner: usize,
-    late: Vec<(Vec<Condition>, Vec<Change>)>,
     without: Without,
     now_ms: u64,
     jobs: usize,
@@ -73,19 +56,13 @@
         let turns = |closes: &str, turns| window(json!({"closes": closes, "turns": turns, "declared_ms": start}));
         let specs =
             BTreeMap::from([("one", turns("06:40", json!(["roster", "plan"]))), ("two", turns("07:10", json!([])))]);
-        let mut store = Store::new(Limits::default());
-        for (name, spec) in &specs {
-            let spec = serde_json::to_value(spec).unwrap();
-            store.apply_if(&[], &[Change::write(spec_key(Kind::Window, name), spec)]).unwrap();
-        }
-        let controllers = (0..3).map(|n| Controller { skew_ms: (n - 1) * 900, ..Controller::default() }).collect();
+        let stored = specs.iter().map(|(name, s)| (spec_key(Kind::Window, name), serde_json::to_value(s).unwrap()));
+        let mut stage = Stage::new(seed, &KINDS, &stored.collect::<Vec<_>>());
+        (0..3).for_each(|n| stage.controllers[n].skew_ms = (n as i64 - 1) * 900);
         let mut play = Self {
-            rng: StdRng::seed_from_u64(seed),
-            store,
+            stage,
             specs,
-            controllers,
             owner: 0,
-            late: Vec::new(),
             without,
             now_ms: start,
             jobs: 0,
@@ -100,82 +77,56 @@
     }
 
     fn follow(&mut self, at: usize) {
-        let Controller { mirror, owner, ends, .. } = &mut self.controllers[at];
-        match mirror.asking().map(|revision| self.store.follow(MIRRORED, revision)) {
-            Some(Ok(followed)) => drop(mirror.apply(&followed)),
-            _ => {
-                let mut loading = mirror.load();
-                mirror.take_page(&mut loading, &self.store.page(MIRRORED, MIRRORED_AFTER, usize::MAX));
-                mirror.loaded(loading);
-            }
-        };
+        self.stage.follow(at, true);
+        let Controller { mirror, owner, own, .. } = &mut self.stage.controllers[at];
         let Some((book, _)) = owner.as_mut() else { return };
         let gone: Vec<JobId> = book.jobs().map(|(id, _)| id).filter(|id| mirror.open(id).is_none()).cloned().collect();
-        gone.iter().for_each(|id| book.end_job(id, ends.get(id).copied(), Instant::now()));
+        gone.iter().for_each(|id| book.end_job(id, own.get(id).copied(), Instant::now()));
         mirror.open_jobs().for_each(|(_, record)| book.add_job(record.clone(), Instant::now()));
     }
 
-    /// Another owns, or the same process anew. Who owned before goes on, unknowing.
+    /// Another owns, or the same process anew.
     fn assign(&mut self, at: usize) {
-        let token = self.store.apply_if(&[], &[Change::write(ASSIGNMENT, json!(at))]).unwrap();
-        self.controllers[at].owner = None;
-        self.controllers[at].decided = None;
-        self.controllers[at].ends.clear();
-        self.follow(at);
-        let mut book = Book::new(token, example(), Properties::default(), Instant::now());
-        for (id, record) in self.controllers[at].mirror.open_jobs() {
+        self.stage.assign(at);
+        let Controller { mirror, owner, own, .. } = &mut self.stage.controllers[at];
+        own.clear();
+        let (book, _) = owner.as_mut().unwrap();
+        for (id, record) in mirror.open_jobs() {
             book.add_job(record.clone(), Instant::now());
             if self.begun.contains(id) {
                 book.load_chunk(id, 0, 1, vec![Stored::Bound(1, "host-1".into())], Instant::now());
             }
         }
-        book.loaded = true;
-        self.controllers[at].owner = Some((book, Driver::new(&KINDS)));
         self.owner = at;
     }
 
     fn look(&mut self, at: usize) {
-        let now_ms = self.now_ms.saturating_add_signed(self.controllers[at].skew_ms);
-        let Controller { mirror, owner, decided, ends, .. } = &mut self.controllers[at];
-        let Some((book, driver)) = owner.as_mut() else { return };
-        let looked = driver.look(book, mirror, &|id| ends.get(id).copied(), Instant::now(), now_ms);
+        let Some(looked) = self.stage.look(at, self.now_ms, |ends, id| ends.get(id).copied()) else { return };
         for id in looked.unknown {
-            if let Some(end) = self.over.get(&id).filter(|_| self.rng.random_ratio(1, 2)) {
-                ends.insert(id, *end);
+            if let Some(end) = self.over.get(&id).filter(|_| self.stage.rng.random_ratio(1, 2)) {
+                self.stage.controllers[at].own.insert(id, *end);
             }
         }
-        if !looked.writes.is_empty() {
-            driver.sent(&looked.writes);
-            *decided = Some((looked.writes, looked.token));
-        }
     }
 
     fn send(&mut self, at: usize) {
-        let Some((writes, token)) = self.controllers[at].decided.take() else { return };
-        let left_out = |c: &Condition| self.without == Without::Status && c.path.starts_with("c/t/");
-        let conditions: Vec<_> = conditions(&writes, token).into_iter().filter(|c| !left_out(c)).collect();
-        let sent = (conditions, changes(&writes));
-        let (twice, lost) = (self.rng.random_ratio(1, 4), self.rng.random_ratio(1, 4));
-        if twice || lost {
-            self.late.push(sent.clone());
-        }
-        if !lost
+        let without = self.without;
+        if let Some(sent) = self.stage.send(at, |c| without == Without::Status && c.path.starts_with("c/t/"))
             && let Some(revision) = self.apply(&sent)
-            && let Some((_, driver)) = self.controllers[at].owner.as_mut()
         {
-            driver.stored(revision);
+            self.stage.stored(at, revision);
         }
     }
 
     fn status(&self, name: &str) -> Status {
-        let stored = self.store.value(&status_key(Kind::Window, name));
+        let stored = self.stage.store.value(&status_key(Kind::Window, name));
         stored.map(|value| serde_json::from_value(value.clone()).unwrap()).unwrap_or_default()
     }
 
     /// Every rule that a stored change can break.
-    fn apply(&mut self, (conditions, changes): &(Vec<Condition>, Vec<Change>)) -> Option<u64> {
+    fn apply(&mut self, (conditions, changes): &Sent) -> Option<u64> {
         let before = NAMES.map(|name| self.status(name));
-        let revision = self.store.apply_if(conditions, changes).ok()?;
+        let revision = self.stage.store.apply_if(conditions, changes).ok()?;
         for (name, before) in NAMES.into_iter().zip(before) {
             let after = self.status(name);
             for ended in after.missed.iter().chain(&after.last) {
@@ -204,21 +155,21 @@
 
     fn submit(&mut self) {
         if self.jobs < 16 {
-            let class = ["plan", "roster"][self.rng.random_range(0..2)];
+            let class = ["plan", "roster"][self.stage.rng.random_range(0..2)];
             let record: JobRecord = JobRecord::clone(&job(self.jobs, class, self.now_ms));
             self.jobs += 1;
             let value = serde_json::to_value(&record).unwrap();
-            self.store.apply_if(&[], &[Change::write(open_key(&record.spec.id), value)]).unwrap();
+            self.stage.store.apply_if(&[], &[Change::write(open_key(&record.spec.id), value)]).unwrap();
         }
     }
 
     /// The owner places a job that it may: the lesser turn first.
     fn begin(&mut self) {
-        let Controller { mirror, owner, ends, skew_ms, .. } = &mut self.controllers[self.owner];
+        let Controller { mirror, owner, own, skew_ms, .. } = &mut self.stage.controllers[self.owner];
         let Some((book, _)) = owner.as_mut() else { return };
         if book.wishes_due {
             let now_ms = self.now_ms.saturating_add_signed(*skew_ms);
-            refresh(&KINDS, book, mirror.shelf(), &|id| ends.get(id).copied(), Instant::now(), now_ms);
+            refresh(&KINDS, book, mirror.shelf(), &|id| own.get(id).copied(), Instant::now(), now_ms);
         }
         let may = |id: &&JobId| self.without == Without::Turns || !book.wishes.not_yet.contains(*id);
         let number = |id: &JobId| book.wishes.turns.get(id).map(|t| t.number);
@@ -243,16 +194,16 @@
         if open.is_empty() {
             return;
         }
-        let id = open[self.rng.random_range(0..open.len())].clone();
-        let end = if self.rng.random_ratio(1, 6) { End::Withdrawn } else { End::Done };
-        self.store.apply_if(&[], &[Change::Drop { drop: open_key(&id) }]).unwrap();
-        self.controllers[self.owner].ends.insert(id.clone(), end);
+        let id = open[self.stage.rng.random_range(0..open.len())].clone();
+        let end = if self.stage.rng.random_ratio(1, 6) { End::Withdrawn } else { End::Done };
+        self.stage.store.apply_if(&[], &[Change::Drop { drop: open_key(&id) }]).unwrap();
+        self.stage.controllers[self.owner].own.insert(id.clone(), end);
         self.over.insert(id, end);
     }
 
     fn step(&mut self) {
-        let at = self.rng.random_range(0..3);
-        match self.rng.random_range(0..40) {
+        let at = self.stage.rng.random_range(0..3);
+        match self.stage.rng.random_range(0..40) {
             0 => self.assign(at),
             1..3 => self.submit(),
             3..7 => self.begin(),
@@ -262,14 +213,13 @@
             25 => self.look(at),
             26..33 => self.send(self.owner),
             33 => self.send(at),
-            34 if !self.late.is_empty() => {
-                let n = self.rng.random_range(0..self.late.len());
-                let sent = self.late.swap_remove(n);
+            34 if !self.stage.late.is_empty() => {
+                let sent = self.stage.comes_late();
                 self.apply(&sent);
             }
-            35 => self.now_ms -= self.rng.random_range(0..20) * 1000,
-            36 if self.rng.random_ratio(1, 12) => self.now_ms += self.rng.random_range(1..30) * HOUR,
-            _ => self.now_ms += self.rng.random_range(0..60) * 1000,
+            35 => self.now_ms -= self.stage.rng.random_range(0..20) * 1000,
+            36 if self.stage.rng.random_ratio(1, 12) => self.now_ms += self.stage.rng.random_range(1..30) * HOUR,
+            _ => self.now_ms += self.stage.rng.random_range(0..60) * 1000,
         }
     }
 
@@ -281,7 +231,7 @@
             self.follow(0);
             self.look(0);
             self.send(0);
-            if let Some(sent) = self.late.pop() {
+            if let Some(sent) = self.stage.late.pop() {
                 self.apply(&sent);
             }
         }
--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -12,7 +12,7 @@
 pub mod shelf;
 pub mod table;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 use std::cell::{OnceCell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
--- /dev/null
+++ b/src/declared/tests/play.rs
@@ -0,0 +1,137 @@
+//! Three controllers and their store, as the seeded plays of every kind have them: the real mirror, shelf
+//! and driver. Each kind adds what it declares, what happens meanwhile, and what must never be.
+
+use std::time::Instant;
+
+use hollylanding_emulator::world::store::{Limits, Store};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{Value, json};
+
+use crate::declared::driver::{Driver, Looked, Write, changes, conditions};
+use crate::declared::table::Entry;
+use crate::jobs::End;
+use crate::jobs::record::{ASSIGNMENT, MIRRORED, MIRRORED_AFTER};
+use crate::scheduling::Book;
+use crate::settings::Properties;
+use crate::settings::tests::example;
+use crate::store::mirror::{Loading, Mirror};
+use crate::store::{Change, Condition};
+
+pub type Sent = (Vec<Condition>, Vec<Change>);
+
+#[derive(Default)]
+pub struct Controller<T> {
+    pub mirror: Mirror,
+    loading: Option<(Loading, String)>,
+    pub owner: Option<(Book, Driver)>,
+    /// Decided, and not sent yet.
+    decided: Option<(Vec<Write>, u64)>,
+    /// Its time of day is off by so much.
+    pub skew_ms: i64,
+    /// What else its kind's play keeps of it.
+    pub own: T,
+}
+
+pub struct Stage<T> {
+    pub rng: StdRng,
+    pub store: Store,
+    pub controllers: Vec<Controller<T>>,
+    pub late: Vec<Sent>,
+    kinds: &'static [Entry],
+}
+
+impl<T: Default> Stage<T> {
+    pub fn new(seed: u64, kinds: &'static [Entry], stored: &[(String, Value)]) -> Self {
+        let mut store = Store::new(Limits::default());
+        for (path, value) in stored {
+            store.apply_if(&[], &[Change::write(path.clone(), value.clone())]).unwrap();
+        }
+        let controllers = (0..3).map(|_| Controller::default()).collect();
+        Self { rng: StdRng::seed_from_u64(seed), store, controllers, late: Vec::new(), kinds }
+    }
+
+    /// The mirror follows, a page or an answer at a time, or is read anew.
+    pub fn follow(&mut self, at: usize, whole: bool) {
+        let controller = &mut self.controllers[at];
+        loop {
+            if let Some((mut loading, since)) = controller.loading.take() {
+                let page = self.store.page(MIRRORED, &since, 3);
+                controller.mirror.take_page(&mut loading, &page);
+                if page.more {
+                    let since = page.items.last().map_or(since, |i| i.path.clone());
+                    controller.loading = Some((loading, since));
+                } else {
+                    controller.mirror.loaded(loading);
+                }
+            } else if let Some(revision) = controller.mirror.asking() {
+                match self.store.follow(MIRRORED, revision) {
+                    Ok(followed) => drop(controller.mirror.apply(&followed)),
+                    Err(_) => controller.mirror.ready = false,
+                }
+                if controller.mirror.ready {
+                    return;
+                }
+            } else {
+                controller.loading = Some((controller.mirror.load(), MIRRORED_AFTER.to_owned()));
+            }
+            if !whole {
+                return;
+            }
+        }
+    }
+
+    /// Another owns, or the same one under a newer token. Who owned before goes on, unknowing.
+    pub fn assign(&mut self, at: usize) {
+        let token = self.store.apply_if(&[], &[Change::write(ASSIGNMENT, json!(at))]).unwrap();
+        // A new owner proves its mirror fresh before it decides.
+        self.follow(at, true);
+        let mut book = Book::new(token, example(), Properties::default(), Instant::now());
+        book.loaded = true;
+        self.controllers[at].owner = Some((book, Driver::new(self.kinds)));
+        self.controllers[at].decided = None;
+    }
+
+    /// None where it never owned. What is to be stored waits to be sent.
+    pub fn look(&mut self, at: usize, now_ms: u64, ended: impl Fn(&T, &str) -> Option<End>) -> Option<Looked> {
+        let Controller { mirror, owner, decided, skew_ms, own, .. } = &mut self.controllers[at];
+        let (book, driver) = owner.as_mut()?;
+        let now_ms = now_ms.saturating_add_signed(*skew_ms);
+        let looked = driver.look(book, mirror, &|id| ended(own, id), Instant::now(), now_ms);
+        if !looked.writes.is_empty() {
+            driver.sent(&looked.writes);
+            *decided = Some((looked.writes.clone(), looked.token));
+        }
+        Some(looked)
+    }
+
+    /// What was decided, as it is sent.
+    pub fn sent(&mut self, at: usize, left_out: impl Fn(&Condition) -> bool) -> Option<Sent> {
+        let (writes, token) = self.controllers[at].decided.take()?;
+        assert!(writes.len() <= 2);
+        let conditions = conditions(&writes, token).into_iter().filter(|c| !left_out(c)).collect();
+        Some((conditions, changes(&writes)))
+    }
+
+    /// What of it arrives at once: a copy may come late, or that one only.
+    pub fn send(&mut self, at: usize, left_out: impl Fn(&Condition) -> bool) -> Option<Sent> {
+        let sent = self.sent(at, left_out)?;
+        let (twice, lost) = (self.rng.random_ratio(1, 4), self.rng.random_ratio(1, 4));
+        if twice || lost {
+            self.late.push(sent.clone());
+        }
+        (!lost).then_some(sent)
+    }
+
+    pub fn stored(&mut self, at: usize, revision: u64) {
+        if let Some((_, driver)) = self.controllers[at].owner.as_mut() {
+            driver.stored(revision);
+        }
+    }
+
+    /// Any of what is late, of which there is some.
+    pub fn comes_late(&mut self) -> Sent {
+        let n = self.rng.random_range(0..self.late.len());
+        self.late.swap_remove(n)
+    }
+}
