--- a/src/scheduling/large.rs
+++ b/src/scheduling/large.rs
@@ -74,12 +74,12 @@
         spec.is_gang() && !spec.is_idle() && self.largest(spec)
     }
 
-    /// The one that has waited longest of the largest that begin with their first task, idle work too, and none
-    /// of whose tasks ever had a place: one task of it is little, and goes first.
+    /// The one that has waited longest of the largest that begin with their first task, idle work too, that has
+    /// not begun and of which nothing is on its way: one task of it is little, and goes first.
     pub fn to_begin<'a>(&self, turns: &[Turn<'a>], within: Duration) -> Option<&'a JobId> {
         let may = |t: &&Turn<'a>| {
             let spec = t.job.spec();
-            let waits = t.age >= within.mul_f64(PATIENCE) && t.job.untouched() >= 1.0;
+            let waits = t.age >= within.mul_f64(PATIENCE) && !t.job.begun() && t.job.bound.is_empty();
             waits && !t.suspected && !spec.is_gang() && self.largest(spec)
         };
         turns.iter().filter(may).max_by(|a, b| a.age.cmp(&b.age).then(b.id.cmp(a.id))).map(|t| t.id)
--- a/src/scheduling/preempt.rs
+++ b/src/scheduling/preempt.rs
@@ -159,7 +159,7 @@
         if binding.halting.is_some() {
             // Room is being made here already.
             room.give_back(other.spec());
-        } else if may_stop(other.spec()) && task.attempt < most_starts(other.spec()) {
+        } else if may_stop(other.spec()) && task.attempt < most_starts(other.spec()) && !begins(other) {
             stoppable.push((loss(other, binding.ran(now)), key.clone(), other.spec()));
         }
     }
@@ -184,6 +184,12 @@
     (units > 0).then_some(Place { machine, zone, units, victims, dear, loss: lost })
 }
 
+/// The first task of an idle job is on its way: it would not have begun in time otherwise (`scheduling::large`).
+fn begins(job: &JobState) -> bool {
+    let spec = job.spec();
+    spec.is_idle() && spec.tasks > 1 && job.bound.len() == 1 && !job.begun()
+}
+
 fn most_starts(spec: &JobSpec) -> u64 {
     if spec.checkpoint_s > 0.0 { MOST_STARTS } else { MOST_STARTS_UNSAVED }
 }
