--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,5 +1,7 @@
 //! The command line.
 
+mod verbs;
+
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -69,6 +71,8 @@
         /// The job's id, such as run-000412
         id: String,
     },
+    #[command(flatten)]
+    Declared(verbs::Verb),
 }
 
 pub fn main() -> ExitCode {
@@ -82,6 +86,7 @@
         Some(Command::Withdraw { node, id }) => {
             ask(&node, Method::POST, &format!("/work/{id}/withdraw"), Some(Vec::new()))
         }
+        Some(Command::Declared(verb)) => verbs::run(&verb),
     }
 }
 
--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -6,6 +6,7 @@
 //! sparing (`scheduling::wishes`) follows from statuses as the mirror has them, the book and the time.
 
 pub mod driver;
+pub mod operator;
 pub mod records;
 pub mod run;
 pub mod shelf;
@@ -13,6 +14,7 @@
 #[cfg(test)]
 mod tests;
 
+use std::collections::BTreeMap;
 use std::time::Instant;
 
 use serde::Serialize;
@@ -93,6 +95,12 @@
     /// Names the first field that cannot be used.
     fn check(spec: &Self::Spec, names: &Names) -> Result<(), Problem>;
 
+    /// The same of all specs of this kind together, as they would be.
+    fn check_all(all: &BTreeMap<String, Self::Spec>) -> Result<(), Problem> {
+        let _ = all;
+        Ok(())
+    }
+
     /// What the status is to be next; none: as it is. Asked again and again, at least each second.
     fn step(name: &str, spec: &Self::Spec, status: &Self::Status, view: &View) -> Option<Self::Status>;
 
--- a/src/declared/table.rs
+++ b/src/declared/table.rs
@@ -1,5 +1,7 @@
 //! Every kind of declared thing, whatever its types: one line each.
 
+use std::collections::BTreeMap;
+
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use tracing::Level;
@@ -43,6 +45,8 @@
     pub kind: Kind,
     /// Reads and checks a spec.
     pub check: fn(&Value, &Names) -> Result<(), Problem>,
+    /// Checks all specs of the kind together, passing over those that cannot be read.
+    pub check_all: fn(&BTreeMap<String, Value>) -> Result<(), Problem>,
     /// The status that one is to have next, by name.
     pub step: fn(&str, &View) -> Option<Decided>,
     /// What all of the kind ask for.
@@ -60,6 +64,7 @@
         Self {
             kind: D::KIND,
             check: check::<D>,
+            check_all: check_all::<D>,
             step: step::<D>,
             wish: wish::<D>,
             tell: tell::<D>,
@@ -102,6 +107,11 @@
     D::check(&read(value)?, names)
 }
 
+fn check_all<D: Declared>(all: &BTreeMap<String, Value>) -> Result<(), Problem> {
+    let specs = all.iter().filter_map(|(name, spec)| Some((name.clone(), read(spec).ok()?)));
+    D::check_all(&specs.collect())
+}
+
 fn step<D: Declared>(name: &str, view: &View) -> Option<Decided> {
     let (spec, spec_stamp) = view.shelf.spec::<D>(name)?;
     let stored = match view.shelf.raw_status(D::KIND, name) {
--- a/src/declared/tests.rs
+++ b/src/declared/tests.rs
@@ -13,7 +13,8 @@
 use tracing::Level;
 
 use super::driver::{Driver, Write, changes, conditions};
-use super::records::{spec_key, status_key};
+use super::operator::{Known, transaction};
+use super::records::{OPERATORS, spec_key, status_key};
 use super::table::Entry;
 use super::{Declared, Kind, Names, Problem, View};
 use crate::jobs::record::{ASSIGNMENT, MIRRORED, MIRRORED_AFTER};
@@ -94,6 +95,7 @@
     Assignment,
     Spec,
     Status,
+    Operators,
 }
 
 struct Controller {
@@ -219,6 +221,7 @@
             Without::Assignment => c.path == ASSIGNMENT,
             Without::Spec => c.path.starts_with("c/s/"),
             Without::Status => c.path.starts_with("c/t/"),
+            Without::Operators => false,
         };
         let conditions = conditions(&writes, token).into_iter().filter(|c| !left_out(c)).collect();
         let sent: Sent = (conditions, changes(&writes));
@@ -239,6 +242,12 @@
 
     /// Every rule that the store can show broken.
     fn apply(&mut self, sent: &Sent) -> Option<u64> {
+        if sent.1.iter().any(|change| matches!(change, Change::Write { write, .. } if write == OPERATORS)) {
+            if self.store.apply_if(&sent.0, &sent.1).is_ok() {
+                self.broken.push(format!("written again: {:?}", sent.1));
+            }
+            return None;
+        }
         let before: Vec<bool> = NAMES.map(|name| self.store.has(&spec_key(Kind::Heat, name))).into();
         let token = self.store.stamp(ASSIGNMENT);
         let revision = self.store.apply_if(&sent.0, &sent.1).ok()?;
@@ -271,18 +280,21 @@
         Some(revision)
     }
 
-    /// Operators write as the command line does: a name that is being removed is not yet free.
+    /// Operators write as the command line does; copies of what they wrote come late, too.
     fn operate(&mut self) {
-        let name = NAMES[self.rng.random_range(0..NAMES.len())];
-        let (spec, status) = (spec_key(Kind::Heat, name), status_key(Kind::Heat, name));
-        let stamp = self.store.stamp(&spec);
-        if stamp > 0 && self.rng.random_ratio(1, 3) {
-            self.store.apply_if(&[Condition::at(&spec, stamp)], &[Change::Drop { drop: spec }]).unwrap();
-        } else {
-            let goal = self.stored.get(name).copied().unwrap_or(0) + self.rng.random_range(1..4);
-            let free = [Condition::at(&spec, stamp), Condition::absent(&status)];
-            let conditions = if stamp > 0 { &free[..1] } else { &free[..] };
-            let _ = self.store.apply_if(conditions, &[Change::write(spec, json!({"goal": goal}))]);
+        let name = NAMES[self.rng.random_range(0..NAMES.len())].to_owned();
+        let mut known = Known { operators: self.store.stamp(OPERATORS), ..Known::default() };
+        for prefix in ["c/s/heat/", "c/t/heat/"] {
+            self.store.page(prefix, "", usize::MAX).items.into_iter().for_each(|item| known.take(item));
+        }
+        let stands = self.store.has(&spec_key(Kind::Heat, &name));
+        let goal = self.stored.get(&name).copied().unwrap_or(0) + self.rng.random_range(1..4);
+        let value = if stands && self.rng.random_ratio(1, 3) { None } else { Some(json!({"goal": goal})) };
+        let mine = json!(self.rng.random::<u64>());
+        let (mut conditions, changes) = transaction(Kind::Heat, &known, &[(name, value)], &mine);
+        conditions.retain(|c| self.without != Without::Operators || c.path != OPERATORS);
+        if self.store.apply_if(&conditions, &changes).is_ok() && self.rng.random_ratio(1, 3) {
+            self.late.push((conditions, changes));
         }
     }
 
@@ -359,7 +371,7 @@
 /// Each condition is there for a reason, which the same plays show.
 #[test]
 fn without_any_of_its_conditions_the_play_finds_what_breaks() {
-    for without in [Without::Assignment, Without::Spec, Without::Status] {
+    for without in [Without::Assignment, Without::Spec, Without::Status, Without::Operators] {
         let found = (0..60).find(|seed| !play(*seed, without).broken.is_empty());
         assert!(found.is_some(), "{without:?}");
     }
--- /dev/null
+++ b/tests/declared.rs
@@ -0,0 +1,172 @@
+//! Operators' verbs against the state service: what is refused leaves nothing behind, and what is not
+//! answered is written once.
+
+// A stand-in that panics fails its test, as it should.
+#![allow(clippy::unwrap_used)]
+
+mod stand_in;
+
+use std::process::Command;
+use std::time::Duration;
+
+use hollylanding::declared::operator::{Failed, Operator};
+use hollylanding::declared::table::Entry;
+use hollylanding::declared::{Acted, Declared, Kind, Names, Problem, View};
+use hollylanding::scheduling::wishes::Wishes;
+use hollylanding::settings::Settings;
+use serde::{Deserialize, Serialize};
+use stand_in::{World, open_world, settings};
+use tokio::runtime::Runtime;
+use tracing::Level;
+
+#[derive(Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Plan {
+    team: String,
+    #[serde(default)]
+    paused: bool,
+}
+
+struct Windows;
+
+impl Declared for Windows {
+    const KIND: Kind = Kind::Window;
+    type Spec = Plan;
+    type Status = bool;
+
+    fn check(spec: &Plan, names: &Names) -> Result<(), Problem> {
+        let known = names.teams.iter().any(|team| team.name == spec.team);
+        if known { Ok(()) } else { Err(Problem::new("team", format!("{:?} is unknown", spec.team))) }
+    }
+    fn step(_: &str, _: &Plan, _: &bool, _: &View) -> Option<bool> {
+        None
+    }
+    fn wish(_: &str, _: &Plan, _: &bool, _: &View, _: &mut Wishes) {}
+    fn tell(_: &str, spec: &Plan, _: &bool, _: u64) -> Vec<String> {
+        vec![format!("team {}{}", spec.team, if spec.paused { ", paused" } else { "" })]
+    }
+    fn news(_: &str, _: &bool, _: &bool) -> Vec<(Level, String)> {
+        Vec::new()
+    }
+    fn act(verb: &str, spec: &Plan, _: &bool, _: u64) -> Result<Acted<Plan>, Problem> {
+        match verb {
+            "pause" if !spec.paused => Ok(Acted { spec: Plan { paused: true, ..spec.clone() }, withdraw: None }),
+            _ => Err(Problem::new("verb", format!("{verb:?} is not to be done"))),
+        }
+    }
+}
+
+static KINDS: [Entry; 1] = [Entry::of::<Windows>()];
+
+fn operator(door: &str, patience: Duration) -> Operator {
+    let settings = Settings::parse(&settings("node-a", &[], door).to_string()).unwrap();
+    Operator::new(settings, &KINDS, patience)
+}
+
+fn changes(world: &World) -> u64 {
+    world.state.lock().unwrap().changes
+}
+
+#[test]
+fn bad_lists_are_refused_by_field_and_value() {
+    let operator = operator("127.0.0.1:1", Duration::ZERO);
+    let many: Vec<_> = (0..1001).map(|n| serde_json::json!({"name": format!("w{n}"), "team": "blue"})).collect();
+    let large = format!(r#"{{"name":"w","team":"{}"}}"#, "x".repeat(9000));
+    for (text, want) in [
+        (r#"{"name":"w","team":"blue"}"#, None),
+        (r#"[{"name":"w","team":"blue"},{"name":"v","team":"blue","paused":true}]"#, None),
+        (r#"{"name":"w","team":"green"}"#, Some(r#"w: team: "green" is unknown"#)),
+        (r#"[{"name":"w","team":"blue"},{"name":"v"}]"#, Some("v: spec: missing field `team`")),
+        (r#"{"name":"w","team":7}"#, Some("w: team: invalid type: integer `7`, expected a string")),
+        (
+            r#"{"name":"w","team":"blue","paused":"no"}"#,
+            Some("w: paused: invalid type: string \"no\", expected a boolean"),
+        ),
+        (r#"{"name":"w","team":"blue","hue":1}"#, Some("w: hue: unknown field `hue`, expected `team` or `paused`")),
+        (r#"{"team":"blue"}"#, Some("[0]: name: missing")),
+        (r#"{"name":"W","team":"blue"}"#, Some("W: name: \"W\" is not 1 to 64 of a-z, 0-9, dot and dash")),
+        (r#"[{"name":"w","team":"blue"},{"name":"w","team":"blue"}]"#, Some("w: name: given twice")),
+        (&serde_json::to_string(&many).unwrap(), Some("window: 1001 are more than the 1000 that can be declared")),
+        (&large, Some("w: spec: 9011 bytes are more than the 8192 that can be stored")),
+        ("{", Some("EOF while parsing an object at line 1 column 1")),
+    ] {
+        let read = operator.read_list(Kind::Window, text);
+        let problems = match read {
+            Ok(_) => None,
+            Err(Failed::Refused(problems)) => Some(problems),
+            Err(other) => panic!("{other:?}"),
+        };
+        assert_eq!(problems, want.map(|w| vec![w.to_owned()]), "{}", &text[..text.len().min(80)]);
+    }
+    let other = operator.read_list(Kind::Rollout, "{}");
+    assert_eq!(other, Err(Failed::Refused(vec!["kind: this build carries out no rollout".into()])));
+}
+
+#[test]
+fn verbs_write_once_and_refusals_leave_nothing_behind() {
+    let runtime = Runtime::new().unwrap();
+    runtime.block_on(async {
+        let (world, door) = open_world().await;
+        let operator = operator(&door, Duration::from_secs(20));
+        let state = |key: &str| world.state.lock().unwrap().store.value(key).cloned();
+        let two = r#"[{"name":"v","team":"blue"},{"name":"w","team":"blue"}]"#;
+        let specs = operator.read_list(Kind::Window, two).unwrap();
+        // Carried out and not answered: it is found to stand, and is not written again.
+        world.state.lock().unwrap().faults.unanswered = 1;
+        assert_eq!(operator.declare(Kind::Window, &specs).await.unwrap(), ["v", "w"]);
+        let once = changes(&world);
+        assert_eq!(operator.declare(Kind::Window, &specs).await.unwrap(), [""; 0], "is so already");
+        assert_eq!(changes(&world), once);
+        operator.act(Kind::Window, "pause", "w", "").await.unwrap();
+        let shown = operator.show(None, None).await.unwrap();
+        let lines: Vec<&str> = shown.iter().flat_map(|s| s.lines.iter().map(String::as_str)).collect();
+        assert_eq!(lines, ["team blue", "team blue, paused"]);
+        // Refused, with nothing written.
+        let before = changes(&world);
+        let again = operator.act(Kind::Window, "pause", "w", "").await;
+        assert_eq!(again, Err(Failed::Refused(vec!["verb: \"pause\" is not to be done".into()])));
+        let none = operator.remove(Kind::Window, "u").await;
+        assert_eq!(none, Err(Failed::Refused(vec!["name: no window \"u\" is declared".into()])));
+        let many: String = (0..999).map(|n| format!(r#"{{"name":"x{n}","team":"blue"}},"#)).collect();
+        let many = operator.read_list(Kind::Window, &format!("[{}]", many.trim_end_matches(','))).unwrap();
+        assert!(matches!(operator.declare(Kind::Window, &many).await, Err(Failed::Refused(_))), "with the two: 1001");
+        assert_eq!(changes(&world), before);
+        // What was removed is free again once its status is gone.
+        world.state.lock().unwrap().put("c/t/window/w".into(), &serde_json::json!(true));
+        operator.remove(Kind::Window, "w").await.unwrap();
+        assert!(state("c/s/window/w").is_none());
+        let removed = operator.show(Some(Kind::Window), None).await.unwrap().pop().unwrap();
+        assert!(removed.spec.is_none() && removed.lines[0].starts_with("removed"));
+        let hasty = Operator::new(
+            Settings::parse(&settings("node-a", &[], &door).to_string()).unwrap(),
+            &KINDS,
+            Duration::from_millis(1),
+        );
+        let failed = hasty.declare(Kind::Window, &specs).await;
+        assert_eq!(failed, Err(Failed::NoAnswer("still being removed: c/t/window/w".into())));
+        let vanished = world.state.lock().unwrap().store.vanish("c/t/window/w", 1);
+        assert_eq!(vanished.len(), 1);
+        assert_eq!(operator.declare(Kind::Window, &specs).await.unwrap(), ["w"]);
+    });
+}
+
+/// Exit status 0, 1 and 2, as scripts see them.
+#[test]
+fn the_command_says_how_it_went() {
+    let runtime = Runtime::new().unwrap();
+    let (_world, door) = runtime.block_on(open_world());
+    let file = std::env::temp_dir().join(format!("hollylanding-declared-{}.json", std::process::id()));
+    std::fs::write(&file, settings("node-a", &[], &door).to_string()).unwrap();
+    let run = |words: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_hollylanding"));
+        let output = command.args(words).arg("--config").arg(&file).output().unwrap();
+        let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
+        (output.status.code(), text(output.stdout), text(output.stderr))
+    };
+    assert_eq!(run(&["show", "--json"]), (Some(0), "[]\n".into(), String::new()));
+    let (code, _, why) = run(&["remove", "window", "w"]);
+    assert_eq!((code, why.as_str()), (Some(2), "hollylanding: name: no window \"w\" is declared\n"));
+    assert_eq!(run(&["show", "windows"]).0, Some(2));
+    assert_eq!(run(&["declare", "window", "/nowhere/to/be/found"]).0, Some(2));
+    std::fs::remove_file(file).unwrap();
+}
