Transactions of membership, upgrade, audit and chunk drops are made by functions of their own

Cause: what a late copy does can only be tried by tests that make conditions and changes as the controller does; five kinds made theirs inside asynchronous code.

Change: naming, Plea::transaction, chunk_drops, end_again and upgraded are taken out as they were; nothing that is sent has changed.

--- a/src/history/upgrade.rs
+++ b/src/history/upgrade.rs
@@ -49,6 +49,12 @@
     }
 }
 
+/// Said once: whoever says it first has seen all that there was.
+pub(crate) fn upgraded(old_kept: bool) -> (Condition, Change) {
+    let value = serde_json::to_value(Upgraded { old_kept }).unwrap_or_default();
+    (Condition::absent(UPGRADED), Change::write(UPGRADED, value))
+}
+
 /// Moves what is open and says so in the store. Done again after any error.
 pub async fn run(store: &StateClient) -> Result<(), StoreError> {
     let (mut jobs, mut ends) = (Cursor::new(store, OLD_JOBS), Cursor::new(store, OLD_ENDS));
@@ -74,8 +80,8 @@
         }
     }
     let old_kept = open + ended > 0;
-    let value = serde_json::to_value(Upgraded { old_kept }).unwrap_or_default();
-    store.txn(&[Condition::absent(UPGRADED)], &[Change::write(UPGRADED, value)], Urgent::First).await?;
+    let (condition, change) = upgraded(old_kept);
+    store.txn(&[condition], &[change], Urgent::First).await?;
     if old_kept {
         info!(open, ended, "took over what an earlier build has stored");
     }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -123,7 +123,7 @@
 
 /// Who leads decides how soon there is an owner and nothing else: the assignment stands until a new leader
 /// writes the next one, and whatever its owner has sent is judged by that.
-fn burial(stamp: u64) -> (Condition, Change) {
+pub(crate) fn burial(stamp: u64) -> (Condition, Change) {
     (Condition::at(LEADER, stamp), Change::Drop { drop: LEADER.into() })
 }
 
@@ -136,7 +136,7 @@
 }
 
 /// Leadership for whoever finds none, on its lease.
-fn candidacy(me: &Leader, lease: u64) -> (Condition, Change) {
+pub(crate) fn candidacy(me: &Leader, lease: u64) -> (Condition, Change) {
     let value = serde_json::to_value(me).unwrap_or_default();
     (Condition::absent(LEADER), Change::Write { write: LEADER.into(), value, permit: Some(lease) })
 }
@@ -163,6 +163,12 @@
     Ok(())
 }
 
+/// An owner, named by whoever leads and on what it has read: nobody else may have been named since.
+pub(crate) fn naming(owner: &Assignment, leader_stamp: u64, stamp: u64) -> ([Condition; 2], Change) {
+    let change = Change::write(ASSIGNMENT, serde_json::to_value(owner).unwrap_or_default());
+    ([Condition::at(LEADER, leader_stamp), Condition::at(ASSIGNMENT, stamp)], change)
+}
+
 /// Writes this controller as owner. Done again, it raises the token: every command given under
 /// the older one is dead wherever the new one has been seen.
 async fn assign(node: &Arc<Node>, leader_stamp: u64, stamp: u64) -> Result<(), StoreError> {
@@ -171,8 +177,7 @@
         incarnation: node.incarnation.clone(),
         teams: node.settings.params.teams.iter().map(|t| t.name.clone()).collect(),
     };
-    let conditions = [Condition::at(LEADER, leader_stamp), Condition::at(ASSIGNMENT, stamp)];
-    let change = Change::write(ASSIGNMENT, serde_json::to_value(&record).unwrap_or_default());
+    let (conditions, change) = naming(&record, leader_stamp, stamp);
     match node.store.txn(&conditions, &[change], Urgent::First).await? {
         TxnOutcome::Applied(token) => {
             lock(&node.mirror).note_assignment(record, token);
--- a/src/membership/records.rs
+++ b/src/membership/records.rs
@@ -2,6 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::jobs::record::{ASSIGNMENT, PLEA};
+use crate::store::{Change, Condition};
+
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Leader {
     pub node: String,
@@ -23,3 +26,11 @@
     pub token: u64,
     pub machines: usize,
 }
+
+impl Plea {
+    /// Whichever plea comes last stands; one for an owner that was replaced is refused.
+    pub fn transaction(&self) -> ([Condition; 1], [Change; 1]) {
+        let value = serde_json::to_value(self).unwrap_or_default();
+        ([Condition::at(ASSIGNMENT, self.token)], [Change::write(PLEA, value)])
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -19,7 +19,7 @@
 use crate::jobs::Counts;
 use crate::jobs::JobId;
 use crate::jobs::door::Door;
-use crate::jobs::record::{ASSIGNMENT, PLEA, time_of_day_ms};
+use crate::jobs::record::time_of_day_ms;
 use crate::kinds::Catalog;
 use crate::membership::mesh::Heard;
 use crate::membership::records::Plea;
@@ -357,8 +357,8 @@
         let plea = Plea { node: self.settings.node.clone(), token, machines };
         let node = self.clone();
         tokio::spawn(async move {
-            let change = [Change::write(PLEA, serde_json::to_value(&plea).unwrap_or_default())];
-            let _ = node.store.txn(&[Condition::at(ASSIGNMENT, token)], &change, Urgent::First).await;
+            let (conditions, changes) = plea.transaction();
+            let _ = node.store.txn(&conditions, &changes, Urgent::First).await;
         });
     }
 
--- a/src/store/audit.rs
+++ b/src/store/audit.rs
@@ -16,7 +16,7 @@
 
 use super::budget::Urgent;
 use super::{Condition, StoreError, TxnOutcome};
-use crate::history::moves::{accept, end_changes, not_ended, not_there};
+use crate::history::moves::{Move, accept, end_changes, not_ended, not_there};
 use crate::jobs::record::{JobRecord, chunk_key, ended_key, open_key, time_of_day_ms};
 use crate::jobs::{End, JobId};
 use crate::node::Node;
@@ -194,6 +194,11 @@
     }
 }
 
+/// An end that is nowhere any more, nor the other.
+pub(crate) fn end_again(record: &JobRecord, end: End, now_ms: u64) -> Move {
+    Move { conditions: not_ended(&record.spec.id).collect(), changes: end_changes(record, end, now_ms).into() }
+}
+
 /// Writes again what was lost, unless it stands elsewhere by now.
 async fn mend(node: &Node, held: &Held) -> Result<(), StoreError> {
     match held {
@@ -206,9 +211,8 @@
             }
         }
         Held::Ended(record, end) => {
-            let conditions: Vec<Condition> = not_ended(&record.spec.id).collect();
-            let changes = end_changes(record, *end, time_of_day_ms());
-            if let TxnOutcome::Failed(keys) = node.store.txn(&conditions, &changes, Urgent::First).await? {
+            let again = end_again(record, *end, time_of_day_ms());
+            if let TxnOutcome::Failed(keys) = node.store.txn(&again.conditions, &again.changes, Urgent::First).await? {
                 // Another end stands: what was told before cannot be made true any more.
                 error!(?keys, job = %record.spec.id, "lost and ended otherwise since");
                 lock(&node.audit).forget(held);
--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -222,6 +222,12 @@
     true
 }
 
+/// Drops of chunks whose jobs are over.
+pub(crate) fn chunk_drops(drops: &[(JobId, u64)], token: u64) -> (Vec<Condition>, Vec<Change>) {
+    let changes = drops.iter().map(|(id, c)| Change::Drop { drop: chunk_key(id, *c) }).collect();
+    (vec![Condition::at(ASSIGNMENT, token)], changes)
+}
+
 /// Chunks of jobs that are over, whenever the budget has room.
 async fn drop_some(node: &Arc<Node>, urgent: Urgent) {
     let most = node.store.writes_ready(urgent).min(node.settings.params.state.txn_ops as usize);
@@ -232,9 +238,8 @@
     if drops.is_empty() {
         return;
     }
-    let changes: Vec<Change> = drops.iter().map(|(id, c)| Change::Drop { drop: chunk_key(id, *c) }).collect();
-    let outcome =
-        tokio::time::timeout(DROP_WITHIN, node.store.txn(&[Condition::at(ASSIGNMENT, token)], &changes, urgent)).await;
+    let (conditions, changes) = chunk_drops(&drops, token);
+    let outcome = tokio::time::timeout(DROP_WITHIN, node.store.txn(&conditions, &changes, urgent)).await;
     if !matches!(outcome, Ok(Ok(TxnOutcome::Applied(_))))
         && let Some(book) = lock(&node.book).as_mut()
     {
