A controller that never heard of its assignment writes it anew, and owns

Cause: only the answer to the transaction made a controller own. Where that was carried out and not answered (a slow store, late_writes), the watch told it of its own assignment, it took that for done, renewed its lease for ever and owned nothing: nobody scheduled until its process ended. The same of a token that was raised and not heard: every transaction under the older token was refused from then on, unless the raise happened still to be wanted.

Change: whoever leads and is assigned under a token that its book does not have writes the assignment once more, on the stamps that it has read. The new token is one that nobody has owned under, so names of rentals stay unique, and any late copy fails on the stamp.

--- /dev/null
+++ b/src/membership/late.rs
@@ -0,0 +1,189 @@
+//! Transactions of leadership and ownership that are carried out after newer ones, or whose answer never
+//! comes, against the emulator's store: fixed steps.
+
+use std::time::Duration;
+
+use crate::wire::state::Txn;
+use hollylanding_emulator::world::store::Store;
+
+use super::records::Plea;
+use super::*;
+use crate::jobs::record::MIRRORED;
+use crate::store::mirror::Mirror;
+
+const NOW: Duration = Duration::ZERO;
+
+fn leader(incarnation: &str) -> Leader {
+    Leader { node: "a".into(), incarnation: incarnation.into() }
+}
+
+fn owner(incarnation: &str) -> Assignment {
+    Assignment { node: "a".into(), incarnation: incarnation.into(), teams: Vec::new() }
+}
+
+/// As the service takes it: none where the lease is over or a condition fails.
+fn send(store: &mut Store, conditions: &[Condition], changes: &[Change]) -> Option<u64> {
+    store.txn(&Txn::new(conditions, changes), NOW).ok()?.ok()
+}
+
+fn lead(store: &mut Store, me: &str) -> (u64, u64) {
+    let lease = store.grant(3000, NOW).unwrap();
+    let (condition, change) = candidacy(&leader(me), lease);
+    (lease, send(store, &[condition], &[change]).unwrap())
+}
+
+fn own(store: &mut Store, me: &str) -> Option<u64> {
+    let (conditions, change) = naming(&owner(me), store.stamp(LEADER), store.stamp(ASSIGNMENT));
+    send(store, &conditions, &[change])
+}
+
+fn mirror() -> Mirror {
+    let mut mirror = Mirror::default();
+    let loading = mirror.load();
+    mirror.loaded(loading);
+    mirror
+}
+
+fn hear(mirror: &mut Mirror, store: &Store) {
+    mirror.apply(&store.follow(MIRRORED, mirror.revision).unwrap());
+}
+
+/// What `run` does next, by the mirror and by the token of the book, if there is one.
+fn next(me: &str, mirror: &Mirror, held: Option<u64>) -> Step {
+    let assigned = mirror.assignment().map(|(a, token)| (a.incarnation.as_str(), *token));
+    let leads = mirror.leader().map(|(l, _)| l.incarnation.as_str());
+    next_step(me, leads, false, assigned.map(|(o, _)| o), unheard(me, assigned, held), false)
+}
+
+/// Nobody owned any more, for as long as the assigned controller lived: it found itself assigned, and took
+/// that for done. The same of a token that was raised and not heard: nothing it stored was taken.
+#[test]
+fn an_assignment_without_an_answer_is_written_anew_and_heard() {
+    for held in [None, Some(())] {
+        let mut store = Store::default();
+        let mut mirror = mirror();
+        lead(&mut store, "a1");
+        // A book that owns already raises its token.
+        let held = held.map(|()| own(&mut store, "a1").unwrap());
+        hear(&mut mirror, &store);
+        // Carried out, and nobody hears of it but by the watch.
+        let (conditions, change) = naming(&owner("a1"), store.stamp(LEADER), store.stamp(ASSIGNMENT));
+        let unheard = send(&mut store, &conditions, std::slice::from_ref(&change)).unwrap();
+        hear(&mut mirror, &store);
+        assert_eq!(next("a1", &mirror, held), Step::Assign, "held {held:?}");
+        let token = own(&mut store, "a1").unwrap();
+        hear(&mut mirror, &store);
+        assert_eq!(next("a1", &mirror, Some(token)), Step::Wait, "and once only");
+        assert!(token > unheard, "no process owns twice under one token: names of rentals rest on it");
+        assert_eq!(send(&mut store, &conditions, &[change]), None, "a later copy is refused");
+    }
+    assert!(!unheard("a1", Some(("a1", 5)), Some(5)) && !unheard("a1", Some(("a1", 5)), Some(7)), "heard ahead");
+    assert!(!unheard("a1", Some(("b1", 5)), None) && !unheard("a1", None, None), "another's, or none");
+}
+
+/// What a late copy does, one line a case: what is sent late, what has come since, whether it is refused.
+#[test]
+fn late_copies_by_cases() {
+    type Sent = (Vec<Condition>, Vec<Change>);
+    type Make = fn(&mut Store) -> Sent;
+    type Newer = fn(&mut Store);
+    fn naming_now(store: &mut Store) -> Sent {
+        let (conditions, change) = naming(&owner("a1"), store.stamp(LEADER), store.stamp(ASSIGNMENT));
+        (conditions.into(), vec![change])
+    }
+    fn candidacy_now(store: &mut Store) -> Sent {
+        let lease = store.grant(3000, NOW).unwrap();
+        let (condition, change) = candidacy(&leader("a1"), lease);
+        (vec![condition], vec![change])
+    }
+    fn burial_now(store: &mut Store) -> Sent {
+        let (condition, change) = burial(store.stamp(LEADER));
+        (vec![condition], vec![change])
+    }
+    fn plea_now(store: &mut Store) -> Sent {
+        let plea = Plea { node: "b".into(), token: store.stamp(ASSIGNMENT), machines: 3 };
+        let (conditions, changes) = plea.transaction();
+        (conditions.into(), changes.into())
+    }
+    fn again(store: &mut Store) {
+        store.drop_leases();
+        lead(store, "a1");
+    }
+    fn b_leads(store: &mut Store) {
+        store.drop_leases();
+        lead(store, "b1");
+    }
+    fn b_owns(store: &mut Store) {
+        b_leads(store);
+        own(store, "b1").unwrap();
+    }
+    fn a_raises(store: &mut Store) {
+        own(store, "a1").unwrap();
+    }
+    fn b_pleads(store: &mut Store) {
+        let (conditions, changes) = plea_now(store);
+        send(store, &conditions, &changes).unwrap();
+    }
+    let cases: [(&str, Make, Newer, bool); 11] = [
+        ("assignment, raised since", naming_now, a_raises, true),
+        ("assignment, another owns since", naming_now, b_owns, true),
+        ("assignment, another leads and does not own yet", naming_now, b_leads, true),
+        ("assignment, nobody leads", naming_now, Store::drop_leases, true),
+        ("assignment, leads again and nobody has owned between", naming_now, again, true),
+        ("candidacy, another leads", candidacy_now, b_leads, true),
+        ("candidacy, nobody leads and its lease is over", candidacy_now, Store::drop_leases, true),
+        ("burial, its successor leads", burial_now, b_leads, true),
+        ("burial, nobody leads", burial_now, Store::drop_leases, true),
+        ("plea, another owns", plea_now, b_owns, true),
+        ("plea, after another's for the same owner", plea_now, b_pleads, false),
+    ];
+    for (name, make, newer, refused) in cases {
+        let mut store = Store::default();
+        lead(&mut store, "a1");
+        own(&mut store, "a1").unwrap();
+        let (conditions, changes) = make(&mut store);
+        newer(&mut store);
+        assert_eq!(send(&mut store, &conditions, &changes).is_none(), refused, "{name}");
+    }
+}
+
+/// A burial leaves the lease that its leader hung on: a candidacy from before it can make that one lead once
+/// more, on a lease that nobody renews, and its successor buries it again.
+#[test]
+fn a_candidacy_after_a_burial_leads_until_its_lease_ends_and_owns_nothing() {
+    let mut store = Store::default();
+    let lease = store.grant(3000, NOW).unwrap();
+    let (condition, change) = candidacy(&leader("a1"), lease);
+    let late = ([condition], [change]);
+    send(&mut store, &late.0, &late.1).unwrap();
+    let token = own(&mut store, "a1").unwrap();
+    let (condition, change) = burial(store.stamp(LEADER));
+    send(&mut store, &[condition], &[change]).unwrap();
+    assert!(send(&mut store, &late.0, &late.1).is_some());
+    let mut mirror = mirror();
+    hear(&mut mirror, &store);
+    assert_eq!(next_step("a2", Some("a1"), true, Some("a1"), false, false), Step::Bury);
+    store.end_leases(Duration::from_millis(3100));
+    hear(&mut mirror, &store);
+    assert_eq!((next("a2", &mirror, None), store.stamp(ASSIGNMENT)), (Step::Campaign, token));
+}
+
+/// A lease that is renewed late lives at most once its time longer; one that has ended stays ended, and a
+/// late release or grant touches no key of whoever leads since.
+#[test]
+fn late_calls_about_leases_move_nobody_who_leads_since() {
+    let s = Duration::from_secs;
+    let mut store = Store::default();
+    let (old, _) = lead(&mut store, "a1");
+    store.renew(old, s(2)).unwrap();
+    store.end_leases(s(4));
+    assert!(store.has(LEADER), "renewed late, once its time longer");
+    store.end_leases(s(5));
+    assert!(!store.has(LEADER));
+    let lease = store.grant(3000, s(5)).unwrap();
+    let (condition, change) = candidacy(&leader("b1"), lease);
+    let stamp = send(&mut store, &[condition], &[change]).unwrap();
+    assert!(store.renew(old, s(5)).is_err() && store.release(old).is_err());
+    store.grant(3000, s(5)).unwrap();
+    assert_eq!(store.stamp(LEADER), stamp);
+}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -60,6 +60,13 @@
     }
 }
 
+/// Whether this controller is assigned under a token that it does not hold (`held`): the transaction was
+/// carried out, and its answer never came. Nobody else owns then, and nothing that this controller stores
+/// under an older token is taken; it writes the assignment once more, and hears the answer of that.
+pub(crate) fn unheard(me: &str, assignment: Option<(&str, u64)>, held: Option<u64>) -> bool {
+    assignment.is_some_and(|(owner, token)| owner == me && held < Some(token))
+}
+
 pub async fn run(node: Arc<Node>) {
     let life = node.properties.leader_lease;
     let renew_every = life / 4;
@@ -90,12 +97,14 @@
         if leader.is_none() && Instant::now() < shy_until {
             continue;
         }
+        let assigned = assignment.as_ref().map(|(a, token)| (a.incarnation.as_str(), *token));
+        let held = lock(&node.book).as_ref().map(|b| b.token);
         let step = next_step(
             &node.incarnation,
             leader.as_ref().map(|(l, _)| l.incarnation.as_str()),
             burials < BURIALS && leader.as_ref().is_some_and(|(l, _)| l.node == node.settings.node),
             assignment.as_ref().map(|(a, _)| a.incarnation.as_str()),
-            node.raise_wanted(),
+            node.raise_wanted() || unheard(&node.incarnation, assigned, held),
             renewed.elapsed() >= renew_every,
         );
         let outcome = match step {
@@ -191,6 +200,9 @@
     Ok(())
 }
 
+#[cfg(test)]
+mod late;
+
 #[cfg(test)]
 mod tests {
     use hollylanding_emulator::world::store::Store;
