An answer that the watch has overtaken makes nobody own or lead

Cause: the answer to an assignment or a candidacy set the mirror's control whatever the watch had told since. An answer of up to 1.5 s, behind up to 2 s of waiting for the share of the limits, can come after the lease of 3 s has ended and another is assigned. The watch does not tell of that twice: the controller owned by an older token for as long as nothing changed, answering workers that had to drop what it said, and its comparison with the mirror found nothing newer; or it took itself for the leader while nobody led, and did not campaign.

Change: a note counts only if it is newer than what the watch has told, and an assignment is owned by only if it stands then.

Run: an_answer_that_the_watch_has_overtaken_makes_nobody_own_or_lead; it fails with the comparison for the leader taken out, and with those for the assignment taken out (both at once).

--- a/src/membership/late.rs
+++ b/src/membership/late.rs
@@ -187,3 +187,30 @@
     store.grant(3000, s(5)).unwrap();
     assert_eq!(store.stamp(LEADER), stamp);
 }
+
+/// The answer to a transaction may come after the watch has told of newer ones: the mirror would never be
+/// told of those again, and this controller would own or lead for itself alone.
+#[test]
+fn an_answer_that_the_watch_has_overtaken_makes_nobody_own_or_lead() {
+    let mut store = Store::default();
+    let mut mirror = mirror();
+    let (_, stamp) = lead(&mut store, "a1");
+    let token = own(&mut store, "a1").unwrap();
+    store.drop_leases();
+    hear(&mut mirror, &store);
+    mirror.note_leader(leader("a1"), stamp);
+    assert!(mirror.leader().is_none(), "its lease has ended since");
+    lead(&mut store, "b1");
+    let newer = own(&mut store, "b1").unwrap();
+    hear(&mut mirror, &store);
+    assert!(!mirror.note_assignment(owner("a1"), token), "nothing to own by");
+    assert_eq!(mirror.assignment().map(|(a, stamp)| (a.incarnation.as_str(), *stamp)), Some(("b1", newer)));
+    // Ahead of the watch it counts as ever, and a watch from before does not take it back.
+    let before = store.follow(MIRRORED, mirror.revision).unwrap();
+    let token = own(&mut store, "b1").unwrap();
+    assert!(mirror.note_assignment(owner("b1"), token));
+    mirror.apply(&before);
+    assert_eq!(mirror.assignment().map(|(_, stamp)| *stamp), Some(token));
+    hear(&mut mirror, &store);
+    assert!(mirror.note_assignment(owner("b1"), token), "and heard of by the watch first");
+}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -189,8 +189,11 @@
     let (conditions, change) = naming(&record, leader_stamp, stamp);
     match node.store.txn(&conditions, &[change], Urgent::First).await? {
         TxnOutcome::Applied(token) => {
-            lock(&node.mirror).note_assignment(record, token);
-            node.owns(token);
+            if lock(&node.mirror).note_assignment(record, token) {
+                node.owns(token);
+            } else {
+                warn!(token, "assigned, and replaced before the answer came");
+            }
         }
         outcome => {
             warn!(?outcome, "the assignment was not written");
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -169,14 +169,21 @@
         self.control.upgraded.is_none_or(|u| u.old_kept)
     }
 
-    /// This controller has itself been seen to lead, ahead of its watch.
+    /// This controller has itself been seen to lead, ahead of its watch. Where the watch has told of that
+    /// moment, and so of what came after it, the watch is right: it would not tell of it again.
     pub fn note_leader(&mut self, leader: Leader, stamp: u64) {
-        self.control.leader = Some((leader, stamp));
+        if stamp > self.revision {
+            self.control.leader = Some((leader, stamp));
+        }
     }
 
-    /// The same of its assignment.
-    pub fn note_assignment(&mut self, assignment: Assignment, stamp: u64) {
-        self.control.assignment = Some((assignment, stamp));
+    /// The same of its assignment, and whether that still stands as far as is known.
+    pub fn note_assignment(&mut self, assignment: Assignment, stamp: u64) -> bool {
+        let known = |control: &Control| control.assignment.as_ref().map_or(0, |(_, stamp)| *stamp);
+        if stamp > self.revision && stamp > known(&self.control) {
+            self.control.assignment = Some((assignment, stamp));
+        }
+        known(&self.control) == stamp
     }
 
     /// What a watch asks for: all changes after this revision.
