An order to the cloud is not open again by a late copy of the try that stored it

Cause: an order is stored on its own absence and dropped once it was carried out. A try that got no answer, carried out after that, found its key free and made the order anew. The owner did not know of it; the next one took it over: it asked under the old names for machines, got what had been refused for want of capacity, up to 400 machines that nobody wanted, and waited for machines that had long gone. (An order to return cost a call.) Each such copy left a key under d/ until a takeover.

Change: clean-up overwrites an order of which a try was not answered under this very token with done, which keeps its key, and drops the mark under a later token, which no such try gets past; whoever owns next drops it too. All others are dropped as before. One change for the clean-up as ever, and one more for the mark, only then. The play of replaced holders keeps to this too: its match and its holder follow the new variant, and what it asserts is unchanged.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -19,8 +19,8 @@
 use crate::node::Node;
 use crate::scheduling::book::Standing;
 use crate::scheduling::room::Ground;
-use crate::store::TxnOutcome;
 use crate::store::budget::Urgent;
+use crate::store::{StoreError, TxnOutcome};
 use crate::sync::jitter;
 use crate::sync::lock;
 
@@ -80,6 +80,10 @@
     next: u64,
     /// Orders that were carried out and are still stored.
     finished: Vec<String>,
+    /// Orders of which a try was not answered, and the last token of such a try.
+    late: HashMap<String, u64>,
+    /// Those among them that are marked as done, to be dropped under a later token.
+    marked: Vec<String>,
 }
 
 impl Dealings {
@@ -89,6 +93,26 @@
         }
         self.asked.retain(|_, n| *n > 0);
     }
+
+    /// What is to be cleaned up under this token: what was marked under an earlier one too.
+    fn due_for_clean_up(&mut self, token: u64) -> &[String] {
+        let late = &self.late;
+        let free = |key: &mut String| late.get(key).is_none_or(|under| *under < token);
+        self.finished.extend(self.marked.extract_if(.., free));
+        &self.finished
+    }
+
+    /// These were cleaned up under this token.
+    fn cleaned_up(&mut self, keys: &[String], token: u64) {
+        self.finished.retain(|key| !keys.contains(key));
+        for key in keys {
+            if self.late.get(key).is_some_and(|under| *under >= token) {
+                self.marked.push(key.clone());
+            } else {
+                self.late.remove(key);
+            }
+        }
+    }
 }
 
 type Shared = Arc<std::sync::Mutex<Dealings>>;
@@ -253,6 +277,7 @@
         info!(orders = keys.len(), machines = names.len(), "orders to return are taken over");
         dealings.returning.extend(names.iter().cloned());
     }
+    dealings.finished.extend(inherited.done.iter().cloned());
     inherited
 }
 
@@ -273,6 +298,9 @@
     loop {
         let Some(under) = token(node) else { return Err(Next::Stop) };
         let outcome = node.store.txn(&order.conditions(under), &change, Urgent::First).await;
+        if outcome == Err(StoreError::Unanswered) {
+            lock(dealings).late.insert(order.key.clone(), under);
+        }
         match order.next(&outcome, token(node)) {
             Next::Act => return Ok(order.key),
             Next::Stop => return Err(Next::Stop),
@@ -295,14 +323,22 @@
 
 /// Orders that were carried out are dropped together, behind everything else.
 async fn tidy(node: &Node, dealings: &Shared) {
-    let urgent = if lock(dealings).finished.len() >= TIDY_PRESSED { Urgent::Second } else { Urgent::Last };
+    let Some(token) = token(node) else { return };
+    let pressed = lock(dealings).due_for_clean_up(token).len() >= TIDY_PRESSED;
+    let urgent = if pressed { Urgent::Second } else { Urgent::Last };
     let most = node.store.writes_ready(urgent).min(node.settings.params.state.txn_ops as usize);
-    let keys: Vec<String> = lock(dealings).finished.iter().take(most).cloned().collect();
-    let Some(token) = token(node).filter(|_| !keys.is_empty()) else { return };
-    let (conditions, changes) = orders::drops(&keys, token);
+    let (keys, (conditions, changes)) = {
+        let mut dealings = lock(dealings);
+        let keys: Vec<String> = dealings.due_for_clean_up(token).iter().take(most).cloned().collect();
+        let sent = orders::clean_up(&keys, &dealings.late, token);
+        (keys, sent)
+    };
+    if keys.is_empty() {
+        return;
+    }
     let outcome = tokio::time::timeout(TIDY_WITHIN, node.store.txn(&conditions, &changes, urgent)).await;
     if matches!(outcome, Ok(Ok(TxnOutcome::Applied(_)))) {
-        lock(dealings).finished.retain(|key| !keys.contains(key));
+        lock(dealings).cleaned_up(&keys, token);
     }
 }
 
--- a/src/fleet/orders.rs
+++ b/src/fleet/orders.rs
@@ -6,6 +6,8 @@
 //! What is to be returned is then no place for its work, and it carries out the rest itself under
 //! the same names, so that a late call of its predecessor finds nothing left to do (docs/duties.md).
 
+use std::collections::HashMap;
+
 use serde::{Deserialize, Serialize};
 use tracing::error;
 
@@ -24,6 +26,9 @@
     Rent(Vec<Rental>),
     /// Machines to be returned.
     Return(Vec<String>),
+    /// Carried out. Its key is kept while a copy of the order may still be stored by it, which must not
+    /// be taken for an order that is open.
+    Done,
 }
 
 /// One order. Its epoch is the assignment under which it was first meant.
@@ -102,6 +107,8 @@
     pub rentals: Vec<(Vec<Rental>, String)>,
     /// Machines, and the keys of all orders that name them.
     pub returns: Vec<(Vec<String>, Vec<String>)>,
+    /// Orders that were carried out and are still stored.
+    pub done: Vec<String>,
 }
 
 impl Inherited {
@@ -118,18 +125,29 @@
                     }
                     _ => inherited.returns.push((names, vec![order.key])),
                 },
+                What::Done => inherited.done.push(order.key),
             }
         }
         inherited
     }
 }
 
-/// Drops of orders that were carried out: only the present owner cleans up.
-pub fn drops(keys: &[String], token: u64) -> ([Condition; 1], Vec<Change>) {
-    let drops = keys.iter().map(|key| Change::Drop { drop: key.clone() }).collect();
-    ([Condition::at(ASSIGNMENT, token)], drops)
+/// Clean-up of orders that were carried out: only the present owner's. An order of which a try was not
+/// answered under this very token (`late`) would be stored once more by that try if its key were free; it
+/// is marked as done instead, and dropped under a later token, which no such try gets past.
+pub fn clean_up(keys: &[String], late: &HashMap<String, u64>, token: u64) -> ([Condition; 1], Vec<Change>) {
+    let change = |key: &String| match late.get(key) {
+        Some(under) if *under >= token => {
+            Change::write(key, serde_json::to_value(Stored { epoch: token, what: What::Done }).unwrap_or_default())
+        }
+        _ => Change::Drop { drop: key.clone() },
+    };
+    ([Condition::at(ASSIGNMENT, token)], keys.iter().map(change).collect())
 }
 
+#[cfg(test)]
+mod late;
+
 #[cfg(test)]
 mod tests {
     use std::collections::BTreeSet;
@@ -191,6 +209,7 @@
         fleet: BTreeSet<String>,
         placed: BTreeSet<String>,
         orders: Vec<(CloudOrder, bool)>,
+        unanswered: HashMap<String, u64>,
         number: u64,
     }
 
@@ -213,7 +232,8 @@
                 let orders: Vec<(CloudOrder, bool)> = items.filter(|_| fenced).map(|o| (o, true)).collect();
                 let leaving: BTreeSet<String> = orders.iter().flat_map(|(o, _)| returned(o)).collect();
                 let fleet = cloud.difference(&leaving).cloned().collect();
-                holders.push(Holder { token, fleet, placed: BTreeSet::new(), orders, number: 0 });
+                let (placed, unanswered) = (BTreeSet::new(), HashMap::new());
+                holders.push(Holder { token, fleet, placed, orders, unanswered, number: 0 });
             }
             // The present owner mostly, or one that was replaced and has not heard of it.
             let newest = holders.len() - 1;
@@ -240,6 +260,7 @@
                         if !fenced {
                             holder.orders[n].1 = true;
                         } else if rng.random_ratio(1, 4) {
+                            holder.unanswered.insert(order.key.clone(), holder.token);
                             late.push((order, holder.token));
                         } else {
                             let outcome = store.apply_if(&order.conditions(holder.token), &[order.change()]);
@@ -263,7 +284,7 @@
                     if owns && fenced {
                         let stands = holder.orders.iter().filter(|(_, stands)| *stands);
                         let keys: Vec<String> = stands.map(|(o, _)| o.key.clone()).collect();
-                        let (conditions, changes) = drops(&keys, holder.token);
+                        let (conditions, changes) = clean_up(&keys, &holder.unanswered, holder.token);
                         store.apply_if(&conditions, &changes).unwrap();
                         holder.orders.retain(|(_, stands)| !stands);
                     }
@@ -291,7 +312,7 @@
     fn returned(order: &CloudOrder) -> Vec<String> {
         match &order.what {
             What::Return(names) => names.clone(),
-            What::Rent(_) => Vec::new(),
+            What::Rent(_) | What::Done => Vec::new(),
         }
     }
 
