A late drop of chunks takes nothing of a job that was put back; a table of late copies

Cause: chunks of jobs that are over are dropped on condition of the assignment alone. That is safe as long as no job comes back. One whose end the store has lost, put back by whoever had accepted it (audit), is open once more: a copy of the drop from before took what was bound since, and an heir would have placed it a second time. It takes a store that breaks its promise and a late transaction.

Tests: every_late_copy_is_refused_or_changes_nothing plays a life of jobs, orders, a status, a plea, repairs and three assignments, each transaction made by what makes it in a controller, and after each one compares a copy of all before it: refused, or one of four kinds whose changes stand already.

--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -16,7 +16,7 @@
 use super::{Change, Condition, StoreError, TxnOutcome};
 use crate::history::moves::{end_among, end_changes, not_ended};
 use crate::jobs::record::{
-    ASSIGNMENT, ENDED_EXTRA, JobRecord, chunk_key, chunk_size, decode_chunk, encode_chunk, time_of_day_ms,
+    ASSIGNMENT, ENDED_EXTRA, JobRecord, chunk_key, chunk_size, decode_chunk, encode_chunk, open_key, time_of_day_ms,
 };
 use crate::jobs::{End, JobId};
 use crate::node::Node;
@@ -222,10 +222,19 @@
     true
 }
 
-/// Drops of chunks whose jobs are over.
+/// Drops of chunks whose jobs are over. A job that was lost and put back (`audit`) is open once more, and
+/// a copy that comes late must not take what is bound of it since.
 pub(crate) fn chunk_drops(drops: &[(JobId, u64)], token: u64) -> (Vec<Condition>, Vec<Change>) {
+    let jobs: BTreeSet<&JobId> = drops.iter().map(|(id, _)| id).collect();
+    let closed = jobs.into_iter().map(|id| Condition::absent(open_key(id)));
     let changes = drops.iter().map(|(id, c)| Change::Drop { drop: chunk_key(id, *c) }).collect();
-    (vec![Condition::at(ASSIGNMENT, token)], changes)
+    (std::iter::once(Condition::at(ASSIGNMENT, token)).chain(closed).collect(), changes)
+}
+
+/// What is still to be dropped after these were refused: nothing of jobs that are open.
+pub(crate) fn still_to_drop(mut drops: Vec<(JobId, u64)>, failed: &[String]) -> Vec<(JobId, u64)> {
+    drops.retain(|(id, _)| !failed.contains(&open_key(id)));
+    drops
 }
 
 /// Chunks of jobs that are over, whenever the budget has room.
@@ -240,9 +249,12 @@
     }
     let (conditions, changes) = chunk_drops(&drops, token);
     let outcome = tokio::time::timeout(DROP_WITHIN, node.store.txn(&conditions, &changes, urgent)).await;
-    if !matches!(outcome, Ok(Ok(TxnOutcome::Applied(_))))
-        && let Some(book) = lock(&node.book).as_mut()
-    {
-        book.drop_again(drops);
+    let failed = match outcome {
+        Ok(Ok(TxnOutcome::Applied(_))) => return,
+        Ok(Ok(TxnOutcome::Failed(keys))) => keys,
+        _ => Vec::new(),
+    };
+    if let Some(book) = lock(&node.book).as_mut() {
+        book.drop_again(still_to_drop(drops, &failed));
     }
 }
--- /dev/null
+++ b/src/store/late_transactions.rs
@@ -0,0 +1,211 @@
+//! The life of a few jobs, orders and statuses, each transaction made by what makes it in a controller, and
+//! a copy of each of them that comes after every newer one: it is refused, or it changes nothing.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use hollylanding_emulator::world::store::Store;
+use serde_json::json;
+
+use super::audit::end_again;
+use super::commit::{Batch, chunk_drops, still_to_drop};
+use super::{Change, Condition};
+use crate::declared::Kind;
+use crate::declared::driver::{self, Write};
+use crate::declared::records::{spec_key, status_key};
+use crate::fleet::orders::{CloudOrder, What, clean_up};
+use crate::history::moves::{self, Move};
+use crate::history::upgrade::upgraded;
+use crate::jobs::record::{ASSIGNMENT, JobRecord, LEADER, Stored, chunk_key, old_job_key, open_key};
+use crate::jobs::tests::spec;
+use crate::jobs::{End, JobId, JobSpec};
+use crate::membership::records::{Assignment, Leader, Plea};
+use crate::membership::{burial, candidacy, naming};
+use crate::scheduling::book::ChunkWrite;
+
+/// Copies of these may be taken: what they write stands already, or whoever reads it judges for himself.
+const TAKEN: [&str; 4] = ["plea", "chunks dropped", "order cleaned up", "order marked as done"];
+
+fn record(n: u64) -> Arc<JobRecord> {
+    let id: JobId = format!("run-{n:06}").as_str().into();
+    Arc::new(JobRecord { spec: JobSpec { id, ..spec() }, at_ms: 1 })
+}
+
+#[derive(Default)]
+struct Life {
+    store: Store,
+    sent: Vec<(&'static str, Vec<Condition>, Vec<Change>)>,
+    compared: usize,
+    taken: Vec<&'static str>,
+}
+
+impl Life {
+    /// Sends one, and then a copy of each that was sent before it, and of itself.
+    fn send(
+        &mut self,
+        name: &'static str,
+        conditions: impl Into<Vec<Condition>>,
+        changes: impl Into<Vec<Change>>,
+    ) -> u64 {
+        let (conditions, changes) = (conditions.into(), changes.into());
+        assert!(conditions.len() <= 4 * changes.len(), "{name}: the service takes four a change");
+        let stamp = self.store.apply_if(&conditions, &changes).unwrap_or_else(|refused| panic!("{name}: {refused:?}"));
+        self.sent.push((name, conditions, changes));
+        for (late, conditions, changes) in &self.sent {
+            self.compared += 1;
+            if !self.store.compare(conditions).is_empty() {
+                continue;
+            }
+            assert!(TAKEN.contains(late), "{late} is taken once more after {name}");
+            self.taken.push(*late);
+            for change in changes {
+                match change {
+                    Change::Drop { drop } => assert!(!self.store.has(drop), "{late} after {name} takes {drop}"),
+                    Change::Write { write, value, .. } => {
+                        assert_eq!(self.store.value(write), Some(value), "{late} after {name} changes {write}");
+                    }
+                }
+            }
+        }
+        stamp
+    }
+
+    fn send_move(&mut self, name: &'static str, sent: Move) -> u64 {
+        self.send(name, sent.conditions, sent.changes)
+    }
+
+    fn batch(&mut self, name: &'static str, token: u64, ends: Vec<Arc<JobRecord>>, chunks: Vec<ChunkWrite>) -> u64 {
+        let batch = Batch { ends, chunks, at_ms: 5 };
+        self.send(name, batch.conditions(token), batch.changes())
+    }
+
+    fn own(&mut self, name: &'static str) -> u64 {
+        let me = Assignment { node: "a".into(), incarnation: name.into(), teams: Vec::new() };
+        let (conditions, change) = naming(&me, self.store.stamp(LEADER), self.store.stamp(ASSIGNMENT));
+        self.send(name, conditions, [change])
+    }
+
+    fn lead(&mut self, name: &'static str) {
+        let lease = self.store.grant(3000, std::time::Duration::ZERO).unwrap();
+        let me = Leader { node: "a".into(), incarnation: name.into() };
+        let (condition, change) = candidacy(&me, lease);
+        self.send(name, [condition], [change]);
+    }
+
+    fn status(&mut self, name: &'static str, token: u64, value: Option<serde_json::Value>) -> u64 {
+        let stamp = |key: String| self.store.stamp(&key);
+        let (spec_stamp, status_stamp) = (stamp(spec_key(Kind::Window, "w")), stamp(status_key(Kind::Window, "w")));
+        let write = [Write { kind: Kind::Window, name: "w".into(), spec_stamp, status_stamp, value }];
+        self.send(name, driver::conditions(&write, token), driver::changes(&write))
+    }
+
+    fn declare(&mut self, change: Change) {
+        self.store.apply_if(&[], &[change]).unwrap();
+    }
+}
+
+fn chunk(record: &JobRecord, stamp: u64, attempt: u64) -> ChunkWrite {
+    let tasks = vec![Stored::Bound(attempt, "host-000001".into())];
+    ChunkWrite { job: record.spec.id.clone(), chunk: 0, stamp, tasks }
+}
+
+#[test]
+fn every_late_copy_is_refused_or_changes_nothing() {
+    let mut life = Life::default();
+    let jobs: Vec<Arc<JobRecord>> = (1..=4).map(record).collect();
+    life.lead("a leads");
+    let token = life.own("a owns");
+    // An earlier build's job, taken over.
+    let old = serde_json::to_value(&*jobs[3]).unwrap();
+    let stamp = life.store.apply_if(&[], &[Change::write(old_job_key(&jobs[3].spec.id), old)]).unwrap();
+    life.send_move("adoption", moves::adopt(&jobs[3], stamp));
+    let (condition, change) = upgraded(true);
+    life.send("upgraded", [condition], [change]);
+
+    life.send_move("acceptance", moves::accept(&jobs[0], true));
+    let placed = life.batch("first placement", token, vec![], vec![chunk(&jobs[0], 0, 1)]);
+    let placed = life.batch("next placement", token, vec![], vec![chunk(&jobs[0], placed, 2)]);
+    life.send_move("second acceptance", moves::accept(&jobs[1], true));
+    life.batch("placement beside it", token, vec![], vec![chunk(&jobs[1], 0, 1)]);
+    life.send_move("withdrawal", moves::withdraw(&jobs[1], 5));
+    life.batch("news of the first", token, vec![], vec![chunk(&jobs[0], placed, 3)]);
+    life.batch("done", token, vec![jobs[0].clone()], vec![]);
+    let drops = jobs[..2].iter().map(|job| (job.spec.id.clone(), 0)).collect::<Vec<_>>();
+    let (conditions, changes) = chunk_drops(&drops, token);
+    life.send("chunks dropped", conditions, changes);
+    life.send_move("third acceptance", moves::accept(&jobs[2], true));
+
+    // An order of which one try was not answered, and one of which all were.
+    for (n, name, cleaned, unsure) in
+        [(1, "order", "order marked as done", true), (2, "next order", "order cleaned up", false)]
+    {
+        let order = CloudOrder::new("me", token, n, What::Return(vec![format!("m{n}")]));
+        life.send(name, order.conditions(token), [order.change()]);
+        let late: HashMap<String, u64> = unsure.then(|| (order.key.clone(), token)).into_iter().collect();
+        let (conditions, changes) = clean_up(std::slice::from_ref(&order.key), &late, token);
+        if !unsure {
+            // Every try was answered, so none comes late.
+            life.sent.retain(|(sent, ..)| *sent != name);
+        }
+        life.send(cleaned, conditions, changes);
+    }
+
+    // A status, and its spec written, removed and made anew under its name.
+    life.declare(Change::write(spec_key(Kind::Window, "w"), json!(1)));
+    life.status("first status", token, Some(json!(1)));
+    life.status("next status", token, Some(json!(2)));
+    life.declare(Change::Drop { drop: spec_key(Kind::Window, "w") });
+    life.status("status dropped", token, None);
+    life.declare(Change::write(spec_key(Kind::Window, "w"), json!(1)));
+    life.status("first status of the next", token, Some(json!(1)));
+
+    let plea = Plea { node: "b".into(), token, machines: 2 };
+    let (conditions, changes) = plea.transaction();
+    life.send("plea", conditions, changes);
+
+    // What the store has lost is put back.
+    life.store.vanish("h/d/", 1);
+    life.send_move("end put back", end_again(&jobs[0], End::Done, 9));
+    life.store.vanish(&open_key(&jobs[2].spec.id), 1);
+    life.send_move("job put back", moves::accept(&jobs[2], true));
+
+    let token = life.own("a owns under a higher token");
+    // A candidacy is refused once the lease that it hangs on is over (`membership::late`).
+    life.sent.retain(|(name, ..)| *name != "a leads");
+    let (condition, change) = burial(life.store.stamp(LEADER));
+    life.send("burial", [condition], [change]);
+    life.lead("b leads");
+    life.own("b owns");
+    life.taken.clear();
+    let third = life.store.stamp(ASSIGNMENT);
+    assert!(third > token);
+    life.batch("placement by b", third, vec![], vec![chunk(&jobs[2], 0, 1)]);
+    assert!(life.taken.is_empty(), "nothing of an earlier owner is taken any more: {:?}", life.taken);
+    assert!(life.compared > 300, "{}", life.compared);
+}
+
+/// A job whose end the store has lost is put back and placed again: a copy of the drop from before took what
+/// was bound since, and an heir would have placed it a second time.
+#[test]
+fn a_late_drop_of_chunks_takes_nothing_of_a_job_that_was_put_back() {
+    let (mut store, job, token) = (Store::default(), record(1), 1);
+    store.apply_if(&[], &[Change::write(ASSIGNMENT, json!("a"))]).unwrap();
+    let accept = moves::accept(&job, false);
+    let place = |stamp| Batch { ends: vec![], chunks: vec![chunk(&job, stamp, 1)], at_ms: 5 };
+    let end = Batch { ends: vec![job.clone()], chunks: vec![], at_ms: 5 };
+    store.apply_if(&accept.conditions, &accept.changes).unwrap();
+    store.apply_if(&place(0).conditions(token), &place(0).changes()).unwrap();
+    store.apply_if(&end.conditions(token), &end.changes()).unwrap();
+    let drops = vec![(job.spec.id.clone(), 0)];
+    let (conditions, changes) = chunk_drops(&drops, token);
+    store.apply_if(&conditions, &changes).unwrap();
+    // Lost, and put back by whoever had accepted it and has not heard of its end.
+    assert_eq!(store.vanish("h/d/", 1).len(), 1);
+    store.apply_if(&accept.conditions, &accept.changes).unwrap();
+    store.apply_if(&place(0).conditions(token), &place(0).changes()).unwrap();
+    let refused = store.apply_if(&conditions, &changes).unwrap_err();
+    assert!(store.has(&chunk_key(&job.spec.id, 0)), "what is bound stands");
+    // And it is not tried for ever: the rest of what was refused together goes without it.
+    let rest = ("run-000002".into(), 3);
+    assert_eq!(still_to_drop(vec![drops[0].clone(), rest], &refused.failed), [("run-000002".into(), 3)]);
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -6,6 +6,8 @@
 pub mod client;
 pub mod commit;
 pub mod follow;
+#[cfg(test)]
+mod late_transactions;
 pub mod mirror;
 pub mod share;
 
