A test that a page older than an assignment deposes nobody and is put right

Why: note_assignment sets the mirror ahead of its watch, and a page of a reading begun before takes it back for a moment. Nothing follows from that: a book is deposed by newer tokens only, and whatever is written meanwhile fails on its stamps.

--- a/src/membership/late.rs
+++ b/src/membership/late.rs
@@ -214,3 +214,33 @@
     hear(&mut mirror, &store);
     assert!(mirror.note_assignment(owner("b1"), token), "and heard of by the watch first");
 }
+
+/// A page that was read before this controller's assignment stood brings back, for a moment, who owned before.
+/// It is deposed by newer tokens only, what it tries meanwhile is refused, and the first page's revision is
+/// where the watch goes on, which tells of the assignment again.
+#[test]
+fn a_page_older_than_an_assignment_deposes_nobody_and_is_put_right() {
+    let mut store = Store::default();
+    lead(&mut store, "b1");
+    let before = own(&mut store, "b1").unwrap();
+    let old = store.page(MIRRORED, "", 100);
+    store.drop_leases();
+    lead(&mut store, "a1");
+    let mut mirror = mirror();
+    hear(&mut mirror, &store);
+    let mut loading = mirror.load();
+    mirror.take_page(&mut loading, &old);
+    let token = own(&mut store, "a1").unwrap();
+    assert!(mirror.note_assignment(owner("a1"), token));
+    mirror.loaded(loading);
+    let believed = mirror.assignment().map(|(a, stamp)| (a.incarnation.clone(), *stamp)).unwrap();
+    assert_eq!(believed, ("b1".to_owned(), before), "for a moment");
+    assert!(before < token, "which is no newer than the token that is held");
+    assert_eq!(next("a1", &mirror, Some(token)), Step::Wait, "the other seems to lead");
+    let leads = mirror.leader().map_or(0, |(_, stamp)| *stamp);
+    let (conditions, change) = naming(&owner("a1"), leads, before);
+    assert_eq!(send(&mut store, &conditions, &[change]), None);
+    hear(&mut mirror, &store);
+    assert_eq!(mirror.assignment().map(|(_, stamp)| *stamp), Some(token));
+    assert_eq!(next("a1", &mirror, Some(token)), Step::Wait, "leads and owns");
+}
