--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -60,11 +60,10 @@
     }
 }
 
-/// Whether this controller is assigned under a token that it does not hold (`held`): the transaction was
-/// carried out, and its answer never came. Nobody else owns then, and nothing that this controller stores
-/// under an older token is taken; it writes the assignment once more, and hears the answer of that.
-pub(crate) fn unheard(me: &str, assignment: Option<(&str, u64)>, held: Option<u64>) -> bool {
-    assignment.is_some_and(|(owner, token)| owner == me && held < Some(token))
+/// This controller's own assignment stands, and it does not act on it: the write was carried out and not
+/// answered. It is written again, which answers under which token to begin, or to go on.
+fn unheard(me: &str, assignment: Option<(&str, u64)>, token: Option<u64>) -> bool {
+    assignment.is_some_and(|(owner, stamp)| owner == me && token.is_none_or(|token| token < stamp))
 }
 
 pub async fn run(node: Arc<Node>) {
@@ -97,14 +96,14 @@
         if leader.is_none() && Instant::now() < shy_until {
             continue;
         }
-        let assigned = assignment.as_ref().map(|(a, token)| (a.incarnation.as_str(), *token));
-        let held = lock(&node.book).as_ref().map(|b| b.token);
+        let token = lock(&node.book).as_ref().map(|book| book.token);
+        let assigned = assignment.as_ref().map(|(a, stamp)| (a.incarnation.as_str(), *stamp));
         let step = next_step(
             &node.incarnation,
             leader.as_ref().map(|(l, _)| l.incarnation.as_str()),
             burials < BURIALS && leader.as_ref().is_some_and(|(l, _)| l.node == node.settings.node),
-            assignment.as_ref().map(|(a, _)| a.incarnation.as_str()),
-            node.raise_wanted() || unheard(&node.incarnation, assigned, held),
+            assigned.map(|(owner, _)| owner),
+            node.raise_wanted() || unheard(&node.incarnation, assigned, token),
             renewed.elapsed() >= renew_every,
         );
         let outcome = match step {
