--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -63,6 +63,12 @@
     }
 }
 
+/// This controller's own assignment stands, and it does not act on it: the write was carried out and not
+/// answered. It is written again, which answers under which token to begin, or to go on.
+fn unheard(me: &str, assignment: Option<(&str, u64)>, token: Option<u64>) -> bool {
+    assignment.is_some_and(|(owner, stamp)| owner == me && token.is_none_or(|token| token < stamp))
+}
+
 pub async fn run(node: Arc<Node>) {
     let life = node.properties.leader_lease;
     let renew_every = life / 4;
@@ -93,14 +99,14 @@
         if leader.is_none() && Instant::now() < shy_until {
             continue;
         }
+        let token = lock(&node.book).as_ref().map(|book| book.token);
+        let assigned = assignment.as_ref().map(|(a, stamp)| (a.incarnation.as_str(), *stamp));
         let step = next_step(
             &node.incarnation,
             leader.as_ref().map(|(l, _)| l.incarnation.as_str()),
             burials < BURIALS && leader.as_ref().is_some_and(|(l, _)| l.node == node.settings.node),
-            // One whose answer never came is written anew: nobody acts under it, and what is stored under an
-            // older token of its own is refused.
-            assignment.as_ref().filter(|(_, s)| node.acts_under(*s)).map(|(a, _)| a.incarnation.as_str()),
-            node.raise_wanted(),
+            assigned.map(|(owner, _)| owner),
+            node.raise_wanted() || unheard(&node.incarnation, assigned, token),
             renewed.elapsed() >= renew_every,
         );
         let outcome = match step {
@@ -131,7 +137,7 @@
 
 /// Who leads decides how soon there is an owner and nothing else: the assignment stands until a new leader
 /// writes the next one, and whatever its owner has sent is judged by that.
-fn burial(stamp: u64) -> (Condition, Change) {
+pub(crate) fn burial(stamp: u64) -> (Condition, Change) {
     (Condition::at(LEADER, stamp), Change::Drop { drop: LEADER.into() })
 }
 
@@ -144,7 +150,7 @@
 }
 
 /// Leadership for whoever finds none, on its lease.
-fn candidacy(me: &Leader, lease: u64) -> (Condition, Change) {
+pub(crate) fn candidacy(me: &Leader, lease: u64) -> (Condition, Change) {
     let value = serde_json::to_value(me).unwrap_or_default();
     (Condition::absent(LEADER), Change::Write { write: LEADER.into(), value, permit: Some(lease) })
 }
@@ -171,6 +177,12 @@
     Ok(())
 }
 
+/// An owner, named by whoever leads and on what it has read: nobody else may have been named since.
+pub(crate) fn naming(owner: &Assignment, leader_stamp: u64, stamp: u64) -> ([Condition; 2], Change) {
+    let change = Change::write(ASSIGNMENT, serde_json::to_value(owner).unwrap_or_default());
+    ([Condition::at(LEADER, leader_stamp), Condition::at(ASSIGNMENT, stamp)], change)
+}
+
 /// Writes this controller as owner. Done again, it raises the token: every command given under
 /// the older one is dead wherever the new one has been seen.
 async fn assign(node: &Arc<Node>, leader_stamp: u64, stamp: u64) -> Result<(), StoreError> {
@@ -179,12 +191,14 @@
         incarnation: node.incarnation.clone(),
         teams: node.settings.params.teams.iter().map(|t| t.name.clone()).collect(),
     };
-    let conditions = [Condition::at(LEADER, leader_stamp), Condition::at(ASSIGNMENT, stamp)];
-    let change = Change::write(ASSIGNMENT, serde_json::to_value(&record).unwrap_or_default());
+    let (conditions, change) = naming(&record, leader_stamp, stamp);
     match node.store.txn(&conditions, &[change], Urgent::First).await? {
         TxnOutcome::Applied(token) => {
-            lock(&node.mirror).note_assignment(record, token);
-            node.owns(token);
+            if lock(&node.mirror).note_assignment(record, token) {
+                node.owns(token);
+            } else {
+                warn!(token, "assigned, and replaced before the answer came");
+            }
         }
         outcome => {
             warn!(?outcome, "the assignment was not written");
@@ -210,6 +224,9 @@
     }
 }
 
+#[cfg(test)]
+mod late;
+
 #[cfg(test)]
 mod tests {
     use hollylanding_emulator::world::store::Store;
--- a/src/node.rs
+++ b/src/node.rs
@@ -17,7 +17,7 @@
 use crate::history::reader::{self, History};
 use crate::history::sweep;
 use crate::jobs::door::Door;
-use crate::jobs::record::{ASSIGNMENT, PLEA, time_of_day_ms};
+use crate::jobs::record::time_of_day_ms;
 use crate::jobs::{Counts, End, JobId};
 use crate::kinds::Catalog;
 use crate::membership::mesh::Heard;
@@ -327,11 +327,6 @@
         self.wake.mesh.send_replace(());
     }
 
-    /// Whether this controller acts under an assignment with this stamp.
-    pub fn acts_under(&self, stamp: u64) -> bool {
-        lock(&self.book).as_ref().is_some_and(|b| b.token == stamp)
-    }
-
     /// As the owner: up to which revision its loaded book holds every end. None while it is not sure to be the
     /// one that is assigned, by all that it has heard.
     pub fn watermark(&self) -> Option<Watermark> {
@@ -447,8 +442,8 @@
         let plea = Plea { node: self.settings.node.clone(), token, machines };
         let node = self.clone();
         tokio::spawn(async move {
-            let change = [Change::write(PLEA, serde_json::to_value(&plea).unwrap_or_default())];
-            let _ = node.store.txn(&[Condition::at(ASSIGNMENT, token)], &change, Urgent::First).await;
+            let (conditions, changes) = plea.transaction();
+            let _ = node.store.txn(&conditions, &changes, Urgent::First).await;
         });
     }
 
