A watermark that stands still while withdrawals wait is told of in the log

Cause: operators could not see why withdrawals are answered 503. Change: a warning after 10 s, once a minute, with how many wait and who owns. Tests of history, membership and settings pass.

--- a/src/history/desk.rs
+++ b/src/history/desk.rs
@@ -129,9 +129,9 @@
         found
     }
 
-    /// Withdrawals that wait for a watermark.
-    pub fn hidden(&self) -> usize {
-        self.visibility.waiting()
+    /// Withdrawals whose stamps are kept, and those of them above the watermark.
+    pub fn hidden(&self) -> [usize; 2] {
+        [self.visibility.held(), self.visibility.waiting()]
     }
 
     /// So many wait that some may be refused soon.
--- a/src/history/reader.rs
+++ b/src/history/reader.rs
@@ -104,8 +104,8 @@
         Ok(())
     }
 
-    /// Withdrawals that wait for a watermark.
-    pub fn hidden(&self) -> usize {
+    /// Withdrawals whose stamps are kept, and those of them above the watermark.
+    pub fn hidden(&self) -> [usize; 2] {
         lock(&self.desk).hidden()
     }
 
--- a/src/history/tests.rs
+++ b/src/history/tests.rs
@@ -53,7 +53,7 @@
     assert_eq!(seen(&mut desk), [Yes, Yes, NotYet]);
     desk.show(&id(3));
     assert_eq!(seen(&mut desk), [Yes, Yes, Yes]);
-    assert_eq!(desk.hidden(), 0, "nothing is kept of what is shown");
+    assert_eq!(desk.hidden(), [0, 0], "nothing is kept of what is shown");
 }
 
 /// Ids that do not fit beside the packed ends are judged by their stamps, each time.
@@ -63,7 +63,9 @@
     let long: JobId = "run-18446744073709551615".into();
     desk.note_withdrawal(&long, 7);
     assert_eq!(desk.visible(&long, End::Withdrawn), Visible::NotYet);
+    assert_eq!(desk.hidden(), [1, 1]);
     desk.advance(7);
+    assert_eq!(desk.hidden(), [1, 0]);
     assert_eq!(desk.visible(&long, End::Withdrawn), Visible::Yes);
     assert_eq!(desk.visible(&long, End::Withdrawn), Visible::Yes);
 }
@@ -73,7 +75,7 @@
 fn what_is_forgotten_is_unknown_and_never_told() {
     let mut desk: Desk<()> = Desk::new(4);
     (0..20_000).for_each(|n| desk.note_withdrawal(&id(n), 100));
-    assert!(desk.hidden() <= 8192);
+    assert_eq!(desk.hidden(), [8192, 8192]);
     assert_eq!(desk.visible(&id(0), End::Withdrawn), Visible::Unknown);
     assert_eq!(desk.visible(&id(19_999), End::Withdrawn), Visible::NotYet);
 }
--- a/src/history/visibility.rs
+++ b/src/history/visibility.rs
@@ -80,7 +80,12 @@
         self.waiting.pop(id);
     }
 
-    pub fn waiting(&self) -> usize {
+    pub fn held(&self) -> usize {
         self.waiting.len()
     }
+
+    /// Withdrawals above the watermark.
+    pub fn waiting(&self) -> usize {
+        self.waiting.iter().filter(|(_, stamp)| **stamp > self.watermark).count()
+    }
 }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -23,6 +23,7 @@
 use crate::store::{Change, Condition, StoreError, TxnOutcome};
 use crate::sync::lock;
 use records::{Assignment, Leader, Watermark};
+use watermark::Lag;
 
 /// After yielding, the others get this long to take over before this controller tries again.
 const SHY: Duration = Duration::from_secs(10);
@@ -76,6 +77,7 @@
     let mut renewed = Instant::now();
     let mut shy_until = Instant::now();
     let mut burials = 0;
+    let mut lag = Lag::default();
     loop {
         let _ = tokio::time::timeout(renew_every / 2, node.wake.membership.notified()).await;
         let (ready, leader, assignment) = {
@@ -129,6 +131,15 @@
             debug!(%error, ?step, "membership");
             tokio::time::sleep(crate::sync::jitter(Duration::from_millis(150))).await;
         }
+        let [_, waiting] = node.history.hidden();
+        if let Some(long) = lag.tells(waiting, node.history.watermark(), Instant::now()) {
+            warn!(
+                waiting,
+                for_s = long.as_secs(),
+                owner = node.owner_node(),
+                "withdrawals are stored and not confirmed by the owner: their users are told to come again"
+            );
+        }
         if let Some(watermark) = node.watermark_to_store(Instant::now()) {
             store_watermark(&node, watermark).await;
         }
--- a/src/membership/watermark.rs
+++ b/src/membership/watermark.rs
@@ -44,3 +44,30 @@
         waits && rested
     }
 }
+
+/// Withdrawals that have waited for so long are told of in the log, this often.
+const TOLD_AFTER: Duration = Duration::from_secs(10);
+const TOLD_EVERY: Duration = Duration::from_secs(60);
+
+/// Whether the watermark stands still while withdrawals wait for it.
+#[derive(Debug, Default)]
+pub struct Lag {
+    /// The watermark, and since when it has been so with something waiting.
+    stands: Option<(u64, Instant)>,
+    told: Option<Instant>,
+}
+
+impl Lag {
+    /// For how long it has stood still, if that is to be told now. `waiting`: withdrawals above it.
+    pub fn tells(&mut self, waiting: usize, watermark: u64, now: Instant) -> Option<Duration> {
+        let same = self.stands.filter(|(before, _)| *before == watermark && waiting > 0);
+        self.stands = (waiting > 0).then(|| same.unwrap_or((watermark, now)));
+        let long = now.saturating_duration_since(self.stands?.1);
+        let rested = self.told.is_none_or(|at| now.saturating_duration_since(at) >= TOLD_EVERY);
+        if long < TOLD_AFTER || !rested {
+            return None;
+        }
+        self.told = Some(now);
+        Some(long)
+    }
+}
--- a/src/membership/watermark_tests.rs
+++ b/src/membership/watermark_tests.rs
@@ -7,7 +7,7 @@
 use super::mesh::believed;
 use super::records::{Assignment, Watermark};
 use super::storing;
-use super::watermark::Unconfirmed;
+use super::watermark::{Lag, Unconfirmed};
 use crate::jobs::record::{ASSIGNMENT, WATERMARK};
 use crate::store::Change;
 
@@ -80,3 +80,21 @@
     store.apply_if(&[], &assign).unwrap();
     assert!(store.apply_if(&[condition], &[change]).is_err(), "nor does a late copy");
 }
+
+/// Operators hear of a watermark that stands still once it has for a while, and no more than once a minute.
+#[test]
+fn a_watermark_that_stands_still_is_told_of() {
+    let s = Duration::from_secs;
+    let start = Instant::now();
+    let mut lag = Lag::default();
+    let mut told = Vec::new();
+    for second in 0..200 {
+        // It moves on every 5 s at first, stands still from 30 to 150 s, and then nothing waits.
+        let watermark = second.min(30) / 5;
+        let waiting = usize::from(second < 150);
+        if let Some(long) = lag.tells(waiting, watermark, start + s(second)) {
+            told.push((second, long.as_secs()));
+        }
+    }
+    assert_eq!(told, [(40, 10), (100, 70)]);
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -584,7 +584,7 @@
         }
         let [ends, asked, waiting] = self.history.held();
         held.push(("audited", lock(&self.audit).remembered()));
-        held.extend([("ends", ends), ("asked", asked), ("waiting", waiting), ("hidden", self.history.hidden())]);
+        held.extend([("ends", ends), ("asked", asked), ("waiting", waiting), ("hidden", self.history.hidden()[0])]);
         held.push(("served", lock(&self.served).entries()));
         held.push(("at_the_door", lock(&self.door).waiting()));
         held.push(("counts_heard", lock(&self.heard).counts.len()));
