--- a/src/scheduling/tests.rs
+++ b/src/scheduling/tests.rs
@@ -1,6 +1,7 @@
 //! Placement and the book by cases.
 
 mod hearing;
+mod meetings;
 
 use std::collections::HashMap;
 use std::sync::Arc;
--- /dev/null
+++ b/src/scheduling/tests/meetings.rs
@@ -0,0 +1,951 @@
+//! Meetings of troubles (issue 34, section 3: 2, 3, 6, 7 and 8): each a play of fixed steps with the book, a store
+//! that keeps what it was given, and workers that do as the protocol says and check the rules at every start.
+//! What may come late is tried at every step of its play.
+
+use std::collections::{BTreeMap, HashSet};
+
+use super::*;
+use crate::jobs::End;
+use crate::jobs::record::Stored;
+use crate::scheduling::book::Direct;
+use crate::scheduling::plan::Placement;
+use crate::wire::workers::{Cause, Order};
+
+const JOB: &str = "run-000001";
+
+fn s(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn task(index: u32) -> TaskKey {
+    TaskKey { job: JOB.into(), index }
+}
+
+#[derive(Default)]
+struct Worker {
+    session: u64,
+    seq: u64,
+    token: u64,
+    legs: Vec<Leg>,
+    reaped: HashSet<(TaskKey, u64)>,
+    gone: bool,
+}
+
+impl Worker {
+    fn live(&self, task: &TaskKey) -> bool {
+        !self.gone && self.legs.iter().any(|l| l.task == *task && l.status != LegStatus::Exited)
+    }
+}
+
+/// An answer that is on its way.
+struct Answer {
+    to: &'static str,
+    session: u64,
+    token: u64,
+    orders: Vec<Order>,
+}
+
+struct World {
+    now: Instant,
+    stamp: u64,
+    record: Arc<JobRecord>,
+    /// What the store holds of the job: its one chunk, and its end.
+    chunk: Option<(u64, Vec<Stored>)>,
+    ended: Option<End>,
+    /// Tasks that were done on a worker.
+    completed: HashSet<TaskKey>,
+    workers: BTreeMap<&'static str, Worker>,
+}
+
+impl World {
+    fn new(machines: &[&'static str], change: impl FnOnce(&mut JobSpec)) -> Self {
+        let mut job = spec();
+        job.id = JOB.into();
+        change(&mut job);
+        let workers = machines.iter().map(|m| (*m, Worker { session: 1, ..Worker::default() })).collect();
+        Self {
+            now: Instant::now() + s(3600.0),
+            stamp: 10,
+            // Never any age by the time of day.
+            record: Arc::new(JobRecord { spec: job, at_ms: u64::MAX }),
+            chunk: None,
+            ended: None,
+            completed: HashSet::new(),
+            workers,
+        }
+    }
+
+    /// A new owner, with a token above all before, that has read what is stored. It may be a process that owned
+    /// before: nothing but what is stored goes from one book to the next.
+    fn owner(&mut self) -> Book {
+        self.stamp += 10;
+        let mut book = Book::new(self.stamp, example(), Properties::default(), self.now);
+        let chunks: Vec<_> = self.chunk.iter().map(|(stamp, tasks)| (0, *stamp, tasks.clone())).collect();
+        if self.ended.is_none() || !chunks.is_empty() {
+            book.load_job(self.record.clone(), chunks, self.now);
+        }
+        if self.ended.is_some() {
+            book.end_job(&JOB.into(), self.ended, self.now);
+        }
+        book.finish_load(self.now);
+        book
+    }
+
+    fn report(&mut self, m: &str) -> Report {
+        let w = self.workers.get_mut(m).unwrap();
+        w.seq += 1;
+        Report { session: w.session, token: w.token, ..report(m, "c8", "a", false, w.seq, w.legs.clone()) }
+    }
+
+    /// A report reaches the owner, and its answer is on its way.
+    fn asks(&mut self, book: &mut Book, m: &'static str) -> Answer {
+        let report = self.report(m);
+        let session = report.session;
+        book.take_report(report, Via::Report, None, self.now);
+        Answer { to: m, session, token: book.token, orders: book.orders_in_answer(m, self.now) }
+    }
+
+    /// The worker hears an answer; within 4 s, that is.
+    fn hears(&mut self, answer: &Answer) {
+        let w = self.workers.get_mut(answer.to).unwrap();
+        if !w.gone && w.session == answer.session && answer.token >= w.token {
+            w.token = answer.token;
+            self.execute(answer.to, &answer.orders);
+        }
+    }
+
+    /// A report with a prompt answer.
+    fn turn(&mut self, book: &mut Book, m: &'static str) {
+        let answer = self.asks(book, m);
+        self.hears(&answer);
+        self.now += s(0.5);
+    }
+
+    /// A direct command arrives, be it minutes late; the reply.
+    fn arrives(&mut self, direct: &Direct) -> Option<Report> {
+        let (&m, w) = self.workers.iter_mut().find(|(m, _)| ***m == *direct.machine).unwrap();
+        if w.gone {
+            return None;
+        }
+        if direct.token >= w.token && direct.session == w.session {
+            w.token = direct.token;
+            self.execute(m, &direct.orders);
+        }
+        Some(self.report(m))
+    }
+
+    fn replied(&mut self, book: &mut Book, direct: &Direct, reply: Report) {
+        book.command_over(&direct.machine, direct.token, true, self.now);
+        book.take_report(reply, Via::Command, None, self.now);
+    }
+
+    fn given_up(&mut self, book: &mut Book, direct: &Direct) {
+        self.now += s(2.5);
+        book.command_over(&direct.machine, direct.token, false, self.now);
+    }
+
+    /// The command that is due to this machine. All others are refused a connection.
+    fn command(&mut self, book: &mut Book, m: &str) -> Option<Direct> {
+        let mut found = None;
+        for direct in book.direct_commands(self.now) {
+            if *direct.machine == *m {
+                found = Some(direct);
+            } else {
+                book.command_over(&direct.machine, direct.token, true, self.now);
+            }
+        }
+        found
+    }
+
+    fn execute(&mut self, m: &'static str, orders: &[Order]) {
+        for order in orders {
+            match order {
+                Order::Launch { task, attempt } => self.launch(m, task, *attempt),
+                Order::Halt { task, attempt, .. } => self.exits(m, task.index, *attempt, Cause::Stopped),
+                Order::Reap { task, attempt } => {
+                    let w = self.workers.get_mut(m).unwrap();
+                    let exited = |l: &Leg| l.task == *task && l.attempt == *attempt && l.status == LegStatus::Exited;
+                    let Some(at) = w.legs.iter().position(exited) else { continue };
+                    let leg = w.legs.remove(at);
+                    w.reaped.insert((task.clone(), *attempt));
+                    let stored = self.chunk.as_ref().is_some_and(|(_, t)| t[task.index as usize] == Stored::Done);
+                    let lost = leg.cause == Some(Cause::Done) && !stored && self.ended.is_none();
+                    assert!(!lost, "{task:?} was reaped before its end was stored");
+                }
+            }
+        }
+    }
+
+    /// The rules, at a start.
+    fn launch(&mut self, m: &'static str, task: &TaskKey, attempt: u64) {
+        if self.workers[m].legs.iter().any(|l| l.task == *task && l.attempt == attempt) {
+            return;
+        }
+        if let Some((other, _)) = self.workers.iter().find(|(_, w)| w.live(task)) {
+            panic!("ran twice: {task:?} starts on {m} and is on {other}");
+        }
+        let again = self.workers[m].reaped.contains(&(task.clone(), attempt));
+        assert!(!again, "{task:?} starts again after its reap");
+        assert!(!self.completed.contains(task), "{task:?} runs again though it was done");
+        assert!(self.ended.is_none(), "{task:?} starts though its job is over");
+        let leg = Leg { task: task.clone(), attempt, status: LegStatus::Running, cause: None, saved: None };
+        self.workers.get_mut(m).unwrap().legs.push(leg);
+    }
+
+    fn exits(&mut self, m: &str, index: u32, attempt: u64, cause: Cause) {
+        for leg in &mut self.workers.get_mut(m).unwrap().legs {
+            if leg.task == task(index) && leg.attempt == attempt && leg.status != LegStatus::Exited {
+                (leg.status, leg.cause) = (LegStatus::Exited, Some(cause));
+                if cause == Cause::Done {
+                    self.completed.insert(task(index));
+                }
+            }
+        }
+    }
+
+    fn lease_ends(&mut self, m: &str) {
+        let w = self.workers.get_mut(m).unwrap();
+        w.session += 1;
+        w.legs.clear();
+        w.reaped.clear();
+    }
+
+    /// What waits is bound to this machine, and all that is to be stored is.
+    fn place(&mut self, book: &mut Book, m: &str) {
+        let job = book.job(&JOB.into());
+        let waiting: Vec<u32> = job.map(|j| j.waiting.iter().copied().collect()).unwrap_or_default();
+        self.place_these(book, &waiting, m);
+    }
+
+    fn place_these(&mut self, book: &mut Book, indices: &[u32], m: &str) {
+        let Some(job) = book.job(&JOB.into()) else { return };
+        let gang = job.spec().is_gang();
+        let last = job.tasks.iter().map(|t| t.attempt).max().unwrap_or(0);
+        let attempt = |i: u32| if gang { last } else { job.tasks[i as usize].attempt } + 1;
+        let placements =
+            indices.iter().map(|i| Placement { task: task(*i), attempt: attempt(*i), machine: m.into() }).collect();
+        if !job.complete() {
+            book.bind_all(placements, self.now);
+        }
+        self.store(book);
+    }
+
+    /// Everything that is to be stored is, on the conditions that the owner's commits have. Not done too early.
+    fn store(&mut self, book: &mut Book) {
+        let (ends, writes) = book.next_writes(99, self.now + s(2.0));
+        for write in &writes {
+            assert_eq!(write.stamp, self.chunk.as_ref().map_or(0, |(stamp, _)| *stamp));
+            self.stamp += 1;
+            self.chunk = Some((self.stamp, write.tasks.clone()));
+        }
+        book.chunks_stored(&writes, self.stamp);
+        for end in ends {
+            let mut done = (0..end.spec.tasks as u32).map(|i| self.completed.contains(&task(i)));
+            let enough = if end.spec.is_gang() { done.any(|d| d) } else { done.all(|d| d) };
+            assert!(enough, "stored as done before its tasks are");
+            self.ended = Some(End::Done);
+            book.end_job(&JOB.into(), Some(End::Done), self.now);
+        }
+    }
+
+    fn raise(&mut self, book: &mut Book) -> bool {
+        let wanted = book.raise_wanted(self.now);
+        if wanted {
+            self.stamp += 1;
+            book.raise_token(self.stamp);
+        }
+        wanted
+    }
+
+    /// The machine is returned.
+    fn returned(&mut self, book: &mut Book, m: &'static str) {
+        self.workers.get_mut(m).unwrap().gone = true;
+        book.machine_gone(&m.into(), self.now);
+    }
+}
+
+fn on(book: &Book, index: u32) -> Option<(u64, String)> {
+    let job = book.job(&JOB.into())?;
+    Some((job.tasks[index as usize].attempt, job.binding(index)?.machine.to_string()))
+}
+
+fn bound(book: &Book, index: u32, attempt: u64, m: &str) {
+    assert_eq!(on(book, index), Some((attempt, m.to_owned())), "task {index} is bound to {m}");
+}
+
+fn launches(orders: &[Order]) -> usize {
+    orders.iter().filter(|o| matches!(o, Order::Launch { .. })).count()
+}
+
+fn reaps(orders: &[Order]) -> usize {
+    orders.iter().filter(|o| matches!(o, Order::Reap { .. })).count()
+}
+
+fn condemned(book: &Book) -> Vec<&str> {
+    book.machines.values().filter(|m| m.standing == Standing::Condemned).map(|m| &*m.id).collect()
+}
+
+// Meeting 6: a command or its answer held up for seconds, then the machine goes on.
+
+/// A launch that was given up is carried out minutes later, at each step of what follows: its task is stopped, the
+/// token is raised, the worker learns it, and the task goes elsewhere.
+#[test]
+fn a_launch_held_up_is_void_before_its_task_goes_elsewhere() {
+    for late_at in 0..8 {
+        let mut world = World::new(&["m1", "m2"], |_| ());
+        let mut book = world.owner();
+        world.turn(&mut book, "m1");
+        world.turn(&mut book, "m2");
+        world.now += s(10.0);
+        world.place(&mut book, "m1");
+        let held = world.command(&mut book, "m1").unwrap();
+        assert_eq!(launches(&held.orders), 1);
+        let mut started = false;
+        for step in 0..8 {
+            if step == late_at {
+                started = held.token >= world.workers["m1"].token;
+                // Whoever sent it waits no longer after the first step.
+                let reply = world.arrives(&held).unwrap();
+                if step == 0 {
+                    world.replied(&mut book, &held, reply);
+                }
+            }
+            if step == 0 {
+                if late_at != 0 {
+                    world.given_up(&mut book, &held);
+                }
+                book.halt(&task(0), 0, world.now);
+            }
+            match step {
+                3 => assert_eq!(world.raise(&mut book), late_at != 0 && on(&book, 0).is_some(), "late at {late_at}"),
+                _ => {}
+            }
+            world.turn(&mut book, "m1");
+            if step < 4 && !started {
+                // Absent from every report so far, and yet it may start there.
+                bound(&book, 0, 1, "m1");
+            }
+            world.place(&mut book, "m2");
+            world.turn(&mut book, "m2");
+        }
+        bound(&book, 0, 2, "m2");
+        assert!(world.workers["m2"].live(&task(0)) && !world.workers["m1"].live(&task(0)), "late at {late_at}");
+    }
+}
+
+/// Two ways at once: the answer starts the task, and the same launch is held up on its way as a command. The task
+/// ends, and is not reaped while that launch could start it once more.
+#[test]
+fn a_reap_waits_until_no_launch_can_come_by_the_other_way() {
+    for (cause, late_at) in [Cause::Done, Cause::Stopped].into_iter().flat_map(|c| (0..7).map(move |at| (c, at))) {
+        let mut world = World::new(&["m1"], |j| j.tasks = 2);
+        let mut book = world.owner();
+        world.turn(&mut book, "m1");
+        world.now += s(10.0);
+        // Its answer launches; a moment later something else is stored, which is told directly.
+        world.place_these(&mut book, &[0], "m1");
+        let answer = world.asks(&mut book, "m1");
+        assert_eq!(launches(&answer.orders), 1);
+        world.place_these(&mut book, &[1], "m1");
+        let held = world.command(&mut book, "m1").unwrap();
+        assert_eq!(launches(&held.orders), 2, "nothing has shown the first");
+        world.hears(&answer);
+        world.exits("m1", 0, 1, cause);
+        for step in 0..7 {
+            if step == late_at {
+                let reply = world.arrives(&held).unwrap();
+                if step < 2 {
+                    world.replied(&mut book, &held, reply);
+                }
+            }
+            match step {
+                1 => assert!(world.asks(&mut book, "m1").orders.is_empty() || late_at < 2, "one way at a time"),
+                2 if late_at >= 2 => {
+                    world.given_up(&mut book, &held);
+                    world.store(&mut book);
+                    let orders = world.asks(&mut book, "m1").orders;
+                    assert_eq!(reaps(&orders), 0, "it may yet start again");
+                }
+                4 => drop(world.raise(&mut book)),
+                _ => {}
+            }
+            world.turn(&mut book, "m1");
+            world.store(&mut book);
+        }
+        world.turn(&mut book, "m1");
+        assert!(world.workers["m1"].reaped.contains(&(task(0), 1)), "{cause:?}, late at {late_at}: reaped in the end");
+    }
+}
+
+/// The answer with a launch is on its way, for less than 4 s; a command overtakes it, and its reply is newer than the
+/// report that is being answered. It proves nothing of what that answer brings.
+#[test]
+fn the_reply_to_a_command_proves_nothing_of_an_answer_on_its_way() {
+    for heard in [true, false] {
+        let mut world = World::new(&["m1", "m2"], |j| j.tasks = 2);
+        let mut book = world.owner();
+        world.turn(&mut book, "m1");
+        world.turn(&mut book, "m2");
+        world.turn(&mut book, "m1");
+        world.place_these(&mut book, &[0], "m1");
+        let answer = world.asks(&mut book, "m1");
+        assert_eq!(launches(&answer.orders), 1);
+        book.halt(&task(0), 0, world.now);
+        world.place_these(&mut book, &[1], "m1");
+        let direct = world.command(&mut book, "m1").unwrap();
+        assert!(direct.orders.iter().all(|o| matches!(o, Order::Launch { task, .. } if task.index == 1)));
+        let reply = world.arrives(&direct).unwrap();
+        world.replied(&mut book, &direct, reply);
+        bound(&book, 0, 1, "m1");
+        world.place(&mut book, "m2");
+        world.turn(&mut book, "m2");
+        if heard {
+            world.hears(&answer);
+            assert!(world.workers["m1"].live(&task(0)));
+        }
+        // The next report was made once that answer was heard or dropped.
+        for _ in 0..3 {
+            world.turn(&mut book, "m1");
+            world.place_these(&mut book, &[0], "m2");
+            world.turn(&mut book, "m2");
+        }
+        assert!(world.workers["m2"].live(&task(0)) && world.workers["m1"].live(&task(1)));
+    }
+}
+
+/// The reply to a command comes after a newer report: what it shows running has ended, and what it does not show
+/// runs. Neither goes back.
+#[test]
+fn a_reply_older_than_the_newest_report_changes_nothing() {
+    let mut world = World::new(&["m1", "m2"], |j| j.tasks = 2);
+    let mut book = world.owner();
+    world.turn(&mut book, "m1");
+    world.turn(&mut book, "m2");
+    world.place_these(&mut book, &[0], "m1");
+    let direct = world.command(&mut book, "m1").unwrap();
+    let reply = world.arrives(&direct).unwrap();
+    assert_eq!(reply.legs[0].status, LegStatus::Running);
+    world.exits("m1", 0, 1, Cause::Done);
+    let answer = world.asks(&mut book, "m1");
+    assert_eq!((answer.orders.len(), book.counts(&JOB.into()).done), (0, 1), "known, and reaped by no answer yet");
+    world.store(&mut book);
+    world.replied(&mut book, &direct, reply);
+    assert_eq!(book.counts(&JOB.into()).done, 1);
+    let answer = world.asks(&mut book, "m1");
+    assert_eq!(reaps(&answer.orders), 1);
+    // An older reply, which shows nothing, comes after a report that shows the second task running.
+    world.hears(&answer);
+    let old = world.report("m1");
+    world.place(&mut book, "m1");
+    let direct = world.command(&mut book, "m1").unwrap();
+    drop(world.arrives(&direct).unwrap());
+    world.turn(&mut book, "m1");
+    book.halt(&task(1), 0, world.now);
+    world.replied(&mut book, &direct, old);
+    bound(&book, 1, 1, "m1");
+    world.place(&mut book, "m2");
+    world.turn(&mut book, "m2");
+    assert!(world.workers["m1"].live(&task(1)));
+}
+
+/// Tokens are raised at most every 5 s. Until then nothing is reaped or believed gone where a launch may still come,
+/// and the others go on.
+#[test]
+fn while_a_raise_of_the_token_is_put_off_only_the_others_are_reaped() {
+    let mut world = World::new(&["m1", "m2", "m3"], |j| j.tasks = 3);
+    let mut book = world.owner();
+    for m in ["m1", "m2", "m3"] {
+        world.turn(&mut book, m);
+    }
+    world.now += s(1.2);
+    let mut held = Vec::new();
+    for (index, m) in [(0, "m1"), (1, "m2")] {
+        world.place_these(&mut book, &[index], m);
+        let direct = world.command(&mut book, m).unwrap();
+        world.given_up(&mut book, &direct);
+        held.push(direct);
+        if index == 0 {
+            assert!(world.raise(&mut book));
+        }
+    }
+    // The first is void once its worker knows; the second was given under the raised token.
+    let (first, second) = (held.remove(0), held.remove(0));
+    assert!(second.token > first.token);
+    let mut waited = 0;
+    while !book.raise_wanted(world.now) {
+        book.halt(&task(1), 0, world.now);
+        world.turn(&mut book, "m2");
+        bound(&book, 1, 1, "m2");
+        world.place_these(&mut book, &[2], "m3");
+        world.turn(&mut book, "m3");
+        world.exits("m3", 2, 1, Cause::Done);
+        world.turn(&mut book, "m3");
+        world.store(&mut book);
+        world.turn(&mut book, "m3");
+        waited += 1;
+        assert!(waited < 20, "raised in the end");
+    }
+    assert!(waited > 0 && world.workers["m3"].reaped.contains(&(task(2), 1)), "the others go on");
+    world.raise(&mut book);
+    world.turn(&mut book, "m2");
+    bound(&book, 1, 1, "m2");
+    // It has heard the token now: the launch that was held up is refused, and then its task goes elsewhere.
+    drop(world.arrives(&second));
+    assert!(!world.workers["m2"].live(&task(1)));
+    world.turn(&mut book, "m2");
+    assert_eq!(on(&book, 1), None);
+    world.place_these(&mut book, &[1], "m3");
+    world.turn(&mut book, "m3");
+    assert!(world.workers["m3"].live(&task(1)));
+}
+
+// Meeting 8: controllers hand over and back, all end and one returns, within a second too.
+
+/// It owned, lost and owns again. A launch of its first time is still on its way; the one between never heard of the
+/// machine. Nothing is kept from one book to the next, so the task stays bound until the worker has heard the newest
+/// token, or its session is over, or the machine was returned.
+#[test]
+fn who_owns_again_believes_nothing_gone_that_its_first_time_may_yet_start() {
+    for (proof, late_at) in
+        ["token", "session", "return"].into_iter().flat_map(|proof| (0..6).map(move |at| (proof, at)))
+    {
+        let mut world = World::new(&["m1", "m2"], |_| ());
+        let mut first = world.owner();
+        world.turn(&mut first, "m1");
+        world.place(&mut first, "m1");
+        let held = world.command(&mut first, "m1").unwrap();
+        assert_eq!(launches(&held.orders), 1);
+        drop(first);
+        let mut between = world.owner();
+        bound(&between, 0, 1, "m1");
+        world.turn(&mut between, "m2");
+        assert_eq!(world.command(&mut between, "m1").map(|d| d.orders.len()), None, "no address to send it to");
+        drop(between);
+        let mut book = world.owner();
+        assert!(book.first_token > held.token + 10);
+        let late = |world: &mut World, step: usize| {
+            if step == late_at {
+                drop(world.arrives(&held));
+            }
+        };
+        // Its reports come, answers to it are lost: its token is the first.
+        for step in 0..3 {
+            late(&mut world, step);
+            drop(world.asks(&mut book, "m1"));
+            bound(&book, 0, 1, "m1");
+            world.place(&mut book, "m2");
+            world.turn(&mut book, "m2");
+        }
+        match proof {
+            "token" => world.turn(&mut book, "m1"),
+            "session" => {
+                world.lease_ends("m1");
+                // What was shown in the last session is over with it; what never was needs the token still.
+                drop(world.asks(&mut book, "m1"));
+                assert_eq!(on(&book, 0).is_none(), late_at < 3);
+                world.turn(&mut book, "m1");
+            }
+            _ => world.returned(&mut book, "m1"),
+        }
+        for step in 3..6 {
+            late(&mut world, step);
+            if proof != "return" {
+                world.turn(&mut book, "m1");
+            }
+            // Inherited and shown, it is adopted; stopped here, so that it goes elsewhere.
+            book.halt(&task(0), 0, world.now);
+            world.place(&mut book, "m2");
+            world.turn(&mut book, "m2");
+        }
+        for _ in 0..3 {
+            if proof != "return" {
+                world.turn(&mut book, "m1");
+            }
+            world.place(&mut book, "m2");
+            world.turn(&mut book, "m2");
+        }
+        assert!(world.workers["m2"].live(&task(0)), "{proof}, late at {late_at}");
+    }
+}
+
+/// The timers of the one that owns again begin anew: a machine is as old as its last book, so that nothing is returned
+/// for a silence in which nobody listened, and what is withdrawn is stopped with the first answer whoever owns.
+#[test]
+fn who_owns_again_counts_no_silence_of_before() {
+    let mut world = World::new(&["m1", "m2"], |j| j.tasks = 2);
+    let mut book = world.owner();
+    world.turn(&mut book, "m1");
+    world.turn(&mut book, "m2");
+    world.place_these(&mut book, &[0], "m1");
+    world.place_these(&mut book, &[1], "m2");
+    world.turn(&mut book, "m1");
+    world.turn(&mut book, "m2");
+    for hand_over in 0..4 {
+        world.now += s(11.0);
+        book.tick(world.now);
+        assert_eq!(condemned(&book), Vec::<&str>::new(), "hand-over {hand_over}");
+        book = world.owner();
+    }
+    // Withdrawn under this one, and handed over once more before it was told.
+    world.ended = Some(End::Withdrawn);
+    book = world.owner();
+    world.turn(&mut book, "m1");
+    assert!(!world.workers["m1"].live(&task(0)), "stopped with the first answer");
+    // The other one says nothing: alone it is returned after 12 s of this book, however old its silence is.
+    world.now += s(10.8);
+    world.turn(&mut book, "m1");
+    book.tick(world.now);
+    assert_eq!(condemned(&book), Vec::<&str>::new());
+    world.now += s(0.4);
+    book.tick(world.now);
+    assert_eq!(condemned(&book), ["m2"]);
+}
+
+// Meeting 2: an owner ends while machines with long tasks are unreachable, or do not hear the heir.
+
+/// Five machines with long tasks at a takeover: one is well, one hears nothing of the heir, one hangs with a command
+/// of the old owner before it, one loses its lease, one is gone. Only what is proven gone is placed again.
+#[test]
+fn an_heir_adopts_what_runs_and_places_again_only_what_is_proven_gone() {
+    let names = ["m0", "m1", "m2", "m3", "m4", "m5"];
+    let mut world = World::new(&names, |j| j.tasks = 5);
+    let mut old = world.owner();
+    for m in names {
+        world.turn(&mut old, m);
+    }
+    for index in 0..5 {
+        world.place_these(&mut old, &[index], names[index as usize]);
+    }
+    for m in ["m0", "m1", "m3", "m4"] {
+        world.turn(&mut old, m);
+    }
+    let held = world.command(&mut old, "m2").unwrap();
+    assert_eq!(launches(&held.orders), 1);
+    drop(old);
+    let mut book = world.owner();
+    for t in 0..40 {
+        world.turn(&mut book, "m0");
+        world.turn(&mut book, "m5");
+        // Reports of the next two come; what they are told is lost.
+        drop(world.asks(&mut book, "m1"));
+        if t < 20 {
+            drop(world.asks(&mut book, "m2"));
+        }
+        if t == 10 {
+            world.lease_ends("m3");
+        }
+        if t != 10 {
+            let answer = world.asks(&mut book, "m3");
+            assert_eq!(launches(&answer.orders), 0, "what is inherited is never launched again");
+        }
+        for index in 0..3 {
+            bound(&book, index, 1, names[index as usize]);
+        }
+        let lost_its_lease = [Some(1), None, Some(2)][usize::from(t > 10) + usize::from(t > 11)];
+        assert_eq!(on(&book, 3).map(|(attempt, _)| attempt), lost_its_lease, "at step {t}");
+        bound(&book, 4, 1, "m4");
+        world.place(&mut book, "m5");
+        world.turn(&mut book, "m5");
+        assert_eq!(book.usage["blue"].0, 5.0, "all of it counts for the team, heard of or not");
+        book.tick(world.now);
+        world.now += s(0.1);
+        if t == 20 {
+            // It goes on: the launch of the old owner is carried out, and that is what was stored.
+            drop(world.arrives(&held));
+        }
+    }
+    // Twelve seconds without a word: the last is returned, which proves its task gone.
+    assert!(condemned(&book).contains(&"m4"));
+    world.returned(&mut book, "m4");
+    world.place(&mut book, "m5");
+    world.turn(&mut book, "m5");
+    bound(&book, 4, 2, "m5");
+    assert_eq!(names.map(|m| world.workers[m].legs.len()), [1, 1, 1, 0, 1, 2]);
+}
+
+/// An heir hears that one machine of a gang has lost its lease, and cannot reach the other: the next attempt, in one
+/// zone or in several, is placed nowhere until that one is proven gone as well.
+#[test]
+fn a_gang_begins_anew_only_when_the_machine_that_an_heir_cannot_reach_is_gone() {
+    for same_zone in [true, false] {
+        let names = ["m0", "m1", "m2", "m3"];
+        let mut world =
+            World::new(&names, |j| (j.shape, j.tasks, j.cpus, j.same_zone) = (Shape::Gang, 2, 8.0, same_zone));
+        let mut old = world.owner();
+        for m in names {
+            world.turn(&mut old, m);
+        }
+        let places = [(0, "m0"), (1, "m1")].map(|(i, m)| Placement { task: task(i), attempt: 1, machine: m.into() });
+        old.bind_all(places.into(), world.now);
+        world.store(&mut old);
+        world.turn(&mut old, "m0");
+        world.turn(&mut old, "m1");
+        drop(old);
+        let mut book = world.owner();
+        world.lease_ends("m0");
+        for step in 0..6 {
+            for m in ["m0", "m2", "m3"] {
+                world.turn(&mut book, m);
+            }
+            world.store(&mut book);
+            assert_eq!(on(&book, 0).is_none(), step > 0, "gone once its worker knows the heir");
+            bound(&book, 1, 1, "m1");
+            assert_eq!(placed(&mut book, world.now), [], "at step {step}, in one zone: {same_zone}");
+        }
+        // Reached again, it is stopped: part of an attempt is of no use.
+        world.turn(&mut book, "m1");
+        assert!(!world.workers["m1"].live(&task(1)));
+        world.turn(&mut book, "m1");
+        assert_eq!(placed(&mut book, world.now).len(), 2);
+    }
+}
+
+/// Withdrawn while many machines cannot be reached at once: for silence they would get two leases, but for a withdrawn
+/// task that is not proven gone each is returned within 45% of the time allowed, and those that hear are told at once.
+#[test]
+fn withdrawn_tasks_on_machines_that_an_heir_never_hears_are_returned_in_time() {
+    let names = ["m0", "m1", "m2", "m3", "m4", "m5"];
+    let mut world = World::new(&names, |j| j.tasks = 6);
+    let mut old = world.owner();
+    for (index, m) in (0..).zip(names) {
+        world.turn(&mut old, m);
+        world.place_these(&mut old, &[index], m);
+        world.turn(&mut old, m);
+    }
+    drop(old);
+    let mut book = world.owner();
+    let cancel = book.settings.params.workers.cancel();
+    world.ended = Some(End::Withdrawn);
+    book.end_job(&JOB.into(), world.ended, world.now);
+    let told = world.now;
+    let mut returned_after = None;
+    while world.now - told < cancel {
+        world.turn(&mut book, "m0");
+        assert!(!world.workers["m0"].live(&task(0)), "told with its first answer");
+        book.tick(world.now);
+        if !condemned(&book).is_empty() {
+            returned_after.get_or_insert(world.now - told);
+        }
+    }
+    assert_eq!(condemned(&book), ["m1", "m2", "m3", "m4", "m5"], "all, though silent together");
+    assert!(returned_after.unwrap() < cancel.mul_f64(0.45) + s(1.0), "{returned_after:?}");
+}
+
+// Meeting 3: the tasks of a job end far apart across a takeover.
+
+/// Arrays of two and three: the first exit is stored or not yet when the owner ends. It is known to the heir either
+/// way, its task never runs again, and the job is done with the last exit, neither before nor never.
+#[test]
+fn the_first_of_ends_far_apart_survives_a_takeover() {
+    for (tasks, stored, known) in
+        [2, 3].into_iter().flat_map(|n| [(n, true, true), (n, false, true), (n, false, false)])
+    {
+        let names = ["m0", "m1", "m2"];
+        let mut world = World::new(&names, |j| j.tasks = tasks);
+        let mut old = world.owner();
+        for (index, m) in (0..tasks as u32).zip(names) {
+            world.turn(&mut old, m);
+            world.place_these(&mut old, &[index], m);
+            world.turn(&mut old, m);
+        }
+        let running = world.report("m0");
+        world.exits("m0", 0, 1, Cause::Done);
+        if known {
+            world.turn(&mut old, "m0");
+        }
+        if stored {
+            world.store(&mut old);
+            world.turn(&mut old, "m0");
+            assert!(world.workers["m0"].reaped.contains(&(task(0), 1)));
+        } else {
+            assert!(world.workers["m0"].reaped.is_empty(), "what is not stored is not reaped");
+        }
+        drop(old);
+        for takeover in 0..3 {
+            let mut book = world.owner();
+            assert_eq!(book.counts(&JOB.into()).done, u64::from(stored || takeover > 0));
+            // An old copy shows it running; it makes nothing of it go back.
+            book.take_report(running.clone(), Via::Report, None, world.now);
+            drop(book.orders_in_answer("m0", world.now));
+            for _ in 0..3 {
+                world.turn(&mut book, "m0");
+                world.store(&mut book);
+                assert_eq!((book.counts(&JOB.into()).done, world.ended), (1, None), "{tasks} tasks, {takeover}");
+                assert_eq!(placed(&mut book, world.now), [], "none waits");
+            }
+            world.now += s(100.0);
+        }
+        // The others end one after the other, each under another owner.
+        for (index, m) in (1..tasks as u32).zip(&names[1..]) {
+            assert_eq!(world.ended, None);
+            let mut book = world.owner();
+            world.exits(m, index, 1, Cause::Done);
+            world.turn(&mut book, m);
+            world.store(&mut book);
+        }
+        assert_eq!(world.ended, Some(End::Done), "{tasks} tasks");
+    }
+}
+
+/// A gang of which one task is reported done is done. The end is not stored when the owner ends; the heir hears of
+/// it from the first machine, which reaped nothing, and never hears the other one.
+#[test]
+fn a_gang_is_done_by_the_one_exit_that_the_heir_hears() {
+    for heard in ["by the old owner", "by the heir alone", "as a late copy"] {
+        let mut world = World::new(&["m0", "m1"], |j| (j.shape, j.tasks) = (Shape::Gang, 2));
+        let mut old = world.owner();
+        for m in ["m0", "m1"] {
+            world.turn(&mut old, m);
+        }
+        let waiting: Vec<Placement> =
+            [(0, "m0"), (1, "m1")].map(|(i, m)| Placement { task: task(i), attempt: 1, machine: m.into() }).into();
+        old.bind_all(waiting, world.now);
+        world.store(&mut old);
+        for m in ["m0", "m1"] {
+            world.turn(&mut old, m);
+        }
+        world.exits("m0", 0, 1, Cause::Done);
+        world.exits("m1", 1, 1, Cause::Done);
+        if heard == "by the old owner" {
+            world.turn(&mut old, "m0");
+            // Its other machine is lost before the end is stored: the gang is not begun anew for that.
+            old.machine_gone(&"m1".into(), world.now);
+            assert_eq!(placed(&mut old, world.now), []);
+            world.turn(&mut old, "m0");
+            assert!(world.workers["m0"].reaped.is_empty(), "its end is not stored");
+        }
+        drop(old);
+        let mut book = world.owner();
+        assert_eq!(world.ended, None);
+        if heard == "as a late copy" {
+            let copy = world.report("m0");
+            world.workers.get_mut("m0").unwrap().gone = true;
+            book.take_report(copy, Via::Report, None, world.now);
+        } else {
+            world.turn(&mut book, "m0");
+        }
+        world.store(&mut book);
+        assert_eq!(world.ended, Some(End::Done), "{heard}");
+        // What is left is on a machine that nobody hears. It is none of a withdrawal's, and starts nowhere.
+        world.now += s(40.0);
+        assert!(book.overdue(world.now).is_empty());
+        assert_eq!(placed(&mut book, world.now), []);
+        let mut heir = world.owner();
+        assert_eq!(placed(&mut heir, world.now), []);
+    }
+}
+
+// Meeting 7: old reports after newer ones.
+
+/// What a report of an earlier time says to the owner, to an heir, and to one that owned before, by cases: the task's
+/// attempt on the machine that the store names stays bound to it, or is gone because the copy proves just that.
+#[test]
+fn old_reports_by_cases() {
+    #[derive(Clone, Copy, Debug, PartialEq)]
+    enum Reader {
+        Owner,
+        Heir,
+        OwnerAgain,
+    }
+    use Reader::*;
+    // (what the copy is, when it was made, who reads it, whether the binding stands after it)
+    let cases = [
+        ("before the launch", 0, Owner, true),
+        ("before the launch", 0, Heir, true),
+        ("before the launch", 0, OwnerAgain, true),
+        ("an earlier attempt runs", 1, Owner, true),
+        ("an earlier attempt runs", 1, Heir, true),
+        ("an earlier attempt runs", 1, OwnerAgain, true),
+        ("an earlier attempt failed", 2, Owner, true),
+        ("an earlier attempt failed", 2, Heir, true),
+        ("an earlier attempt failed", 2, OwnerAgain, true),
+        ("an earlier attempt was reaped", 3, Heir, true),
+        ("an earlier session", 4, Owner, true),
+        ("an earlier session", 4, Heir, true),
+        ("an earlier session", 4, OwnerAgain, true),
+    ];
+    for (name, made, reader, stands) in cases {
+        let mut world = World::new(&["m1", "m2"], |_| ());
+        let mut book = world.owner();
+        let mut copies = Vec::new();
+        world.turn(&mut book, "m1");
+        copies.push(world.report("m1"));
+        world.place(&mut book, "m1");
+        world.turn(&mut book, "m1");
+        copies.push(world.report("m1"));
+        world.exits("m1", 0, 1, Cause::Error);
+        copies.push(world.report("m1"));
+        world.turn(&mut book, "m1");
+        world.turn(&mut book, "m1");
+        copies.push(world.report("m1"));
+        // The second attempt is lost with the lease, and the third runs there in the next session.
+        world.place(&mut book, "m1");
+        world.turn(&mut book, "m1");
+        copies.push(world.report("m1"));
+        world.lease_ends("m1");
+        world.turn(&mut book, "m1");
+        world.place(&mut book, "m1");
+        world.turn(&mut book, "m1");
+        world.turn(&mut book, "m1");
+        bound(&book, 0, 3, "m1");
+        assert!(world.workers["m1"].live(&task(0)));
+        match reader {
+            Owner => {}
+            Heir => book = world.owner(),
+            OwnerAgain => {
+                drop(world.owner());
+                book = world.owner();
+            }
+        }
+        // The machine itself can't be reached for a while; copies come, one after the other.
+        for n in 0..3 {
+            book.take_report(copies[made].clone(), Via::Report, None, world.now);
+            drop(book.orders_in_answer("m1", world.now));
+            if n == 1 {
+                book.halt(&task(0), 0, world.now);
+            }
+            assert_eq!(on(&book, 0).is_some(), stands, "{name}, read by {reader:?}");
+            world.place(&mut book, "m2");
+            world.turn(&mut book, "m2");
+            world.now += s(2.0);
+        }
+        assert!(!world.workers["m2"].live(&task(0)));
+        // It is reached again: stopped, and on its way elsewhere.
+        for _ in 0..4 {
+            world.turn(&mut book, "m1");
+            world.place(&mut book, "m2");
+            world.turn(&mut book, "m2");
+        }
+        assert!(world.workers["m2"].live(&task(0)), "{name}, read by {reader:?}");
+    }
+}
+
+/// A machine that was returned in its first time as owner: a book of its second time knows nothing of that. A copy
+/// of a report made under the first token makes it no machine to place on; one under the newest could.
+#[test]
+fn what_was_returned_in_an_earlier_time_takes_no_work_by_a_copy() {
+    let mut world = World::new(&["m1", "m2"], |_| ());
+    let mut first = world.owner();
+    world.turn(&mut first, "m1");
+    world.turn(&mut first, "m1");
+    let copy = world.report("m1");
+    assert_eq!(copy.token, first.token);
+    world.returned(&mut first, "m1");
+    drop(first);
+    drop(world.owner());
+    let mut book = world.owner();
+    for raised in [false, true] {
+        if raised {
+            // Under a token that it raises the same owner goes on.
+            world.stamp += 1;
+            book.raise_token(world.stamp);
+        }
+        book.take_report(Report { seq: copy.seq + u64::from(raised), ..copy.clone() }, Via::Report, None, world.now);
+        drop(book.orders_in_answer("m1", world.now));
+        assert_eq!(placed(&mut book, world.now), [], "raised: {raised}");
+    }
+    // A machine that is there learns the first token of this book and counts, whatever was raised since.
+    let known = Report { token: book.first_token, ..world.report("m2") };
+    book.take_report(known, Via::Report, None, world.now);
+    assert_eq!(placed(&mut book, world.now), [(0, "m2".to_owned())]);
+}
