What became of an earlier book's command settles none of a later book of the same process

Direct commands are sent by tasks of their own, which go on when their controller steps down. If it owns again within the 2.5 s that a command is waited for (two hand-overs, or a leader that yields while nobody else is there), the outcome of the first book's command came to the new book, which took it for that of its own command to the machine: the launch under way counted as settled. A report made before it arrived then proved its task gone, the task went to another machine, and the launch, held up, started it on the first as well.

Now an outcome whose token is below the first one of the book is dropped: tokens only grow, and every command of a book has its first token or a later one.

--- a/src/scheduling/book/commands.rs
+++ b/src/scheduling/book/commands.rs
@@ -157,6 +157,11 @@
 
     /// A direct command is no longer waited for. Unless settled, it may still be executed.
     pub fn command_over(&mut self, machine: &MachineId, token: u64, settled: bool, now: Instant) {
+        // Of an earlier book of this process, which lost ownership and has it again: the command that is
+        // under way now is another one.
+        if token < self.first_token {
+            return;
+        }
         let Some(m) = self.machines.get_mut(machine) else { return };
         m.command_under_way = false;
         m.next_command = now + if m.deaf { PROBE_GAP } else { COMMAND_GAP };
--- a/src/scheduling/tests/meetings.rs
+++ b/src/scheduling/tests/meetings.rs
@@ -501,6 +501,55 @@
 
 // Meeting 8: controllers hand over and back, all end and one returns, within a second too.
 
+/// A controller that owns again within the time of a command: what became of a command of its first time comes to the
+/// second book while that has a launch of its own on its way, and settles nothing of it.
+#[test]
+fn what_became_of_an_earlier_command_settles_none_of_a_later_book() {
+    for (name, given_up) in [("given up", true), ("answered", false)] {
+        for late_at in 0..8 {
+            let mut world = World::new(&["m1", "m2"], |_| ());
+            let mut first = world.owner();
+            world.turn(&mut first, "m1");
+            let before = world.owner_greets(&mut first, "m1");
+            // Deposed, and owner again within a second.
+            drop(first);
+            let mut book = world.owner();
+            world.turn(&mut book, "m1");
+            world.turn(&mut book, "m2");
+            world.place(&mut book, "m1");
+            let held = world.command(&mut book, "m1").unwrap();
+            assert_eq!(launches(&held.orders), 1);
+            if given_up {
+                book.command_over(&before.machine, before.token, false, world.now);
+            } else {
+                let reply = world.arrives(&before).unwrap();
+                world.replied(&mut book, &before, reply);
+            }
+            assert!(world.asks(&mut book, "m1").orders.is_empty(), "{name}: a command is on its way");
+            book.halt(&task(0), 0, world.now);
+            let mut started = false;
+            for step in 0..8 {
+                if step == late_at {
+                    started = held.token >= world.workers["m1"].token;
+                    drop(world.arrives(&held).unwrap());
+                }
+                world.turn(&mut book, "m1");
+                if !started && step < 4 {
+                    bound(&book, 0, 1, "m1");
+                }
+                if step == 3 {
+                    world.given_up(&mut book, &held);
+                    world.now += s(5.0);
+                    world.raise(&mut book);
+                }
+                world.place(&mut book, "m2");
+                world.turn(&mut book, "m2");
+            }
+            assert!(world.workers["m2"].live(&task(0)), "{name}, late at {late_at}");
+        }
+    }
+}
+
 /// It owned, lost and owns again. A launch of its first time is still on its way; the one between never heard of the
 /// machine. Nothing is kept from one book to the next, so the task stays bound until the worker has heard the newest
 /// token, or its session is over, or the machine was returned.
@@ -601,6 +650,19 @@
     assert_eq!(condemned(&book), ["m2"]);
 }
 
+impl World {
+    /// A greeting of this owner to a machine that has not seen its token.
+    fn owner_greets(&mut self, book: &mut Book, m: &str) -> Direct {
+        self.workers.get_mut(m).unwrap().token = 0;
+        let mut before = None;
+        for _ in 0..3 {
+            self.now += s(1.1);
+            before = before.or_else(|| self.command(book, m));
+        }
+        before.expect("a greeting is due")
+    }
+}
+
 // Meeting 2: an owner ends while machines with long tasks are unreachable, or do not hear the heir.
 
 /// Five machines with long tasks at a takeover: one is well, one hears nothing of the heir, one hangs with a command
