A machine to be returned is still told to stop what is not to run on it

A machine that is condemned got answers without orders, and no commands. While the cloud answers nobody its return is not carried out; if it speaks again meanwhile, as after a pause of less than its lease or a cut, each answer keeps its lease, and a withdrawn task ran there until the cloud was back, however late. So did a task for whose sake the machine was condemned (a withdrawn task not proven gone in 45% of cancel_s).

Now its answers carry the stops and nothing else: no launch and no reap. A stop of what is not to run is final, and fenced by the token like any other.

Shown by meetings::a_machine_to_be_returned_is_still_told_to_stop_what_is_withdrawn, both ways round; it fails with the old return ("stopped with its first answer") and with all orders given ("nothing starts there").

--- a/src/scheduling/book/commands.rs
+++ b/src/scheduling/book/commands.rs
@@ -51,7 +51,7 @@
     /// All that a machine should be told now, as a function of the book alone.
     fn orders(&self, m: &Machine) -> Vec<Order> {
         let mut orders = Vec::new();
-        if !self.loaded || m.standing == Standing::Condemned {
+        if !self.loaded {
             return orders;
         }
         for leg in &m.legs {
@@ -101,6 +101,10 @@
                 }
             }
         }
+        if m.standing == Standing::Condemned {
+            // Its return lasts as long as the cloud answers nobody, and answers keep its lease until then.
+            orders.retain(|o| matches!(o, Order::Halt { .. }));
+        }
         orders.truncate(MOST_ORDERS);
         orders
     }
--- a/src/scheduling/tests/meetings.rs
+++ b/src/scheduling/tests/meetings.rs
@@ -793,6 +793,41 @@
     assert!(returned_after.unwrap() < cancel.mul_f64(0.45) + s(1.0), "{returned_after:?}");
 }
 
+/// A machine is to be returned, and the cloud answers nobody. It speaks again: its answers keep its lease, so they
+/// stop what is withdrawn there, and launch nothing.
+#[test]
+fn a_machine_to_be_returned_is_still_told_to_stop_what_is_withdrawn() {
+    for (name, withdrawn_first) in [("withdrawn after it was given up", false), ("given up for the withdrawal", true)] {
+        let mut world = World::new(&["m1", "m2"], |j| j.tasks = 2);
+        let mut book = world.owner();
+        world.turn(&mut book, "m1");
+        world.place_these(&mut book, &[0], "m1");
+        world.turn(&mut book, "m1");
+        // Another was placed there, and not told yet.
+        world.place_these(&mut book, &[1], "m1");
+        let withdraw = |world: &mut World, book: &mut Book| {
+            world.ended = Some(End::Withdrawn);
+            book.end_job(&JOB.into(), world.ended, world.now);
+        };
+        if withdrawn_first {
+            withdraw(&mut world, &mut book);
+        }
+        // It hangs, within its lease, until it is given up.
+        for _ in 0..23 {
+            world.now += s(1.0);
+            book.tick(world.now);
+        }
+        assert_eq!(condemned(&book), ["m1"], "{name}");
+        if !withdrawn_first {
+            assert_eq!(world.asks(&mut book, "m1").orders, [], "nothing starts there");
+            withdraw(&mut world, &mut book);
+        }
+        // No return is answered.
+        world.turn(&mut book, "m1");
+        assert!(!world.workers["m1"].live(&task(0)), "{name}: stopped with its first answer");
+    }
+}
+
 // Meeting 3: the tasks of a job end far apart across a takeover.
 
 /// Arrays of two and three: the first exit is stored or not yet when the owner ends. It is known to the heir either
