An assignment that was carried out and not answered is written again

Nobody owned for as long as its leader led. `owns` is called with the answer to the assignment's transaction and nowhere else. Where the answer was lost, or the write was carried out late and its repetitions were not answered either, the leader's mirror told it that it was assigned, next_step found nothing to do but renew, and there was no book: workers were answered 503, their leases ended, nothing was placed. A raise of the token met the same where it was no longer wanted by the time the mirror told of it: the book kept the older token and every placement failed on the assignment.

Now a controller's own assignment above its book's token, or without a book, is written again, on condition of the stamp it found like any other, so that the answer gives the token. A book that is kept has missed nobody: each of its process's writes was conditional on the assignment before it, and whoever finds another's there drops its book before writing (check_deposed).

--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -60,6 +60,12 @@
     }
 }
 
+/// This controller's own assignment stands, and it does not act on it: the write was carried out and not
+/// answered. It is written again, which answers under which token to begin, or to go on.
+fn unheard(me: &str, assignment: Option<(&str, u64)>, token: Option<u64>) -> bool {
+    assignment.is_some_and(|(owner, stamp)| owner == me && token.is_none_or(|token| token < stamp))
+}
+
 pub async fn run(node: Arc<Node>) {
     let life = node.properties.leader_lease;
     let renew_every = life / 4;
@@ -90,12 +96,14 @@
         if leader.is_none() && Instant::now() < shy_until {
             continue;
         }
+        let token = lock(&node.book).as_ref().map(|book| book.token);
+        let assigned = assignment.as_ref().map(|(a, stamp)| (a.incarnation.as_str(), *stamp));
         let step = next_step(
             &node.incarnation,
             leader.as_ref().map(|(l, _)| l.incarnation.as_str()),
             burials < BURIALS && leader.as_ref().is_some_and(|(l, _)| l.node == node.settings.node),
-            assignment.as_ref().map(|(a, _)| a.incarnation.as_str()),
-            node.raise_wanted(),
+            assigned.map(|(owner, _)| owner),
+            node.raise_wanted() || unheard(&node.incarnation, assigned, token),
             renewed.elapsed() >= renew_every,
         );
         let outcome = match step {
@@ -210,6 +218,24 @@
         }
     }
 
+    /// An assignment that was carried out and not answered left a leader that owned nothing, for as long as it led:
+    /// it found itself assigned, and nothing to do.
+    #[test]
+    fn an_assignment_that_was_not_answered_is_written_again() {
+        for (name, assignment, token, want) in [
+            ("nobody owns", None, None, Step::Assign),
+            ("another owns", Some(("b", 20)), None, Step::Assign),
+            ("answered", Some(("a", 20)), Some(20), Step::Wait),
+            ("carried out, not answered", Some(("a", 20)), None, Step::Assign),
+            ("raised, not answered", Some(("a", 21)), Some(20), Step::Assign),
+            ("raised, the mirror is behind", Some(("a", 20)), Some(21), Step::Wait),
+        ] {
+            let owner = assignment.map(|(owner, _)| owner);
+            let again = unheard("a", assignment, token);
+            assert_eq!(next_step("a", Some("a"), true, owner, again, false), want, "{name}");
+        }
+    }
+
     /// Milliseconds without a leader or with one that is gone, in counted time: `a` leads, ends `since_renewal`
     /// after its last renewal and is back `away` later; `b` stands by. Every look at the store takes 20 ms, a
     /// start 150 ms.
