--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -262,6 +262,24 @@
         }
     }
 
+    /// An assignment that was carried out and not answered left a leader that owned nothing, for as long as it led:
+    /// it found itself assigned, and nothing to do.
+    #[test]
+    fn an_assignment_that_was_not_answered_is_written_again() {
+        for (name, assignment, token, want) in [
+            ("nobody owns", None, None, Step::Assign),
+            ("another owns", Some(("b", 20)), None, Step::Assign),
+            ("answered", Some(("a", 20)), Some(20), Step::Wait),
+            ("carried out, not answered", Some(("a", 20)), None, Step::Assign),
+            ("raised, not answered", Some(("a", 21)), Some(20), Step::Assign),
+            ("raised, the mirror is behind", Some(("a", 20)), Some(21), Step::Wait),
+        ] {
+            let owner = assignment.map(|(owner, _)| owner);
+            let again = unheard("a", assignment, token);
+            assert_eq!(next_step("a", Some("a"), true, owner, again, false), want, "{name}");
+        }
+    }
+
     /// Milliseconds without a leader or with one that is gone, in counted time: `a` leads, ends `since_renewal`
     /// after its last renewal and is back `away` later; `b` stands by. Every look at the store takes 20 ms, a
     /// start 150 ms.
--- a/src/scheduling/book/commands.rs
+++ b/src/scheduling/book/commands.rs
@@ -66,7 +66,7 @@
     /// All that a machine should be told now, as a function of the book alone.
     fn orders(&self, m: &Machine) -> Vec<Order> {
         let mut orders = Vec::new();
-        if !self.loaded || m.standing == Standing::Condemned {
+        if !self.loaded {
             return orders;
         }
         for leg in &m.legs {
@@ -116,6 +116,10 @@
                 }
             }
         }
+        if m.standing == Standing::Condemned {
+            // Its return lasts as long as the cloud answers nobody, and answers keep its lease until then.
+            orders.retain(|o| matches!(o, Order::Halt { .. }));
+        }
         orders.truncate(MOST_ORDERS);
         orders
     }
@@ -172,6 +176,11 @@
 
     /// A direct command is no longer waited for. Unless settled, it may still be executed.
     pub fn command_over(&mut self, machine: &MachineId, token: u64, settled: bool, now: Instant) {
+        // Of an earlier book of this process, which lost ownership and has it again: the command that is
+        // under way now is another one.
+        if token < self.first_token {
+            return;
+        }
         let Some(m) = self.machines.get_mut(machine) else { return };
         m.command_under_way = false;
         m.next_command = now + if m.deaf { PROBE_GAP } else { COMMAND_GAP };
