--- a/src/history/tests.rs
+++ b/src/history/tests.rs
@@ -2,10 +2,16 @@
 
 use std::time::Instant;
 
+use hollylanding_emulator::world::store::Store;
+
 use super::desk::Desk;
 use super::ends::Ends;
+use super::moves;
 use super::visibility::{Visible, visible};
+use crate::jobs::record::{ASSIGNMENT, JobRecord};
+use crate::jobs::tests::spec;
 use crate::jobs::{End, JobId};
+use crate::store::Change;
 
 fn id(n: usize) -> JobId {
     format!("run-{n:06}").into()
@@ -98,3 +104,28 @@
         assert!(!ends.shown(&id(n)), "{n}");
     }
 }
+
+/// An owner tells its users at once, so its withdrawal has to fail where another was assigned before it: that
+/// one's book may be read, and lack it.
+#[test]
+fn what_an_owner_tells_at_once_is_stored_only_under_its_assignment() {
+    for (name, replaced, owner, stands) in [
+        ("it owns", false, true, true),
+        ("replaced without knowing", true, true, false),
+        ("a follower's, whoever owns", true, false, true),
+    ] {
+        let mut store = Store::default();
+        let assign = [Change::write(ASSIGNMENT, serde_json::json!("a"))];
+        let token = store.apply_if(&[], &assign).unwrap();
+        let record = JobRecord { spec: spec(), at_ms: 5 };
+        let accept = moves::accept(&record, false);
+        store.apply_if(&accept.conditions, &accept.changes).unwrap();
+        if replaced {
+            store.apply_if(&[], &assign).unwrap();
+        }
+        let withdrawal = moves::withdraw(&record, owner.then_some(token), 9);
+        let outcome = store.apply_if(&withdrawal.conditions, &withdrawal.changes);
+        assert_eq!(outcome.is_ok(), stands, "{name}");
+        assert_eq!(store.has("h/w/run-000001"), stands, "{name}");
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -253,6 +253,16 @@
         Settings::parse(EXAMPLE).unwrap()
     }
 
+    /// For how long a machine may be held by an owner that has read nothing, so that its lease is over in time.
+    #[test]
+    fn what_is_spared_of_a_cancellation_by_cases() {
+        for (cancel_s, lease_s, want) in [(49.0, 24.0, 20.0), (56.0, 36.0, 15.0), (20.0, 8.0, 7.0), (30.0, 29.0, 0.0)] {
+            let workers = WorkerParams { report_s: 3.0, lease_s, cancel_s };
+            assert_eq!(workers.spare(), Duration::from_secs_f64(want), "{cancel_s} and {lease_s}");
+            assert!(workers.spare().is_zero() || workers.spare() + workers.lease() < workers.cancel());
+        }
+    }
+
     #[test]
     fn errors_name_the_field_and_the_value() {
         assert_eq!(example().params.teams.len(), 2);
