An heir begins no new patience with tasks that were withdrawn before it

Change: it counts from when the mirror heard of the end, or the end's record says; a machine has two reports' time to tell an heir, unless three quarters of the time are gone. Told at 0, replaced at 25 s, loaded at 30 s: due at 42 s. Test: an_heir_begins_no_new_patience_with_what_was_withdrawn_before_it.

--- a/src/history/reader.rs
+++ b/src/history/reader.rs
@@ -1,8 +1,10 @@
 //! Asks the store about jobs that are not known to be open, many in one comparison.
 
+use std::num::NonZeroUsize;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use lru::LruCache;
 use serde::Deserialize;
 use tokio::sync::{Notify, Semaphore, oneshot};
 use tracing::{debug, warn};
@@ -25,6 +27,8 @@
 const GATHER: Duration = Duration::from_millis(15);
 /// Comparisons under way: a slow answer does not keep the others waiting.
 const UNDER_WAY: usize = 4;
+/// Ends of which it is kept when they were heard of: a new owner counts from there. As many as the mirror keeps.
+const HEARD: NonZeroUsize = NonZeroUsize::new(2000).unwrap();
 /// Whoever asks hears by then, whatever became of it: users wait for 2 s.
 const ANSWER_WITHIN: Duration = Duration::from_millis(1500);
 
@@ -34,6 +38,8 @@
     wanted: Notify,
     sweep: Mutex<Sweep>,
     sweep_wanted: Notify,
+    /// When the mirror told of ends, of the last ones.
+    heard: Mutex<LruCache<JobId, Instant>>,
 }
 
 impl History {
@@ -45,6 +51,7 @@
             wanted: Notify::new(),
             sweep: Mutex::default(),
             sweep_wanted: Notify::new(),
+            heard: Mutex::new(LruCache::new(HEARD)),
         }
     }
 
@@ -68,6 +75,16 @@
         }
     }
 
+    /// The mirror tells of an end.
+    pub fn heard(&self, id: &JobId, now: Instant) {
+        lock(&self.heard).put(id.clone(), now);
+    }
+
+    /// When the mirror told of this end, if it was lately.
+    pub fn heard_at(&self, id: &str) -> Option<Instant> {
+        lock(&self.heard).peek(id).copied()
+    }
+
     /// A withdrawal that was stored at this revision, or before.
     pub fn note_withdrawal(&self, id: &JobId, stamp: u64) {
         lock(&self.desk).note_withdrawal(id, stamp);
--- a/src/node.rs
+++ b/src/node.rs
@@ -269,6 +269,7 @@
                 served.offered(&record.spec, record.age(now_ms), now);
             }
             for id in &news.ended {
+                self.history.heard(id, now);
                 if let Some(record) = mirror.ended_record(id) {
                     served.ended(&record, self.history.ended(id), record.age(now_ms), now);
                 }
--- a/src/scheduling/book/jobs.rs
+++ b/src/scheduling/book/jobs.rs
@@ -159,7 +159,7 @@
     pub fn finish_load(&mut self, now: Instant) {
         let complete = self.jobs.iter().filter(|(_, job)| job.ended.is_none() && job.complete());
         self.completed.extend(complete.map(|(id, _)| id.clone()));
-        self.loaded = true;
+        (self.loaded, self.loaded_at) = (true, now);
         self.reconcile_all(now);
     }
 
@@ -199,7 +199,7 @@
     }
 
     /// The job's end is stored, if it is known which: nothing of it starts any more, and what runs
-    /// is stopped.
+    /// is stopped. `now`: at a takeover when it ended, as far as is known.
     pub fn end_job(&mut self, id: &JobId, how: Option<End>, now: Instant) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         job.finished |= how == Some(End::Done);
--- a/src/scheduling/book/machine.rs
+++ b/src/scheduling/book/machine.rs
@@ -19,6 +19,8 @@
 const GONE_KEPT: usize = 20_000;
 /// How far into the time allowed for a cancellation a machine that proves nothing is returned.
 const CANCEL_PATIENCE: f64 = 0.45;
+/// Past this part of it nothing is waited for any more.
+const LAST_PART: f64 = 0.75;
 /// One in so many machines silent at once is no chance of single machines.
 pub(super) const TOGETHER: usize = 12;
 /// One in so many lost is most of them, as far as handing over is concerned.
@@ -432,9 +434,15 @@
     pub fn overdue(&self, now: Instant) -> BTreeSet<MachineId> {
         let allowed = self.settings.params.workers.cancel();
         let patience = allowed.mul_f64(CANCEL_PATIENCE);
+        // An owner that has come since begins no new patience, or several would add up; but machines get two
+        // reports to prove to it what they have proven to the one before.
+        let told_within = self.settings.params.workers.report() * 2;
+        let new_here = now.saturating_duration_since(self.loaded_at) < told_within;
         let due = |at: Instant| {
-            now.saturating_duration_since(at) > patience
+            let age = now.saturating_duration_since(at);
+            age > patience
                 && self.absent.is_none_or(|gap| gap.proof_due(at, allowed, now))
+                && (at >= self.loaded_at || !new_here || age >= allowed.mul_f64(LAST_PART))
         };
         let late = self.ending.iter().filter_map(|id| self.jobs.get(id));
         let late = late.filter(|job| !job.finished && job.ended.is_some_and(due));
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -281,6 +281,8 @@
     raise: bool,
     /// When this controller last stood still.
     absent: Option<Gap>,
+    /// When everything stored was read.
+    loaded_at: Instant,
     /// By class: how observed run times compare with the owners' estimates (sum of logs, count).
     observed: LruCache<String, (f64, f64)>,
     pub arrivals: BTreeMap<String, Arrivals>,
@@ -359,6 +361,7 @@
             raised: now,
             raise: false,
             absent: None,
+            loaded_at: now,
             observed: LruCache::new(MOST_CLASSES),
             arrivals: BTreeMap::new(),
             large: Large::new(&properties, now),
--- a/src/scheduling/load.rs
+++ b/src/scheduling/load.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use serde::Deserialize;
 use tokio::task::JoinSet;
@@ -10,7 +10,8 @@
 
 use crate::fleet::orders::{CloudOrder, ORDERS};
 use crate::jobs::record::{
-    DONE, JobRecord, Stored, TASKS, decode_chunk, ended_key, ended_keys, old_job_key, parse_chunk_key,
+    DONE, EndedRecord, JobRecord, Stored, TASKS, decode_chunk, ended_key, ended_keys, old_job_key, parse_chunk_key,
+    time_of_day_ms,
 };
 use crate::jobs::{End, JobId};
 use crate::node::Node;
@@ -60,13 +61,14 @@
         }
     }
     let mut ended = HashSet::new();
+    let mut read_ends = HashMap::new();
     let mut pages = node.store.pages(TASKS, None);
     let (mut chunks, mut read) = (0usize, 0usize);
     while let Some(page) = pages.next().await? {
         read += 1;
         let page: Vec<Chunk> = page.items.into_iter().filter_map(Chunk::read).collect();
         chunks += page.len();
-        take_page(node, page, &mut ended).await?;
+        take_page(node, page, &mut ended, &mut read_ends).await?;
     }
     // What an earlier owner may still be doing, before anything is placed: nothing can be added to
     // it any more, since orders are conditional on the assignment.
@@ -86,7 +88,8 @@
         }
         ended.extend(book.jobs().map(|(id, _)| id).filter(|id| mirror.open(id).is_none()).cloned());
         for id in &ended {
-            book.end_job(id, node.history.ended(id), now);
+            let at = node.history.heard_at(id).or_else(|| read_ends.get(id).copied());
+            book.end_job(id, node.history.ended(id), at.unwrap_or(now).min(now));
         }
         let inherited = orders.len();
         book.inherit_orders(orders, now);
@@ -115,7 +118,12 @@
 /// Tasks of withdrawn jobs may still be on machines: those count until proven gone. What has
 /// nothing bound is only dropped, and so is what is left of jobs that are done: each of their tasks
 /// was reported to have exited, though the last reports were never written to its chunk.
-async fn take_page(node: &Arc<Node>, page: Vec<Chunk>, ended: &mut HashSet<JobId>) -> Result<(), StoreError> {
+async fn take_page(
+    node: &Arc<Node>,
+    page: Vec<Chunk>,
+    ended: &mut HashSet<JobId>,
+    read_ends: &mut HashMap<JobId, Instant>,
+) -> Result<(), StoreError> {
     let over: BTreeSet<JobId> = {
         let held = lock(&node.book);
         let Some(book) = held.as_ref() else { return Ok(()) };
@@ -143,7 +151,9 @@
         }
         while let Some(answer) = asked.join_next().await {
             let Ok((id, record)) = answer else { continue };
-            if let Some(record) = record? {
+            if let Some((record, age)) = record? {
+                // By the time of day of whoever wrote it: it says how soon a machine is returned, and no more.
+                read_ends.extend(Instant::now().checked_sub(age).map(|at| (id.clone(), at)));
                 records.insert(id, Arc::new(record));
             }
         }
@@ -181,12 +191,14 @@
     Ok(done)
 }
 
-/// The description of a job that has ended, wherever it is kept.
-async fn ended_record(node: &Node, id: &str) -> Result<Option<JobRecord>, StoreError> {
+/// The description of a job that has ended, wherever it is kept, and how long ago it did.
+async fn ended_record(node: &Node, id: &str) -> Result<Option<(JobRecord, Duration)>, StoreError> {
     for key in ended_keys(id).into_iter().chain([old_job_key(id)]) {
         if let Some(item) = node.store.get(&key, Urgent::First).await? {
+            let ended_ms = EndedRecord::deserialize(&item.value).map_or(u64::MAX, |ended| ended.ended_ms);
+            let age = Duration::from_millis(time_of_day_ms().saturating_sub(ended_ms));
             return match JobRecord::deserialize(&item.value) {
-                Ok(record) => Ok(Some(record)),
+                Ok(record) => Ok(Some((record, age))),
                 Err(error) => {
                     error!(%error, key, "unreadable job in the store");
                     Ok(None)
--- a/src/scheduling/tests/meetings.rs
+++ b/src/scheduling/tests/meetings.rs
@@ -1045,3 +1045,29 @@
     book.take_report(known, Via::Report, None, world.now);
     assert_eq!(placed(&mut book, world.now), [(0, "m2".to_owned())]);
 }
+
+/// Each takeover began the patience with a withdrawn task anew: two within it, and a machine that hangs held the
+/// task past `cancel_s`. An heir counts from when the end was stored, as far as it knows, and gives machines two
+/// reports' time to prove to it what they have proven to the one before, unless hardly any time is left.
+#[test]
+fn an_heir_begins_no_new_patience_with_what_was_withdrawn_before_it() {
+    for (name, ended_before, after, due) in [
+        ("withdrawn under it, within its patience", 0.0, 21.0, false),
+        ("withdrawn under it, past its patience", 0.0, 23.0, true),
+        ("within the patience", 15.0, 6.5, false),
+        ("past it, and the heir has hardly listened", 20.0, 3.0, false),
+        ("past it, and machines had time to tell", 20.0, 6.5, true),
+        ("just told, and just taken over", 0.0, 0.5, false),
+        ("nearly all the time is gone", 37.0, 0.5, true),
+    ] {
+        let mut world = World::new(&["m1"], |j| j.tasks = 1);
+        let mut old = world.owner();
+        world.turn(&mut old, "m1");
+        world.place_these(&mut old, &[0], "m1");
+        world.turn(&mut old, "m1");
+        let mut book = world.owner();
+        let ended = world.now - s(ended_before);
+        book.end_job(&JOB.into(), Some(End::Withdrawn), ended);
+        assert_eq!(book.overdue(world.now + s(after)).len(), usize::from(due), "{name}");
+    }
+}
