--- a/crates/emulator/src/driver/mod.rs
+++ b/crates/emulator/src/driver/mod.rs
@@ -424,6 +424,13 @@
                 }
             };
         }
+        let answer = self.of_state(door, &path, req, body).await;
+        let slow = lock(&self.state).faults.slow;
+        tokio::time::sleep(slow).await;
+        answer
+    }
+
+    async fn of_state(self: &Arc<Self>, door: &Door, path: &str, req: &mut Request, body: Value) -> (u16, Value) {
         if let Err(refusal) = lock(&self.state).admit(&door.node) {
             return (refusal.status(), json!({"error": format!("{refusal:?}")}));
         }
@@ -434,7 +441,7 @@
             self.transact(body).await
         } else {
             let method = req.method().to_string();
-            lock(&self.state).answer(&path, &method, |name| param(req, name), &body)
+            lock(&self.state).answer(path, &method, |name| param(req, name), &body)
         };
         match answered {
             Ok(answer) if answer.get("failed").is_some() => (409, answer),
--- a/crates/emulator/src/driver/state.rs
+++ b/crates/emulator/src/driver/state.rs
@@ -24,6 +24,8 @@
     pub unanswered: u32,
     /// So many writes are carried out this much later, and not answered.
     pub late: (u32, Duration),
+    /// Answers come so much later.
+    pub slow: Duration,
     /// Watches hear nothing until then.
     pub stalled_until: Option<Instant>,
 }
--- a/crates/emulator/src/rehearsal.rs
+++ b/crates/emulator/src/rehearsal.rs
@@ -91,6 +91,8 @@
     accepted: Mutex<Vec<JobId>>,
     /// Who has answered about which job since all has been well.
     answered: Mutex<HashSet<(usize, JobId)>>,
+    /// Jobs of which a user has heard that they are over.
+    over: Mutex<HashSet<JobId>>,
     rng: Mutex<ChaCha8Rng>,
 }
 
@@ -114,6 +116,9 @@
             Err(_) => (None, None),
         };
         self.world.note(Event::Answered { job: job.clone(), ask, code, status });
+        if matches!(status, Some(Status::Done | Status::Withdrawn)) {
+            lock(&self.over).insert(job.clone());
+        }
         status
     }
 
@@ -134,13 +139,7 @@
         }
         if withdraw_after.is_some() || lingers {
             tokio::time::sleep(withdraw_after.unwrap_or_default()).await;
-            self.world.note(Event::WithdrawalAsked(job.clone()));
-            while !matches!(
-                self.ask(&self.any(), &job, Ask::Withdraw, None).await,
-                Some(Status::Done | Status::Withdrawn)
-            ) {
-                tokio::time::sleep(COME_AGAIN).await;
-            }
+            self.withdraw(&job).await;
         } else {
             loop {
                 tokio::time::sleep(POLL.div_f64(self.often)).await;
@@ -152,6 +151,29 @@
         *lock(if lingers { &self.lingering } else { &self.left }) -= 1;
     }
 
+    /// Through whichever controller each attempt comes to, until the job is called over.
+    async fn withdraw(&self, job: &JobId) {
+        self.world.note(Event::WithdrawalAsked(job.clone()));
+        while !matches!(self.ask(&self.any(), job, Ask::Withdraw, None).await, Some(Status::Done | Status::Withdrawn)) {
+            tokio::time::sleep(COME_AGAIN).await;
+        }
+    }
+
+    /// This part of the users whose jobs are accepted and not over withdraw them now, while they go on asking.
+    fn withdraw_share(self: &Arc<Self>, part: f64) -> usize {
+        let jobs: Vec<JobId> = {
+            let over = lock(&self.over);
+            lock(&self.accepted).iter().filter(|job| !over.contains(*job)).cloned().collect()
+        };
+        let n = (jobs.len() as f64 * part).round() as usize;
+        let drawn: Vec<JobId> = jobs.choose_multiple(&mut *lock(&self.rng), n).cloned().collect();
+        for job in drawn {
+            let desk = self.clone();
+            tokio::spawn(async move { desk.withdraw(&job).await });
+        }
+        n
+    }
+
     /// Asks one controller about every job, round after round, spread over time.
     async fn ask_on(self: Arc<Self>, controller: usize) {
         let Some(addr) = self.addrs.get(controller).cloned() else { return };
@@ -230,6 +252,7 @@
 
 struct Play {
     world: Arc<World>,
+    desk: Arc<Desk>,
     controllers: Controllers,
     rng: ChaCha8Rng,
     /// What is to be undone, and when.
@@ -252,6 +275,7 @@
 enum Undo {
     Open(usize, Link),
     StoreBack,
+    StoreQuick,
     CloudBack,
     Serve(usize),
     Well(Vec<String>),
@@ -390,6 +414,7 @@
                     let now = state.now();
                     state.store.set_out(false, now);
                 }
+                Undo::StoreQuick => lock(&self.world.state).faults.slow = Duration::ZERO,
                 Undo::CloudBack => lock(&self.world.cloud).set_out(false),
                 Undo::Serve(of) => lock(&self.world.state).store.set_refused(&of.to_string(), false),
                 Undo::Well(machines) => self.world.with_fleet(|fleet, _| {
@@ -501,6 +526,10 @@
             Fault::LateWrites(n, by) => state.faults.late = (*n, *by),
             Fault::DropLeases => state.store.drop_leases(),
             Fault::StallWatches(time) => state.faults.stalled_until = Some(Instant::now() + *time),
+            Fault::SlowStore(by, time) => {
+                state.faults.slow = *by;
+                self.later(*time, Undo::StoreQuick);
+            }
             Fault::ForgetLog => state.store.forget_log(),
             _ => {}
         }
@@ -550,6 +579,10 @@
             }
             Fault::Operator(verb) => self.operate(verb),
             Fault::WillWithdraw(job) => self.world.note(Event::WithdrawalAsked(job.clone())),
+            Fault::WithdrawShare(part) => {
+                let n = self.desk.withdraw_share(*part);
+                self.told.push((self.world.now().as_secs_f64(), format!("{n} users withdraw their jobs")));
+            }
             other => {
                 self.on_machines(other);
                 self.on_store(other);
@@ -613,10 +646,12 @@
         often: plan.often.max(1.0),
         accepted: Mutex::default(),
         answered: Mutex::default(),
+        over: Mutex::default(),
         rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed ^ 1)),
     });
     let mut play = Play {
         world: world.clone(),
+        desk: desk.clone(),
         controllers,
         rng,
         undo: vec![],
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -64,6 +64,8 @@
     LateWrites(u32, Duration),
     DropLeases,
     StallWatches(Duration),
+    /// The state service carries out what it is asked at once, and answers so much later, for so long.
+    SlowStore(Duration, Duration),
     ForgetLog,
     /// Reports arrive, answers and commands do not.
     Deaf(Many, Duration),
@@ -79,6 +81,8 @@
     Operator(Verb),
     /// Somebody who is no user of the rehearsal is about to withdraw a job.
     WillWithdraw(JobId),
+    /// This part of the users whose jobs are accepted and not over withdraw them now.
+    WithdrawShare(f64),
     /// Breaks a rule on purpose: a running task is started on a second machine.
     StartTwice,
 }
@@ -144,6 +148,8 @@
 /// Steps of a plan, and seconds of a scenario, at the most.
 const MOST_STEPS: usize = 1000;
 const MOST_SECONDS: f64 = 86_400.0;
+/// Slowest answer of the state service: longer than anybody waits for it.
+const SLOWEST_MS: f64 = 20_000.0;
 
 fn number(value: &Dynamic) -> Told<f64> {
     let number = value.as_float().or_else(|_| value.as_int().map(|n| n as f64));
@@ -155,6 +161,16 @@
     }
 }
 
+/// A fault's number within its own bounds, named in the error.
+fn within(name: &str, value: &Dynamic, least: f64, most: f64) -> Told<f64> {
+    let number = number(value).map_err(|error| format!("{name}: {error}"))?;
+    if (least..=most).contains(&number) {
+        Ok(number)
+    } else {
+        Err(format!("{name}: {number} is not between {least} and {most}").into())
+    }
+}
+
 fn seconds(value: &Dynamic) -> Told<Duration> {
     number(value).map(Duration::from_secs_f64)
 }
@@ -259,6 +275,10 @@
         .register_fn("late_writes", move |n: i64, s: Dynamic| Told::Ok(Fault::LateWrites(count(n)?, seconds(&s)?)))
         .register_fn("drop_leases", || Fault::DropLeases)
         .register_fn("stall_watches", |s: Dynamic| seconds(&s).map(Fault::StallWatches))
+        .register_fn("slow_store", |ms: Dynamic, s: Dynamic| {
+            let ms = within("slow_store", &ms, 1.0, SLOWEST_MS)?;
+            Told::Ok(Fault::SlowStore(Duration::from_secs_f64(ms / 1000.0), seconds(&s)?))
+        })
         .register_fn("forget_log", || Fault::ForgetLog);
 }
 
@@ -293,6 +313,9 @@
             Fault::Operator(verb) => Told::Ok(Fault::Operator(Verb { exit: status as i32, ..verb })),
             other => Err(format!("{other:?} has no exit status").into()),
         })
+        .register_fn("withdraw_share", |part: Dynamic| {
+            within("withdraw_share", &part, 0.0, 1.0).map(Fault::WithdrawShare)
+        })
         .register_fn("will_withdraw", |job: &str| Fault::WillWithdraw(job.into()));
 }
 
--- /dev/null
+++ b/crates/emulator/tests/scenario.rs
@@ -0,0 +1,47 @@
+//! Faults of the scenario language, with errors that name what is wrong and its value.
+
+#![cfg(feature = "commands")]
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use hollylanding_emulator::scenario::{Fault, Trigger, read};
+use hollylanding_emulator::sizes::Sizes;
+
+#[test]
+fn slow_stores_and_withdrawals_by_cases() {
+    let ms = Duration::from_millis;
+    let rows: [(&str, Result<Fault, &str>); 9] = [
+        ("slow_store(1400, 6)", Ok(Fault::SlowStore(ms(1400), ms(6000)))),
+        ("slow_store(0.5 * 500, 0.5)", Ok(Fault::SlowStore(ms(250), ms(500)))),
+        ("slow_store(0, 6)", Err("slow_store: 0 is not between 1 and 20000")),
+        ("slow_store(60000, 6)", Err("slow_store: 60000 is not between 1 and 20000")),
+        ("slow_store(\"long\", 6)", Err("slow_store: ")),
+        ("slow_store(100, -1)", Err("-1 is not between 0")),
+        ("withdraw_share(0.5)", Ok(Fault::WithdrawShare(0.5))),
+        ("withdraw_share(1.5)", Err("withdraw_share: 1.5 is not between 0 and 1")),
+        ("withdraw_share(-1)", Err("withdraw_share: -1 is not between 0")),
+    ];
+    for (fault, want) in rows {
+        match (read(&format!("\nat(3, {fault});"), 1), want) {
+            (Ok(plan), Ok(fault)) => assert_eq!(plan.steps, [(Trigger::At(ms(3000)), fault)]),
+            (Err(error), Err(why)) => {
+                assert!(error.to_string().contains(why), "{fault}: {error}");
+                assert_eq!(error.line, 2, "{fault}");
+            }
+            (got, _) => panic!("{fault}: {got:?}"),
+        }
+    }
+}
+
+#[test]
+fn the_gap_of_meetings_is_longer_than_a_withdrawal_may_take() {
+    let sizes = Sizes::parse(include_str!("../../../scenarios/meetings.toml")).unwrap();
+    let plan = read(include_str!("../../../scenarios/meetings.rhai"), 1).unwrap();
+    assert_eq!(plan.sizes.as_deref(), Some("meetings.toml"));
+    let outage = plan.steps.iter().find_map(|(_, fault)| match fault {
+        Fault::Outage(time) => Some(*time),
+        _ => None,
+    });
+    assert!(outage.unwrap().as_secs_f64() > sizes.workers.cancel_s);
+}
--- /dev/null
+++ b/crates/emulator/tests/slow_store.rs
@@ -0,0 +1,54 @@
+//! A slow state service carries out what it is asked at once, and answers later.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::{Duration, Instant};
+
+use hollylanding_emulator::driver::{Params, World, lock};
+use hollylanding_emulator::world::cloud::{self, Boots};
+use hollylanding_emulator::world::fleet;
+use hollylanding_emulator::world::store::Limits;
+use hollylanding_wire::{self as wire, Http};
+use hyper::Method;
+use serde_json::json;
+
+fn params() -> Params {
+    let s = Duration::from_secs;
+    Params {
+        limits: Limits::default(),
+        cloud: cloud::Params {
+            types: vec![],
+            capacity: vec![],
+            requests_per_second: 10.0,
+            list_lag: s(1),
+            notice: s(10),
+            silent: 0.0,
+            never_up: 0.0,
+            slow_up: 0.0,
+        },
+        fleet: fleet::Params { lease: s(24), gang_wait: s(30), gang_peer: s(5) },
+        boots: Boots::Usual,
+        report: s(1),
+        page_most: 100,
+        seed: 1,
+        judged: false,
+    }
+}
+
+#[tokio::test]
+async fn answers_come_late_and_what_they_tell_of_is_done_at_once() {
+    let slow = Duration::from_millis(400);
+    let world = World::open(params());
+    let (addr, http) = (world.door(0).await, Http::default());
+    let body = wire::encode(&json!({"if": [], "apply": [{"write": "k", "value": 1}]}));
+    let write = |within| http.call(Method::POST, &addr, "/txn", Some(body.clone()), within);
+    assert_eq!(write(Duration::from_secs(10)).await.unwrap().0, 200);
+    let first = lock(&world.state).store.revision();
+
+    lock(&world.state).faults.slow = slow;
+    let begun = Instant::now();
+    assert_eq!(write(Duration::from_secs(10)).await.unwrap().0, 200);
+    assert!(begun.elapsed() >= slow, "{:?}", begun.elapsed());
+    assert!(write(slow / 2).await.is_err(), "who waits for less hears nothing");
+    assert_eq!(lock(&world.state).store.revision(), first + 2, "and it is carried out");
+}
