Emulator: bounds of slow_store and withdraw_share are told by their own numbers

Cause: below 0 the error named the bounds of every number, not the fault's own.

Run: cargo test -p hollylanding-emulator; scenario and slow_store again after the change: passed.

--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -151,9 +151,13 @@
 /// Slowest answer of the state service: longer than anybody waits for it.
 const SLOWEST_MS: f64 = 20_000.0;
 
-fn number(value: &Dynamic) -> Told<f64> {
+fn unbounded(value: &Dynamic) -> Result<f64, String> {
     let number = value.as_float().or_else(|_| value.as_int().map(|n| n as f64));
-    let number = number.map_err(|kind| format!("a number is wanted and not a {kind}"))?;
+    number.map_err(|kind| format!("a number is wanted and not a {kind}"))
+}
+
+fn number(value: &Dynamic) -> Told<f64> {
+    let number = unbounded(value)?;
     if (0.0..=MOST_SECONDS).contains(&number) {
         Ok(number)
     } else {
@@ -163,7 +167,7 @@
 
 /// A fault's number within its own bounds, named in the error.
 fn within(name: &str, value: &Dynamic, least: f64, most: f64) -> Told<f64> {
-    let number = number(value).map_err(|error| format!("{name}: {error}"))?;
+    let number = unbounded(value).map_err(|error| format!("{name}: {error}"))?;
     if (least..=most).contains(&number) {
         Ok(number)
     } else {
--- a/crates/emulator/tests/scenario.rs
+++ b/crates/emulator/tests/scenario.rs
@@ -16,11 +16,11 @@
         ("slow_store(0.5 * 500, 0.5)", Ok(Fault::SlowStore(ms(250), ms(500)))),
         ("slow_store(0, 6)", Err("slow_store: 0 is not between 1 and 20000")),
         ("slow_store(60000, 6)", Err("slow_store: 60000 is not between 1 and 20000")),
-        ("slow_store(\"long\", 6)", Err("slow_store: ")),
+        ("slow_store(\"long\", 6)", Err("slow_store: a number is wanted and not a string")),
         ("slow_store(100, -1)", Err("-1 is not between 0")),
         ("withdraw_share(0.5)", Ok(Fault::WithdrawShare(0.5))),
         ("withdraw_share(1.5)", Err("withdraw_share: 1.5 is not between 0 and 1")),
-        ("withdraw_share(-1)", Err("withdraw_share: -1 is not between 0")),
+        ("withdraw_share(-1)", Err("withdraw_share: -1 is not between 0 and 1")),
     ];
     for (fault, want) in rows {
         match (read(&format!("\nat(3, {fault});"), 1), want) {
