Judge's test: a withdrawal heard again does not begin its time anew

Cause: with the judge counting from the last answer the new test passed, since the second answer of its rows came too late to matter. It comes in time now.

--- a/crates/emulator/tests/judge.rs
+++ b/crates/emulator/tests/judge.rs
@@ -48,16 +48,21 @@
     let heard = Some(Status::Withdrawn);
     type Row = (&'static str, &'static [(u64, Ask, Option<Status>)]);
     let rows: [Row; 5] = [
-        ("the withdrawal", &[(6, Withdraw, Some(Status::Withdrawn)), (30, Withdraw, Some(Status::Withdrawn))]),
+        ("the withdrawal", &[(6, Withdraw, Some(Status::Withdrawn)), (20, Withdraw, Some(Status::Withdrawn))]),
         (
             "its retry, after a refusal",
-            &[(5, Withdraw, None), (6, Withdraw, Some(Status::Withdrawn)), (30, LookUp, Some(Status::Withdrawn))],
+            &[(5, Withdraw, None), (6, Withdraw, Some(Status::Withdrawn)), (20, LookUp, Some(Status::Withdrawn))],
         ),
-        ("a look-up", &[(6, LookUp, Some(Status::Withdrawn)), (30, Withdraw, Some(Status::Withdrawn))]),
-        ("a repeated submission", &[(6, Submit, Some(Status::Withdrawn)), (30, Withdraw, Some(Status::Withdrawn))]),
+        ("a look-up", &[(6, LookUp, Some(Status::Withdrawn)), (20, Withdraw, Some(Status::Withdrawn))]),
+        ("a repeated submission", &[(6, Submit, Some(Status::Withdrawn)), (20, Withdraw, Some(Status::Withdrawn))]),
         (
             "a look-up while the withdrawal is refused",
-            &[(5, Withdraw, None), (6, LookUp, Some(Status::Withdrawn)), (7, Withdraw, None), (31, Withdraw, None)],
+            &[
+                (5, Withdraw, None),
+                (6, LookUp, Some(Status::Withdrawn)),
+                (7, Withdraw, None),
+                (20, LookUp, Some(Status::Withdrawn)),
+            ],
         ),
     ];
     for (path, answers) in rows {
