Terms of the field: admission control, back-off, expiry of a predecessor's leadership

Only renames, with docs and logs along: door to admission control (held at debug as in_admission), shy to back-off, burial to expiry. Stored keys and operators' verbs keep their names.

--- a/src/jobs/door.rs
+++ b/src/jobs/admission.rs
@@ -1,4 +1,4 @@
-//! The door: which submissions may wait for their write while changes are short.
+//! Admission control: which submissions may wait for their write while changes are short.
 //!
 //! Every controller may write so many changes a second, and an acceptance is one of them. What
 //! would wait for long is told at once when to come again, and the first to be told so is whoever
@@ -10,10 +10,10 @@
 
 use super::JobSpec;
 
-/// Submissions that would be written within this time are let in, whosever they are: users are
+/// Submissions that would be written within this time are admitted, whosever they are: users are
 /// promised answers within a second at the least.
 const SOON: Duration = Duration::from_millis(800);
-/// Past this nobody is let in: the write itself would be given up.
+/// Past this nobody is admitted: the write itself would be given up.
 const LONGEST: Duration = Duration::from_millis(1800);
 /// The refused of this long are thought to come again.
 const REFUSED_FADE: Duration = Duration::from_secs(10);
@@ -22,7 +22,7 @@
 
 /// What waits at one controller, by class and by team.
 #[derive(Debug)]
-pub struct Door {
+pub struct Admission {
     waiting: HashMap<String, usize>,
     teams: HashMap<String, usize>,
     all: usize,
@@ -46,15 +46,15 @@
     }
 }
 
-impl Door {
+impl Admission {
     pub fn new(now: Instant) -> Self {
         Self { waiting: HashMap::new(), teams: HashMap::new(), all: 0, refused: 0.0, refused_at: now }
     }
 
     /// Lets a submission in, to be written after about `wait`, or says after how many seconds to
     /// come again. `per_second` is what can be written; `luck`, from 0 to 1, spreads the refused.
-    /// Whoever was let in has to leave.
-    pub fn enter(
+    /// Whoever was admitted has to leave.
+    pub fn admit(
         &mut self,
         spec: &JobSpec,
         wait: Duration,
@@ -78,7 +78,7 @@
         Err(1 + (luck.clamp(0.0, 1.0) * over_s).round() as u64)
     }
 
-    /// One that was let in has its answer.
+    /// One that was admitted has its answer.
     pub fn leave(&mut self, spec: &JobSpec) {
         leave(&mut self.waiting, &spec.class);
         leave(&mut self.teams, &spec.team);
@@ -102,9 +102,9 @@
     }
 
     #[test]
-    fn who_is_let_in_by_cases() {
+    fn who_is_admitted_by_cases() {
         let ms = Duration::from_millis;
-        // (name, who waits as (class, team, how many), who comes, wait, let in)
+        // (name, who waits as (class, team, how many), who comes, wait, admitted)
         type Case =
             (&'static str, &'static [(&'static str, &'static str, usize)], (&'static str, &'static str), u64, bool);
         let cases: [Case; 8] = [
@@ -117,32 +117,32 @@
             ("all alike and short", &[("a", "red", 5), ("b", "blue", 5)], ("c", "green"), 900, true),
             ("too late for anybody", &[("a", "red", 50)], ("b", "blue"), 1900, false),
         ];
-        for (name, waiting, (class, team), wait, let_in) in cases {
+        for (name, waiting, (class, team), wait, admitted) in cases {
             let now = Instant::now();
-            let mut door = Door::new(now);
+            let mut admission = Admission::new(now);
             for (class, team, n) in waiting {
-                (0..*n).for_each(|_| door.enter(&of(class, team), ms(0), 10.0, 0.5, now).unwrap());
+                (0..*n).for_each(|_| admission.admit(&of(class, team), ms(0), 10.0, 0.5, now).unwrap());
             }
-            assert_eq!(door.enter(&of(class, team), ms(wait), 10.0, 0.5, now).is_ok(), let_in, "{name}");
+            assert_eq!(admission.admit(&of(class, team), ms(wait), 10.0, 0.5, now).is_ok(), admitted, "{name}");
         }
     }
 
     #[test]
     fn the_refused_come_again_spread_out_and_nothing_is_left_behind() {
         let now = Instant::now();
-        let mut door = Door::new(now);
+        let mut admission = Admission::new(now);
         let late = Duration::from_secs(3);
         let mut seconds: Vec<u64> = (0..200)
-            .map(|n| door.enter(&of("a", "red"), late, 10.0, f64::from(n % 20) / 19.0, now).unwrap_err())
+            .map(|n| admission.admit(&of("a", "red"), late, 10.0, f64::from(n % 20) / 19.0, now).unwrap_err())
             .collect();
         assert_eq!(seconds[0], 1, "a single one comes soon");
         seconds.sort_unstable();
         seconds.dedup();
         assert_eq!(seconds, (1..=12).collect::<Vec<_>>(), "a flood spreads, within what users wait");
         for _ in 0..100 {
-            door.enter(&of("a", "red"), Duration::ZERO, 10.0, 0.0, now).unwrap();
+            admission.admit(&of("a", "red"), Duration::ZERO, 10.0, 0.0, now).unwrap();
         }
-        (0..100).for_each(|_| door.leave(&of("a", "red")));
-        assert_eq!((door.waiting(), door.waiting.len(), door.teams.len()), (0, 0, 0));
+        (0..100).for_each(|_| admission.leave(&of("a", "red")));
+        assert_eq!((admission.waiting(), admission.waiting.len(), admission.teams.len()), (0, 0, 0));
     }
 }
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -1,6 +1,6 @@
 //! What a job is: its description as users send it, its checks, and its form in the store.
 
-pub mod door;
+pub mod admission;
 pub mod limits;
 pub mod record;
 
--- a/src/membership/late.rs
+++ b/src/membership/late.rs
@@ -96,8 +96,8 @@
         let (condition, change) = candidacy(&leader("a1"), lease);
         (vec![condition], vec![change])
     }
-    fn burial_now(store: &mut Store) -> Sent {
-        let (condition, change) = burial(store.stamp(LEADER));
+    fn expiry_now(store: &mut Store) -> Sent {
+        let (condition, change) = expiry(store.stamp(LEADER));
         (vec![condition], vec![change])
     }
     fn plea_now(store: &mut Store) -> Sent {
@@ -132,8 +132,8 @@
         ("assignment, leads again and nobody has owned between", naming_now, again, true),
         ("candidacy, another leads", candidacy_now, b_leads, true),
         ("candidacy, nobody leads and its lease is over", candidacy_now, Store::drop_leases, true),
-        ("burial, its successor leads", burial_now, b_leads, true),
-        ("burial, nobody leads", burial_now, Store::drop_leases, true),
+        ("expiry, its successor leads", expiry_now, b_leads, true),
+        ("expiry, nobody leads", expiry_now, Store::drop_leases, true),
         ("plea, another owns", plea_now, b_owns, true),
         ("plea, after another's for the same owner", plea_now, b_pleads, false),
     ];
@@ -147,22 +147,22 @@
     }
 }
 
-/// A burial leaves the lease that its leader hung on: a candidacy from before it can make that one lead once
-/// more, on a lease that nobody renews, and its successor buries it again.
+/// An expiry leaves the lease that its leader hung on: a candidacy from before it can make that one lead once
+/// more, on a lease that nobody renews, and its successor expires it again.
 #[test]
-fn a_candidacy_after_a_burial_leads_until_its_lease_ends_and_owns_nothing() {
+fn a_candidacy_after_an_expiry_leads_until_its_lease_ends_and_owns_nothing() {
     let mut store = Store::default();
     let lease = store.grant(3000, NOW).unwrap();
     let (condition, change) = candidacy(&leader("a1"), lease);
     let late = ([condition], [change]);
     send(&mut store, &late.0, &late.1).unwrap();
     let token = own(&mut store, "a1").unwrap();
-    let (condition, change) = burial(store.stamp(LEADER));
+    let (condition, change) = expiry(store.stamp(LEADER));
     send(&mut store, &[condition], &[change]).unwrap();
     assert!(send(&mut store, &late.0, &late.1).is_some());
     let mut mirror = mirror();
     hear(&mut mirror, &store);
-    assert_eq!(next_step("a2", Some("a1"), true, Some("a1"), false, false), Step::Bury);
+    assert_eq!(next_step("a2", Some("a1"), true, Some("a1"), false, false), Step::Expire);
     store.end_leases(Duration::from_millis(3100));
     hear(&mut mirror, &store);
     assert_eq!((next("a2", &mirror, None), store.stamp(ASSIGNMENT)), (Step::Campaign, token));
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -26,11 +26,11 @@
 use watermark::Lag;
 
 /// After yielding, the others get this long to take over before this controller tries again.
-const SHY: Duration = Duration::from_secs(10);
+const BACK_OFF: Duration = Duration::from_secs(10);
 
 /// A process ends the leadership of those before it on its address this often at the most: two controllers
 /// that were given one name by mistake must not do so to each other for ever.
-const BURIALS: u32 = 2;
+const MOST_EXPIRED: u32 = 2;
 
 /// What this controller is to do next, from what it knows.
 #[derive(Debug, PartialEq, Eq)]
@@ -38,7 +38,7 @@
     Wait,
     /// The process that leads was this one's predecessor on its address, so it is gone: its leadership is
     /// ended before its lease runs out.
-    Bury,
+    Expire,
     Campaign,
     Renew,
     Assign,
@@ -56,7 +56,7 @@
 ) -> Step {
     match leader {
         None => Step::Campaign,
-        Some(l) if l != me && predecessor => Step::Bury,
+        Some(l) if l != me && predecessor => Step::Expire,
         Some(l) if l != me => Step::Wait,
         Some(_) if owner != Some(me) || raise => Step::Assign,
         Some(_) if renew_due => Step::Renew,
@@ -75,8 +75,8 @@
     let renew_every = life / 4;
     let mut permit: Option<u64> = None;
     let mut renewed = Instant::now();
-    let mut shy_until = Instant::now();
-    let mut burials = 0;
+    let mut backs_off_until = Instant::now();
+    let mut expired = 0;
     let mut lag = Lag::default();
     loop {
         let _ = tokio::time::timeout(renew_every / 2, node.wake.membership.notified()).await;
@@ -94,11 +94,11 @@
             warn!("yields: workers reach another controller and not this one");
             if node.store.release(lease).await.is_ok() {
                 permit = None;
-                shy_until = Instant::now() + SHY;
+                backs_off_until = Instant::now() + BACK_OFF;
             }
             continue;
         }
-        if leader.is_none() && Instant::now() < shy_until {
+        if leader.is_none() && Instant::now() < backs_off_until {
             continue;
         }
         let token = lock(&node.book).as_ref().map(|book| book.token);
@@ -106,14 +106,14 @@
         let step = next_step(
             &node.incarnation,
             leader.as_ref().map(|(l, _)| l.incarnation.as_str()),
-            burials < BURIALS && leader.as_ref().is_some_and(|(l, _)| l.node == node.settings.node),
+            expired < MOST_EXPIRED && leader.as_ref().is_some_and(|(l, _)| l.node == node.settings.node),
             assigned.map(|(owner, _)| owner),
             node.raise_wanted() || unheard(&node.incarnation, assigned, token),
             renewed.elapsed() >= renew_every,
         );
         let outcome = match step {
             Step::Wait => Ok(()),
-            Step::Bury => bury(&node, leader.map_or(0, |(_, s)| s)).await.map(|()| burials += 1),
+            Step::Expire => expire_predecessor(&node, leader.map_or(0, |(_, s)| s)).await.map(|()| expired += 1),
             Step::Campaign => campaign(&node, &mut permit, life).await.map(|()| renewed = Instant::now()),
             Step::Renew => match permit {
                 Some(lease) => node.store.renew(lease).await.map(|alive| {
@@ -148,12 +148,12 @@
 
 /// Who leads decides how soon there is an owner and nothing else: the assignment stands until a new leader
 /// writes the next one, and whatever its owner has sent is judged by that.
-pub(crate) fn burial(stamp: u64) -> (Condition, Change) {
+pub(crate) fn expiry(stamp: u64) -> (Condition, Change) {
     (Condition::at(LEADER, stamp), Change::Drop { drop: LEADER.into() })
 }
 
-async fn bury(node: &Node, stamp: u64) -> Result<(), StoreError> {
-    let (condition, change) = burial(stamp);
+async fn expire_predecessor(node: &Node, stamp: u64) -> Result<(), StoreError> {
+    let (condition, change) = expiry(stamp);
     let outcome = node.store.txn(&[condition], &[change], Urgent::First).await?;
     info!(?outcome, "its predecessor led: that is over");
     node.fresh.wait().await;
@@ -249,8 +249,8 @@
         for (name, leader, predecessor, owner, raise, due, want) in [
             ("nobody leads", None, false, Some("b"), false, false, Step::Campaign),
             ("another leads", Some("b"), false, Some("b"), true, true, Step::Wait),
-            ("its predecessor leads", Some("a0"), true, Some("a0"), false, true, Step::Bury),
-            ("its predecessor leads, another owns", Some("a0"), true, Some("b"), false, false, Step::Bury),
+            ("its predecessor leads", Some("a0"), true, Some("a0"), false, true, Step::Expire),
+            ("its predecessor leads, another owns", Some("a0"), true, Some("b"), false, false, Step::Expire),
             ("its predecessor owned, another leads", Some("b"), false, Some("a0"), false, false, Step::Wait),
             ("leads, another owns", Some("a"), true, Some("b"), false, true, Step::Assign),
             ("leads, nobody owns", Some("a"), true, None, false, false, Step::Assign),
@@ -283,7 +283,7 @@
     /// Milliseconds without a leader or with one that is gone, in counted time: `a` leads, ends `since_renewal`
     /// after its last renewal and is back `away` later; `b` stands by. Every look at the store takes 20 ms, a
     /// start 150 ms.
-    fn without_leader(buries: bool, away: u64, since_renewal: u64) -> u64 {
+    fn without_leader(expires: bool, away: u64, since_renewal: u64) -> u64 {
         const LIFE: u64 = 3000;
         let ms = Duration::from_millis;
         let leader = |node: &str, incarnation: &str| Leader { node: node.into(), incarnation: incarnation.into() };
@@ -293,7 +293,7 @@
         let (condition, change) = candidacy(&leader("a", "a0"), lease);
         store.apply_if(&[condition], &[change]).unwrap();
         let up = since_renewal + away + 150;
-        let mut buried = None;
+        let mut expired = None;
         for now in (since_renewal..10_000).step_by(20) {
             store.end_leases(ms(now));
             for me in [leader("b", "b0"), leader("a", "a1")] {
@@ -301,20 +301,20 @@
                     continue;
                 }
                 let found = led_by(&store);
-                let predecessor = buries && found.as_ref().is_some_and(|l| l.node == me.node);
+                let predecessor = expires && found.as_ref().is_some_and(|l| l.node == me.node);
                 let found = found.map(|l| l.incarnation);
                 match next_step(&me.incarnation, found.as_deref(), predecessor, Some("a0"), false, false) {
-                    Step::Bury => {
-                        buried = Some(burial(store.stamp(LEADER)));
-                        let (condition, change) = buried.clone().unwrap();
+                    Step::Expire => {
+                        expired = Some(expiry(store.stamp(LEADER)));
+                        let (condition, change) = expired.clone().unwrap();
                         store.apply_if(&[condition], &[change]).unwrap();
                     }
                     Step::Campaign => {
                         let lease = store.grant(LIFE, ms(now)).unwrap();
                         let (condition, change) = candidacy(&me, lease);
                         store.apply_if(&[condition], &[change]).unwrap();
-                        // A late copy of a burial must not end whoever leads since.
-                        assert!(buried.is_none_or(|(c, change)| store.apply_if(&[c], &[change]).is_err()));
+                        // A late copy of an expiry must not end whoever leads since.
+                        assert!(expired.is_none_or(|(c, change)| store.apply_if(&[c], &[change]).is_err()));
                         return now - since_renewal;
                     }
                     step => assert_eq!(step, Step::Wait),
@@ -330,7 +330,7 @@
         let mut saved = Vec::new();
         for away in [50, 100, 200, 500] {
             for since_renewal in [0, 400, 740] {
-                let [with, without] = [true, false].map(|buries| without_leader(buries, away, since_renewal));
+                let [with, without] = [true, false].map(|expires| without_leader(expires, away, since_renewal));
                 assert!(with <= away + 150 + 60, "{with} ms after {away}");
                 saved.push(without - with);
             }
--- a/src/node.rs
+++ b/src/node.rs
@@ -16,7 +16,7 @@
 use crate::fleet::cloud::CloudClient;
 use crate::history::reader::{self, History};
 use crate::history::sweep;
-use crate::jobs::door::Door;
+use crate::jobs::admission::Admission;
 use crate::jobs::record::time_of_day_ms;
 use crate::jobs::{Counts, End, JobId};
 use crate::kinds::Catalog;
@@ -90,7 +90,7 @@
     pub book: Mutex<Option<Book>>,
     pub heard: Mutex<Heard>,
     /// Submissions that wait to be written.
-    pub door: Mutex<Door>,
+    pub admission: Mutex<Admission>,
     /// Who was served lately, kept by every controller.
     pub served: Mutex<Account>,
     pub wake: Wake,
@@ -142,7 +142,7 @@
             catalog: Mutex::default(),
             book: Mutex::default(),
             heard: Mutex::default(),
-            door: Mutex::new(Door::new(now)),
+            admission: Mutex::new(Admission::new(now)),
             served: Mutex::new(Account::new(&settings, &properties, now)),
             wake: Wake::default(),
             pulse: Mutex::new(Pulse::new(now)),
@@ -587,7 +587,7 @@
         held.push(("audited", lock(&self.audit).remembered()));
         held.extend([("ends", ends), ("asked", asked), ("waiting", waiting), ("hidden", self.history.hidden()[0])]);
         held.push(("served", lock(&self.served).entries()));
-        held.push(("at_the_door", lock(&self.door).waiting()));
+        held.push(("in_admission", lock(&self.admission).waiting()));
         held.push(("counts_heard", lock(&self.heard).counts.len()));
         held.push(("stranded", lock(&self.stranded).remembered()));
         held.push(("let_go", lock(&self.let_go).remembered()));
--- a/src/store/late_transactions.rs
+++ b/src/store/late_transactions.rs
@@ -20,7 +20,7 @@
 use crate::jobs::tests::spec;
 use crate::jobs::{End, JobId, JobSpec};
 use crate::membership::records::{Assignment, Leader, Plea};
-use crate::membership::{burial, candidacy, naming};
+use crate::membership::{candidacy, expiry, naming};
 use crate::scheduling::book::ChunkWrite;
 
 /// Copies of these may be taken: what they write stands already, or whoever reads it judges for himself.
@@ -172,8 +172,8 @@
     let token = life.own("a owns under a higher token");
     // A candidacy is refused once the lease that it hangs on is over (`membership::late`).
     life.sent.retain(|(name, ..)| *name != "a leads");
-    let (condition, change) = burial(life.store.stamp(LEADER));
-    life.send("burial", [condition], [change]);
+    let (condition, change) = expiry(life.store.stamp(LEADER));
+    life.send("expiry", [condition], [change]);
     life.lead("b leads");
     life.own("b owns");
     life.taken.clear();
--- a/src/users/mod.rs
+++ b/src/users/mod.rs
@@ -203,30 +203,30 @@
             other => other,
         };
     }
-    let entered = {
-        let mut door = lock(&node.door);
-        let (wait, per_second) = node.store.wait_for_writes(door.waiting() as f64 + 1.0);
-        door.enter(&record.spec, wait, per_second, rand::random(), Instant::now())
+    let outcome = {
+        let mut admission = lock(&node.admission);
+        let (wait, per_second) = node.store.wait_for_writes(admission.waiting() as f64 + 1.0);
+        admission.admit(&record.spec, wait, per_second, rand::random(), Instant::now())
     };
-    if let Err(after_s) = entered {
+    if let Err(after_s) = outcome {
         // At once, without a question to the store; a retry of a job that is held is told later.
         return Reply::Later("too many jobs are submitted at once".into(), after_s);
     }
-    let let_in = LetIn { node, spec: record.spec.clone() };
+    let admitted = Admitted { node, spec: record.spec.clone() };
     let reply = write_acceptance(node, record, old_kept).await;
-    drop(let_in);
+    drop(admitted);
     reply
 }
 
-/// Leaves the door whatever becomes of the request.
-struct LetIn<'a> {
+/// Leaves admission control whatever becomes of the request.
+struct Admitted<'a> {
     node: &'a Node,
     spec: JobSpec,
 }
 
-impl Drop for LetIn<'_> {
+impl Drop for Admitted<'_> {
     fn drop(&mut self) {
-        lock(&self.node.door).leave(&self.spec);
+        lock(&self.node.admission).leave(&self.spec);
     }
 }
 
