What an owner may answer a report with is one pure rule: workers::answer::Rights

Cause: the seeded interleavings are to call the production rule for whole orders, stops only or nobody; it stood in take_report between locks.

--- /dev/null
+++ b/src/scheduling/interleavings/meetings.rs
@@ -0,0 +1,179 @@
+//! Plays in which two and three troubles meet, mostly where something was just stored, acted on or answered.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::users::{Tally, Users};
+use super::{LEADER_LEASE, World};
+use crate::jobs::record::open_key;
+
+/// Kinds of trouble that are drawn.
+const KINDS: usize = 9;
+
+impl World {
+    /// A world with users.
+    pub(super) fn with_users(seed: u64, machines: usize) -> Self {
+        let mut world = Self::new(seed, machines);
+        let assigned = std::mem::take(&mut world.users.assigned);
+        world.users = Users::new(true, world.now);
+        world.users.assigned = assigned;
+        world
+    }
+
+    pub(super) fn meet(&mut self) {
+        if std::mem::take(&mut self.users.moment) && self.rng.random_bool(0.15) || self.rng.random_bool(0.003) {
+            for _ in 0..self.rng.random_range(2..4) {
+                let at = self.now + Duration::from_millis(self.rng.random_range(0..5000));
+                let kind = self.rng.random_range(0..KINDS);
+                self.users.plan.push((at, kind));
+            }
+        }
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.users.plan).into_iter().partition(|(at, _)| *at <= now);
+        self.users.plan = later;
+        let due: Vec<_> = due;
+        for (_, kind) in due {
+            self.begin(kind);
+        }
+    }
+
+    pub(super) fn out_for(&mut self, time: Duration) {
+        self.users.out = Some((self.now, self.now + time));
+        self.users.tally.outages += 1;
+        for follower in &mut self.users.followers {
+            follower.refused_until = follower.refused_until.min(self.now + time);
+        }
+    }
+
+    /// The store refuses the owner alone; it still hears the others.
+    pub(super) fn refuse_owner(&mut self, time: Duration) {
+        let (now, at) = (self.now, self.owner);
+        if let Some(owner) = self.owners[at].as_mut().filter(|o| o.cut.is_none()) {
+            owner.cut = Some((now, now + time));
+            owner.seat.hears_others = true;
+            self.users.tally.lone_refusals += 1;
+        }
+    }
+
+    fn ms(&mut self, range: std::ops::Range<u64>) -> Duration {
+        Duration::from_millis(self.rng.random_range(range))
+    }
+
+    fn begin(&mut self, kind: usize) {
+        let now = self.now;
+        match kind {
+            0 | 1 => {
+                let long = self.rng.random_bool(0.4);
+                let time = if long { self.ms(50_000..75_000) } else { self.ms(1000..20_000) };
+                // The store has to be there at times for anything to be stored.
+                if !self.store_out() && now - self.users.back > Duration::from_secs(15) {
+                    self.out_for(time);
+                }
+            }
+            2 => {
+                let time = self.ms(1000..20_000);
+                self.refuse_owner(time);
+            }
+            3 => {
+                let f = self.rng.random_range(0..self.users.followers.len());
+                self.users.followers[f].refused_until = now + self.ms(1000..20_000);
+            }
+            4 => self.users.slow_until = now + self.ms(1000..20_000),
+            5 => {
+                let f = self.rng.random_range(0..self.users.followers.len());
+                self.users.followers[f].unheard_until = now + self.ms(1000..40_000);
+            }
+            6 => {
+                // Handed over, and at times back within a second.
+                self.take_over();
+                self.users.tally.hand_overs += 1;
+                if self.rng.random_bool(0.5) {
+                    let at = now + self.ms(100..1500);
+                    self.users.plan.push((at, 6));
+                }
+            }
+            7 => {
+                // All controllers end, and one is back.
+                let lease = LEADER_LEASE.as_millis() as u64;
+                self.owners.iter_mut().for_each(|owner| *owner = None);
+                (0..self.users.followers.len()).for_each(|f| self.begin_follower(f));
+                let back = if self.rng.random_bool(0.5) { self.ms(50..1000) } else { self.ms(lease..20_000) };
+                self.owns_from = now + back;
+                self.users.tally.all_ended += 1;
+            }
+            _ => {
+                // Those that hold what was just withdrawn hang.
+                let until = now + self.ms(1000..40_000);
+                for w in self.busy_with_hidden() {
+                    self.workers[w].hangs_until = until;
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn rules_hold_where_troubles_meet() {
+    let mut tally = Tally::default();
+    for seed in seeds() {
+        let mut world = World::with_users(seed, 6);
+        world.play(2400);
+        tally += world.users.tally;
+    }
+    println!("{tally:?}");
+    assert!(tally.told > 100 && tally.not_told > 500 && tally.told_by_owner > 30, "{tally:?}");
+    assert!(tally.outages > 80 && tally.beyond_cancel > 30 && tally.stored_marks > 30, "{tally:?}");
+    assert!(tally.unloaded > 100 && tally.stops > 100 && tally.nobody > 100, "{tally:?}");
+    assert!(tally.lone_refusals > 40 && tally.all_ended > 40 && tally.hand_overs > 40, "{tally:?}");
+}
+
+/// One by its number, as where a seed is to be seen again.
+fn seeds() -> std::ops::Range<u64> {
+    match std::env::var("MEETINGS_SEED").ok().and_then(|seed| seed.parse().ok()) {
+        Some(seed) => seed..seed + 1,
+        None => 0..48,
+    }
+}
+
+/// The operators' first meeting, with fixed steps: the store refuses the owner alone, a follower stores a
+/// withdrawal, and two seconds later the store is out for all, for longer than the time in which a withdrawn
+/// task has to be gone, while workers report to the owner.
+#[test]
+fn the_owner_alone_refused_then_all() {
+    let mut world = World::with_users(1, 3);
+    world.quiet = true;
+    world.submit();
+    let id = world.records.keys().next().expect("submitted").clone();
+    let live = |world: &World| {
+        world.workers.iter().filter(|w| w.legs.iter().any(|l| l.task.job == id && w.live(&l.task))).count()
+    };
+    let mut steps = 0;
+    while live(&world) == 0 {
+        world.step();
+        steps += 1;
+        assert!(steps < 600, "never ran");
+    }
+    // Endless, so that only its withdrawal ends it.
+    let endless = world.now + Duration::from_secs(100_000);
+    world.workers.iter_mut().for_each(|w| w.ends_at.values_mut().for_each(|at| *at = endless));
+    (0..20).for_each(|_| world.step());
+    world.refuse_owner(Duration::from_secs(14));
+    (0..5).for_each(|_| world.step());
+    let sent = crate::history::moves::withdraw(&world.records[&id], None, 0);
+    world.apply(&sent.conditions, &sent.changes).expect("the store serves the follower");
+    (0..15).for_each(|_| world.step());
+    world.out_for(Duration::from_secs(68));
+    for _ in 0..670 {
+        world.step();
+        assert!(!world.withdrawn.contains_key(&id), "told while the owner cannot know");
+    }
+    assert!(live(&world) > 0, "the owner holds what it runs, and cannot know");
+    assert!(!world.store.has(&open_key(&id)));
+    let mut told = 0;
+    while live(&world) > 0 || !world.withdrawn.contains_key(&id) {
+        world.step();
+        told += 1;
+        assert!(told < 600, "neither told nor gone a minute after the outage");
+    }
+}
--- /dev/null
+++ b/src/scheduling/interleavings/users.rs
@@ -0,0 +1,444 @@
+//! Users and the controllers that answer them: withdrawals through anybody, told by the production rule, and
+//! what an owner may tell workers by what it can prove. The store may be out for all, slow, or refuse one.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+
+use super::{CANCEL, LEADER_LEASE, LEASE, Message, Owner, World};
+use crate::history::moves;
+use crate::history::visibility::{Visible, visible};
+use crate::jobs::record::{ASSIGNMENT, WATERMARK, open_key};
+use crate::jobs::{End, JobId};
+use crate::membership::mesh::believed;
+use crate::membership::records::{Assignment, Watermark};
+use crate::membership::standing::{LetGo, Patience, Seen};
+use crate::membership::watermark::Unconfirmed;
+use crate::settings::tests::example;
+use crate::store::{Change, Condition};
+use crate::wire::workers::Report;
+use crate::workers::answer::Rights;
+
+const FOLLOWERS: usize = 2;
+/// How often an owner's line goes to the others.
+const LINES: Duration = Duration::from_millis(500);
+
+/// A controller that answers users and does not own.
+pub(super) struct Follower {
+    /// Up to which revision its watch has told.
+    heard: u64,
+    watermark: u64,
+    pub(super) refused_until: Instant,
+    /// Lines between it and the owners are refused.
+    pub(super) unheard_until: Instant,
+    /// Since when the store has served it.
+    served: Option<Instant>,
+}
+
+/// What an owner knows beside its book.
+pub(super) struct Seat {
+    heard: u64,
+    watermark: u64,
+    /// When it last knew all that was stored.
+    proof: Option<Instant>,
+    pub(super) unproven: bool,
+    load_at: Instant,
+    unconfirmed: Unconfirmed,
+    acknowledged: [u64; FOLLOWERS],
+    let_go: LetGo,
+    next_line: Instant,
+    /// Cut from the store, it still has the other controllers.
+    pub(super) hears_others: bool,
+    /// Ended, as soon as it is told that another owns.
+    deposed: bool,
+}
+
+impl Seat {
+    pub(super) fn new(heard: u64, proof: Instant, now: Instant) -> Self {
+        Self {
+            heard,
+            watermark: 0,
+            proof: Some(proof),
+            unproven: false,
+            load_at: now,
+            unconfirmed: Unconfirmed::default(),
+            acknowledged: [0; FOLLOWERS],
+            let_go: LetGo::default(),
+            next_line: now,
+            hears_others: false,
+            deposed: false,
+        }
+    }
+}
+
+/// What has to come about often enough for the plays to say anything.
+#[derive(Debug, Default, Clone, Copy)]
+pub(super) struct Tally {
+    pub(super) told: usize,
+    pub(super) not_told: usize,
+    pub(super) told_by_owner: usize,
+    pub(super) stored_marks: usize,
+    pub(super) outages: usize,
+    pub(super) beyond_cancel: usize,
+    pub(super) unloaded: usize,
+    pub(super) stops: usize,
+    pub(super) nobody: usize,
+    pub(super) lone_refusals: usize,
+    pub(super) all_ended: usize,
+    pub(super) hand_overs: usize,
+}
+
+impl std::ops::AddAssign for Tally {
+    fn add_assign(&mut self, o: Self) {
+        self.told += o.told;
+        self.not_told += o.not_told;
+        self.told_by_owner += o.told_by_owner;
+        self.stored_marks += o.stored_marks;
+        self.outages += o.outages;
+        self.beyond_cancel += o.beyond_cancel;
+        self.unloaded += o.unloaded;
+        self.stops += o.stops;
+        self.nobody += o.nobody;
+        self.lone_refusals += o.lone_refusals;
+        self.all_ended += o.all_ended;
+        self.hand_overs += o.hand_overs;
+    }
+}
+
+pub(super) struct Users {
+    /// Whether this world has any; without, a withdrawal counts from when it is stored, which is stricter.
+    pub(super) on: bool,
+    pub(super) followers: Vec<Follower>,
+    pub(super) out: Option<(Instant, Instant)>,
+    /// When the last outage ended.
+    pub(super) back: Instant,
+    pub(super) slow_until: Instant,
+    pub(super) assigned: Vec<(u64, usize)>,
+    ended: HashMap<JobId, u64>,
+    marks: Vec<(u64, u64)>,
+    /// Withdrawals that are stored and not told, with their stamps.
+    pub(super) hidden: BTreeMap<JobId, u64>,
+    /// Something was just stored, acted on or answered: a moment for trouble.
+    pub(super) moment: bool,
+    pub(super) plan: Vec<(Instant, usize)>,
+    pub(super) tally: Tally,
+}
+
+impl Users {
+    pub(super) fn new(on: bool, now: Instant) -> Self {
+        let follower =
+            || Follower { heard: 0, watermark: 0, refused_until: now, unheard_until: now, served: Some(now) };
+        Self {
+            on,
+            followers: (0..FOLLOWERS).map(|_| follower()).collect(),
+            out: None,
+            back: now,
+            slow_until: now,
+            assigned: Vec::new(),
+            ended: HashMap::new(),
+            marks: Vec::new(),
+            hidden: BTreeMap::new(),
+            moment: false,
+            plan: Vec::new(),
+            tally: Tally::default(),
+        }
+    }
+
+    /// The assignment as it is known at this revision.
+    fn assignment(&self, heard: u64) -> Option<(Assignment, u64)> {
+        let (stamp, owner) = self.assigned.iter().rev().find(|(stamp, _)| *stamp <= heard)?;
+        let of = Assignment { node: owner.to_string(), incarnation: owner.to_string(), teams: Vec::new() };
+        Some((of, *stamp))
+    }
+
+    fn stored_mark(&self, heard: u64) -> u64 {
+        self.marks.iter().filter(|(stamp, _)| *stamp <= heard).map(|(_, mark)| *mark).max().unwrap_or(0)
+    }
+
+    fn over(&self, id: &JobId, heard: u64) -> bool {
+        self.ended.get(id).is_some_and(|stamp| *stamp <= heard)
+    }
+
+    /// Followers as an owner hears them: how many, and how long one of them has been able to answer.
+    fn others(&self, now: Instant) -> (usize, Option<Duration>) {
+        let heard: Vec<&Follower> = self.followers.iter().filter(|f| f.unheard_until <= now).collect();
+        (heard.len(), heard.iter().filter_map(|f| f.served).map(|at| now - at).max())
+    }
+}
+
+impl World {
+    pub(super) fn store_out(&self) -> bool {
+        self.users.out.is_some()
+    }
+
+    pub(super) fn slow(&self) -> bool {
+        self.users.slow_until > self.now
+    }
+
+    /// How long the store has not answered this owner, nor anybody of late.
+    pub(super) fn lost_for(&self, began: Instant) -> Duration {
+        if self.store_out() { Duration::ZERO } else { self.now - began.max(self.users.back) }
+    }
+
+    pub(super) fn note_ended(&mut self, id: &JobId, end: End, stamp: u64) {
+        self.users.ended.insert(id.clone(), stamp);
+        if end == End::Withdrawn {
+            if self.users.on {
+                self.users.hidden.insert(id.clone(), stamp);
+                self.users.moment = true;
+            } else {
+                self.withdrawn.insert(id.clone(), self.now);
+            }
+        }
+    }
+
+    fn tell_user(&mut self, id: &JobId) {
+        self.withdrawn.entry(id.clone()).or_insert(self.now);
+        self.users.hidden.remove(id);
+        self.users.tally.told += 1;
+        self.users.moment = true;
+    }
+
+    /// An heir's seat: it may load at once or only some steps later, and its mirror lags.
+    pub(super) fn new_seat(&mut self, token: u64) -> Seat {
+        let heard = if self.rng.random_bool(0.5) { token } else { token.saturating_sub(self.rng.random_range(1..9)) };
+        let mut seat = Seat::new(heard, self.now, self.now);
+        if self.rng.random_bool(0.6) {
+            seat.load_at += Duration::from_millis(self.rng.random_range(200..12_000));
+        }
+        seat
+    }
+
+    /// What an owner hears in this step. False if it does nothing else; none if it is one no more.
+    pub(super) fn hears(&mut self, i: usize, owner: &mut Owner, cut: bool) -> Option<bool> {
+        let (now, revision) = (self.now, self.store.revision());
+        if !cut {
+            let all = owner.news.first().map_or(revision, |news| news.3.saturating_sub(1));
+            if all > owner.seat.heard && self.rng.random_bool(0.5) {
+                owner.seat.heard = all;
+            }
+            if owner.seat.heard >= revision {
+                owner.seat.proof = Some(now);
+                owner.seat.unproven = false;
+            }
+            let assigned = self.users.assignment(owner.seat.heard);
+            let other = assigned.is_some_and(|(_, stamp)| stamp > owner.book.token);
+            if other && std::mem::replace(&mut owner.seat.deposed, true) && self.rng.random_bool(0.3) {
+                return None;
+            }
+            if !owner.book.loaded && owner.seat.load_at <= now && !other {
+                owner.book.forget_all();
+                self.load(&mut owner.book);
+                owner.news.clear();
+                owner.seat.heard = revision;
+                owner.seat.unconfirmed = Unconfirmed::default();
+                owner.seat.unconfirmed.heard(revision, now);
+                owner.inherited = owner.book.machines.keys().cloned().collect();
+                self.users.moment = true;
+            }
+            owner.book.holds_ends(Some(owner.seat.heard));
+            owner.seat.watermark = owner.seat.watermark.max(self.users.stored_mark(owner.seat.heard));
+        }
+        if let Some(watermark) = self.watermark(i, owner) {
+            owner.seat.watermark = owner.seat.watermark.max(watermark.revision);
+            self.tell_others(i, owner, watermark, cut);
+        }
+        Some(owner.book.loaded && !owner.seat.unproven)
+    }
+
+    /// An owner heard of an end.
+    pub(super) fn heard_end(&self, owner: &mut Owner, id: &JobId, stamp: u64) {
+        if self.users.on && self.users.ended.contains_key(id) {
+            owner.seat.unconfirmed.heard(stamp, self.now);
+        }
+    }
+
+    /// As `Node::watermark` has it.
+    fn watermark(&self, i: usize, owner: &Owner) -> Option<Watermark> {
+        let (of, stamp) = self.users.assignment(owner.seat.heard)?;
+        let mine = of.incarnation == i.to_string() && stamp == owner.book.token;
+        (owner.book.loaded && mine).then_some(Watermark { token: owner.book.token, revision: owner.book.known })
+    }
+
+    fn tell_others(&mut self, i: usize, owner: &mut Owner, watermark: Watermark, cut: bool) {
+        let now = self.now;
+        let alone = owner.cut.is_some() && !owner.seat.hears_others;
+        if owner.seat.next_line <= now && !alone {
+            owner.seat.next_line = now + LINES;
+            for f in 0..FOLLOWERS {
+                if self.users.followers[f].unheard_until <= now && !self.rng.random_bool(0.1) {
+                    self.send(Message::Line { from: i, to: f, watermark });
+                }
+            }
+        }
+        let least = owner.seat.acknowledged.iter().copied().min().unwrap_or(0);
+        owner.seat.unconfirmed.confirmed(least, now);
+        if !cut && owner.seat.unconfirmed.due(now) {
+            // As `membership::storing` has it.
+            let value = serde_json::to_value(watermark).expect("a watermark is plain");
+            let conditions = [Condition::at(ASSIGNMENT, watermark.token)];
+            let unanswered = self.slow() && self.rng.random_bool(0.4);
+            if unanswered {
+                let due = now + Duration::from_millis(self.rng.random_range(2000..12_000));
+                let changes = vec![Change::write(WATERMARK, value)];
+                self.messages.push((due, Message::Txn { conditions: conditions.into(), changes }));
+            } else if let Ok(stamp) = self.store.apply_if(&conditions, &[Change::write(WATERMARK, value)]) {
+                self.note_mark(stamp, watermark.revision);
+                owner.seat.unconfirmed.confirmed(watermark.revision, now);
+            }
+        }
+    }
+
+    pub(super) fn note_mark(&mut self, stamp: u64, revision: u64) {
+        self.users.marks.push((stamp, revision));
+        self.users.tally.stored_marks += 1;
+    }
+
+    /// A line of an owner arrives, and is acknowledged in the next one of the other.
+    pub(super) fn hear_line(&mut self, from: usize, to: usize, watermark: Watermark) {
+        let known = self.users.assignment(self.users.followers[to].heard);
+        let follower = &mut self.users.followers[to];
+        if follower.unheard_until > self.now {
+            return;
+        }
+        let revision = believed(&from.to_string(), Some(watermark), known.as_ref()).unwrap_or(0);
+        follower.watermark = follower.watermark.max(revision);
+        let acknowledged = follower.watermark;
+        if let Some(owner) = self.owners[from].as_mut().filter(|_| self.rng.random_bool(0.8)) {
+            owner.seat.acknowledged[to] = owner.seat.acknowledged[to].max(acknowledged);
+        }
+    }
+
+    /// What this owner may answer with, by what it knows now.
+    pub(super) fn rights(&self, owner: &Owner) -> Rights {
+        if !self.users.on {
+            return Rights { loaded: true, knows: true, unproven: false, serves: true };
+        }
+        let since = |at: Option<Instant>| at.map_or(Duration::ZERO, |at| self.now - at);
+        let refused = since(owner.cut.map(|(at, _)| at)).max(since(self.users.out.map(|(at, _)| at)));
+        let alone = owner.cut.is_some() && !owner.seat.hears_others;
+        let (heard, answering) = if alone { (0, None) } else { self.users.others(self.now) };
+        let proof = owner.seat.proof.map(|at| self.now - at);
+        let seen = Seen { proof, refused, peers: FOLLOWERS, heard, answering };
+        let knows = seen.standing(Patience::of_ownership(LEADER_LEASE)).speaks();
+        let serves = refused < Duration::from_secs(2);
+        Rights { loaded: owner.book.loaded, knows, unproven: owner.seat.unproven, serves }
+    }
+
+    /// Jobs of a report that are over by this owner's mirror (as `Node::over_among` has it).
+    pub(super) fn over_among(&self, owner: &Owner, report: &Report) -> HashSet<JobId> {
+        let legs = report.legs.iter().map(|leg| &leg.task.job);
+        legs.filter(|id| self.users.over(id, owner.seat.heard)).cloned().collect()
+    }
+
+    /// Whether this machine is answered at all.
+    pub(super) fn holds(&self, owner: &mut Owner, rights: Rights, machine: &str) -> bool {
+        let now = self.now;
+        let spare = example().params.workers.spare();
+        let fresh = owner.seat.proof.is_some_and(|at| now - at < spare);
+        if rights.knows {
+            owner.seat.let_go.clear();
+        }
+        let let_go = &mut owner.seat.let_go;
+        rights.holds(owner.seat.heard >= owner.book.token, || fresh, || let_go.holds(machine, FOLLOWERS, LEASE, now))
+    }
+
+    /// A user of some controller: of a follower that the store serves, or of whoever thinks that it owns.
+    pub(super) fn withdraw_somewhere(&mut self) {
+        let open: Vec<JobId> = self.records.keys().filter(|id| self.store.has(&open_key(id))).cloned().collect();
+        if open.is_empty() || self.store_out() {
+            return;
+        }
+        let id = open[self.rng.random_range(0..open.len())].clone();
+        if self.rng.random_bool(0.5) {
+            if self.users.followers.iter().any(|f| f.refused_until <= self.now) {
+                let due = self.now + Duration::from_millis(self.rng.random_range(1..150));
+                let sent = moves::withdraw(&self.records[&id], None, 0);
+                let (conditions, changes) = (sent.conditions, sent.changes);
+                self.messages.push((due, Message::Txn { conditions, changes }));
+            }
+            return;
+        }
+        let owns = |o: &Owner| o.book.loaded && o.cut.is_none() && o.frozen.is_none();
+        let owners: Vec<usize> =
+            (0..self.owners.len()).filter(|i| self.owners[*i].as_ref().is_some_and(owns)).collect();
+        if owners.is_empty() {
+            return;
+        }
+        let at = owners[self.rng.random_range(0..owners.len())];
+        let token = self.owners[at].as_ref().expect("it owns").book.token;
+        let sent = moves::withdraw(&self.records[&id], Some(token), 0);
+        if self.apply(&sent.conditions, &sent.changes).is_ok() && !(self.slow() && self.rng.random_bool(0.4)) {
+            self.send(Message::Withdrawn { to: at, id, token });
+        }
+    }
+
+    /// As `Node::withdrew` has it: told at once if the book has it.
+    pub(super) fn withdrew(&mut self, at: usize, id: &JobId, token: u64) {
+        let now = self.now;
+        let owner = self.owners[at].as_mut().filter(|o| o.book.loaded && o.book.first_token <= token);
+        let Some(owner) = owner else { return };
+        owner.book.end_job(id, Some(End::Withdrawn), now);
+        self.users.tally.told_by_owner += 1;
+        self.tell_user(id);
+    }
+
+    /// Users ask again and again; followers hear of what is stored.
+    pub(super) fn run_users(&mut self) {
+        if !self.users.on {
+            return;
+        }
+        let (now, revision) = (self.now, self.store.revision());
+        if let Some((began, until)) = self.users.out
+            && until <= now
+        {
+            self.users.out = None;
+            self.users.back = now;
+            self.users.tally.beyond_cancel += usize::from(now - began > CANCEL);
+            // Every lease has its full time again.
+            self.owns_from = self.owns_from.max(now + LEADER_LEASE);
+        }
+        let out = self.store_out();
+        for f in 0..FOLLOWERS {
+            let lags = self.rng.random_bool(0.6);
+            let refused = out || self.users.followers[f].refused_until > now;
+            let follower = &mut self.users.followers[f];
+            follower.served = if refused { None } else { Some(follower.served.unwrap_or(now)) };
+            if !refused && !lags {
+                follower.heard = revision;
+            }
+            let mark = self.users.stored_mark(self.users.followers[f].heard);
+            let follower = &mut self.users.followers[f];
+            follower.watermark = follower.watermark.max(mark);
+        }
+        let hidden: Vec<(JobId, u64)> = self.users.hidden.iter().map(|(id, stamp)| (id.clone(), *stamp)).collect();
+        for (id, stamp) in hidden {
+            if !self.rng.random_bool(0.3) {
+                continue;
+            }
+            // Anybody is asked, also the owners; the stamp is known to who stored it, and told by the store.
+            let asked = self.rng.random_range(0..FOLLOWERS + 1);
+            let watermark = match self.users.followers.get(asked) {
+                Some(follower) => follower.watermark,
+                None => self.owners[self.owner].as_ref().filter(|o| o.frozen.is_none()).map_or(0, |o| o.seat.watermark),
+            };
+            match visible(End::Withdrawn, false, Some(stamp), watermark) {
+                Visible::Yes => self.tell_user(&id),
+                Visible::NotYet | Visible::Unknown => self.users.tally.not_told += 1,
+            }
+        }
+    }
+
+    /// A process that has just begun knows nothing.
+    pub(super) fn begin_follower(&mut self, f: usize) {
+        let follower = &mut self.users.followers[f];
+        (follower.heard, follower.watermark, follower.served) = (0, 0, None);
+    }
+
+    /// Machines that hold a live task of what is withdrawn and not told yet.
+    pub(super) fn busy_with_hidden(&self) -> BTreeSet<usize> {
+        let hidden = |w: &&super::Worker| w.legs.iter().any(|l| self.users.hidden.contains_key(&l.task.job));
+        (0..self.workers.len()).filter(|w| hidden(&&self.workers[*w])).collect()
+    }
+}
--- /dev/null
+++ b/src/workers/answer.rs
@@ -0,0 +1,44 @@
+//! What an owner may answer a worker's report with, by what it knows of itself. Pure.
+
+/// What an owner knows when a report comes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Rights {
+    /// Its book is loaded.
+    pub loaded: bool,
+    /// What is known here of who owns may be acted on towards workers (`membership::standing`).
+    pub knows: bool,
+    /// Nothing was proven yet since a standstill.
+    pub unproven: bool,
+    /// The store answers somebody.
+    pub serves: bool,
+}
+
+impl Rights {
+    /// After a standstill another may own: the worker finds it by asking elsewhere. Where the store answers
+    /// nobody, no other can own either, and the worker's lease is held without telling it anything new.
+    pub fn silent(&self) -> bool {
+        self.unproven && self.serves
+    }
+
+    pub fn acts(&self) -> bool {
+        self.knows && !self.unproven
+    }
+
+    /// Whether all orders are given; else only what is over is stopped.
+    pub fn whole(&self) -> bool {
+        self.acts() && self.loaded
+    }
+
+    /// Whether ends may have been stored that neither its book nor its mirror has. `through`: the mirror has
+    /// heard all that was stored before its assignment.
+    pub fn blind(&self, through: bool) -> bool {
+        !self.loaded && !through
+    }
+
+    /// Whether the machine is answered. What has ended since its last proof is in no book of one that is blind:
+    /// whoever is not held may run on nowhere. `spare`: its leases still end in time; `kept`: whether one that
+    /// may be owner no more holds this machine, asked only where it matters.
+    pub fn holds(&self, through: bool, spare: impl FnOnce() -> bool, kept: impl FnOnce() -> bool) -> bool {
+        (!self.blind(through) || spare()) && (self.knows || kept())
+    }
+}
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -1,5 +1,6 @@
 //! What workers report and are told.
 
+pub mod answer;
 pub mod dispatch;
 
 use std::sync::Arc;
@@ -7,6 +8,7 @@
 
 use tracing::debug;
 
+use self::answer::Rights;
 use crate::node::Node;
 use crate::scheduling::book::Via;
 use crate::sync::lock;
@@ -33,19 +35,18 @@
             return Answer::Malformed;
         }
     };
-    // After a standstill another may own: the worker finds it by asking elsewhere. Where the store answers
-    // nobody, no other can own either, and the worker's lease is held without telling it anything.
     let unproven = node.unproven();
-    if unproven && node.store_serves() {
+    let serves = unproven && node.store_serves();
+    let mut rights = Rights { loaded: false, knows: false, unproven, serves };
+    if rights.silent() {
         return Answer::Nobody;
     }
     let now = Instant::now();
     let mut deposed = false;
     let (report_from, report_at) = (report.machine.clone(), (report.session, report.seq));
-    let knows = node.knows_owner(now);
-    let acts = knows && !unproven;
+    rights.knows = node.knows_owner(now);
     // Of jobs that are over by the mirror an owner stops what runs, whatever else it may do.
-    let over = node.over_among(&report, acts);
+    let over = node.over_among(&report, rights.acts());
     {
         let mut held = lock(&node.book);
         if let Some(book) = held.as_mut() {
@@ -55,15 +56,15 @@
                 let catalog = node.catalog();
                 let name = report.machine.clone();
                 book.take_report(report, Via::Report, catalog.as_deref(), now);
-                let whole = acts && book.loaded;
-                let orders = if whole { book.orders_in_answer(&name, now) } else { book.stops_only(&name, &over.jobs) };
+                rights.loaded = book.loaded;
+                let orders =
+                    if rights.whole() { book.orders_in_answer(&name, now) } else { book.stops_only(&name, &over.jobs) };
                 let token = book.token;
-                // What has ended since its last proof is in no book: whoever is not held may run on nowhere.
-                let blind = !book.loaded && !over.since(token);
                 drop(held);
                 node.wake.plan.notify_one();
                 node.wake.commit.notify_one();
-                if blind && !node.may_hold_blindly(now) || !knows && !node.holds(&name, now) {
+                let (spare, kept) = (|| node.may_hold_blindly(now), || node.holds(&name, now));
+                if !rights.holds(over.since(token), spare, kept) {
                     return Answer::Nobody;
                 }
                 return Answer::Orders(Orders { token, session: None, orders });
