Interleavings with users: told by the production rule, outages, unloaded heirs, meetings

Change: users.rs (followers with a watch of their own, watermarks over a late, lossy or refused mesh and through the store, the owner's own users, outages, slowness, refusal of one, heirs that load later, rights by Rights) and meetings.rs (two and three troubles overlapping, drawn mostly where something was just stored or told; named tests with fixed steps).

--- a/src/scheduling/interleavings/mod.rs
+++ b/src/scheduling/interleavings/mod.rs
@@ -2,7 +2,9 @@
 //! workers and cloud where messages and transactions come late, twice or are lost, owners go on after
 //! being deposed, lose the store alone or are back at once, machines hang or hear nothing, and jobs are withdrawn. The model checks the rules itself.
 
+mod meetings;
 mod troubles;
+mod users;
 mod workers;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -13,18 +15,21 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::Value;
+use users::{Seat, Users};
 use workers::Worker;
 
 use super::book::{Book, MachineId, Standing, Via};
 use super::plan;
 use crate::history::moves::{self, Move, Place, end_among, place_of};
 use crate::jobs::record::{
-    ASSIGNMENT, CHUNK, JobRecord, TASKS, chunk_key, decode_chunk, ended_key, ended_keys, open_key, parse_chunk_key,
+    ASSIGNMENT, CHUNK, JobRecord, TASKS, WATERMARK, chunk_key, decode_chunk, ended_key, ended_keys, open_key,
+    parse_chunk_key,
 };
 use crate::jobs::tests::spec;
 use crate::jobs::{End, JobId, Shape};
 use crate::kinds::tests::machine_type;
 use crate::kinds::{Catalog, MachineType};
+use crate::membership::records::Watermark;
 use crate::settings::Properties;
 use crate::settings::tests::example;
 use crate::standstill::Gap;
@@ -52,8 +57,8 @@
 struct Owner {
     book: Book,
     batch: Option<(Batch, Instant)>,
-    /// What its watch will tell, and when: jobs opened and ended.
-    news: Vec<(Instant, JobId, bool)>,
+    /// What its watch will tell, and when: jobs opened and ended, with the revision.
+    news: Vec<(Instant, JobId, bool, u64)>,
     returning: HashSet<MachineId>,
     /// Stands still from and until then, while its clock runs on: what reaches it lies in its sockets.
     frozen: Option<(Instant, Instant)>,
@@ -62,6 +67,7 @@
     since: Instant,
     /// Machines that the store named at its takeover.
     inherited: HashSet<MachineId>,
+    seat: Seat,
 }
 
 enum Message {
@@ -79,6 +85,8 @@
         sent: Instant,
         token: u64,
         orders: Vec<Order>,
+        /// All orders, not stops alone.
+        whole: bool,
     },
     Command {
         id: u64,
@@ -113,6 +121,18 @@
         to: usize,
         machine: MachineId,
     },
+    /// A line of an owner to another controller.
+    Line {
+        from: usize,
+        to: usize,
+        watermark: Watermark,
+    },
+    /// The store's answer to the owner's own user.
+    Withdrawn {
+        to: usize,
+        id: JobId,
+        token: u64,
+    },
 }
 
 struct World {
@@ -145,6 +165,7 @@
     machines: usize,
     jobs: usize,
     quiet: bool,
+    users: Users,
 }
 
 impl World {
@@ -178,6 +199,7 @@
             machines,
             jobs: machines * 2 + 2,
             quiet: false,
+            users: Users::new(false, start),
         };
         world.take_over();
         world
@@ -199,12 +221,38 @@
     }
 
     fn take_over(&mut self) {
+        if self.store_out() {
+            return;
+        }
         let stamp = self.store.stamp(ASSIGNMENT);
         let token = self
             .store
             .apply_if(&[Condition::at(ASSIGNMENT, stamp)], &[Change::write(ASSIGNMENT, Value::from(self.owners.len()))])
             .expect("the model's leader knows the stamp");
         let mut book = Book::new(token, example(), Properties::default(), self.now);
+        self.trace(&format!("owner {} under {token}", self.owners.len()));
+        self.users.assigned.push((token, self.owners.len()));
+        let seat = if self.users.on { self.new_seat(token) } else { Seat::new(token, self.now, self.now) };
+        if !self.users.on {
+            self.load(&mut book);
+        }
+        self.owner = self.owners.len();
+        let inherited = book.machines.keys().cloned().collect();
+        self.owners.push(Some(Owner {
+            book,
+            batch: None,
+            news: Vec::new(),
+            returning: HashSet::new(),
+            frozen: None,
+            cut: None,
+            since: self.now,
+            inherited,
+            seat,
+        }));
+    }
+
+    /// What is stored, into an heir's book.
+    fn load(&self, book: &mut Book) {
         let mut chunks: HashMap<JobId, Vec<_>> = HashMap::new();
         for (key, value, stamp) in self.store.under(TASKS) {
             let (id, chunk) = parse_chunk_key(key).expect("own keys");
@@ -225,18 +273,6 @@
             }
         }
         book.finish_load(self.now);
-        self.owner = self.owners.len();
-        let inherited = book.machines.keys().cloned().collect();
-        self.owners.push(Some(Owner {
-            book,
-            batch: None,
-            news: Vec::new(),
-            returning: HashSet::new(),
-            frozen: None,
-            cut: None,
-            since: self.now,
-            inherited,
-        }));
     }
 
     fn submit(&mut self) {
@@ -264,17 +300,24 @@
     }
 
     /// Every watch tells in the order of the changes, sooner or later.
-    fn tell(&mut self, id: &JobId, opened: bool) {
+    fn tell(&mut self, id: &JobId, opened: bool, stamp: u64) {
         for i in 0..self.owners.len() {
-            let due = self.now + self.delay();
+            let mut due = self.now + self.delay();
+            if self.users.on {
+                // A watch that is held up for long proves nothing to its owner meanwhile.
+                due = due.min(self.now + Duration::from_secs(5));
+            }
             if let Some(owner) = self.owners[i].as_mut() {
                 let after = owner.news.last().map_or(due, |(at, ..)| due.max(*at));
-                owner.news.push((after, id.clone(), opened));
+                owner.news.push((after, id.clone(), opened, stamp));
             }
         }
     }
 
     fn withdraw(&mut self) {
+        if self.users.on {
+            return self.withdraw_somewhere();
+        }
         let open: Vec<JobId> = self.records.keys().filter(|id| self.store.has(&open_key(id))).cloned().collect();
         if open.is_empty() {
             return;
@@ -294,16 +337,32 @@
             }
             owner.frozen = None;
             owner.book.was_absent(Gap { began, ended });
+            owner.seat.unproven = self.users.on;
         }
         owner.cut = owner.cut.filter(|(_, until)| *until > now);
-        let cut = owner.cut.is_some();
+        let cut = owner.cut.is_some() || self.store_out();
         let (due, later): (Vec<_>, Vec<_>) = owner.news.drain(..).partition(|(at, ..)| *at <= now && !cut);
         owner.news = later;
-        for (_, id, opened) in due {
+        for (_, id, opened, stamp) in due {
+            // What one hears before it has loaded, it loads.
+            if !owner.book.loaded {
+                continue;
+            }
             if opened {
                 owner.book.add_job(self.records[&id].clone(), now);
             } else {
                 owner.book.end_job(&id, None, now);
+                self.heard_end(&mut owner, &id, stamp);
+            }
+        }
+        if self.users.on {
+            match self.hears(i, &mut owner, cut) {
+                None => return,
+                Some(true) => {}
+                Some(false) => {
+                    self.owners[i] = Some(owner);
+                    return;
+                }
             }
         }
         owner.book.tick(now);
@@ -335,6 +394,7 @@
             let (token, session, machine) = (direct.token, direct.session, direct.machine);
             self.commands += 1;
             let id = self.commands;
+            self.trace(&format!("owner {i} commands {machine} {:?}", direct.orders));
             self.messages.push((now + COMMAND_WAITED, Message::GivenUp { id, to: i, machine, token }));
             self.send(Message::Command { id, worker: w, from: i, token, session, orders: direct.orders });
         }
@@ -360,15 +420,16 @@
     fn store_batch(&mut self, owner: &mut Owner, batch: Batch) -> bool {
         let (conditions, changes) = (batch.conditions(owner.book.token), batch.changes());
         let fate = if self.quiet { 1.0 } else { self.rng.random::<f64>() };
-        if owner.cut.is_some() {
-            if fate < 0.2 {
+        let unanswered = if self.slow() { 0.4 } else { 0.05 };
+        if owner.cut.is_some() || self.store_out() {
+            if fate < 0.2 && !self.store_out() {
                 let due = self.now + self.delay() * 3;
                 self.messages.push((due, Message::Txn { conditions, changes }));
             }
             owner.batch = Some((batch, self.now + Duration::from_millis(1500)));
             return false;
         }
-        if fate < 0.05 {
+        if fate < unanswered {
             // Not answered, and applied some time later; asked again as it was.
             let due = self.now + self.delay() * 3;
             self.messages.push((due, Message::Txn { conditions, changes }));
@@ -381,7 +442,7 @@
             let due = self.now + self.delay() * 3;
             self.messages.push((due, Message::Txn { conditions, changes }));
         }
-        if fate < 0.1 {
+        if fate < unanswered + 0.05 {
             // Applied, and the answer lost.
             owner.batch = Some((batch, self.now + Duration::from_millis(1500)));
             return false;
@@ -420,7 +481,11 @@
     fn apply(&mut self, conditions: &[Condition], changes: &[Change]) -> Result<u64, Vec<String>> {
         let stamp = self.store.apply_if(conditions, changes).map_err(|refused| refused.failed)?;
         for change in changes {
-            let Change::Write { write, .. } = change else { continue };
+            let Change::Write { write, value, .. } = change else { continue };
+            if write == WATERMARK {
+                let stored: Watermark = serde_json::from_value(value.clone()).expect("own values");
+                self.note_mark(stamp, stored.revision);
+            }
             let Some((id, place)) = place_of(write) else { continue };
             let (id, record) = self.records.get_key_value(id).expect("a job that was submitted");
             let (id, record) = (id.clone(), record.clone());
@@ -428,17 +493,18 @@
             let keys = usize::from(self.store.has(&open_key(&id))) + usize::from(done) + usize::from(withdrawn);
             assert_eq!(keys, 1, "{id} has {keys} keys: came back, or ended twice");
             match place {
-                Place::Open => self.tell(&id, true),
+                Place::Open => self.tell(&id, true, stamp),
                 Place::Ended(End::Done) => {
                     let done = |index: u64| self.completed.contains(&TaskKey { job: id.clone(), index: index as u32 });
                     let gang = record.spec.is_gang();
                     let enough = if gang { (0..record.spec.tasks).any(done) } else { (0..record.spec.tasks).all(done) };
                     assert!(enough, "{id} is stored as done before its tasks are");
-                    self.tell(&id, false);
+                    self.note_ended(&id, End::Done, stamp);
+                    self.tell(&id, false, stamp);
                 }
                 Place::Ended(End::Withdrawn) => {
-                    self.withdrawn.insert(id.clone(), self.now);
-                    self.tell(&id, false);
+                    self.note_ended(&id, End::Withdrawn, stamp);
+                    self.tell(&id, false, stamp);
                 }
                 Place::Old => unreachable!("nothing writes earlier builds' keys"),
             }
@@ -452,7 +518,8 @@
             Message::Report { to, .. }
             | Message::Reply { to, .. }
             | Message::GivenUp { to, .. }
-            | Message::Returned { to, .. } => *to,
+            | Message::Returned { to, .. }
+            | Message::Withdrawn { to, .. } => *to,
             _ => return None,
         };
         let frozen = self.owners.get(to)?.as_ref()?.frozen?;
@@ -469,26 +536,48 @@
             Message::Report { to, report, sent, copy } => {
                 let to = if copy { self.reader() } else { self.reborn.get(&to).copied().unwrap_or(to) };
                 let Some(w) = self.workers.iter().position(|w| w.id == report.machine) else { return };
-                let Some(owner) = self.owners.get_mut(to).and_then(Option::as_mut) else { return };
+                let Some(mut owner) = self.owners.get_mut(to).and_then(Option::take) else { return };
                 if report.token > owner.book.token {
-                    self.owners[to] = None;
                     return;
                 }
                 let session = report.session;
-                owner.book.take_report(report, Via::Report, Some(&self.catalog), now);
+                let rights = self.rights(&owner);
+                self.users.tally.unloaded += usize::from(!rights.loaded);
                 let id = self.workers[w].id.clone();
-                let (orders, token) = (owner.book.orders_in_answer(&id, now), owner.book.token);
+                let mut orders = Vec::new();
+                let mut held = false;
+                if !rights.silent() {
+                    let over = self.over_among(&owner, &report);
+                    owner.book.take_report(report, Via::Report, Some(&self.catalog), now);
+                    orders = if rights.whole() {
+                        owner.book.orders_in_answer(&id, now)
+                    } else {
+                        owner.book.stops_only(&id, &over)
+                    };
+                    held = self.holds(&mut owner, rights, &id);
+                    self.users.tally.stops += usize::from(!rights.whole() && !orders.is_empty());
+                }
+                let (token, whole) = (owner.book.token, rights.whole());
+                self.owners[to] = Some(owner);
+                self.trace(&format!("{id} s{session} to {to}: {rights:?} held {held} {orders:?}"));
+                if !held {
+                    // Asks elsewhere.
+                    self.users.tally.nobody += 1;
+                    let worker = &mut self.workers[w];
+                    worker.home = worker.home.filter(|home| *home != to);
+                    return;
+                }
                 if !copy {
-                    self.send(Message::Answer { worker: w, from: to, session, sent, token, orders });
+                    self.send(Message::Answer { worker: w, from: to, session, sent, token, orders, whole });
                 }
             }
-            Message::Answer { worker, from, session, sent, token, orders } => {
+            Message::Answer { worker, from, session, sent, token, orders, whole } => {
                 let w = &mut self.workers[worker];
                 let late = now - sent > ANSWER_TAKEN || w.waits_until.is_none();
                 if w.deaf_until > now {
                     let tells = token > w.token || orders.iter().any(|o| matches!(o, Order::Launch { .. }));
                     let row = if w.unheard.0 == from { w.unheard.1 } else { 0 };
-                    w.unheard = (from, row + u32::from(tells && !late));
+                    w.unheard = (from, row + u32::from(tells && !late && whole));
                     return;
                 }
                 w.unheard = (from, 0);
@@ -513,6 +602,10 @@
                     self.messages.push((due, Message::Command { id, worker, from, token, session, orders }));
                     return;
                 }
+                // A machine goes on within its lease, or without what it had: its lease ends first.
+                if self.users.on {
+                    w.end_lease(now);
+                }
                 if token >= w.token && session == w.session {
                     w.token = token;
                     self.execute(worker, orders);
@@ -535,8 +628,15 @@
                 }
             }
             Message::Txn { conditions, changes } => {
+                if let Some((_, until)) = self.users.out {
+                    let due = until + Duration::from_millis(self.rng.random_range(100..12_000));
+                    self.messages.push((due, Message::Txn { conditions, changes }));
+                    return;
+                }
                 let _ = self.apply(&conditions, &changes);
             }
+            Message::Line { from, to, watermark } => self.hear_line(from, to, watermark),
+            Message::Withdrawn { to, id, token } => self.withdrew(to, &id, token),
             Message::Return { from, machine } => {
                 if let Some(w) = self.workers.iter_mut().find(|w| *w.id == *machine) {
                     (w.gone, w.gone_at) = (true, w.gone_at.or(Some(now)));
@@ -573,7 +673,8 @@
             self.run_owner(i);
         }
         // Another owns once the leader's lease has run out.
-        let lost = |since: Option<(Instant, Instant)>| since.is_some_and(|(began, _)| self.now - began > LEADER_LEASE);
+        let lost =
+            |since: Option<(Instant, Instant)>| since.is_some_and(|(began, _)| self.lost_for(began) > LEADER_LEASE);
         let gone = |o: &Owner| lost(o.frozen) || lost(o.cut);
         if self.owners[self.owner].as_ref().is_some_and(gone) {
             self.take_over();
@@ -585,7 +686,11 @@
                 self.take_over();
             }
         } else if self.owners[owner].as_ref().is_some_and(|o| {
-            o.frozen.is_none() && o.cut.is_none() && o.book.raise_wanted(self.now) && o.batch.is_none()
+            o.frozen.is_none()
+                && o.cut.is_none()
+                && self.users.out.is_none()
+                && o.book.raise_wanted(self.now)
+                && o.batch.is_none()
         }) {
             let stamp = self.store.stamp(ASSIGNMENT);
             let change = Change::write(ASSIGNMENT, Value::from(owner));
@@ -593,8 +698,10 @@
                 && let Some(o) = self.owners[owner].as_mut()
             {
                 o.book.raise_token(token);
+                self.users.assigned.push((token, owner));
             }
         }
+        self.run_users();
         self.check_withdrawn();
     }
 
@@ -606,7 +713,8 @@
         if self.rng.random_bool(0.004) {
             self.withdraw();
         }
-        if self.rng.random_bool(0.006) {
+        // Where troubles meet, hand-overs are drawn with them.
+        if self.rng.random_bool(if self.users.on { 0.001 } else { 0.006 }) {
             // The deposed owner goes on until it learns of it.
             self.take_over();
         }
@@ -623,7 +731,8 @@
         }
         if self.rng.random_bool(0.01) {
             let w = self.rng.random_range(0..self.workers.len());
-            self.workers[w].hangs_until = self.now + Duration::from_secs(self.rng.random_range(1..40));
+            let until = self.now + Duration::from_secs(self.rng.random_range(1..40));
+            self.hang(w, until);
         }
         if self.rng.random_bool(0.05) {
             let now = self.now;
@@ -637,6 +746,9 @@
             }
         }
         self.more_trouble();
+        if self.users.on {
+            self.meet();
+        }
         self.rent();
     }
 
@@ -668,7 +780,8 @@
             self.rent();
             // A machine that never hears again has to be returned, whatever else is well.
             let deaf = |w: &Worker| !w.gone && w.deaf_until > self.now;
-            if self.records.keys().all(|id| ended(&self.store, id)) && !self.workers.iter().any(deaf) {
+            let told = self.users.hidden.is_empty();
+            if told && self.records.keys().all(|id| ended(&self.store, id)) && !self.workers.iter().any(deaf) {
                 return;
             }
         }
--- a/src/scheduling/interleavings/troubles.rs
+++ b/src/scheduling/interleavings/troubles.rs
@@ -54,13 +54,14 @@
             let at = self.owner;
             if let Some(owner) = self.owners[at].as_mut().filter(|o| o.cut.is_none()) {
                 owner.cut = Some((now, until));
+                owner.seat.hears_others = false;
                 self.cuts += 1;
                 for worker in self.workers.iter_mut() {
                     worker.home = self.rng.random_bool(0.5).then_some(at);
                 }
             }
         }
-        if self.rng.random_bool(0.006) && self.owners[self.owner].is_some() {
+        if self.rng.random_bool(if self.users.on { 0.001 } else { 0.006 }) && self.owners[self.owner].is_some() {
             self.restart();
         }
     }
--- a/src/scheduling/interleavings/users.rs
+++ b/src/scheduling/interleavings/users.rs
@@ -81,6 +81,7 @@
     pub(super) stored_marks: usize,
     pub(super) outages: usize,
     pub(super) beyond_cancel: usize,
+    /// Reports to heirs that had not loaded their book.
     pub(super) unloaded: usize,
     pub(super) stops: usize,
     pub(super) nobody: usize,
@@ -182,6 +183,7 @@
     }
 
     pub(super) fn note_ended(&mut self, id: &JobId, end: End, stamp: u64) {
+        self.trace(&format!("stored {id} {end:?} at {stamp}"));
         self.users.ended.insert(id.clone(), stamp);
         if end == End::Withdrawn {
             if self.users.on {
@@ -194,6 +196,7 @@
     }
 
     fn tell_user(&mut self, id: &JobId) {
+        self.trace(&format!("told {id}"));
         self.withdrawn.entry(id.clone()).or_insert(self.now);
         self.users.hidden.remove(id);
         self.users.tally.told += 1;
@@ -225,11 +228,13 @@
             let assigned = self.users.assignment(owner.seat.heard);
             let other = assigned.is_some_and(|(_, stamp)| stamp > owner.book.token);
             if other && std::mem::replace(&mut owner.seat.deposed, true) && self.rng.random_bool(0.3) {
+                self.trace(&format!("owner {i} steps down"));
                 return None;
             }
             if !owner.book.loaded && owner.seat.load_at <= now && !other {
                 owner.book.forget_all();
                 self.load(&mut owner.book);
+                self.trace(&format!("owner {i} loads at {revision}"));
                 owner.news.clear();
                 owner.seat.heard = revision;
                 owner.seat.unconfirmed = Unconfirmed::default();
@@ -395,6 +400,7 @@
         {
             self.users.out = None;
             self.users.back = now;
+            self.trace("the store is back");
             self.users.tally.beyond_cancel += usize::from(now - began > CANCEL);
             // Every lease has its full time again.
             self.owns_from = self.owns_from.max(now + LEADER_LEASE);
--- a/src/scheduling/interleavings/workers.rs
+++ b/src/scheduling/interleavings/workers.rs
@@ -70,6 +70,16 @@
         }
     }
 
+    /// When its lease is over it kills and forgets what it runs, and goes on with the next session.
+    pub(super) fn end_lease(&mut self, now: Instant) {
+        if now - self.renewed > LEASE {
+            self.session += 1;
+            self.legs.clear();
+            self.reaped.clear();
+            (self.renewed, self.waits_until) = (now, None);
+        }
+    }
+
     pub(super) fn live(&self, task: &TaskKey) -> bool {
         !self.gone && self.legs.iter().any(|l| l.task == *task && l.status != LegStatus::Exited)
     }
@@ -119,7 +129,11 @@
         let again = self.workers[w].reaped.contains(&(task.clone(), attempt));
         assert!(!again, "started again after its reap: {task:?} attempt {attempt}");
         self.starts += 1;
-        let run = Duration::from_millis(self.rng.random_range(100..6000));
+        let mut run = Duration::from_millis(self.rng.random_range(100..6000));
+        if self.users.on && !self.quiet && self.rng.random_bool(0.3) {
+            // Only a stop ends these in time.
+            run = Duration::from_secs(self.rng.random_range(40..120));
+        }
         self.workers[w].ends_at.insert(task, self.now + run);
         self.workers[w].legs.push(leg);
     }
@@ -139,12 +153,7 @@
             }
             let now = self.now;
             let worker = &mut self.workers[w];
-            if now - worker.renewed > LEASE {
-                worker.session += 1;
-                worker.legs.clear();
-                worker.reaped.clear();
-                (worker.renewed, worker.waits_until) = (now, None);
-            }
+            worker.end_lease(now);
             for leg in worker.legs.iter_mut().filter(|l| l.status == LegStatus::Running) {
                 if worker.ends_at.get(&leg.task).is_some_and(|t| *t <= now) {
                     if bad(&leg.task.job) {
