Known red: hanging machines with withdrawn work are not returned across two takeovers

Cause: Book::overdue counts from the heir's load. Three or more silent machines are not returned for silence, so that this alone returns them; with two takeovers within cancel_s nobody does in time (ran_cancelled).

--- a/src/scheduling/interleavings/meetings.rs
+++ b/src/scheduling/interleavings/meetings.rs
@@ -69,7 +69,7 @@
 
     /// Where troubles meet, a machine that hangs goes on within the time in which withdrawn tasks have to be
     /// gone: one that does not has to be returned in time, which an heir that cannot load its book in an outage
-    /// does for nobody, and one after the other begins to wait anew (`a_hanging_machine_is_returned_across_two_takeovers`). Worlds
+    /// does for nobody, and one after the other begins to wait anew (`hanging_machines_are_returned_across_two_takeovers`). Worlds
     /// without users have machines that hang on and on.
     pub(super) fn hang(&mut self, w: usize, until: Instant) {
         let rested = self.workers[w].hangs_until + Duration::from_secs(20) <= self.now;
@@ -210,18 +210,18 @@
     }
 }
 
-/// Told by the owner while a machine hangs on. Owners end, at these times after the telling, before they have waited
-/// for long enough, and the last heir returns the machine in time all the same; the rule is checked at every step.
+/// Told by the owner while machines hang on, as many as may hang by the network. Owners end, at these times after the telling, before they have waited
+/// for long enough, and the last heir returns them in time all the same; the rule is checked at every step.
 fn hangs_on_across_takeovers(ends_at_s: &[u64]) {
-    let mut world = World::with_users(3, 3);
+    let mut world = World::with_users(3, 6);
     world.quiet = true;
-    world.submit();
-    let id = world.records.keys().next().expect("submitted").clone();
+    (0..3).for_each(|_| world.submit());
+    let id = world.records.keys().last().expect("submitted").clone();
     let live = |world: &World| {
         world.workers.iter().filter(|w| w.legs.iter().any(|l| l.task.job == id && w.live(&l.task))).count()
     };
     let mut steps = 0;
-    while live(&world) == 0 {
+    while live(&world) < 4 {
         world.step();
         steps += 1;
         assert!(steps < 600, "never ran");
@@ -249,11 +249,11 @@
 }
 
 #[test]
-fn a_hanging_machine_is_returned_across_a_takeover() {
+fn hanging_machines_are_returned_across_a_takeover() {
     hangs_on_across_takeovers(&[21]);
 }
 
 #[test]
-fn a_hanging_machine_is_returned_across_two_takeovers() {
+fn hanging_machines_are_returned_across_two_takeovers() {
     hangs_on_across_takeovers(&[15, 33]);
 }
