Meetings drawn in turn: refused alone, withdrawn, out for all; told, hung, stood still, out

Change: four sequences of two to four troubles with drawn gaps of 50 to 1500 ms; withdrawals mostly of what runs; any owner's users are asked.

--- a/src/scheduling/interleavings/meetings.rs
+++ b/src/scheduling/interleavings/meetings.rs
@@ -9,7 +9,13 @@
 use crate::jobs::record::open_key;
 
 /// Kinds of trouble that are drawn.
-const KINDS: usize = 10;
+const KINDS: usize = 14;
+const LONG_OUTAGE: usize = 20;
+const WITHDRAWAL: usize = 21;
+const HANG: usize = 9;
+const STANDSTILL: usize = 8;
+const HAND_OVER: usize = 6;
+const REFUSED_ALONE: usize = 2;
 
 impl World {
     /// A world with users.
@@ -43,6 +49,15 @@
         }
     }
 
+    /// Each a moment after the one before it.
+    fn in_turn(&mut self, kinds: &[usize]) {
+        let mut at = self.now;
+        for kind in kinds {
+            at += self.ms(50..1500);
+            self.users.plan.push((at, *kind));
+        }
+    }
+
     pub(super) fn out_for(&mut self, time: Duration) {
         self.users.out = Some((self.now, self.now + time));
         self.users.tally.outages += 1;
@@ -133,10 +148,22 @@
                     self.workers.iter_mut().for_each(|w| w.unheard = (at, 0));
                 }
             }
+            // Some of them one after the other, with a withdrawal in between.
+            10 => self.in_turn(&[REFUSED_ALONE, WITHDRAWAL, LONG_OUTAGE]),
+            11 => self.in_turn(&[WITHDRAWAL, HANG, STANDSTILL, LONG_OUTAGE]),
+            12 => self.in_turn(&[WITHDRAWAL, HANG, HAND_OVER, LONG_OUTAGE]),
+            13 => self.in_turn(&[HAND_OVER, WITHDRAWAL, REFUSED_ALONE, LONG_OUTAGE]),
+            LONG_OUTAGE => {
+                let time = self.ms(50_000..75_000);
+                if !self.store_out() && now - self.users.back > Duration::from_secs(5) {
+                    self.out_for(time);
+                }
+            }
+            WITHDRAWAL => self.withdraw(),
             _ => {
                 // Those that hold what was just withdrawn hang.
                 let until = now + self.ms(1000..40_000);
-                for w in self.busy_with_hidden() {
+                for w in self.busy_with_ended() {
                     self.hang(w, until);
                 }
             }
--- a/src/scheduling/interleavings/users.rs
+++ b/src/scheduling/interleavings/users.rs
@@ -355,7 +355,12 @@
         if open.is_empty() || self.store_out() {
             return;
         }
-        let id = open[self.rng.random_range(0..open.len())].clone();
+        // Mostly one that runs.
+        let runs =
+            |id: &&JobId| self.workers.iter().any(|w| w.legs.iter().any(|l| l.task.job == **id && w.live(&l.task)));
+        let running: Vec<JobId> = open.iter().filter(runs).cloned().collect();
+        let of = if running.is_empty() || self.rng.random_bool(0.2) { open } else { running };
+        let id = of[self.rng.random_range(0..of.len())].clone();
         if self.rng.random_bool(0.5) {
             if self.users.followers.iter().any(|f| f.refused_until <= self.now) {
                 let due = self.now + Duration::from_millis(self.rng.random_range(1..150));
@@ -424,11 +429,9 @@
                 continue;
             }
             // Anybody is asked, also the owners; the stamp is known to who stored it, and told by the store.
-            let asked = self.rng.random_range(0..FOLLOWERS + 1);
-            let watermark = match self.users.followers.get(asked) {
-                Some(follower) => follower.watermark,
-                None => self.owners[self.owner].as_ref().filter(|o| o.frozen.is_none()).map_or(0, |o| o.seat.watermark),
-            };
+            let owners = self.owners.iter().flatten().filter(|o| o.frozen.is_none()).map(|o| o.seat.watermark);
+            let answers: Vec<u64> = self.users.followers.iter().map(|f| f.watermark).chain(owners).collect();
+            let watermark = answers[self.rng.random_range(0..answers.len())];
             match visible(End::Withdrawn, false, Some(stamp), watermark) {
                 Visible::Yes => self.tell_user(&id),
                 Visible::NotYet | Visible::Unknown => self.users.tally.not_told += 1,
@@ -442,9 +445,10 @@
         (follower.heard, follower.watermark, follower.served) = (0, 0, None);
     }
 
-    /// Machines that hold a live task of what is withdrawn and not told yet.
-    pub(super) fn busy_with_hidden(&self) -> BTreeSet<usize> {
-        let hidden = |w: &&super::Worker| w.legs.iter().any(|l| self.users.hidden.contains_key(&l.task.job));
-        (0..self.workers.len()).filter(|w| hidden(&&self.workers[*w])).collect()
+    /// Machines that hold a live task of what has ended.
+    pub(super) fn busy_with_ended(&self) -> BTreeSet<usize> {
+        let over = |id: &JobId| self.users.ended.contains_key(id);
+        let holds = |w: &&super::Worker| w.legs.iter().any(|l| over(&l.task.job) && w.live(&l.task));
+        (0..self.workers.len()).filter(|w| holds(&&self.workers[*w])).collect()
     }
 }
