Meetings: what lives through an outage lives through it

Cause: troubles drawn at their full rate within outages ended nearly every lease, so that no play found a withdrawal told at once. Change: one step in twenty draws any within an outage.

--- a/src/scheduling/interleavings/mod.rs
+++ b/src/scheduling/interleavings/mod.rs
@@ -710,6 +710,10 @@
         if step.is_multiple_of(every) && self.records.len() < self.jobs {
             self.submit();
         }
+        // Most of what meets an outage came just before it: else nothing lives through one.
+        if self.store_out() && self.rng.random_bool(0.95) {
+            return self.rent();
+        }
         if self.rng.random_bool(0.004) {
             self.withdraw();
         }
