Who tells a watermark, and what a report is answered with, by tables of cases

Cause: two guards taken out were found by no test: a watermark told by an owner that was replaced, and an heir that has read nothing and holds machines for ever. Change: the first is a pure function (membership::watermark::own); both have a table. Taken out again, who_tells_a_watermark_by_cases and what_a_report_is_answered_with_by_cases fail.

--- a/src/membership/watermark.rs
+++ b/src/membership/watermark.rs
@@ -6,12 +6,22 @@
 
 use std::time::{Duration, Instant};
 
+use super::records::{Assignment, Watermark};
+
 /// A withdrawal that some controller has not acknowledged for this long is told through the store.
 /// Acknowledgements come with the lines, one a second.
 const PATIENCE: Duration = Duration::from_millis(2500);
 /// The watermark is stored this often at the most: one change.
 const GAP: Duration = Duration::from_secs(1);
 
+/// What a controller may tell as the owner's watermark: its loaded book's token and what that holds, and only if
+/// by all that it has heard, which is no less, it is still the one that is assigned. Past the assignment of
+/// another it may hold ends that the heir has not heard of, whom workers obey by then.
+pub fn own(me: &str, book: Option<(u64, u64)>, assignment: Option<&(Assignment, u64)>) -> Option<Watermark> {
+    let ((token, revision), (owner, stamp)) = (book?, assignment?);
+    (owner.incarnation == me && *stamp == token).then_some(Watermark { token, revision })
+}
+
 /// Withdrawals that others may not have heard the owner confirm.
 #[derive(Debug, Default)]
 pub struct Unconfirmed {
--- a/src/membership/watermark_tests.rs
+++ b/src/membership/watermark_tests.rs
@@ -7,7 +7,7 @@
 use super::mesh::believed;
 use super::records::{Assignment, Watermark};
 use super::storing;
-use super::watermark::{Lag, Unconfirmed};
+use super::watermark::{Lag, Unconfirmed, own};
 use crate::jobs::record::{ASSIGNMENT, WATERMARK};
 use crate::store::Change;
 
@@ -32,6 +32,26 @@
     }
 }
 
+/// One that was replaced and follows the store would confirm what its heir has not heard of.
+#[test]
+fn who_tells_a_watermark_by_cases() {
+    let assigned = |incarnation: &str, stamp| {
+        let (assignment, stamp) = assignment("a", stamp);
+        (Assignment { incarnation: incarnation.into(), ..assignment }, stamp)
+    };
+    for (name, book, known, tells) in [
+        ("the owner", Some((7, 50)), Some(assigned("1", 7)), true),
+        ("its book is not loaded", None, Some(assigned("1", 7)), false),
+        ("another was assigned", Some((7, 50)), Some(assigned("2", 9)), false),
+        ("another process of its name was", Some((7, 50)), Some(assigned("0", 7)), false),
+        ("assigned again, and not heard of it", Some((7, 50)), Some(assigned("1", 9)), false),
+        ("nobody is", Some((7, 50)), None, false),
+    ] {
+        let want = tells.then_some(Watermark { token: 7, revision: 50 });
+        assert_eq!(own("1", book, known.as_ref()), want, "{name}");
+    }
+}
+
 /// Nothing is stored where every controller acknowledges in time; where one does not, one change a second at
 /// the most, however many are withdrawn.
 #[test]
--- a/src/node.rs
+++ b/src/node.rs
@@ -24,7 +24,7 @@
 use crate::membership::records::{Plea, Watermark};
 use crate::membership::standing::{Health, LetGo, Patience, Seen, Standing};
 use crate::membership::stranded::Stranded;
-use crate::membership::watermark::Unconfirmed;
+use crate::membership::watermark::{self, Unconfirmed};
 use crate::membership::{self, mesh};
 use crate::scheduling::served::{Account, Row};
 use crate::scheduling::{self, Book};
@@ -332,11 +332,10 @@
     /// one that is assigned, by all that it has heard.
     pub fn watermark(&self) -> Option<Watermark> {
         let (mirror, held) = (lock(&self.mirror), lock(&self.book));
-        let book = held.as_ref().filter(|b| b.loaded)?;
-        let mine = mirror.assignment().is_some_and(|(a, s)| a.incarnation == self.incarnation && *s == book.token);
-        let watermark = Watermark { token: book.token, revision: book.known };
-        drop(held);
-        mine.then(|| self.history.advance(watermark.revision))?;
+        let book = held.as_ref().filter(|b| b.loaded).map(|b| (b.token, b.known));
+        let watermark = watermark::own(&self.incarnation, book, mirror.assignment())?;
+        drop((mirror, held));
+        self.history.advance(watermark.revision);
         Some(watermark)
     }
 
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod answer;
 pub mod dispatch;
+#[cfg(test)]
+mod tests;
 
 use std::sync::Arc;
 use std::time::Instant;
--- /dev/null
+++ b/src/workers/tests.rs
@@ -0,0 +1,42 @@
+//! Tests of what a report may be answered with.
+
+use super::answer::Rights;
+
+/// By what the owner knows of itself: all orders, stops only, or nothing at all.
+#[test]
+fn what_a_report_is_answered_with_by_cases() {
+    let sound = Rights { loaded: true, knows: true, unproven: false, serves: true };
+    let paused = Rights { unproven: true, ..sound };
+    let unread = Rights { loaded: false, ..sound };
+    let lone = Rights { knows: false, ..sound };
+    // (name, rights, its mirror is past its assignment, leases still end in time, it holds this machine;
+    //  silent, all orders, answered)
+    for (name, rights, through, spare, kept, want) in [
+        ("the owner", sound, true, false, false, (false, true, true)),
+        ("back from a pause", paused, true, false, false, (true, false, true)),
+        (
+            "back from a pause into an outage",
+            Rights { serves: false, ..paused },
+            true,
+            false,
+            false,
+            (false, false, true),
+        ),
+        ("may be owner no more", lone, true, false, false, (false, false, false)),
+        ("may be owner no more, the machine found nobody", lone, true, false, true, (false, false, true)),
+        ("has not read its book, knows every end", unread, true, false, false, (false, false, true)),
+        ("has read nothing", unread, false, true, false, (false, false, true)),
+        ("has read nothing, for too long", unread, false, false, false, (false, false, false)),
+        (
+            "the same, whoever it would hold",
+            Rights { knows: false, ..unread },
+            false,
+            false,
+            true,
+            (false, false, false),
+        ),
+    ] {
+        let got = (rights.silent(), rights.whole(), rights.holds(through, || spare, || kept));
+        assert_eq!(got, want, "{name}");
+    }
+}
