A controller that falls behind is told the watermark through the store without any withdrawal

Change: where some controller acknowledges nothing new for 10 s, the owner stores its watermark every 10 s.

--- a/src/membership/watermark.rs
+++ b/src/membership/watermark.rs
@@ -14,6 +14,10 @@
 /// The watermark is stored this often at the most: one change.
 const GAP: Duration = Duration::from_secs(1);
 
+/// Where a controller has acknowledged nothing new for so long, the watermark is stored this often without any
+/// withdrawal: it may know of one by a later revision than the one at which it was stored, as after a reading.
+const LAGS: Duration = Duration::from_secs(10);
+
 /// What a controller may tell as the owner's watermark: its loaded book's token and what that holds, and only if
 /// by all that it has heard, which is no less, it is still the one that is assigned. Past the assignment of
 /// another it may hold ends that the heir has not heard of, whom workers obey by then.
@@ -28,6 +32,8 @@
     /// The oldest and the newest of them, and since when.
     range: Option<(u64, u64, Instant)>,
     tried: Option<Instant>,
+    /// What every controller has acknowledged, and since when no more than that.
+    acknowledged: Option<(u64, Instant)>,
 }
 
 impl Unconfirmed {
@@ -44,6 +50,19 @@
         });
     }
 
+    /// Whether some controller has fallen behind for long, so that the watermark is to be stored now; counts as
+    /// tried. `acknowledged`: by every controller.
+    pub fn lags(&mut self, acknowledged: u64, watermark: u64, now: Instant) -> bool {
+        let since = self.acknowledged.filter(|(before, _)| *before == acknowledged).map_or(now, |(_, at)| at);
+        self.acknowledged = Some((acknowledged, since));
+        let long = |at: Instant| now.saturating_duration_since(at) >= LAGS;
+        let due = watermark > acknowledged && long(since) && self.tried.is_none_or(long);
+        if due {
+            self.tried = Some(now);
+        }
+        due
+    }
+
     /// Whether the watermark is to be stored now; counts as tried.
     pub fn due(&mut self, now: Instant) -> bool {
         let waits = self.range.is_some_and(|(.., since)| now.saturating_duration_since(since) >= PATIENCE);
--- a/src/membership/watermark_tests.rs
+++ b/src/membership/watermark_tests.rs
@@ -118,3 +118,24 @@
     }
     assert_eq!(told, [(40, 10), (100, 70)]);
 }
+
+/// Found by tests/lost_writes.rs: an end that was put back stands at a later revision than the watermark that was
+/// stored for it, and a controller that hears nobody never told of it again.
+#[test]
+fn a_controller_that_falls_behind_is_told_through_the_store_without_any_withdrawal() {
+    let s = Duration::from_secs;
+    // (name, what is acknowledged at a second, how often it is stored in a minute)
+    type Case = (&'static str, fn(u64) -> u64, usize);
+    let cases: [Case; 4] = [
+        ("all keep up", |second| 100 + second, 0),
+        ("nothing changes", |_| 1000, 0),
+        ("one is not heard", |_| 0, 5),
+        ("one was not heard for 15 s", |second| if second < 15 { 0 } else { 100 + second }, 1),
+    ];
+    for (name, acknowledged, stores) in cases {
+        let start = Instant::now();
+        let mut unconfirmed = Unconfirmed::default();
+        let due = |second: &u64| unconfirmed.lags(acknowledged(*second), (101 + *second).min(1000), start + s(*second));
+        assert_eq!((0..60).filter(due).count(), stores, "{name}");
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -345,7 +345,7 @@
         let acknowledged = lock(&self.heard).acknowledged(&self.settings.peers, now);
         let mut unconfirmed = lock(&self.unconfirmed);
         unconfirmed.confirmed(acknowledged, now);
-        unconfirmed.due(now).then_some(watermark)
+        (unconfirmed.due(now) || unconfirmed.lags(acknowledged, watermark.revision, now)).then_some(watermark)
     }
 
     /// Every controller can read a watermark this high.
