One constant for the last part of a cancellation: the book takes that of a standstill

The change had written 0.75 of cancel_s, past which nothing is waited for, a second time beside standstill::PROOF_PART. Behaviour is the same.

--- a/src/scheduling/book/machine.rs
+++ b/src/scheduling/book/machine.rs
@@ -12,15 +12,13 @@
 use crate::kinds::Kind;
 use crate::scheduling::hearing::Hearing;
 use crate::sla::{self, Load};
-use crate::standstill::Gap;
+use crate::standstill::{Gap, PROOF_PART};
 use crate::wire::workers::{Leg, LegStatus, TaskKey};
 
 /// Names of returned machines kept, so that their late reports are not taken for news.
 const GONE_KEPT: usize = 20_000;
 /// How far into the time allowed for a cancellation a machine that proves nothing is returned.
 const CANCEL_PATIENCE: f64 = 0.45;
-/// Past this part of it nothing is waited for any more.
-const LAST_PART: f64 = 0.75;
 /// One in so many machines silent at once is no chance of single machines.
 pub(super) const TOGETHER: usize = 12;
 /// One in so many lost is most of them, as far as handing over is concerned.
@@ -442,7 +440,7 @@
             let age = now.saturating_duration_since(at);
             age > patience
                 && self.absent.is_none_or(|gap| gap.proof_due(at, allowed, now))
-                && (at >= self.loaded_at || !new_here || age >= allowed.mul_f64(LAST_PART))
+                && (at >= self.loaded_at || !new_here || age >= allowed.mul_f64(PROOF_PART))
         };
         let late = self.ending.iter().filter_map(|id| self.jobs.get(id));
         let late = late.filter(|job| !job.finished && job.ended.is_some_and(due));
--- a/src/standstill.rs
+++ b/src/standstill.rs
@@ -14,7 +14,7 @@
 /// Workers need about this long to tell a controller that was absent what has happened.
 const TOLD_WITHIN: Duration = Duration::from_secs(5);
 /// Of the time a withdrawn task has to be gone in: past this part nothing is waited for any more.
-const PROOF_PART: f64 = 0.75;
+pub const PROOF_PART: f64 = 0.75;
 /// Questions read so soon after a gap were mostly asked within it.
 const BACKLOG: Duration = Duration::from_millis(300);
 /// A question is given up by its user after this long.
