--- a/src/scheduling/interleavings/meetings.rs
+++ b/src/scheduling/interleavings/meetings.rs
@@ -6,6 +6,7 @@
 
 use super::users::{Tally, Users};
 use super::{LEADER_LEASE, LEASE, World};
+use crate::jobs::JobId;
 use crate::jobs::record::open_key;
 
 /// Kinds of trouble that are drawn.
@@ -93,6 +94,25 @@
         }
     }
 
+    /// Machines on which a task of the job is live.
+    fn machines_with(&self, id: &JobId) -> usize {
+        self.workers.iter().filter(|w| w.legs.iter().any(|l| l.task.job == *id && w.live(&l.task))).count()
+    }
+
+    /// Steps until the job runs on so many machines, and so that nothing ends by itself before the time given back.
+    fn runs_endlessly(&mut self, id: &JobId, machines: usize) -> Instant {
+        let mut steps = 0;
+        while self.machines_with(id) < machines {
+            self.step();
+            steps += 1;
+            assert!(steps < 600, "never ran");
+        }
+        let endless = self.now + Duration::from_secs(100_000);
+        self.workers.iter_mut().for_each(|w| w.ends_at.values_mut().for_each(|at| *at = endless));
+        (0..20).for_each(|_| self.step());
+        endless
+    }
+
     fn ms(&mut self, range: std::ops::Range<u64>) -> Duration {
         Duration::from_millis(self.rng.random_range(range))
     }
@@ -204,19 +224,8 @@
     world.quiet = true;
     world.submit();
     let id = world.records.keys().next().expect("submitted").clone();
-    let live = |world: &World| {
-        world.workers.iter().filter(|w| w.legs.iter().any(|l| l.task.job == id && w.live(&l.task))).count()
-    };
-    let mut steps = 0;
-    while live(&world) == 0 {
-        world.step();
-        steps += 1;
-        assert!(steps < 600, "never ran");
-    }
-    // Endless, so that only its withdrawal ends it.
-    let endless = world.now + Duration::from_secs(100_000);
-    world.workers.iter_mut().for_each(|w| w.ends_at.values_mut().for_each(|at| *at = endless));
-    (0..20).for_each(|_| world.step());
+    let live = |world: &World| world.machines_with(&id);
+    world.runs_endlessly(&id, 1);
     world.refuse_owner(Duration::from_secs(14));
     (0..5).for_each(|_| world.step());
     let sent = crate::history::moves::withdraw(&world.records[&id], None, 0);
@@ -244,18 +253,8 @@
     world.quiet = true;
     (0..3).for_each(|_| world.submit());
     let id = world.records.keys().last().expect("submitted").clone();
-    let live = |world: &World| {
-        world.workers.iter().filter(|w| w.legs.iter().any(|l| l.task.job == id && w.live(&l.task))).count()
-    };
-    let mut steps = 0;
-    while live(&world) < 4 {
-        world.step();
-        steps += 1;
-        assert!(steps < 600, "never ran");
-    }
-    let endless = world.now + Duration::from_secs(100_000);
-    world.workers.iter_mut().for_each(|w| w.ends_at.values_mut().for_each(|at| *at = endless));
-    (0..20).for_each(|_| world.step());
+    let live = |world: &World| world.machines_with(&id);
+    let endless = world.runs_endlessly(&id, 4);
     world.workers.iter_mut().for_each(|w| w.hangs_until = endless);
     let (owner, told) = (world.owner, world.now);
     let token = world.owners[owner].as_ref().expect("it owns").book.token;
