--- /dev/null
+++ b/crates/emulator/src/judge/tests.rs
@@ -0,0 +1,229 @@
+use super::*;
+use hollylanding_wire::jobs::Urgency;
+use serde_json::json;
+
+fn spec(id: &str) -> JobSpec {
+    JobSpec {
+        id: id.into(),
+        class: "c".into(),
+        team: "blue".into(),
+        shape: Shape::Array,
+        urgency: Urgency::Normal,
+        tasks: 2,
+        cpus: 2.0,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "i".into(),
+        image_gb: 0.1,
+        types: Some(vec!["c8".into()]),
+        zone: None,
+        same_zone: true,
+        spread: false,
+        spot: false,
+        estimate_s: 5.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        due_s: None,
+    }
+}
+
+fn entry(at: f64, event: Event) -> Entry {
+    Entry { at: Duration::from_secs_f64(at), event }
+}
+
+fn told(at: f64, job: &str, ask: Ask, code: u16, status: Status) -> Entry {
+    entry(at, Event::Answered { job: job.into(), ask, code: Some(code), status: Some(status) })
+}
+
+fn task(job: &str, index: u32) -> TaskKey {
+    TaskKey { job: job.into(), index }
+}
+
+fn started(at: f64, job: &str, index: u32, attempt: u64, machine: &str) -> Entry {
+    entry(at, Event::Machine(Happening::Started { task: task(job, index), attempt, machine: machine.into() }))
+}
+
+fn ended(at: f64, job: &str, index: u32, attempt: u64, machine: &str, cause: Cause) -> Entry {
+    let task = task(job, index);
+    entry(at, Event::Machine(Happening::Ended { task, attempt, machine: machine.into(), cause }))
+}
+
+fn lost(at: f64, index: u32, machine: &str) -> Entry {
+    entry(at, Event::Machine(Happening::Lost { task: task("run-1", index), attempt: 1, machine: machine.into() }))
+}
+
+fn up(machine: &str, type_name: &str, zone: &str, spot: bool) -> Entry {
+    let (machine, type_name, zone) = (machine.into(), type_name.into(), zone.into());
+    entry(0.0, Event::Up { machine, type_name, zone, spot })
+}
+
+fn declared(kind: &str, status: Value) -> Entry {
+    let spec = json!({"classes": ["vent"]});
+    entry(60.5, Event::Declared { kind: kind.into(), name: "x".into(), spec, status })
+}
+
+fn terms() -> Terms {
+    Terms {
+        quotas: [("blue".to_owned(), (6.0, 0.0))].into(),
+        cancel: Duration::from_secs(20),
+        capacity: vec![(vec!["run-1".into(), "run-3".into()], 2)],
+        begun_ms: 0,
+    }
+}
+
+/// A day on which all goes well: one job is done, with a machine lost on the way, one withdrawn.
+fn good() -> Vec<Entry> {
+    vec![
+        up("m1", "c8", "a", false),
+        up("m2", "c8", "a", false),
+        up("m3", "c8", "b", false),
+        up("m4", "c8", "a", true),
+        up("m5", "g2", "a", false),
+        entry(1.0, Event::Submitted(Arc::new(spec("run-1")))),
+        entry(1.1, Event::Answered { job: "run-1".into(), ask: Ask::Submit, code: Some(503), status: None }),
+        told(2.0, "run-1", Ask::Submit, 201, Status::Pending),
+        started(3.0, "run-1", 0, 1, "m1"),
+        started(3.0, "run-1", 1, 1, "m2"),
+        lost(3.5, 1, "m2"),
+        started(4.0, "run-1", 1, 2, "m1"),
+        told(5.0, "run-1", Ask::Status, 200, Status::Running),
+        ended(8.0, "run-1", 0, 1, "m1", Cause::Done),
+        ended(9.0, "run-1", 1, 2, "m1", Cause::Done),
+        told(10.0, "run-1", Ask::Status, 200, Status::Done),
+        entry(11.0, Event::Submitted(Arc::new(spec("run-2")))),
+        told(12.0, "run-2", Ask::Submit, 201, Status::Pending),
+        started(13.0, "run-2", 0, 1, "m1"),
+        entry(14.0, Event::WithdrawalAsked("run-2".into())),
+        told(15.0, "run-2", Ask::Withdraw, 200, Status::Withdrawn),
+        ended(16.0, "run-2", 0, 1, "m1", Cause::Stopped),
+        entry(17.0, Event::Answered { job: "run-9".into(), ask: Ask::Status, code: Some(404), status: None }),
+        told(60.0, "run-2", Ask::Status, 200, Status::Withdrawn),
+    ]
+}
+
+#[test]
+fn a_good_day_is_clean() {
+    let verdict = judge(&good(), &terms());
+    assert!(verdict.clean(), "{:?}", verdict.breaks);
+    assert_eq!(
+        verdict.line(),
+        "results: 2 of 2, each once; rules: none broken; largest: 1 of 1 done, 1 begun within 240 s"
+    );
+}
+
+/// Each rule is broken once on purpose in a copy of the good day, and found, and no other is.
+#[test]
+fn each_broken_rule_is_found() {
+    type Break = fn(&mut Vec<Entry>);
+    let rows: [(&str, Break, Rule); 19] = [
+        ("on two machines", |h| h.insert(10, started(3.2, "run-1", 1, 7, "m1")), Rule::RanTwice),
+        ("above the limit", |h| (2..5).for_each(|n| h.insert(13, started(5.5, "run-1", n, 1, "m1"))), Rule::Quota),
+        ("another type", |h| h[8] = started(3.0, "run-1", 0, 1, "m5"), Rule::WrongPlace),
+        ("a spot machine", |h| h[8] = started(3.0, "run-1", 0, 1, "m4"), Rule::WrongPlace),
+        ("two zones", |h| (h[9], h[10]) = (started(3.0, "run-1", 1, 1, "m3"), lost(3.5, 1, "m3")), Rule::WrongPlace),
+        ("starts long after", |h| h.push(started(61.0, "run-2", 1, 1, "m1")), Rule::RanCancelled),
+        ("stays long after", |h| drop(h.remove(21)), Rule::RanCancelled),
+        ("404", |h| h[12] = told(5.0, "run-1", Ask::Status, 404, Status::Pending), Rule::Forgotten),
+        ("refused again", |h| h.push(told(62.0, "run-1", Ask::Submit, 422, Status::Done)), Rule::Forgotten),
+        ("nobody's job", |h| h[22] = told(17.0, "run-9", Ask::Status, 200, Status::Pending), Rule::Invented),
+        ("too early", |h| h.insert(14, told(8.5, "run-1", Ask::Status, 200, Status::Done)), Rule::NotDone),
+        ("running again", |h| h.push(told(62.0, "run-1", Ask::Status, 200, Status::Running)), Rule::WentBack),
+        ("nobody asked", |h| drop(h.remove(19)), Rule::WentBack),
+        ("from one end to another", |h| h[23] = told(60.0, "run-2", Ask::Status, 200, Status::Done), Rule::WentBack),
+        ("stopped with too few", |h| h.insert(13, ended(5.5, "run-1", 0, 1, "m1", Cause::Stopped)), Rule::Gap),
+        (
+            "asked for 80 s once all is well",
+            |h| {
+                h.push(entry(61.0, Event::Quiet));
+                (62..=142).step_by(5).for_each(|at| {
+                    let (job, ask) = ("run-1".into(), Ask::Status);
+                    h.push(entry(f64::from(at), Event::Answered { job, ask, code: Some(503), status: None }));
+                });
+            },
+            Rule::Unanswered,
+        ),
+        (
+            "a window that ends twice",
+            |h| {
+                ["met", "missed"].iter().for_each(|how| {
+                    h.push(declared("window", json!({"last": {"day": 1, "outcome": how}})));
+                })
+            },
+            Rule::Window,
+        ),
+        (
+            "vents wait while others begin",
+            |h| {
+                h.insert(5, declared("heat", json!({"on": true})));
+                let vents = JobSpec { class: "vent".into(), ..spec("run-3") };
+                h.insert(6, entry(0.5, Event::Submitted(Arc::new(vents))));
+                h.insert(7, told(0.6, "run-3", Ask::Submit, 201, Status::Pending));
+                (0..24).for_each(|n| {
+                    h.push(started(61.0, "run-1", 9, 9 + n, "m1"));
+                    h.push(ended(61.0, "run-1", 9, 9 + n, "m1", Cause::Error));
+                });
+            },
+            Rule::Vents,
+        ),
+        ("nothing", |h| h.retain(|e| !matches!(e.event, Event::Machine(_))), Rule::NothingRan),
+    ];
+    for (name, damage, rule) in rows {
+        let mut history = good();
+        damage(&mut history);
+        let verdict = judge(&history, &terms());
+        let found = verdict.first(rule).unwrap_or_else(|| panic!("{name}: {:?}", verdict.breaks));
+        assert!(!found.what.is_empty(), "{name}");
+        // A day on which nothing ran also calls a job done too early.
+        assert!(rule == Rule::NothingRan || verdict.breaks.iter().all(|b| b.rule == rule), "{name}: {verdict:?}");
+        assert!(!verdict.clean());
+    }
+    assert_eq!(Rule::ALL.iter().filter(|r| rows.iter().any(|(_, _, rule)| rule == *r)).count(), 13, "all of them");
+}
+
+#[test]
+fn polls_that_all_fail_are_forgetting_only_while_others_are_answered() {
+    for (others, want) in [(Some(200), true), (None, false)] {
+        let mut history = good();
+        for n in 0..50 {
+            let at = 70.0 + f64::from(n) * 4.0;
+            let answer = |job: &str, code| Event::Answered {
+                job: job.into(),
+                ask: Ask::Status,
+                code,
+                status: code.map(|_| Status::Done),
+            };
+            history.push(entry(at, answer("run-1", others)));
+            history.push(entry(at, answer("run-2", None)));
+        }
+        let verdict = judge(&history, &terms());
+        assert_eq!(verdict.first(Rule::Forgotten).is_some(), want, "{others:?}");
+    }
+}
+
+#[test]
+fn the_largest_of_a_class_are_told() {
+    type Row = (&'static [(u64, bool, bool)], (usize, usize, usize), bool);
+    let rows: [Row; 4] = [
+        (&[(3, true, true), (9, false, true), (3, true, true)], (1, 0, 1), false),
+        (&[(9, true, true), (9, false, true), (3, false, false)], (2, 1, 2), true),
+        (&[(9, true, false), (9, true, false), (3, true, true)], (2, 2, 0), false),
+        (&[], (0, 0, 0), true),
+    ];
+    for (jobs, want, served) in rows {
+        let told = largest("c", jobs.to_vec());
+        assert_eq!((told.jobs, told.done, told.begun), want, "{jobs:?}");
+        let verdict = Verdict { largest: vec![told], ..Verdict::default() };
+        assert_eq!((verdict.clean(), verdict.line().contains("under half: c")), (served, !served), "{jobs:?}");
+    }
+}
+
+#[test]
+fn a_result_that_never_came_is_missed() {
+    let mut history = good();
+    history.retain(|e| !matches!(&e.event, Event::Machine(Happening::Ended { attempt: 2, .. })));
+    history.retain(|e| !matches!(&e.event, Event::Answered { status: Some(Status::Done), .. }));
+    let verdict = judge(&history, &terms());
+    assert_eq!((verdict.delivered, verdict.expected), (1, 2));
+    assert_eq!(verdict.lost, [task("run-1", 1)]);
+    assert!(!verdict.clean() && verdict.breaks.is_empty());
+}
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -141,38 +141,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::judge::{Break, Verdict};
-    use std::time::Duration;
-
-    #[test]
-    fn a_page_tells_the_verdict_and_escapes_what_it_is_told() {
-        let sizes = Sizes::parse(crate::sizes::DEFAULT).unwrap();
-        let broken = Break {
-            rule: Rule::RanTwice,
-            at: Duration::from_secs(3),
-            what: "a <b> & c".into(),
-            history: vec!["first".into()],
-        };
-        let outcome = Outcome {
-            verdict: Verdict { breaks: vec![broken], expected: 4, delivered: 4, ..Verdict::default() },
-            samples: (0..9).map(|n| Sample { at_s: f64::from(n), running: 3, ..Sample::default() }).collect(),
-            faults: vec![(2.0, "DropLeases".into())],
-            accepted_ms: hdrhistogram::Histogram::new(3).unwrap(),
-            jobs: 2,
-            own_ends: 0,
-            settled: None,
-            failed: vec![],
-            refused: 0,
-            spent: 0.5,
-            seconds: 9.0,
-        };
-        let page = page("half", &sizes, &outcome).unwrap();
-        for part in ["rules: broken: ran_twice", "a &lt;b&gt; &amp; c", "first", "DropLeases"] {
-            assert!(page.contains(part), "{part}");
-        }
-        assert_eq!(page.matches("<svg").count(), 4, "four plots, inside the page");
-        assert!(!page.contains("<script") && !page.contains("href="), "and nothing from elsewhere");
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/emulator/src/world/cloud/tests.rs
@@ -0,0 +1,156 @@
+use super::*;
+
+fn s(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn cloud(change: impl Fn(&mut Params)) -> Cloud {
+    let of = MachineType {
+        name: "g8".into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory_gb: 32.0,
+        fetch_gb_per_s: 1.0,
+        cache_gb: None,
+        price: 3600.0,
+        spot_price: 1800.0,
+        boot_s: 40.0,
+        zones: vec!["a".into()],
+    };
+    let mut params = Params {
+        types: vec![of],
+        capacity: vec![Capacity { type_name: "g8".into(), zone: "a".into(), ordinary: 60, spot: 20 }],
+        requests_per_second: 3.0,
+        list_lag: s(8),
+        notice: s(20),
+        silent: 0.0,
+        never_up: 0.0,
+        slow_up: 0.0,
+    };
+    change(&mut params);
+    Cloud::new(params, 7)
+}
+
+fn rental(request: &str, spot: bool, count: u64) -> Rental {
+    Rental { request: request.into(), type_name: "g8".into(), zone: "a".into(), spot, count }
+}
+
+#[test]
+fn rentals_by_cases() {
+    let mut cloud = cloud(|_| ());
+    let mut of = |rental: &Rental| cloud.rent(rental, s(1)).map(|names| names.len());
+    let strange = Rental { type_name: "g9".into(), ..rental("x", false, 1) };
+    for (name, rental, want) in [
+        ("as many as asked", rental("r1", false, 50), Ok(50)),
+        ("only partly filled", rental("r2", false, 50), Ok(10)),
+        ("none left", rental("r3", false, 1), Err((503, "no capacity"))),
+        ("spot is apart", rental("r4", true, 5), Ok(5)),
+        ("too many", rental("r5", true, 51), Err((400, "count is 1 to 50"))),
+        ("none asked", rental("r6", true, 0), Err((400, "count is 1 to 50"))),
+        ("no such type", strange, Err((400, "no such type"))),
+        ("another zone", Rental { zone: "b".into(), ..rental("r7", true, 1) }, Err((503, "no capacity"))),
+    ] {
+        assert_eq!(of(&rental).map_err(|r| r.wire()), want, "{name}");
+    }
+    let again = cloud.rent(&rental("r2", false, 50), s(9)).unwrap();
+    assert_eq!((again.len(), cloud.held(s(9))), (10, 65), "a repeated name rents nothing");
+    cloud.give_back(&again, s(10)).unwrap();
+    assert_eq!(cloud.rent(&rental("r2", false, 50), s(11)).unwrap(), again, "not even once they are returned");
+    // Refused before, it may be sent again.
+    assert_eq!(cloud.rent(&rental("r3", false, 1), s(11)).unwrap().len(), 1);
+    assert!(cloud.give_back(&vec!["host-9".to_owned(); 101], s(11)).is_err());
+    assert_eq!(cloud.give_back(&["host-999999".to_owned()], s(11)).unwrap(), Vec::<String>::new(), "unknown");
+}
+
+#[test]
+fn limits_allow_bursts_of_two_seconds() {
+    let mut cloud = cloud(|_| ());
+    assert_eq!((0..10).filter(|_| cloud.admit(s(0)).is_ok()).count(), 6);
+    assert_eq!((cloud.admit(s(0)).unwrap_err().wire().0, cloud.admit(s(1))), (429, Ok(())));
+    cloud.set_out(true);
+    assert_eq!(cloud.admit(s(5)).unwrap_err().wire(), (503, "trouble"));
+}
+
+#[test]
+fn boots_take_their_time_or_what_was_commanded() {
+    type Row = (&'static str, fn(&mut Params), Boots, std::ops::Range<u64>, usize);
+    let rows: [Row; 5] = [
+        ("usual", |_| (), Boots::Usual, 24..60, 50),
+        ("at once", |_| (), Boots::AtOnce, 0..3, 50),
+        ("never, on command", |_| (), Boots::Never, 0..1, 0),
+        ("never, by themselves", |p| p.never_up = 1.0, Boots::Usual, 0..1, 0),
+        ("several times as long", |p| p.slow_up = 1.0, Boots::Usual, 48..361, 50),
+    ];
+    for (name, change, boots, within, want) in rows {
+        let mut cloud = cloud(change);
+        cloud.set_boots(boots);
+        cloud.rent(&rental("r", false, 50), s(0)).unwrap();
+        let ups: Vec<u64> = (0..600).flat_map(|t| cloud.tick(s(t)).into_iter().map(move |_| t)).collect();
+        assert_eq!(ups.len(), want, "{name}");
+        assert!(ups.iter().all(|t| within.contains(&t.saturating_sub(1)) || within.contains(t)), "{name}: {ups:?}");
+        // What never comes up is charged all the same.
+        assert!((cloud.spent() - 50.0 * 599.0).abs() < 1.0, "{name}: {}", cloud.spent());
+    }
+}
+
+#[test]
+fn the_list_lags_and_may_be_older_than_the_one_before() {
+    let mut cloud = cloud(|_| ());
+    cloud.set_boots(Boots::AtOnce);
+    let names = cloud.rent(&rental("r", false, 50), s(0)).unwrap();
+    assert!(cloud.list("", 500, s(3)).machines.is_empty(), "not listed yet");
+    assert_eq!(cloud.list("", 500, s(16)).machines.len(), 50, "listed by twice the lag");
+    let ages: Vec<f64> = (16..60).map(|t| cloud.list("", 500, s(t)).machines[0].held_s).collect();
+    assert!(!ages.is_sorted(), "some lists are older than the one before");
+    let (mut since, mut seen) = (String::new(), 0);
+    loop {
+        let page = cloud.list(&since, 20, s(70));
+        seen += page.machines.len();
+        since = page.machines.last().unwrap().id.clone();
+        if !page.more {
+            break;
+        }
+    }
+    assert_eq!(seen, 50, "page by page, in the order of names");
+    cloud.kill(&names[0], s(70));
+    let state = |cloud: &mut Cloud, t| cloud.list("", 1, s(t)).machines[0].state.clone();
+    assert_eq!((state(&mut cloud, 90), state(&mut cloud, 120)), ("running".into(), "failed".into()));
+    cloud.tick(s(500));
+    assert_eq!(state(&mut cloud, 500), "failed", "listed until it is returned");
+    cloud.give_back(&names, s(500)).unwrap();
+    assert_eq!(cloud.list("", 500, s(501)).machines.len(), 50, "what is gone still appears");
+    cloud.tick(s(520));
+    assert!(cloud.list("", 500, s(520)).machines.is_empty());
+}
+
+#[test]
+fn what_is_held_is_charged_by_the_second() {
+    let mut cloud = cloud(|_| ());
+    let names = cloud.rent(&rental("r", false, 3), s(0)).unwrap();
+    cloud.give_back(&names[..1], s(10)).unwrap();
+    assert!((cloud.spent() - 80.0).abs() < 1e-6, "3 x 10 s, and the rest of a minute: {}", cloud.spent());
+    cloud.kill(&names[1], s(100));
+    cloud.tick(s(200));
+    assert!((cloud.spent() - (80.0 + 2.0 * 90.0 + 100.0)).abs() < 1e-6, "a dead one costs nothing: {}", cloud.spent());
+    let prices: Vec<f64> = (0..1800).map(|t| cloud.catalog(s(t)).types[0].spot_price).collect();
+    assert!(prices.iter().all(|p| (1200.0..=2400.0).contains(p)));
+    assert!(prices.iter().any(|p| *p > 2300.0) && prices.iter().any(|p| *p < 1300.0), "they move");
+}
+
+#[test]
+fn spot_machines_are_taken_with_and_without_notice() {
+    let mut told = cloud(|_| ());
+    told.rent(&rental("r", true, 20), s(0)).unwrap();
+    let notices = told.take_spot(1.0, s(100));
+    assert!(notices.iter().all(|e| matches!(e, Event::Notice(_, left) if (s(10)..=s(30)).contains(left))));
+    assert_eq!((notices.len(), told.held(s(105))), (20, 20));
+    told.tick(s(109));
+    let taken = told.tick(s(131)).into_iter().filter(|e| matches!(e, Event::Taken(_))).count();
+    assert!(taken > 0 && told.held(s(131)) == 0);
+    let mut silent = cloud(|p| p.silent = 1.0);
+    silent.rent(&rental("r", true, 20), s(0)).unwrap();
+    silent.rent(&rental("o", false, 5), s(0)).unwrap();
+    assert!(silent.take_spot(1.0, s(100)).is_empty());
+    silent.tick(s(100));
+    assert_eq!(silent.held(s(100)), 5, "ordinary machines stay");
+}
--- /dev/null
+++ b/crates/emulator/src/world/fleet/tests.rs
@@ -0,0 +1,287 @@
+use super::*;
+use hollylanding_wire::jobs::{Shape, Urgency};
+
+const PARAMS: Params =
+    Params { lease: Duration::from_secs(24), gang_wait: Duration::from_secs(35), gang_peer: Duration::from_secs(8) };
+
+fn s(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn key(job: &str, index: u32) -> TaskKey {
+    TaskKey { job: job.into(), index }
+}
+
+fn upload(id: &str, change: impl Fn(&mut Upload)) -> Upload {
+    let spec = JobSpec {
+        id: id.into(),
+        class: "c".into(),
+        team: "t".into(),
+        shape: Shape::Array,
+        urgency: Urgency::Normal,
+        tasks: 4,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "i".into(),
+        image_gb: 2.0,
+        types: None,
+        zone: None,
+        same_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 100.0,
+        checkpoint_s: 10.0,
+        save_s: 3.0,
+        due_s: None,
+    };
+    let mut upload = Upload { spec, run: s(100.0), broken: false };
+    change(&mut upload);
+    upload
+}
+
+fn gang(id: &str) -> Upload {
+    upload(id, |u| (u.spec.shape, u.spec.tasks) = (Shape::Gang, 2))
+}
+
+/// Machines of two cores that fetch a gigabyte a second.
+fn fleet(machines: usize, uploads: Vec<Upload>) -> Fleet {
+    let mut fleet = Fleet::new(PARAMS);
+    let of = MachineType {
+        name: "m".into(),
+        cpus: 2.0,
+        gpus: 0.0,
+        memory_gb: 8.0,
+        fetch_gb_per_s: 1.0,
+        cache_gb: Some(4.0),
+        price: 1.0,
+        spot_price: 0.5,
+        boot_s: 1.0,
+        zones: vec!["a".into()],
+    };
+    for n in 0..machines {
+        let machine = Machine { addr: "127.0.0.1:9".into(), of: of.clone(), zone: "a".into(), spot: false, speed: 1.0 };
+        fleet.up(&format!("m{n}"), machine, s(0.0));
+    }
+    uploads.into_iter().for_each(|u| fleet.upload(u));
+    fleet
+}
+
+fn launch(job: &str, index: u32, attempt: u64) -> Order {
+    Order::Launch { task: key(job, index), attempt }
+}
+
+fn halt(job: &str, index: u32, attempt: u64, grace_s: u64) -> Order {
+    Order::Halt { task: key(job, index), attempt, grace_s }
+}
+
+fn command(fleet: &mut Fleet, name: &str, token: u64, session: u64, orders: Vec<Order>, at: f64) -> (bool, Report) {
+    fleet.command(name, &Orders { token, session: Some(session), orders }, s(at)).expect("it answers")
+}
+
+/// Reported and answered every second, so that leases live.
+fn keep(fleet: &mut Fleet, from: f64, to: f64) {
+    let mut at = from;
+    while at <= to {
+        for name in fleet.names().cloned().collect::<Vec<_>>() {
+            if let Some(report) = fleet.report(&name, s(at)) {
+                let nothing = Orders { token: report.token, session: None, orders: vec![] };
+                fleet.answer(&name, report.session, s(at), &nothing, s(at));
+            }
+        }
+        at += 1.0;
+    }
+}
+
+fn state(fleet: &mut Fleet, name: &str, index: u32, at: f64) -> Option<(LegStatus, Option<Cause>, Option<bool>)> {
+    let report = fleet.report(name, s(at))?;
+    report.legs.iter().rev().find(|l| l.task.index == index).map(|l| (l.status, l.cause, l.saved))
+}
+
+fn ended(cause: Cause) -> Option<(LegStatus, Option<Cause>, Option<bool>)> {
+    Some((LegStatus::Exited, Some(cause), None))
+}
+
+#[test]
+fn starts_are_refused_by_cases() {
+    let mut fleet = fleet(1, vec![upload("run-1", |_| ()), upload("run-2", |u| u.spec.cpus = 2.0)]);
+    command(&mut fleet, "m0", 1, 1, vec![launch("run-1", 0, 1)], 0.0);
+    for (name, order, want) in [
+        ("the same attempt again", launch("run-1", 0, 1), None),
+        ("another attempt of it", launch("run-1", 0, 2), Some(Cause::Busy)),
+        ("no room left", launch("run-2", 0, 1), Some(Cause::NoRoom)),
+        ("no such job", launch("run-9", 0, 1), Some(Cause::Unknown)),
+        ("no such task", launch("run-1", 9, 1), Some(Cause::Unknown)),
+    ] {
+        let Order::Launch { task, attempt } = &order else { unreachable!() };
+        let (_, report) = command(&mut fleet, "m0", 1, 1, vec![order.clone()], 0.0);
+        let leg = report.legs.iter().find(|l| l.task == *task && l.attempt == *attempt).expect(name);
+        assert_eq!(leg.cause, want, "{name}");
+        let reap = Order::Reap { task: task.clone(), attempt: *attempt };
+        let (_, report) = command(&mut fleet, "m0", 1, 1, vec![reap], 0.0);
+        assert_eq!(report.legs.len(), 1, "{name}: only what has exited is reaped");
+    }
+}
+
+#[test]
+fn tokens_sessions_and_late_answers() {
+    let mut fleet = fleet(1, vec![upload("run-1", |_| ())]);
+    for (name, token, session, taken) in [
+        ("the first", 5, 1, true),
+        ("a lower token", 4, 1, false),
+        ("an equal one", 5, 1, true),
+        ("another session", 6, 2, false),
+    ] {
+        assert_eq!(command(&mut fleet, "m0", token, session, vec![], 1.0).0, taken, "{name}");
+    }
+    let orders = |token| Orders { token, session: None, orders: vec![launch("run-1", 0, 1)] };
+    for (name, session, sent, at, token, taken) in [
+        ("a lower token", 1, 2.0, 2.0, 4, false),
+        ("an earlier session", 0, 2.0, 2.0, 5, false),
+        ("too late", 1, 2.0, 6.5, 5, false),
+        ("in time", 1, 3.0, 6.5, 5, true),
+    ] {
+        assert_eq!(fleet.answer("m0", session, s(sent), &orders(token), s(at)), taken, "{name}");
+    }
+    // The lease runs from when the answered report was sent; direct commands do not renew it.
+    command(&mut fleet, "m0", 5, 1, vec![], 26.0);
+    assert_eq!(fleet.report("m0", s(27.0)).map(|r| (r.session, r.legs.len())), Some((1, 1)));
+    assert_eq!(fleet.report("m0", s(27.1)).map(|r| (r.session, r.legs.len())), Some((2, 0)), "killed and forgotten");
+}
+
+#[test]
+fn tasks_fetch_run_save_and_keep_their_results() {
+    let mut fleet = fleet(2, vec![upload("run-1", |_| ()), upload("run-2", |u| u.broken = true)]);
+    command(&mut fleet, "m0", 1, 1, vec![launch("run-1", 0, 1), launch("run-2", 1, 1)], 0.0);
+    assert_eq!(state(&mut fleet, "m0", 0, 1.0).unwrap().0, LegStatus::Fetching);
+    keep(&mut fleet, 2.0, 32.0);
+    assert_eq!(state(&mut fleet, "m0", 0, 32.0).unwrap().0, LegStatus::Running);
+    assert_eq!(state(&mut fleet, "m0", 1, 32.0), ended(Cause::Error));
+    // 30 s done and the time to save them.
+    command(&mut fleet, "m0", 1, 1, vec![halt("run-1", 0, 1, 3)], 32.0);
+    assert_eq!(state(&mut fleet, "m0", 0, 34.0).unwrap().0, LegStatus::Saving);
+    keep(&mut fleet, 35.0, 36.0);
+    assert_eq!(state(&mut fleet, "m0", 0, 36.0), Some((LegStatus::Exited, Some(Cause::Stopped), Some(true))));
+    // Elsewhere it goes on from there, and loses what it had not saved when its machine is gone.
+    command(&mut fleet, "m1", 1, 1, vec![launch("run-1", 0, 2)], 36.0);
+    keep(&mut fleet, 37.0, 55.0);
+    fleet.gone("m1", s(55.0));
+    command(&mut fleet, "m0", 1, 1, vec![launch("run-1", 0, 3)], 55.0);
+    keep(&mut fleet, 56.0, 108.0);
+    assert_eq!(state(&mut fleet, "m0", 0, 108.0).unwrap().0, LegStatus::Running, "40 of 100 s were kept");
+    keep(&mut fleet, 109.0, 117.0);
+    assert_eq!(state(&mut fleet, "m0", 0, 117.0), ended(Cause::Done));
+    assert!(fleet.results().contains(&key("run-1", 0)));
+    command(&mut fleet, "m0", 1, 1, vec![launch("run-1", 0, 4)], 117.0);
+    keep(&mut fleet, 118.0, 120.0);
+    assert_eq!(state(&mut fleet, "m0", 0, 120.0), ended(Cause::Done), "its result is kept");
+}
+
+#[test]
+fn what_is_saving_is_ended_by_a_second_halt_without_time() {
+    for (name, graces, want) in [
+        ("time to save", vec![3], Some(true)),
+        ("too little", vec![2], None),
+        ("a second one with time", vec![5, 5], Some(true)),
+        ("a second one without", vec![5, 0], None),
+    ] {
+        let mut fleet = fleet(1, vec![upload("run-1", |_| ())]);
+        command(&mut fleet, "m0", 1, 1, vec![launch("run-1", 0, 1)], 0.0);
+        keep(&mut fleet, 1.0, 14.0);
+        for grace in graces {
+            command(&mut fleet, "m0", 1, 1, vec![halt("run-1", 0, 1, grace)], 14.0);
+        }
+        keep(&mut fleet, 15.0, 18.0);
+        assert_eq!(state(&mut fleet, "m0", 0, 18.0), Some((LegStatus::Exited, Some(Cause::Stopped), want)), "{name}");
+    }
+}
+
+#[test]
+fn a_hanging_machine_goes_on_within_its_lease_and_forgets_after_it() {
+    for (hangs_s, session) in [(20.0, 1), (40.0, 2)] {
+        let mut fleet = fleet(1, vec![upload("run-1", |_| ())]);
+        command(&mut fleet, "m0", 1, 1, vec![launch("run-1", 0, 1)], 0.0);
+        keep(&mut fleet, 1.0, 10.0);
+        fleet.hang("m0", s(10.0 + hangs_s));
+        assert!(fleet.report("m0", s(15.0)).is_none());
+        let report = fleet.report("m0", s(10.5 + hangs_s)).unwrap();
+        assert_eq!((report.session, report.legs.len()), (session, 2 - session as usize), "{hangs_s}");
+    }
+}
+
+/// Deaf: reports go out, nothing comes in, and its lease ends again and again. Copies come in whatever order, also
+/// when the machine is gone.
+#[test]
+fn deaf_machines_and_copies_of_reports() {
+    let mut fleet = fleet(1, vec![upload("run-1", |_| ())]);
+    fleet.deafen("m0", s(60.0));
+    fleet.copy_reports("m0", s(30.0), s(10.0), s(50.0));
+    let orders = Orders { token: 1, session: Some(1), orders: vec![launch("run-1", 0, 1)] };
+    assert!(fleet.command("m0", &orders, s(0.5)).is_none());
+    keep(&mut fleet, 1.0, 59.0);
+    let report = fleet.report("m0", s(59.5)).unwrap();
+    assert_eq!((report.session, report.token, report.legs.len()), (3, 0, 0), "two leases of 24 s");
+    fleet.gone("m0", s(59.6));
+    assert!(fleet.copies_due(s(10.9)).is_empty());
+    let mut copies = Vec::new();
+    (11..90).for_each(|at| copies.extend(fleet.copies_due(s(f64::from(at)))));
+    assert_eq!((copies.len(), copies.iter().map(|c| c.session).max()), (29, Some(2)));
+    assert!(copies.windows(2).any(|two| two[0].seq > two[1].seq), "out of order");
+}
+
+#[test]
+fn gangs_start_end_and_break_together() {
+    type Play = fn(&mut Fleet);
+    let started = |fleet: &mut Fleet| {
+        command(fleet, "m0", 1, 1, vec![launch("run-1", 0, 1)], 0.0);
+        command(fleet, "m1", 1, 1, vec![launch("run-1", 1, 1)], 5.0);
+        keep(fleet, 5.0, 30.0);
+    };
+    type Row = (&'static str, Play, f64, Option<(LegStatus, Option<Cause>, Option<bool>)>);
+    let running = Some((LegStatus::Running, None, None));
+    let rows: [Row; 7] = [
+        ("goes on", |_| (), 31.0, running),
+        ("completes together", |_| (), 110.0, ended(Cause::Done)),
+        ("a machine is gone, not noticed yet", |f| f.gone("m1", s(30.0)), 37.0, running),
+        ("noticed", |f| f.gone("m1", s(30.0)), 40.0, ended(Cause::Peers)),
+        ("a machine hangs", |f| f.hang("m1", s(50.0)), 40.0, ended(Cause::Peers)),
+        (
+            "told together, and kept",
+            |f| {
+                command(f, "m0", 1, 1, vec![halt("run-1", 0, 1, 5)], 30.0);
+                command(f, "m1", 1, 1, vec![halt("run-1", 1, 1, 5)], 33.0);
+            },
+            37.0,
+            Some((LegStatus::Exited, Some(Cause::Stopped), Some(true))),
+        ),
+        (
+            "one is not told in time",
+            |f| drop(command(f, "m0", 1, 1, vec![halt("run-1", 0, 1, 5)], 30.0)),
+            40.0,
+            ended(Cause::Stopped),
+        ),
+    ];
+    for (name, play, until, want) in rows {
+        let mut fleet = fleet(2, vec![gang("run-1")]);
+        started(&mut fleet);
+        play(&mut fleet);
+        keep(&mut fleet, 31.0, until);
+        assert_eq!(state(&mut fleet, "m0", 0, until), want, "{name}");
+        if name == "one is not told in time" {
+            assert_eq!(state(&mut fleet, "m1", 1, until), ended(Cause::Peers), "{name}");
+        }
+    }
+    // One of a gang that is done exits as soon as it has its image, alone as it is.
+    let mut again = fleet(2, vec![gang("run-1")]);
+    started(&mut again);
+    keep(&mut again, 31.0, 110.0);
+    command(&mut again, "m0", 1, 1, vec![launch("run-1", 0, 2)], 110.0);
+    keep(&mut again, 111.0, 114.0);
+    assert_eq!(state(&mut again, "m0", 0, 114.0), ended(Cause::Done));
+    let mut alone = fleet(2, vec![gang("run-1")]);
+    command(&mut alone, "m0", 1, 1, vec![launch("run-1", 0, 1)], 0.0);
+    keep(&mut alone, 1.0, 36.0);
+    assert_eq!(state(&mut alone, "m0", 0, 36.0).unwrap().0, LegStatus::Waiting);
+    keep(&mut alone, 37.0, 39.0);
+    assert_eq!(state(&mut alone, "m0", 0, 39.0), ended(Cause::Alone));
+}
--- /dev/null
+++ b/src/declared/records/tests.rs
@@ -0,0 +1,19 @@
+use super::*;
+
+/// A name becomes a part of a key and of a path in a request.
+#[test]
+fn keys_read_back_and_names_are_plain() {
+    for kind in Kind::ALL {
+        assert_eq!(parse(&spec_key(kind, "a.b-1")), Some((Part::Spec, kind, "a.b-1")));
+        assert_eq!(parse(&status_key(kind, "a.b-1")), Some((Part::Status, kind, "a.b-1")));
+        assert_eq!(serde_json::to_value(kind).unwrap(), kind.word());
+    }
+    for bad in ["c/s/window/", "c/s/window", "c/s/later/a", "c/t/window/A", "c/s/window/a/b", "c/o/window/a"] {
+        assert_eq!(parse(bad), None, "{bad}");
+    }
+    let longest = "a".repeat(64);
+    for (name, good) in [("7", true), (longest.as_str(), true), (".a", false), ("a b", false), ("é", false)] {
+        assert_eq!(well_formed(name), good, "{name}");
+    }
+    assert!(!well_formed(&"a".repeat(65)));
+}
--- /dev/null
+++ b/src/fleet/orders/tests.rs
@@ -0,0 +1,174 @@
+use std::collections::BTreeSet;
+
+use hollylanding_emulator::world::store::{Limits, Store};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+use super::*;
+
+fn failed(keys: &[&str]) -> Result<TxnOutcome, StoreError> {
+    Ok(TxnOutcome::Failed(keys.iter().map(|k| (*k).to_owned()).collect()))
+}
+
+#[test]
+fn what_follows_a_try_by_cases() {
+    let order = CloudOrder::new("me", 7, 1, What::Return(vec!["m1".into()]));
+    assert_eq!(order.key, "d/me-7-1");
+    let cases = [
+        ("applied", Ok(TxnOutcome::Applied(9)), Some(7), Next::Act),
+        ("applied, and replaced since", Ok(TxnOutcome::Applied(9)), None, Next::Stop),
+        ("an earlier copy applied", failed(&["d/me-7-1"]), Some(7), Next::Act),
+        ("another assignment", failed(&[ASSIGNMENT]), Some(7), Next::Again),
+        ("applied under another assignment", failed(&[ASSIGNMENT, "d/me-7-1"]), Some(8), Next::Again),
+        ("another assignment, known", failed(&[ASSIGNMENT]), None, Next::Stop),
+        ("not answered", Err(StoreError::Unanswered), Some(7), Next::Again),
+        ("refused", Err(StoreError::Unavailable(429)), Some(7), Next::Again),
+    ];
+    for (name, outcome, token, want) in cases {
+        assert_eq!(order.next(&outcome, token), want, "{name}");
+    }
+    let item = Item { path: order.key.clone(), value: serde_json::json!({"epoch": 7}), stamp: 1 };
+    assert_eq!(CloudOrder::read(&item), None, "an order of which half is missing");
+}
+
+#[test]
+fn what_is_inherited_takes_few_calls() {
+    let names = |from: usize, n: usize| (from..from + n).map(|m| format!("m{m}")).collect::<Vec<_>>();
+    let sizes = [60, 30, 20, 100, 1];
+    let orders = (1..).zip(sizes).map(|(n, size)| CloudOrder::new("me", 7, n, What::Return(names(0, size))));
+    let returns = Inherited::of(orders.collect(), 100).returns;
+    let sizes: Vec<(usize, usize)> = returns.iter().map(|(names, keys)| (names.len(), keys.len())).collect();
+    assert_eq!(sizes, [(90, 2), (20, 1), (100, 1), (1, 1)], "nothing is split, and none over the limit");
+}
+
+/// A process that owned twice gave its rentals the names of the first time again, and the cloud
+/// answered with the machines of then.
+#[test]
+fn no_name_is_used_twice() {
+    let terms = [("a", 3), ("b", 5), ("a", 9)];
+    let names: BTreeSet<String> = terms.iter().flat_map(|(i, t)| (1..50).map(|n| name(i, *t, n))).collect();
+    assert_eq!(names.len(), terms.len() * 49);
+}
+
+/// A holder at some step of a return: it may stand still before any of them.
+#[derive(Clone)]
+struct Holder {
+    token: u64,
+    /// Machines that it takes to be there and not on their way out, and what it has placed.
+    fleet: BTreeSet<String>,
+    placed: BTreeSet<String>,
+    orders: Vec<(CloudOrder, bool)>,
+    unanswered: HashMap<String, u64>,
+    number: u64,
+}
+
+/// Holders replace one another at any moment, and any of them may go on later. `fenced`: orders
+/// are stored, and read by the next one. Gives how often a machine was returned by one that no
+/// longer owned while its successor had work on it.
+fn play(seed: u64, fenced: bool) -> usize {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut store = Store::new(Limits::default());
+    let mut cloud: BTreeSet<String> = (0..12).map(|n| format!("m{n:02}")).collect();
+    let mut holders: Vec<Holder> = Vec::new();
+    let (mut late, mut harm): (Vec<(CloudOrder, u64)>, usize) = (Vec::new(), 0);
+    for step in 0..400 {
+        if holders.is_empty() || rng.random_ratio(1, 25) {
+            let write = [Change::write(ASSIGNMENT, serde_json::json!(step))];
+            let token = store.apply_if(&[], &write).unwrap();
+            let items = store.under(ORDERS).map(|(path, value, stamp)| {
+                CloudOrder::read(&Item { path: path.into(), value: value.clone(), stamp }).unwrap()
+            });
+            let orders: Vec<(CloudOrder, bool)> = items.filter(|_| fenced).map(|o| (o, true)).collect();
+            let leaving: BTreeSet<String> = orders.iter().flat_map(|(o, _)| returned(o)).collect();
+            let fleet = cloud.difference(&leaving).cloned().collect();
+            let (placed, unanswered) = (BTreeSet::new(), HashMap::new());
+            holders.push(Holder { token, fleet, placed, orders, unanswered, number: 0 });
+        }
+        // The present owner mostly, or one that was replaced and has not heard of it.
+        let newest = holders.len() - 1;
+        let which = if rng.random_ratio(3, 4) { newest } else { rng.random_range(0..holders.len()) };
+        let owns = which == newest;
+        let used = holders[newest].placed.clone();
+        let holder = &mut holders[which];
+        match rng.random_range(0..5) {
+            0 => {
+                // Decides to return an empty machine.
+                let free = holder.fleet.iter().find(|m| !holder.placed.contains(*m)).cloned();
+                if let Some(machine) = free {
+                    holder.fleet.remove(&machine);
+                    holder.number += 1;
+                    let what = What::Return(vec![machine]);
+                    holder.orders.push((CloudOrder::new("h", holder.token, holder.number, what), false));
+                }
+            }
+            1 => {
+                // Stores what it has decided; some tries are answered late or never.
+                let open: Vec<usize> = (0..holder.orders.len()).filter(|n| !holder.orders[*n].1).collect();
+                for n in open {
+                    let order = holder.orders[n].0.clone();
+                    if !fenced {
+                        holder.orders[n].1 = true;
+                    } else if rng.random_ratio(1, 4) {
+                        holder.unanswered.insert(order.key.clone(), holder.token);
+                        late.push((order, holder.token));
+                    } else {
+                        let outcome = store.apply_if(&order.conditions(holder.token), &[order.change()]);
+                        let outcome = match outcome {
+                            Ok(stamp) => Ok(TxnOutcome::Applied(stamp)),
+                            Err(refused) => Ok(TxnOutcome::Failed(refused.failed)),
+                        };
+                        holder.orders[n].1 = order.next(&outcome, Some(holder.token)) == Next::Act;
+                    }
+                }
+            }
+            2 => {
+                // Carries out what stands.
+                for (order, _) in holder.orders.iter().filter(|(_, stands)| *stands) {
+                    for machine in returned(order) {
+                        if cloud.remove(&machine) && !owns {
+                            harm += usize::from(used.contains(&machine));
+                        }
+                    }
+                }
+                if owns && fenced {
+                    let stands = holder.orders.iter().filter(|(_, stands)| *stands);
+                    let keys: Vec<String> = stands.map(|(o, _)| o.key.clone()).collect();
+                    let (conditions, changes) = clean_up(&keys, &holder.unanswered, holder.token);
+                    store.apply_if(&conditions, &changes).unwrap();
+                    holder.orders.retain(|(_, stands)| !stands);
+                }
+            }
+            3 => {
+                // Places on whatever it takes to be there; only the present owner's placement counts.
+                let n = rng.random_range(0..12);
+                holder.placed.extend(holder.fleet.iter().nth(n).cloned());
+            }
+            _ => {
+                // A try that was not answered comes late.
+                if let Some((order, token)) = late.pop() {
+                    let _ = store.apply_if(&order.conditions(token), &[order.change()]);
+                }
+                // New machines keep the play going.
+                let name = format!("m{:02}-{step}", rng.random_range(0..99));
+                cloud.insert(name.clone());
+                holders[newest].fleet.insert(name);
+            }
+        }
+    }
+    harm
+}
+
+fn returned(order: &CloudOrder) -> Vec<String> {
+    match &order.what {
+        What::Return(names) => names.clone(),
+        What::Rent(_) | What::Done => Vec::new(),
+    }
+}
+
+/// A controller that stood still between asking the store and calling the cloud returned machines on
+/// which its successor had placed work.
+#[test]
+fn a_replaced_holder_returns_nothing_that_its_successor_uses() {
+    let harm = |fenced| (0..200).map(|seed| play(seed, fenced)).sum::<usize>();
+    assert_eq!(harm(true), 0);
+    assert!(harm(false) > 0, "without stored orders the play finds it");
+}
--- /dev/null
+++ b/src/history/moves/tests.rs
@@ -0,0 +1,34 @@
+use super::*;
+use crate::jobs::tests::spec;
+
+/// What a job's end adds must never make a record too large to be stored.
+#[test]
+fn an_ended_record_reads_back_and_is_hardly_larger() {
+    let job = JobRecord { spec: spec(), at_ms: 5 };
+    let [Change::Write { write, value, .. }, Change::Drop { drop }] = end_changes(&job, End::Withdrawn, u64::MAX)
+    else {
+        panic!("a write and a drop");
+    };
+    assert_eq!((write.as_str(), drop.as_str()), ("h/w/run-000001", "c/o/run-000001"));
+    let open = serde_json::to_string(&job).unwrap().len();
+    assert!(value.to_string().len() <= open + crate::jobs::record::ENDED_EXTRA);
+    let read: JobRecord = serde_json::from_value(value).unwrap();
+    assert_eq!(read.spec, job.spec);
+}
+
+#[test]
+fn keys_tell_where_a_job_is() {
+    for (key, want) in [
+        ("c/o/run-1", Some(("run-1", Place::Open))),
+        ("h/d/run-1", Some(("run-1", Place::Ended(End::Done)))),
+        ("h/w/run-1", Some(("run-1", Place::Ended(End::Withdrawn)))),
+        ("c/j/run-1", Some(("run-1", Place::Old))),
+        ("t/run-1/00000", None),
+        ("c/owner/0", None),
+    ] {
+        assert_eq!(place_of(key), want, "{key}");
+    }
+    let keys = ["c/owner/0".to_owned(), "h/w/run-1".to_owned()];
+    assert_eq!(end_among(&keys, "run-1"), Some(End::Withdrawn));
+    assert_eq!(end_among(&keys, "run-2"), None, "another job's end");
+}
--- a/src/history/sweep.rs
+++ b/src/history/sweep.rs
@@ -100,29 +100,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn goes_on_where_it_was_and_rests() {
-        let (t, s) = (Instant::now(), Duration::from_secs);
-        let mut sweep = Sweep::default();
-        assert_eq!(sweep.next(t), None, "nobody asks too much");
-        sweep.want(t);
-        assert_eq!(sweep.next(t), Some(None), "from the beginning");
-        assert!(!sweep.took(Some("h/d/run-7".into()), true, t));
-        assert_eq!(sweep.next(t + s(1)), Some(Some("h/d/run-7")));
-        assert_eq!(sweep.next(t + s(11)), None, "no longer wanted");
-        sweep.want(t + s(60));
-        assert_eq!(sweep.next(t + s(60)), Some(Some("h/d/run-7")), "after an interruption it goes on");
-        assert!(sweep.took(Some("h/w/run-9".into()), false, t + s(60)), "the last page");
-        sweep.want(t + s(80));
-        assert_eq!(sweep.next(t + s(80)), None, "rests");
-        sweep.want(t + s(91));
-        assert_eq!(sweep.next(t + s(91)), Some(None));
-        let pages = (1..).find(|n| sweep.took(Some(format!("h/d/run-{n}")), true, t + s(91))).unwrap();
-        assert_eq!(pages, MOST_PAGES, "no more than can be held");
-        sweep.want(t + s(130));
-        assert_eq!(sweep.next(t + s(130)), Some(Some(&*format!("h/d/run-{pages}"))), "the rest of it next time");
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/scheduling/filler/tests.rs
@@ -0,0 +1,91 @@
+use super::*;
+use crate::jobs::Urgency;
+use crate::jobs::tests::spec;
+use crate::kinds::MachineType;
+use crate::kinds::tests::machine_type;
+
+fn of(cpus: f64, gpus: f64) -> MachineType {
+    machine_type("t", cpus, gpus, 1.0)
+}
+
+#[test]
+fn what_idle_work_may_cause_by_cases() {
+    let (plain, dear) = (of(16.0, 0.0), of(16.0, 2.0));
+    for (name, urgency, gpus, of, dearer, overdue, want) in [
+        ("normal work, anything", Urgency::Normal, 0.0, &dear, 14.0, false, (true, true)),
+        ("idle work, the cheapest", Urgency::Idle, 0.0, &plain, 1.0, false, (true, true)),
+        ("idle work, three times as dear", Urgency::Idle, 0.0, &plain, 3.0, false, (true, true)),
+        ("idle work, too dear: kept where it is there", Urgency::Idle, 0.0, &plain, 5.0, false, (false, true)),
+        ("the same, waiting for longer than it runs", Urgency::Idle, 0.0, &plain, 5.0, true, (true, true)),
+        ("idle work, accelerators it has no use for", Urgency::Idle, 0.0, &dear, 1.0, true, (false, false)),
+        ("idle work that uses accelerators", Urgency::Idle, 1.0, &dear, 2.0, false, (true, true)),
+    ] {
+        let job = JobSpec { urgency, gpus, ..spec() };
+        let offer = Offer { of, zone: "a", spot: false };
+        let got = may(&job, &offer, dearer, 3.0, overdue);
+        assert_eq!((got.rent, got.keep), want, "{name}");
+    }
+}
+
+#[test]
+fn what_is_kept_free_by_cases() {
+    let asks = |class: &str, within_s| Objective {
+        kind: "wait".into(),
+        class: class.into(),
+        within_s,
+        times: 0.0,
+        share: 0.8,
+    };
+    for (name, urgency, within_s, class, want) in [
+        ("promised sooner than a boot", Urgency::Normal, 15.0, "c", 25),
+        ("promised later than that", Urgency::Normal, 60.0, "c", 0),
+        ("promised to others", Urgency::Normal, 15.0, "d", 0),
+        ("idle itself", Urgency::Idle, 15.0, "c", 0),
+    ] {
+        let job = JobSpec { urgency, class: "c".into(), ..spec() };
+        assert_eq!(kept_for(&job, 2.5, &[asks(class, within_s)], 30.0), want, "{name}");
+    }
+}
+
+#[test]
+fn where_idle_work_may_start_by_cases() {
+    let (plain, dear) = (of(16.0, 0.0), of(16.0, 2.0));
+    let (gang, wide) = (JobSpec { cpus: 15.0, ..spec() }, of(17.0, 0.0));
+    // (name, machine, taken by others, taken by idle work, is being left, what waits, allowed)
+    for (name, of, others, idle, leaving, waits, want) in [
+        ("an empty machine", &plain, 0.0, 0.0, false, None, true),
+        ("an empty machine with accelerators", &dear, 0.0, 0.0, false, None, false),
+        ("one with nothing but idle work", &dear, 0.0, 4.0, false, None, false),
+        ("what others leave over of it", &dear, 6.0, 4.0, false, None, true),
+        ("a machine that a gang waits for", &plain, 0.0, 4.0, false, Some(&gang), false),
+        ("one that others use as well", &plain, 4.0, 4.0, false, None, false),
+        ("one that would still hold the gang", &wide, 0.0, 0.5, false, Some(&gang), true),
+        ("one that is being left, beside others", &plain, 4.0, 4.0, true, None, true),
+        ("one that the others have left", &plain, 0.0, 4.0, true, None, false),
+    ] {
+        let mut room = Room::empty(of, 0);
+        (room.idle, room.leaving) = ((idle, 0.0, 0.0), leaving);
+        room.add(-others - idle, 0.0, 0.0);
+        let mut filler = Filler::default();
+        if let Some(spec) = waits {
+            filler.waits(spec, &[true], false);
+            filler.waits(spec, &[true], false);
+            assert_eq!(filler.wanted.len(), 1, "like asks are one");
+        }
+        let job = JobSpec { urgency: Urgency::Idle, checkpoint_s: 30.0, ..spec() };
+        assert_eq!(filler.may_use(&job, &room, Duration::ZERO), want, "{name}");
+    }
+    let mut shared = Room::empty(&plain, 0);
+    shared.add(-4.0, 0.0, -4.0);
+    let tiny = JobSpec { urgency: Urgency::Idle, cpus: 0.25, ..spec() };
+    assert!(Filler::default().may_use(&tiny, &shared, Duration::ZERO), "a little of it is left to the tiny");
+    shared.idle.0 = 1.0;
+    assert!(!Filler::default().may_use(&tiny, &shared, Duration::ZERO), "and no more than that");
+    assert!(Filler::default().may_use(&tiny, &shared, TINY_WAITS), "before it would wait for ever");
+    let mut kept = Room::empty(&plain, 0);
+    kept.kept = true;
+    assert!(!Filler::default().may_use(&spec(), &kept, TINY_WAITS), "kept for prompt arrivals");
+    let mut filler = Filler::default();
+    filler.waits(&gang, &[true], true);
+    assert!(filler.wanted.is_empty(), "what fails everywhere keeps nobody out");
+}
--- /dev/null
+++ b/src/store/mirror/tests.rs
@@ -0,0 +1,105 @@
+use super::*;
+use crate::declared::Kind;
+use crate::jobs::record::open_key;
+use crate::jobs::tests::spec;
+use crate::store::client::Item;
+use serde_json::json;
+
+fn opened(n: u64, stamp: u64) -> Event {
+    let id = format!("run-{n:06}");
+    let record = JobRecord { spec: crate::jobs::JobSpec { id: id.as_str().into(), ..spec() }, at_ms: 5 };
+    Event { write: Some(open_key(&id)), drop: None, value: serde_json::to_value(record).unwrap(), stamp }
+}
+fn ended(n: u64, stamp: u64) -> Event {
+    Event { write: None, drop: Some(open_key(&format!("run-{n:06}"))), value: Value::Null, stamp }
+}
+fn followed(log: Vec<Event>, revision: u64) -> Followed {
+    Followed { revision, log }
+}
+fn page(events: Vec<Event>, revision: u64) -> Page {
+    let item = |e: Event| Item { path: e.write.unwrap(), value: e.value, stamp: e.stamp };
+    Page { items: events.into_iter().map(item).collect(), more: false, revision }
+}
+fn read_whole(mirror: &mut Mirror, pages: Vec<Page>) -> News {
+    let mut loading = mirror.load();
+    for page in &pages {
+        mirror.take_page(&mut loading, page);
+    }
+    mirror.loaded(loading)
+}
+
+/// Two watches answer in either order; an older one must not bring back an older state.
+#[test]
+fn answers_may_overlap_and_come_in_any_order() {
+    let mut mirror = Mirror::default();
+    read_whole(&mut mirror, vec![]);
+    mirror.apply(&followed(vec![opened(1, 1), ended(1, 2), opened(2, 2)], 2));
+    let (_, news) = mirror.apply(&followed(vec![opened(1, 1)], 1));
+    assert!(news.is_empty());
+    assert!(mirror.open("run-000001").is_none(), "ended");
+    assert_eq!((mirror.revision, mirror.held().jobs), (2, 1));
+    assert!(mirror.ended_record("run-000001").is_some(), "a new owner needs no reading for it");
+}
+
+/// A page that was read before an end must not outlive a watch that has told of the end: the
+/// job would stay open here for ever if the reading were followed from any later revision.
+#[test]
+fn a_watch_answered_while_reading_anew_is_passed_over() {
+    let mut mirror = Mirror::default();
+    read_whole(&mut mirror, vec![page(vec![opened(1, 1)], 1)]);
+    let mut loading = mirror.load();
+    let (taken, _) = mirror.apply(&followed(vec![ended(1, 5)], 5));
+    assert!(!taken && mirror.asking().is_none());
+    mirror.take_page(&mut loading, &page(vec![opened(1, 1)], 4));
+    mirror.loaded(loading);
+    assert_eq!(mirror.asking(), Some(4), "followed from the first page on");
+    assert!(mirror.open("run-000001").is_some());
+    let (taken, news) = mirror.apply(&followed(vec![ended(1, 5)], 5));
+    assert!(taken && news.ended.len() == 1 && mirror.open("run-000001").is_none());
+}
+
+#[test]
+fn reading_anew_finds_what_has_ended_and_holds_no_more_than_is_open() {
+    let mut mirror = Mirror::default();
+    read_whole(&mut mirror, vec![page((0..50).map(|n| opened(n, n + 1)).collect(), 50)]);
+    let news =
+        read_whole(&mut mirror, vec![page(vec![opened(7, 8)], 90), page(vec![opened(8, 9), opened(70, 95)], 96)]);
+    assert_eq!(news.ended.len(), 48);
+    assert_eq!((mirror.open_jobs().count(), mirror.held().jobs, mirror.revision), (3, 3, 90));
+    let control = Event { write: Some("c/upgraded".into()), drop: None, value: json!({"old_kept": false}), stamp: 9 };
+    assert!(mirror.old_kept(), "not known yet");
+    read_whole(&mut mirror, vec![page(vec![control], 97)]);
+    assert!(!mirror.old_kept());
+}
+
+/// Specs and statuses come with the same pages and answers as jobs do, are no jobs, and nobody hears
+/// of them as long as there are none.
+#[test]
+fn what_is_declared_comes_with_the_rest() {
+    let write =
+        |path: &str, n: u64, stamp| Event { write: Some(path.into()), drop: None, value: json!({"n": n}), stamp };
+    let mut mirror = Mirror::default();
+    let news = read_whole(&mut mirror, vec![page(vec![opened(1, 1)], 1)]);
+    let want = News { opened: vec![], ended: vec![], ownership: true, declared: false };
+    assert_eq!(news, want, "with nothing declared as ever");
+    let (_, news) = mirror.apply(&followed(vec![opened(2, 2), ended(1, 3)], 3));
+    assert!(!news.declared && news.opened.len() == 1 && news.ended.len() == 1);
+
+    let (spec, status) = ("c/s/window/w", "c/t/window/w");
+    let (_, news) = mirror.apply(&followed(vec![write(spec, 1, 4), write(status, 1, 5)], 5));
+    assert_eq!(news, News { declared: true, ..News::default() });
+    assert_eq!(mirror.shelf().raw_status(Kind::Window, "w"), Some((json!({"n": 1}), 5)));
+    // Read anew, and followed from its first page on: what a later page had already is passed over.
+    let pages = vec![page(vec![opened(2, 2)], 6), page(vec![write(spec, 1, 4), write(status, 3, 8)], 8)];
+    assert!(read_whole(&mut mirror, pages).declared);
+    mirror.apply(&followed(vec![write(status, 2, 7), write(status, 3, 8)], 8));
+    assert_eq!(mirror.shelf().raw_status(Kind::Window, "w"), Some((json!({"n": 3}), 8)));
+    let told: Vec<_> = mirror.shelf_mut().take_changed().into_iter().map(|c| c.after()).collect();
+    assert_eq!(told, [Some(json!({"n": 1})), Some(json!({"n": 3}))], "once each");
+    let drop = Event { write: None, drop: Some(spec.into()), value: Value::Null, stamp: 9 };
+    mirror.apply(&followed(vec![drop], 9));
+    assert_eq!(mirror.shelf().left_over().count(), 1, "a status whose spec is gone");
+    assert!(read_whole(&mut mirror, vec![page(vec![opened(2, 2)], 10)]).declared, "nothing is declared any more");
+    assert!(mirror.shelf().is_empty());
+    assert!(!read_whole(&mut mirror, vec![page(vec![opened(2, 2)], 11)]).declared);
+}
--- /dev/null
+++ b/src/users/tests.rs
@@ -0,0 +1,33 @@
+use super::*;
+use crate::jobs::Shape;
+use crate::jobs::tests::spec;
+use crate::kinds::tests::machine_type;
+use crate::settings::tests::example;
+
+#[test]
+fn what_can_never_run() {
+    let of = machine_type("c8", 8.0, 0.0, 1.0);
+    let catalog = Catalog { types: vec![of] };
+    type Case = (&'static str, fn(&mut JobSpec), bool);
+    let cases: [Case; 10] = [
+        ("fits", |_| (), true),
+        ("unknown team", |j| j.team = "green".into(), false),
+        ("too many cores for any type", |j| j.cpus = 9.0, false),
+        ("accelerators nobody has", |j| j.gpus = 1.0, false),
+        ("a type that does not exist", |j| j.types = Some(vec!["x".into()]), false),
+        ("a zone without the type", |j| j.zone = Some("b".into()), false),
+        ("an array above the limit in sum", |j| (j.team, j.cpus, j.tasks) = ("red".into(), 8.0, 9), true),
+        ("a gang above the limit", |j| (j.team, j.cpus, j.tasks, j.shape) = ("red".into(), 8.0, 3, Shape::Gang), false),
+        (
+            "a service above the limit",
+            |j| (j.team, j.cpus, j.tasks, j.shape) = ("red".into(), 8.0, 3, Shape::Service),
+            false,
+        ),
+        ("a gang at the limit", |j| (j.team, j.cpus, j.tasks, j.shape) = ("red".into(), 5.0, 4, Shape::Gang), true),
+    ];
+    for (name, change, good) in cases {
+        let mut job = spec();
+        change(&mut job);
+        assert_eq!(can_ever_run(&job, &example(), &catalog).is_ok(), good, "{name}");
+    }
+}
