--- a/src/scheduling/tests.rs
+++ b/src/scheduling/tests.rs
@@ -2,12 +2,14 @@
 
 mod hearing;
 mod meetings;
+mod more_meetings;
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 mod wishes;
+mod world;
 
 use super::book::{Book, Standing, Via};
 use super::plan;
--- /dev/null
+++ b/src/scheduling/tests/world.rs
@@ -0,0 +1,376 @@
+//! What plays of fixed steps with the book share: a store that keeps what it was given, and workers that do as the
+//! protocol says and check the rules at every start.
+
+use super::*;
+use crate::jobs::record::Stored;
+use crate::jobs::{End, JobId};
+use crate::scheduling::book::Direct;
+use crate::scheduling::plan::Placement;
+use crate::wire::workers::{Cause, Order};
+use std::collections::{BTreeMap, HashSet};
+
+pub(super) const JOB: &str = "run-000001";
+
+pub(super) fn s(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+pub(super) fn task(index: u32) -> TaskKey {
+    TaskKey { job: JOB.into(), index }
+}
+
+#[derive(Default)]
+pub(super) struct Worker {
+    pub(super) zone: &'static str,
+    pub(super) session: u64,
+    pub(super) seq: u64,
+    pub(super) token: u64,
+    pub(super) legs: Vec<Leg>,
+    pub(super) reaped: HashSet<(TaskKey, u64)>,
+    pub(super) gone: bool,
+    /// When the report was sent that was answered last, or its session began.
+    pub(super) renewed: Option<Instant>,
+}
+
+impl Worker {
+    pub(super) fn live(&self, task: &TaskKey) -> bool {
+        !self.gone && self.legs.iter().any(|l| l.task == *task && l.status != LegStatus::Exited)
+    }
+}
+
+/// An answer that is on its way.
+pub(super) struct Answer {
+    pub(super) to: &'static str,
+    pub(super) session: u64,
+    pub(super) token: u64,
+    pub(super) orders: Vec<Order>,
+    sent: Instant,
+}
+
+/// What the store holds of a job beside the first.
+pub(super) struct Kept {
+    record: Arc<JobRecord>,
+    chunk: Option<(u64, Vec<Stored>)>,
+    pub(super) ended: Option<End>,
+    ended_at: Option<Instant>,
+}
+
+pub(super) struct World {
+    pub(super) now: Instant,
+    pub(super) stamp: u64,
+    pub(super) record: Arc<JobRecord>,
+    /// What the store holds of the job: its one chunk, and its end.
+    pub(super) chunk: Option<(u64, Vec<Stored>)>,
+    pub(super) ended: Option<End>,
+    /// When, as heirs are told; their own beginning where nobody says.
+    ended_at: Option<Instant>,
+    /// Tasks that were done on a worker.
+    pub(super) completed: HashSet<TaskKey>,
+    pub(super) workers: BTreeMap<&'static str, Worker>,
+    /// Further jobs.
+    pub(super) more: BTreeMap<JobId, Kept>,
+}
+
+impl World {
+    pub(super) fn new(machines: &[&'static str], change: impl FnOnce(&mut JobSpec)) -> Self {
+        let mut job = spec();
+        job.id = JOB.into();
+        change(&mut job);
+        let workers = machines.iter().map(|m| (*m, Worker { zone: "a", session: 1, ..Worker::default() })).collect();
+        Self {
+            now: Instant::now() + s(3600.0),
+            stamp: 10,
+            // Never any age by the time of day.
+            record: Arc::new(JobRecord { spec: job, at_ms: u64::MAX }),
+            chunk: None,
+            ended: None,
+            ended_at: None,
+            completed: HashSet::new(),
+            workers,
+            more: BTreeMap::new(),
+        }
+    }
+
+    /// One more job, accepted: of one chunk.
+    pub(super) fn accept(&mut self, book: &mut Book, n: u32, change: impl FnOnce(&mut JobSpec)) -> JobId {
+        let mut job = spec();
+        job.id = format!("run-{n:06}").into();
+        change(&mut job);
+        let (id, record) = (job.id.clone(), Arc::new(JobRecord { spec: job, at_ms: u64::MAX }));
+        book.add_job(record.clone(), self.now);
+        self.more.insert(id.clone(), Kept { record, chunk: None, ended: None, ended_at: None });
+        id
+    }
+
+    /// Its user withdraws it: stored, and told to the owner.
+    pub(super) fn withdraw(&mut self, book: &mut Book, id: &JobId) {
+        match self.more.get_mut(id) {
+            Some(kept) => (kept.ended, kept.ended_at) = (Some(End::Withdrawn), Some(self.now)),
+            None => (self.ended, self.ended_at) = (Some(End::Withdrawn), Some(self.now)),
+        }
+        book.end_job(id, Some(End::Withdrawn), self.now);
+    }
+
+    fn over(&self, id: &JobId) -> bool {
+        self.more.get(id).map_or(self.ended, |kept| kept.ended).is_some()
+    }
+
+    fn chunk_of(&mut self, id: &JobId) -> &mut Option<(u64, Vec<Stored>)> {
+        match self.more.get_mut(id) {
+            Some(kept) => &mut kept.chunk,
+            None => &mut self.chunk,
+        }
+    }
+
+    /// A new owner, with a token above all before, that has read what is stored. It may be a process that owned
+    /// before: nothing but what is stored goes from one book to the next.
+    pub(super) fn owner(&mut self) -> Book {
+        let mut book = self.assigned();
+        self.load(&mut book);
+        book
+    }
+
+    /// The same before it has read anything.
+    pub(super) fn assigned(&mut self) -> Book {
+        self.stamp += 10;
+        Book::new(self.stamp, example(), Properties::default(), self.now)
+    }
+
+    pub(super) fn load(&self, book: &mut Book) {
+        let first = (&self.record, &self.chunk, self.ended, self.ended_at);
+        let more = self.more.values().map(|k| (&k.record, &k.chunk, k.ended, k.ended_at));
+        for (record, chunk, ended, ended_at) in std::iter::once(first).chain(more) {
+            let chunks: Vec<_> = chunk.iter().map(|(stamp, tasks)| (0, *stamp, tasks.clone())).collect();
+            if ended.is_none() || !chunks.is_empty() {
+                book.load_job(record.clone(), chunks, self.now);
+            }
+            if ended.is_some() {
+                book.end_job(&record.spec.id, ended, ended_at.unwrap_or(self.now));
+            }
+        }
+        book.finish_load(self.now);
+    }
+
+    pub(super) fn spec_of(&self, id: &JobId) -> &JobSpec {
+        &self.more.get(id).map_or(&self.record, |kept| &kept.record).spec
+    }
+
+    pub(super) fn report(&mut self, m: &str) -> Report {
+        let w = self.workers.get_mut(m).unwrap();
+        w.seq += 1;
+        Report { session: w.session, token: w.token, ..report(m, "c8", w.zone, false, w.seq, w.legs.clone()) }
+    }
+
+    /// A report reaches the owner, and its answer is on its way.
+    pub(super) fn asks(&mut self, book: &mut Book, m: &'static str) -> Answer {
+        let report = self.report(m);
+        let session = report.session;
+        book.take_report(report, Via::Report, None, self.now);
+        Answer { to: m, session, token: book.token, orders: book.orders_in_answer(m, self.now), sent: self.now }
+    }
+
+    /// The worker hears an answer; within 4 s, that is.
+    pub(super) fn hears(&mut self, answer: &Answer) {
+        let w = self.workers.get_mut(answer.to).unwrap();
+        if !w.gone && w.session == answer.session && answer.token >= w.token {
+            w.token = answer.token;
+            w.renewed = Some(answer.sent);
+            self.execute(answer.to, &answer.orders);
+        }
+    }
+
+    /// A report with a prompt answer.
+    pub(super) fn turn(&mut self, book: &mut Book, m: &'static str) {
+        let answer = self.asks(book, m);
+        self.hears(&answer);
+        self.now += s(0.5);
+    }
+
+    /// A direct command arrives, be it minutes late; the reply.
+    pub(super) fn arrives(&mut self, direct: &Direct) -> Option<Report> {
+        let (&m, w) = self.workers.iter_mut().find(|(m, _)| ***m == *direct.machine).unwrap();
+        if w.gone {
+            return None;
+        }
+        if direct.token >= w.token && direct.session == w.session {
+            w.token = direct.token;
+            self.execute(m, &direct.orders);
+        }
+        Some(self.report(m))
+    }
+
+    pub(super) fn replied(&mut self, book: &mut Book, direct: &Direct, reply: Report) {
+        book.command_over(&direct.machine, direct.token, true, self.now);
+        book.take_report(reply, Via::Command, None, self.now);
+    }
+
+    pub(super) fn given_up(&mut self, book: &mut Book, direct: &Direct) {
+        self.now += s(2.5);
+        book.command_over(&direct.machine, direct.token, false, self.now);
+    }
+
+    /// The command that is due to this machine. All others are refused a connection.
+    pub(super) fn command(&mut self, book: &mut Book, m: &str) -> Option<Direct> {
+        let mut found = None;
+        for direct in book.direct_commands(self.now) {
+            if *direct.machine == *m {
+                found = Some(direct);
+            } else {
+                book.command_over(&direct.machine, direct.token, true, self.now);
+            }
+        }
+        found
+    }
+
+    pub(super) fn execute(&mut self, m: &'static str, orders: &[Order]) {
+        for order in orders {
+            match order {
+                Order::Launch { task, attempt } => self.launch(m, task, *attempt),
+                Order::Halt { task, attempt, .. } => self.exits_of(m, task, *attempt, Cause::Stopped),
+                Order::Reap { task, attempt } => {
+                    let w = self.workers.get_mut(m).unwrap();
+                    let exited = |l: &Leg| l.task == *task && l.attempt == *attempt && l.status == LegStatus::Exited;
+                    let Some(at) = w.legs.iter().position(exited) else { continue };
+                    let leg = w.legs.remove(at);
+                    w.reaped.insert((task.clone(), *attempt));
+                    let chunk = self.chunk_of(&task.job).as_ref();
+                    let stored = chunk.is_some_and(|(_, t)| t[task.index as usize] == Stored::Done);
+                    let lost = leg.cause == Some(Cause::Done) && !stored && !self.over(&task.job);
+                    assert!(!lost, "{task:?} was reaped before its end was stored");
+                }
+            }
+        }
+    }
+
+    /// The rules, at a start.
+    pub(super) fn launch(&mut self, m: &'static str, task: &TaskKey, attempt: u64) {
+        if self.workers[m].legs.iter().any(|l| l.task == *task && l.attempt == attempt) {
+            return;
+        }
+        if let Some((other, _)) = self.workers.iter().find(|(_, w)| w.live(task)) {
+            panic!("ran twice: {task:?} starts on {m} and is on {other}");
+        }
+        let again = self.workers[m].reaped.contains(&(task.clone(), attempt));
+        assert!(!again, "{task:?} starts again after its reap");
+        assert!(!self.completed.contains(task), "{task:?} runs again though it was done");
+        assert!(!self.over(&task.job), "{task:?} starts though its job is over");
+        let leg = Leg { task: task.clone(), attempt, status: LegStatus::Running, cause: None, saved: None };
+        self.workers.get_mut(m).unwrap().legs.push(leg);
+    }
+
+    pub(super) fn exits(&mut self, m: &str, index: u32, attempt: u64, cause: Cause) {
+        self.exits_of(m, &task(index), attempt, cause);
+    }
+
+    pub(super) fn exits_of(&mut self, m: &str, key: &TaskKey, attempt: u64, cause: Cause) {
+        for leg in &mut self.workers.get_mut(m).unwrap().legs {
+            if leg.task == *key && leg.attempt == attempt && leg.status != LegStatus::Exited {
+                (leg.status, leg.cause) = (LegStatus::Exited, Some(cause));
+                if cause == Cause::Done {
+                    self.completed.insert(key.clone());
+                }
+            }
+        }
+    }
+
+    pub(super) fn lease_ends(&mut self, m: &str) {
+        let w = self.workers.get_mut(m).unwrap();
+        w.session += 1;
+        w.legs.clear();
+        w.reaped.clear();
+        w.renewed = Some(self.now);
+    }
+
+    /// What waits is bound to this machine, and all that is to be stored is.
+    pub(super) fn place(&mut self, book: &mut Book, m: &str) {
+        let job = book.job(&JOB.into());
+        let waiting: Vec<u32> = job.map(|j| j.waiting.iter().copied().collect()).unwrap_or_default();
+        self.place_these(book, &waiting, m);
+    }
+
+    pub(super) fn place_these(&mut self, book: &mut Book, indices: &[u32], m: &str) {
+        let Some(job) = book.job(&JOB.into()) else { return };
+        let gang = job.spec().is_gang();
+        let last = job.tasks.iter().map(|t| t.attempt).max().unwrap_or(0);
+        let attempt = |i: u32| if gang { last } else { job.tasks[i as usize].attempt } + 1;
+        let placements =
+            indices.iter().map(|i| Placement { task: task(*i), attempt: attempt(*i), machine: m.into() }).collect();
+        if !job.complete() {
+            book.bind_all(placements, self.now);
+        }
+        self.store(book);
+    }
+
+    /// Everything that is to be stored is, on the conditions that the owner's commits have. Not done too early.
+    pub(super) fn store(&mut self, book: &mut Book) {
+        let (ends, writes) = book.next_writes(99, self.now + s(2.0));
+        self.stamp += u64::from(!writes.is_empty());
+        for write in &writes {
+            let next = (self.stamp, write.tasks.clone());
+            let chunk = self.chunk_of(&write.job);
+            assert_eq!(write.stamp, chunk.as_ref().map_or(0, |(stamp, _)| *stamp));
+            *chunk = Some(next);
+        }
+        book.chunks_stored(&writes, self.stamp);
+        for end in ends {
+            let mut done = (0..end.spec.tasks as u32)
+                .map(|index| self.completed.contains(&TaskKey { job: end.spec.id.clone(), index }));
+            let enough = if end.spec.is_gang() { done.any(|d| d) } else { done.all(|d| d) };
+            assert!(enough, "stored as done before its tasks are");
+            match self.more.get_mut(&end.spec.id) {
+                Some(kept) => kept.ended = Some(End::Done),
+                None => self.ended = Some(End::Done),
+            }
+            book.end_job(&end.spec.id, Some(End::Done), self.now);
+        }
+    }
+
+    pub(super) fn raise(&mut self, book: &mut Book) -> bool {
+        let wanted = book.raise_wanted(self.now);
+        if wanted {
+            self.stamp += 1;
+            book.raise_token(self.stamp);
+        }
+        wanted
+    }
+
+    /// The machine is returned.
+    pub(super) fn returned(&mut self, book: &mut Book, m: &'static str) {
+        self.workers.get_mut(m).unwrap().gone = true;
+        book.machine_gone(&m.into(), self.now);
+    }
+}
+
+pub(super) fn on(book: &Book, index: u32) -> Option<(u64, String)> {
+    let job = book.job(&JOB.into())?;
+    Some((job.tasks[index as usize].attempt, job.binding(index)?.machine.to_string()))
+}
+
+pub(super) fn bound(book: &Book, index: u32, attempt: u64, m: &str) {
+    assert_eq!(on(book, index), Some((attempt, m.to_owned())), "task {index} is bound to {m}");
+}
+
+pub(super) fn launches(orders: &[Order]) -> usize {
+    orders.iter().filter(|o| matches!(o, Order::Launch { .. })).count()
+}
+
+pub(super) fn reaps(orders: &[Order]) -> usize {
+    orders.iter().filter(|o| matches!(o, Order::Reap { .. })).count()
+}
+
+pub(super) fn condemned(book: &Book) -> Vec<&str> {
+    book.machines.values().filter(|m| m.standing == Standing::Condemned).map(|m| &*m.id).collect()
+}
+
+impl World {
+    /// A greeting of this owner to a machine that has not seen its token.
+    pub(super) fn owner_greets(&mut self, book: &mut Book, m: &str) -> Direct {
+        self.workers.get_mut(m).unwrap().token = 0;
+        let mut before = None;
+        for _ in 0..3 {
+            self.now += s(1.1);
+            before = before.or_else(|| self.command(book, m));
+        }
+        before.expect("a greeting is due")
+    }
+}
