A machine that cannot report gets no new work because it answers commands

Replies to direct commands were taken for signs of life wherever a machine is judged by its silence. A worker that can open no connection, while commands reach it, was given work for as long as there was anything to tell it, and lost all of it with each lease: no reply renews one. New work asks for a recent true report now, and two leases without one return the machine (before, only silence did). A reply still says that it is there, so that nothing is returned sooner than before.

Guards taken out, and what then fails: new work by any message (..._is_returned_after_two_leases), replies counted as reports (that and ..._gets_no_work_that_it_loses_without_end), the return (..._is_returned_after_two_leases).

--- a/src/scheduling/book/machine.rs
+++ b/src/scheduling/book/machine.rs
@@ -83,6 +83,8 @@
     pub(super) newest_report: (u64, u64),
     pub token: u64,
     pub heard: Instant,
+    /// Its last true report, or when it was first heard of: replies to commands renew no lease.
+    pub reported_at: Instant,
     pub since: Instant,
     pub recall: Option<Instant>,
     pub bound: BTreeSet<TaskKey>,
@@ -143,6 +145,7 @@
             newest_report: (0, 0),
             token: 0,
             heard: now,
+            reported_at: now,
             since: now,
             recall: None,
             bound: BTreeSet::new(),
@@ -403,6 +406,7 @@
     pub fn was_absent(&mut self, gap: Gap) {
         for machine in self.machines.values_mut() {
             machine.heard = gap.forgive(machine.heard);
+            machine.reported_at = gap.forgive(machine.reported_at);
             machine.idle_since = machine.idle_since.map(|at| gap.forgive(at));
             machine.hearing.was_absent(gap);
         }
@@ -455,11 +459,9 @@
         // Many machines that fall silent together point at the network or at this controller:
         // returning them all would lose what they run, and past their leases still the machines, for
         // which others would have to boot. Those that have died the cloud's list tells of.
-        let silence = if self.many_silent(self.properties.silence, TOGETHER, now) {
-            (self.settings.params.workers.lease() * SILENT_LEASES + LEASE_MARGIN).max(self.properties.silence)
-        } else {
-            self.properties.silence
-        };
+        let long = (self.settings.params.workers.lease() * SILENT_LEASES + LEASE_MARGIN).max(self.properties.silence);
+        let many = self.many_silent(self.properties.silence, TOGETHER, now);
+        let silence = if many { long } else { self.properties.silence };
         let mut condemn: Vec<(MachineId, &str)> =
             self.overdue(now).into_iter().map(|id| (id, "a withdrawn task is not proven gone")).collect();
         for machine in self.machines.values() {
@@ -467,6 +469,8 @@
             if (machine.awaited() || machine.reported()) && quiet > silence {
                 let why = if machine.reported() { "silent" } else { "should be up and was never heard of" };
                 condemn.push((machine.id.clone(), why));
+            } else if machine.reported() && now.saturating_duration_since(machine.reported_at) > long {
+                condemn.push((machine.id.clone(), "commands reach it, and it reports nothing"));
             } else if machine.standing == Standing::Draining && machine.bound.is_empty() {
                 condemn.push((machine.id.clone(), "drained"));
             }
--- a/src/scheduling/book/reports.rs
+++ b/src/scheduling/book/reports.rs
@@ -28,6 +28,7 @@
         }
         if machine.standing == Standing::Booting {
             machine.standing = Standing::Up;
+            machine.reported_at = now;
             self.stirred = true;
             machine.idle_since = machine.bound.is_empty().then_some(now);
             info!(machine = %id, after_s = now.saturating_duration_since(machine.since).as_secs(), "machine is up");
@@ -42,6 +43,7 @@
         machine.newest = at;
         if via == Via::Report {
             machine.newest_report = at;
+            machine.reported_at = now;
         }
         machine.heard = now;
         machine.hearing.heard_of(&report, via, self.settings.params.workers.lease(), now);
--- a/src/scheduling/room.rs
+++ b/src/scheduling/room.rs
@@ -231,7 +231,7 @@
         && spec.types.as_ref().is_none_or(|t| t.iter().any(|t| t == type_name))
 }
 
-/// Up, sane, lately heard of, not known from what may be late copies alone, hearing, and free of tasks that should not be there.
+/// Up, sane, lately reporting, not known from what may be late copies alone, hearing, and free of tasks that should not be there.
 pub fn usable(machine: &Machine, suspect: Duration, now: Instant) -> bool {
     machine.standing == Standing::Up && sane(machine, suspect, now)
 }
@@ -247,11 +247,11 @@
         && machine.known
         && !machine.suspected
         && !machine.deaf
-        && now.saturating_duration_since(machine.heard) < suspect
+        && now.saturating_duration_since(machine.reported_at) < suspect
         && !machine.has_strays()
 }
 
-/// After this much silence a machine gets no new work.
+/// After this long without a report a machine gets no new work.
 pub fn suspect_after(book: &Book) -> Duration {
     book.settings.params.workers.report().mul_f64(SUSPECT_REPORTS)
 }
--- a/src/scheduling/tests/more_meetings.rs
+++ b/src/scheduling/tests/more_meetings.rs
@@ -244,3 +244,53 @@
         }
     }
 }
+
+/// Commands start work on a machine that cannot report, and their replies look like signs of life. They renew no
+/// lease: what was started there is lost once, and then it gets no more.
+#[test]
+fn a_mute_machine_gets_no_work_that_it_loses_without_end() {
+    let mut play = Play::new(&[("m1", "a"), ("m2", "a")], |j| (j.tasks, j.cpus) = (1, 8.0));
+    play.world.place(&mut play.book, "m2");
+    play.reports("m2");
+    play.plans = true;
+    play.mute = vec!["m1"];
+    // One small job after the other, soon withdrawn: each a command, and each reply a report. And long ones.
+    play.world.accept(&mut play.book, 2, |j| (j.tasks, j.cpus, j.estimate_s) = (4, 1.0, 600.0));
+    let mut small = None;
+    for n in 0..300 {
+        if n % 4 == 0 {
+            small = Some(play.world.accept(&mut play.book, 100 + n, |j| j.estimate_s = 1.0));
+        }
+        play.step();
+        if n % 4 == 2 {
+            small.take().iter().for_each(|id| play.withdraw(id));
+        }
+    }
+    assert!(play.lost <= 8, "{} tasks were lost with leases that nothing renewed", play.lost);
+    assert!(play.world.workers["m1"].gone, "silent, once it has no more to be told");
+}
+
+/// Higher tokens are told by commands again and again, and so a mute machine is never silent: it is returned after
+/// two leases all the same, and has no new work from the time at which its reports are missed.
+#[test]
+fn a_mute_machine_that_answers_commands_is_returned_after_two_leases() {
+    let mut play = Play::new(&[("m1", "a"), ("m2", "a")], |j| (j.tasks, j.cpus) = (1, 8.0));
+    play.world.place(&mut play.book, "m2");
+    play.reports("m2");
+    (play.plans, play.mute) = (true, vec!["m1"]);
+    for t in 1..60 {
+        if t == 9 {
+            play.world.accept(&mut play.book, 2, |j| (j.tasks, j.cpus) = (1, 1.0));
+        }
+        if t % 5 == 0 {
+            play.world.stamp += 1;
+            let token = play.world.stamp;
+            play.book.raise_token(token);
+        }
+        play.run(1.0);
+        let m1 = &play.world.workers["m1"];
+        assert!(m1.gone || m1.token + 2 >= play.book.token, "at {t} s: commands reach it");
+        assert_eq!(m1.gone, t >= 51, "at {t} s");
+    }
+    assert_eq!((play.lost, play.live(&"run-000002".into())), (0, vec![]));
+}
