--- a/src/scheduling/tests/more_meetings.rs
+++ b/src/scheduling/tests/more_meetings.rs
@@ -4,10 +4,15 @@
 
 use std::collections::BTreeMap;
 
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
 use super::world::*;
 use super::*;
 use crate::jobs::JobId;
 use crate::scheduling::book::Direct;
+use crate::scheduling::served::Account;
+use crate::wire::workers::Cause;
 
 const STEP: f64 = 0.5;
 /// Steps from one report to the next.
@@ -25,6 +30,8 @@
     /// These stand still: they report nothing, and what is sent to them lies there until they go on.
     hang: Vec<&'static str>,
     lying: Vec<Direct>,
+    /// Their reports arrive; answers and commands to them are lost.
+    deaf: Vec<&'static str>,
     cloud: bool,
     /// The store takes what is to be written.
     store: bool,
@@ -53,6 +60,7 @@
             unreached: Vec::new(),
             hang: Vec::new(),
             lying: Vec::new(),
+            deaf: Vec::new(),
             cloud: true,
             store: true,
             plans: false,
@@ -71,7 +79,9 @@
 
     fn reports(&mut self, m: &'static str) {
         let answer = self.world.asks(&mut self.book, m);
-        self.world.hears(&answer);
+        if !self.deaf.contains(&m) {
+            self.world.hears(&answer);
+        }
     }
 
     fn run(&mut self, seconds: f64) {
@@ -110,9 +120,11 @@
             let m = &*direct.machine;
             if self.unreached.contains(&m) {
                 self.book.command_over(&direct.machine, direct.token, true, now);
-            } else if hang.contains(&m) {
+            } else if hang.contains(&m) || self.deaf.contains(&m) {
                 self.book.command_over(&direct.machine, direct.token, false, now);
-                self.lying.push(direct);
+                if hang.contains(&m) {
+                    self.lying.push(direct);
+                }
             } else if let Some(reply) = self.world.arrives(&direct) {
                 self.world.replied(&mut self.book, &direct, reply);
             } else {
@@ -130,7 +142,7 @@
         if self.store {
             self.world.raise(&mut self.book);
         }
-        if self.plans {
+        if self.plans && self.book.loaded {
             let decisions = plan::place(&mut self.book, &catalog(), now);
             self.book.bind_all(decisions, now);
         }
@@ -148,7 +160,7 @@
 
     fn listed(&mut self) {
         for (m, w) in self.world.workers.iter().filter(|(_, w)| !w.gone) {
-            let kind = Kind { type_name: "c8".into(), zone: w.zone.into(), spot: false };
+            let kind = Kind { type_name: w.type_name.into(), zone: w.zone.into(), spot: false };
             self.book.expect(m, &kind, Some("127.0.0.1:9"), s(900.0), self.world.now);
             self.book.listed_up(m, self.world.now);
         }
@@ -380,3 +392,165 @@
     play.run(20.0);
     assert_eq!((play.live(&JOB.into()).len(), play.live(&next).len()), (0, 5));
 }
+
+// Once all troubles are over no job waits for 90 s while a machine that fits has room.
+
+/// What is left of a machine by what is on it and what is bound to it.
+fn room_left(play: &Play, m: &str) -> Option<(f64, f64, f64)> {
+    let worker = &play.world.workers[m];
+    let machine = play.book.machines.get(m)?;
+    if worker.gone || machine.standing != Standing::Up || machine.recall.is_some() {
+        return None;
+    }
+    let of = catalog().get(worker.type_name)?.clone();
+    let strays = worker.legs.iter().filter(|l| l.status != LegStatus::Exited && !machine.bound.contains(&l.task));
+    let mut left = (of.cpus - machine.taken().cpus, of.gpus - machine.taken().gpus, of.memory_gb);
+    left.2 -= machine.taken().memory_gb;
+    for leg in strays {
+        let spec = play.world.spec_of(&leg.task.job);
+        left = (left.0 - spec.cpus, left.1 - spec.gpus, left.2 - spec.memory_gb);
+    }
+    Some(left)
+}
+
+/// Whether a job could start something now: one task of an array or a service, all of a gang.
+fn could_start(play: &Play, id: &JobId) -> bool {
+    let Some(job) = play.book.job(id) else { return false };
+    let spec = job.spec();
+    let gang = spec.is_gang();
+    if job.waiting.is_empty() || job.ended.is_some() || job.complete() || (gang && !job.bound.is_empty()) {
+        return false;
+    }
+    let need = if gang { job.waiting.len() } else { 1 };
+    if !plan::Quotas::new(&play.book).allows(spec, need as f64) {
+        return false;
+    }
+    let zones: &[&[&str]] = if spec.same_zone { &[&["a"], &["b"]] } else { &[&["a", "b"]] };
+    zones.iter().any(|zones| {
+        let mut at = crate::scheduling::room::Zones::new(&play.book, job);
+        let mut found = 0;
+        for (m, worker) in &play.world.workers {
+            let allowed = crate::scheduling::room::allowed(spec, worker.type_name, worker.zone, false);
+            let Some(mut left) = room_left(play, m).filter(|_| allowed && zones.contains(&worker.zone)) else {
+                continue;
+            };
+            while found < need
+                && at.allow(worker.zone)
+                && spec.cpus <= left.0 + 1e-6
+                && spec.gpus <= left.1 + 1e-6
+                && spec.memory_gb <= left.2 + 1e-6
+            {
+                left = (left.0 - spec.cpus, left.1 - spec.gpus, left.2 - spec.memory_gb);
+                at.take(worker.zone);
+                found += 1;
+            }
+        }
+        found == need
+    })
+}
+
+/// How long jobs of which something could start have waited, once the troubles are over; a seed's longest.
+fn longest_wait_after_troubles(seed: u64, steady: bool) -> (f64, String) {
+    const NAMES: [&str; 10] = ["m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9"];
+    let mut rng = StdRng::seed_from_u64(seed);
+    let machines: Vec<(&str, &str)> = (0..10).map(|n| (NAMES[n], if n % 2 == 0 { "a" } else { "b" })).collect();
+    let mut play = Play::new(&machines, |j| (j.tasks, j.estimate_s) = (1, 1.0));
+    for m in &NAMES[7..] {
+        play.world.workers.get_mut(m).unwrap().type_name = "g2";
+    }
+    play.plans = true;
+    let mut account = Account::new(&play.book.settings, &play.book.properties, play.world.now);
+    let mut ends: BTreeMap<(TaskKey, u64), Instant> = BTreeMap::new();
+    let mut waits: BTreeMap<JobId, f64> = BTreeMap::new();
+    let (mut longest, mut jobs) = ((0.0, String::new()), 1);
+    for step in 0..560 {
+        let (t, now) = (f64::from(step) * STEP, play.world.now);
+        let trouble = t < 120.0;
+        if (trouble || steady) && rng.random_bool(if trouble { 0.5 } else { 0.1 }) {
+            jobs += 1;
+            let shape = [Shape::Array, Shape::Array, Shape::Gang, Shape::Service][rng.random_range(0..4usize)];
+            let urgency = [Urgency::Prod, Urgency::High, Urgency::Normal][rng.random_range(0..3usize)];
+            let id = play.world.accept(&mut play.book, jobs, |j| {
+                (j.shape, j.urgency) = (shape, urgency);
+                j.class = ["c", "d", "e"][rng.random_range(0..3usize)].into();
+                j.team = if rng.random_bool(0.3) { "red".into() } else { "blue".into() };
+                j.tasks = if shape == Shape::Service { 1 } else { rng.random_range(1..6) };
+                j.cpus = [0.25, 1.0, 2.0, 4.0][rng.random_range(0..4usize)];
+                j.gpus = if rng.random_bool(0.1) { 1.0 } else { 0.0 };
+                j.same_zone = rng.random_bool(0.2);
+                j.spread = !j.same_zone && rng.random_bool(0.2);
+                j.zone = rng.random_bool(0.1).then(|| "a".into()).filter(|_| !j.spread);
+                j.estimate_s =
+                    if shape == Shape::Service { 0.0 } else { [5.0, 30.0, 300.0][rng.random_range(0..3usize)] };
+                j.due_s = rng.random_bool(0.4).then(|| j.estimate_s * 2.0 + 20.0);
+                (j.checkpoint_s, j.save_s) = if rng.random_bool(0.5) { (30.0, 2.0) } else { (0.0, 0.0) };
+            });
+            if rng.random_bool(0.15) {
+                play.withdraw(&id);
+            }
+        }
+        if trouble && rng.random_bool(0.15) {
+            let m = NAMES[rng.random_range(0..10usize)];
+            match rng.random_range(0..7) {
+                0 => play.mute.push(m),
+                1 => play.hang.push(m),
+                2 => play.deaf.push(m),
+                3 => (play.mute.push(m), play.unreached.push(m)).0,
+                4 => (play.mute, play.hang, play.deaf, play.unreached) = Default::default(),
+                5 => play.heir(),
+                _ => play.store = !play.store,
+            }
+            // Three machines stay, so that there is anything to wait for.
+            for list in [&mut play.mute, &mut play.hang, &mut play.deaf, &mut play.unreached] {
+                list.retain(|m| !["m0", "m1", "m8"].contains(m));
+            }
+        }
+        if !trouble {
+            (play.mute, play.hang, play.deaf, play.unreached) = Default::default();
+            play.store = true;
+        }
+        // Tasks end, or fail while there are troubles.
+        for m in NAMES {
+            if play.hang.contains(&m) || play.world.workers[m].gone {
+                continue;
+            }
+            for leg in play.world.workers[m].legs.clone().iter().filter(|l| l.status == LegStatus::Running) {
+                let run = play.world.spec_of(&leg.task.job).estimate_s;
+                let at = ends
+                    .entry((leg.task.clone(), leg.attempt))
+                    .or_insert_with(|| now + s(if run == 0.0 { 1e6 } else { run * rng.random_range(0.5..2.0) }));
+                let fails = trouble && rng.random_bool(0.01);
+                if *at <= now || fails {
+                    let cause = if fails { Cause::Error } else { Cause::Done };
+                    play.world.exits_of(m, &leg.task, leg.attempt, cause);
+                }
+            }
+        }
+        if step % 4 == 0 && play.book.loaded {
+            crate::scheduling::look(&mut account, &mut play.book, now);
+            play.book.holds = crate::scheduling::holds::choose(&play.book, &catalog(), now);
+        }
+        preempt::preempt(&mut play.book, &catalog(), now);
+        play.step();
+        if !trouble {
+            let ids: Vec<JobId> = play.book.jobs().map(|(id, _)| id.clone()).collect();
+            waits.retain(|id, _| ids.contains(id));
+            for id in ids {
+                let waited = waits.entry(id.clone()).or_default();
+                *waited = if could_start(&play, &id) { *waited + STEP } else { 0.0 };
+                if *waited > longest.0 {
+                    longest = (*waited, format!("seed {seed}, at {t} s: {:?}", play.book.job(&id).map(|j| j.spec())));
+                }
+            }
+        }
+    }
+    longest
+}
+
+#[test]
+fn once_the_troubles_are_over_no_job_waits_while_a_machine_has_room() {
+    for seed in 0..40 {
+        let (waited, who) = longest_wait_after_troubles(seed, seed % 2 == 0);
+        assert!(waited < 90.0, "{waited} s: {who}");
+    }
+}
--- a/src/scheduling/tests/world.rs
+++ b/src/scheduling/tests/world.rs
@@ -21,6 +21,7 @@
 
 #[derive(Default)]
 pub(super) struct Worker {
+    pub(super) type_name: &'static str,
     pub(super) zone: &'static str,
     pub(super) session: u64,
     pub(super) seq: u64,
@@ -66,6 +67,8 @@
     ended_at: Option<Instant>,
     /// Tasks that were done on a worker.
     pub(super) completed: HashSet<TaskKey>,
+    /// Of these, whose exit went with a lease or a machine; started again they exit as done at once.
+    forgotten: HashSet<TaskKey>,
     pub(super) workers: BTreeMap<&'static str, Worker>,
     /// Further jobs.
     pub(super) more: BTreeMap<JobId, Kept>,
@@ -76,7 +79,10 @@
         let mut job = spec();
         job.id = JOB.into();
         change(&mut job);
-        let workers = machines.iter().map(|m| (*m, Worker { zone: "a", session: 1, ..Worker::default() })).collect();
+        let workers = machines
+            .iter()
+            .map(|m| (*m, Worker { type_name: "c8", zone: "a", session: 1, ..Worker::default() }))
+            .collect();
         Self {
             now: Instant::now() + s(3600.0),
             stamp: 10,
@@ -86,6 +92,7 @@
             ended: None,
             ended_at: None,
             completed: HashSet::new(),
+            forgotten: HashSet::new(),
             workers,
             more: BTreeMap::new(),
         }
@@ -158,7 +165,7 @@
     pub(super) fn report(&mut self, m: &str) -> Report {
         let w = self.workers.get_mut(m).unwrap();
         w.seq += 1;
-        Report { session: w.session, token: w.token, ..report(m, "c8", w.zone, false, w.seq, w.legs.clone()) }
+        Report { session: w.session, token: w.token, ..report(m, w.type_name, w.zone, false, w.seq, w.legs.clone()) }
     }
 
     /// A report reaches the owner, and its answer is on its way.
@@ -252,9 +259,13 @@
         }
         let again = self.workers[m].reaped.contains(&(task.clone(), attempt));
         assert!(!again, "{task:?} starts again after its reap");
-        assert!(!self.completed.contains(task), "{task:?} runs again though it was done");
+        let stored = |(_, tasks): &(u64, Vec<Stored>)| tasks[task.index as usize] == Stored::Done;
+        let known = self.chunk_of(&task.job).as_ref().is_some_and(stored);
+        let again = self.completed.contains(task);
+        assert!(!again || (self.forgotten.contains(task) && !known), "{task:?} runs again though it was done");
         assert!(!self.over(&task.job), "{task:?} starts though its job is over");
-        let leg = Leg { task: task.clone(), attempt, status: LegStatus::Running, cause: None, saved: None };
+        let (status, cause) = if again { (LegStatus::Exited, Some(Cause::Done)) } else { (LegStatus::Running, None) };
+        let leg = Leg { task: task.clone(), attempt, status, cause, saved: None };
         self.workers.get_mut(m).unwrap().legs.push(leg);
     }
 
@@ -273,7 +284,13 @@
         }
     }
 
+    fn forget(&mut self, m: &str) {
+        let done = self.workers[m].legs.iter().filter(|l| l.cause == Some(Cause::Done));
+        self.forgotten.extend(done.map(|l| l.task.clone()));
+    }
+
     pub(super) fn lease_ends(&mut self, m: &str) {
+        self.forget(m);
         let w = self.workers.get_mut(m).unwrap();
         w.session += 1;
         w.legs.clear();
@@ -336,6 +353,7 @@
 
     /// The machine is returned.
     pub(super) fn returned(&mut self, book: &mut Book, m: &'static str) {
+        self.forget(m);
         self.workers.get_mut(m).unwrap().gone = true;
         book.machine_gone(&m.into(), self.now);
     }
