Nobody waits for ever on room that is kept for a gang

A gang that is late and has earned its turn, and one of the largest that is owed one, keeps the pieces that there are out of the plan. Where the rest never came free (a service there, and the cloud refusing machines) nothing ended that, and whoever fitted on them waited without end beside an idle machine. Room is kept for 60 s in a row, and then not for 5 s, in which those that wait have it. The test runs without any renting. Guard taken out (the bound): it fails after 85 s.

--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -292,6 +292,8 @@
     pub holds: HashMap<MachineId, Hold>,
     /// Machines on which others were stopped for a job, until it has come there.
     pub reserved: HashMap<MachineId, Hold>,
+    /// Since when plans have kept room for a gang.
+    pub(super) keeping: Option<Instant>,
     /// Classes and teams that go first, by the account.
     pub below: Below,
     /// Whose fault failures are.
@@ -367,6 +369,7 @@
             large: Large::new(&properties, now),
             holds: HashMap::new(),
             reserved: HashMap::new(),
+            keeping: None,
             below: Below::default(),
             evidence: Evidence::default(),
             lane: Lane::default(),
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -26,6 +26,9 @@
 const MOST_PLACEMENTS: usize = 1000;
 /// Work that was started so often in vain gets the machines least likely to be lost.
 const LOST_STARTS: u64 = 2;
+/// Room is kept for gangs for so long in a row; then whoever waits may have it, for this long.
+const KEPT_FOR: Duration = Duration::from_secs(60);
+const KEPT_PAUSE: Duration = Duration::from_secs(5);
 /// Idle work that was started so often goes to no machine that is being left.
 const MOST_LEFT: u64 = 4;
 /// Hard work that must start within this time to be done in time is not kept waiting for holds.
@@ -623,15 +626,28 @@
 
 /// The same, with how many rooms were looked at.
 pub fn place_counted(book: &mut Book, catalog: &Catalog, now: Instant) -> (Vec<Placement>, u64) {
-    let mut decisions = Vec::new();
     if !book.loaded {
-        return (decisions, 0);
+        return (Vec::new(), 0);
     }
     book.refresh_loads(now);
-    let book = &*book;
+    // Where the rest of its room does not come free, nobody waits for ever on what is kept for a gang.
+    let spell = book.keeping.map(|since| now.saturating_duration_since(since));
+    let may_keep = spell.is_none_or(|spell| spell < KEPT_FOR);
+    let (decisions, looked, kept) = decide(book, catalog, may_keep, now);
+    if kept {
+        book.keeping.get_or_insert(now);
+    } else if may_keep || spell.is_some_and(|spell| spell >= KEPT_FOR + KEPT_PAUSE) {
+        book.keeping = None;
+    }
+    (decisions, looked)
+}
+
+/// What to place, how many rooms were looked at, and whether any was kept.
+fn decide(book: &Book, catalog: &Catalog, may_keep: bool, now: Instant) -> (Vec<Placement>, u64, bool) {
+    let mut decisions = Vec::new();
     let mut turns = queue(book, now);
     if turns.is_empty() {
-        return (decisions, 0);
+        return (decisions, 0, false);
     }
     // Late work goes first as far as it has earned, the oldest of it.
     let mut earned = None;
@@ -680,7 +696,7 @@
             continue;
         }
         let attempt_of = |index: u32| job.tasks.get(index as usize).map_or(0, |t| t.attempt) + 1;
-        let keep = turn.owed || earned.is_some_and(|(id, _)| id == turn.id);
+        let keep = may_keep && (turn.owed || earned.is_some_and(|(id, _)| id == turn.id));
         let placed = plan.place_job(&turn, Zones::new(book, job), most, keep);
         if placed.is_empty() {
             continue;
@@ -694,5 +710,5 @@
             machine,
         }));
     }
-    (decisions, plan.looked)
+    (decisions, plan.looked, !plan.kept.is_empty())
 }
