--- a/src/scheduling/room.rs
+++ b/src/scheduling/room.rs
@@ -256,6 +256,9 @@
     book.settings.params.workers.report().mul_f64(SUSPECT_REPORTS)
 }
 
+/// The zone of a machine of which only the name is known.
+const UNKNOWN: &str = "";
+
 /// Where the tasks of one job are, for `samePlace` and `scatter`.
 pub struct Zones<'a> {
     spec: &'a JobSpec,
@@ -286,7 +289,9 @@
     }
 
     pub fn allow(&self, zone: &str) -> bool {
-        let here = self.counts.get(zone).copied().unwrap_or(0);
+        // What an heir has inherited on machines of which nobody has told it more than their names may be anywhere.
+        let unknown = if zone == UNKNOWN { 0 } else { self.counts.get(UNKNOWN).copied().unwrap_or(0) };
+        let here = self.counts.get(zone).copied().unwrap_or(0) + unknown;
         (!self.spec.same_zone || self.counts.iter().all(|(z, n)| *n == 0 || *z == zone))
             && (!self.spec.spread || here < self.spec.tasks.div_ceil(2))
     }
