Machines that were silent together are not returned while they come back one after the other

Three or more silent together get two leases. As soon as the first of them reported the others were fewer than that, alone for the rule, and returned at once with what they ran, though each was about to report: two of three in a zone that was cut off for 20 s. The patience holds for three reports' time after many were last silent. Withdrawn tasks are judged apart from it, as before. With it the plays of a zone that is cut off, of all controllers away past the lease, of ten leaders in two minutes and of work given out while writes lag.

--- a/src/scheduling/book/machine.rs
+++ b/src/scheduling/book/machine.rs
@@ -27,6 +27,8 @@
 const SILENT_LEASES: u32 = 2;
 /// Past the end of these; covers a machine's clock's drift and the way of a report.
 const LEASE_MARGIN: Duration = Duration::from_secs(2);
+/// Many that were silent together are all back within so many reports' time.
+const BACK_REPORTS: u32 = 3;
 /// Images a machine is thought to hold where the cloud does not say how much it keeps.
 const IMAGES_KEPT: usize = 6;
 /// Images remembered of a machine, whatever it keeps.
@@ -460,7 +462,12 @@
         // returning them all would lose what they run, and past their leases still the machines, for
         // which others would have to boot. Those that have died the cloud's list tells of.
         let long = (self.settings.params.workers.lease() * SILENT_LEASES + LEASE_MARGIN).max(self.properties.silence);
-        let many = self.many_silent(self.properties.silence, TOGETHER, now);
+        if self.many_silent(self.properties.silence, TOGETHER, now) {
+            self.many_silent_at = Some(now);
+        }
+        // Those that are back do not report at the same moment: the last of them are not alone at once.
+        let back_within = self.settings.params.workers.report() * BACK_REPORTS;
+        let many = self.many_silent_at.is_some_and(|at| now.saturating_duration_since(at) < back_within);
         let silence = if many { long } else { self.properties.silence };
         let mut condemn: Vec<(MachineId, &str)> =
             self.overdue(now).into_iter().map(|id| (id, "a withdrawn task is not proven gone")).collect();
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -279,6 +279,8 @@
     pub usage: HashMap<String, (f64, f64)>,
     raised: Instant,
     raise: bool,
+    /// When many machines were last silent together.
+    many_silent_at: Option<Instant>,
     /// When this controller last stood still.
     absent: Option<Gap>,
     /// When everything stored was read.
@@ -362,6 +364,7 @@
             usage: HashMap::new(),
             raised: now,
             raise: false,
+            many_silent_at: None,
             absent: None,
             loaded_at: now,
             observed: LruCache::new(MOST_CLASSES),
--- a/src/scheduling/tests/more_meetings.rs
+++ b/src/scheduling/tests/more_meetings.rs
@@ -679,3 +679,225 @@
         assert_eq!(play.live(&JOB.into()).len(), 2 + want, "zone {zone}, scattered {scattered}");
     }
 }
+
+// New machines are up within two seconds and get work at once while writes lag, and the leader ends.
+
+/// The write that binds has no answer; it is carried out at once, late (and then refused, since another is assigned),
+/// or never. Until it is known to stand nothing is launched, by the owner or by the deposed one; the heir knows all
+/// that stands and starts nothing that the deposed one may yet start.
+#[test]
+fn no_launch_before_its_binding_stands_whatever_the_heir_reads() {
+    for (stands, answered_at) in [true, false].into_iter().flat_map(|s| (0..8).map(move |at| (s, at))) {
+        let name = format!("stands {stands}, answered at {answered_at}");
+        let mut world = World::new(&["m1", "m2"], |j| (j.tasks, j.cpus) = (2, 4.0));
+        let mut old = world.owner();
+        // Rented, up, and work at once.
+        let kind = Kind { type_name: "c8".into(), zone: "a".into(), spot: false };
+        old.expect("m1", &kind, None, s(2.0), world.now);
+        drop(world.asks(&mut old, "m1"));
+        let decisions = plan::place(&mut old, &catalog(), world.now);
+        assert_eq!(decisions.len(), 2, "{name}");
+        old.bind_all(decisions, world.now);
+        let (_, writes) = old.next_writes(99, world.now);
+        assert_eq!(writes.len(), 1, "{name}");
+        let mut held: Vec<Direct> = Vec::new();
+        if stands {
+            world.stamp += 1;
+            world.chunk = Some((world.stamp, writes[0].tasks.clone()));
+        }
+        let mut heir = None;
+        for step in 0..16 {
+            world.now += s(0.5);
+            if step == answered_at && stands {
+                let stamp = world.chunk.as_ref().unwrap().0;
+                old.chunks_stored(&writes, stamp);
+            }
+            if step == 4 {
+                heir = Some(world.owner());
+            }
+            // The old one is not told that it was deposed, and goes on as long as the machine's token is its own.
+            let known = step >= answered_at && stands;
+            if world.workers["m1"].token <= old.token {
+                let answer = world.asks(&mut old, "m1");
+                assert!(known || launches(&answer.orders) == 0, "{name}, step {step}");
+                if step % 2 == 0 {
+                    world.hears(&answer);
+                }
+            }
+            for direct in old.direct_commands(world.now) {
+                assert!(known || launches(&direct.orders) == 0, "{name}, step {step}");
+                old.command_over(&direct.machine, direct.token, false, world.now);
+                held.push(direct);
+            }
+            if let Some(heir) = &mut heir {
+                if step == 4 {
+                    let usage = heir.usage.get("blue").copied().unwrap_or_default().0;
+                    assert_eq!(usage, if stands { 8.0 } else { 0.0 }, "{name}: the heir knows what stands");
+                }
+                if step >= 6 {
+                    world.turn(heir, "m1");
+                    world.turn(heir, "m2");
+                }
+                let decisions = plan::place(heir, &catalog(), world.now);
+                heir.bind_all(decisions, world.now);
+                world.store(heir);
+            }
+            // What was held up comes at every step after; the world checks what it starts.
+            if step >= 5 {
+                held.iter().for_each(|direct| drop(world.arrives(direct)));
+            }
+        }
+        let mut heir = heir.unwrap();
+        for _ in 0..8 {
+            world.turn(&mut heir, "m1");
+            world.turn(&mut heir, "m2");
+            let decisions = plan::place(&mut heir, &catalog(), world.now);
+            heir.bind_all(decisions, world.now);
+            world.store(&mut heir);
+        }
+        for index in 0..2 {
+            let live = world.workers.values().filter(|w| w.live(&task(index))).count();
+            assert_eq!(live, 1, "{name}: task {index} runs, once");
+        }
+    }
+}
+
+// All controllers are away for longer than a lease.
+
+/// The workers have killed their tasks and go on with the next session, all at once or one long after. What each had is
+/// placed again once it has heard the new owner, and none that reports is returned. Away for less, all goes on.
+#[test]
+fn after_all_controllers_were_away_past_the_lease_nothing_is_lost_or_returned() {
+    for (shape, away_s, late) in [
+        (Shape::Array, 20.0, false),
+        (Shape::Array, 30.0, false),
+        (Shape::Array, 30.0, true),
+        (Shape::Gang, 20.0, false),
+        (Shape::Gang, 30.0, true),
+        (Shape::Gang, 300.0, false),
+    ] {
+        let name = format!("{shape:?}, away {away_s} s, one late: {late}");
+        let names = ["m1", "m2", "m3"];
+        let mut play = Play::new(&names.map(|m| (m, "a")), |j| {
+            (j.shape, j.tasks, j.cpus, j.estimate_s) = (shape, 3, 8.0, 900.0);
+        });
+        play.plans = true;
+        play.run(6.0);
+        assert_eq!(play.live(&JOB.into()).len(), 3, "{name}");
+        // Nobody answers, commands, or takes anything in.
+        let lease = play.book.settings.params.workers.lease();
+        for _ in 0..(away_s / STEP) as usize {
+            play.world.now += s(STEP);
+            let now = play.world.now;
+            for m in names {
+                if now - play.world.workers[m].renewed.unwrap() > lease {
+                    play.world.lease_ends(m);
+                }
+            }
+        }
+        play.heir();
+        if late {
+            play.mute = vec!["m3"];
+            play.unreached = vec!["m3"];
+            play.run(9.0);
+            (play.mute, play.unreached) = (vec![], vec![]);
+        }
+        play.run(15.0);
+        let live = play.live(&JOB.into());
+        assert_eq!((live.len(), play.returned.len()), (3, 0), "{name}: {live:?}, returned {:?}", play.returned);
+        let attempts: Vec<u64> = (0..3).map(|i| on(&play.book, i).unwrap().0).collect();
+        let want = if away_s < 24.0 { 1 } else { 2 };
+        assert!(attempts.iter().all(|a| *a == want), "{name}: {attempts:?}");
+    }
+}
+
+// A zone with workers and a controller is cut off for longer than a lease.
+
+/// The owner outside goes on; within, workers find nobody who may act, or the deposed one goes on answering for a
+/// while. The zone comes back before or after its machines are given up; the withdrawn task in it is gone in time.
+#[test]
+fn a_zone_that_is_cut_off_past_the_lease_comes_back_and_runs_nothing_twice() {
+    for (cut_s, inside_s) in [(20.0, 0.0), (30.0, 0.0), (40.0, 0.0), (40.0, 20.0), (70.0, 0.0), (70.0, 40.0)] {
+        let name = format!("cut for {cut_s} s, the old owner within answers for {inside_s} s");
+        let (within, outside) = (["m1", "m2", "m3"], ["m5", "m6", "m7"]);
+        let machines: Vec<(&str, &str)> =
+            within.iter().map(|m| (*m, "a")).chain(outside.iter().map(|m| (*m, "b"))).collect();
+        let mut play = Play::new(&machines, |j| (j.tasks, j.cpus, j.estimate_s) = (5, 8.0, 900.0));
+        play.plans = true;
+        play.run(6.0);
+        let called_off = play.world.accept(&mut play.book, 2, |j| (j.zone, j.estimate_s) = (None, 900.0));
+        play.run(6.0);
+        assert_eq!((play.live(&JOB.into()).len(), play.live(&called_off).len()), (5, 1), "{name}");
+        let mut old = None;
+        if inside_s > 0.0 {
+            // Within is the old owner, without the store: it acts for its zone until it lets go.
+            let heir = play.world.owner();
+            old = Some(std::mem::replace(&mut play.book, heir));
+            play.listed();
+        }
+        (play.mute, play.unreached) = (within.into(), within.into());
+        for step in 0..(cut_s / STEP) as usize {
+            let t = step as f64 * STEP;
+            if t == 3.0 {
+                play.withdraw(&called_off);
+            }
+            if let Some(old) = old.as_mut().filter(|_| t < inside_s && step % REPORT_STEPS == 0) {
+                for m in within {
+                    if play.world.workers[m].gone {
+                        continue;
+                    }
+                    let answer = play.world.asks(old, m);
+                    assert_eq!(launches(&answer.orders), 0, "{name}");
+                    play.world.hears(&answer);
+                }
+            }
+            play.step();
+        }
+        (play.mute, play.unreached) = (vec![], vec![]);
+        let before = play.returned.len();
+        play.run(30.0);
+        let live = play.live(&JOB.into());
+        let left = play.world.workers.values().filter(|w| !w.gone).count();
+        assert_eq!(live.len(), left.min(5), "{name}: {live:?}, returned {:?}", play.returned);
+        assert_eq!(play.returned.len(), before, "{name}: none that is back is returned");
+        assert!(cut_s > 45.0 || left >= 5, "{name}: at most the one with what was withdrawn: {:?}", play.returned);
+    }
+}
+
+// Leaders change ten times in two minutes, also inside an outage.
+
+/// The machine of a withdrawn task hangs while owners come and go, with or without the store between: it is gone in
+/// time by the first withdrawal, and what runs on the others goes on.
+#[test]
+fn ten_leaders_in_two_minutes_begin_no_patience_anew_and_lose_nothing() {
+    for (gap_s, outage) in [(12.0, false), (12.0, true), (5.0, false), (2.0, true)] {
+        for goes_on_at in [8.0, 20.0, 1000.0] {
+            let name = format!("every {gap_s} s, outage {outage}, the machine goes on at {goes_on_at} s");
+            let mut play = Play::new(&[("m1", "a"), ("m2", "a"), ("m3", "a"), ("m4", "a")], |_| ());
+            play.world.place(&mut play.book, "m1");
+            play.reports("m1");
+            play.reports("m1");
+            let long = play.world.accept(&mut play.book, 2, |j| (j.tasks, j.cpus, j.estimate_s) = (3, 8.0, 900.0));
+            play.plans = true;
+            play.run(5.0);
+            assert_eq!(play.live(&long).len(), 3, "{name}");
+            play.withdraw(&JOB.into());
+            play.hang = vec!["m1"];
+            for step in 0..240 {
+                let t = f64::from(step) * STEP;
+                if t == goes_on_at {
+                    play.hang.clear();
+                }
+                if step > 0 && t % gap_s == 0.0 && t <= gap_s * 10.0 {
+                    play.heir();
+                }
+                play.store = !outage || !(10.0..30.0).contains(&t);
+                play.step();
+            }
+            let attempts: Vec<u64> = play.book.job(&long).unwrap().tasks.iter().map(|t| t.attempt).collect();
+            assert_eq!((play.live(&long).len(), attempts), (3, vec![1, 1, 1]), "{name}");
+            assert!(play.returned.iter().all(|m| *m == "m1"), "{name}: {:?}", play.returned);
+            assert_eq!(play.live(&JOB.into()), [], "{name}");
+        }
+    }
+}
