--- a/src/scheduling/tests/more_meetings.rs
+++ b/src/scheduling/tests/more_meetings.rs
@@ -901,3 +901,178 @@
         }
     }
 }
+
+// An old report reaches every controller just as a new leader begins.
+
+/// A copy of a report of each moment of a task's life comes to the owner, to its heir before it has read the store,
+/// after that, and once the worker has reported to it, and to the heir of that one: the task runs once, wherever, and
+/// what was done stays done.
+#[test]
+fn an_old_report_to_every_controller_as_a_new_leader_begins_changes_nothing() {
+    for (copied_at, again_on) in (0..5).flat_map(|at| ["m1", "m2"].map(|m| (at, m))) {
+        for done in [false, true] {
+            let name = format!("copied at {copied_at}, again on {again_on}, done: {done}");
+            let mut play = Play::new(&[("m1", "a"), ("m2", "a")], |j| j.tasks = 2);
+            let mut copies = Vec::new();
+            let mut copy = |play: &mut Play, step: usize| {
+                if step == copied_at {
+                    copies.push(play.world.report("m1"));
+                }
+            };
+            copy(&mut play, 0);
+            play.world.place_these(&mut play.book, &[0], "m1");
+            play.reports("m1");
+            copy(&mut play, 1);
+            play.reports("m1");
+            // Its first attempt ends, by a stop or by the end of a lease, and it runs again, here or there.
+            if copied_at == 3 {
+                play.world.lease_ends("m1");
+            } else {
+                play.book.halt(&task(0), 0, play.world.now);
+            }
+            for _ in 0..3 {
+                play.reports("m1");
+                copy(&mut play, 2);
+            }
+            play.world.place_these(&mut play.book, &[0], again_on);
+            for m in ["m1", "m2", "m1", "m2"] {
+                play.reports(m);
+            }
+            copy(&mut play, 3);
+            bound(&play.book, 0, 2, again_on);
+            assert_eq!(play.live(&JOB.into()), [(0, again_on)], "{name}");
+            if done {
+                play.world.exits(again_on, 0, 2, Cause::Done);
+                play.reports(again_on);
+                play.world.store(&mut play.book);
+            }
+            copy(&mut play, 4);
+            let arrive = |play: &mut Play| {
+                for copy in &copies {
+                    play.book.take_report(copy.clone(), Via::Report, None, play.world.now);
+                    // Whoever sent it waits for no answer.
+                    drop(play.book.orders_in_answer("m1", play.world.now));
+                }
+            };
+            arrive(&mut play);
+            play.plans = true;
+            for heir in 0..2 {
+                play.book = play.world.assigned();
+                arrive(&mut play);
+                play.world.load(&mut play.book);
+                play.listed();
+                arrive(&mut play);
+                play.step();
+                arrive(&mut play);
+                play.run(8.0);
+                arrive(&mut play);
+                play.run(8.0);
+                let live = play.live(&JOB.into());
+                let runs: Vec<u32> = live.iter().map(|(index, _)| *index).collect();
+                assert_eq!(runs, if done { vec![1] } else { vec![0, 1] }, "{name}, heir {heir}");
+                assert_eq!(play.book.job(&JOB.into()).unwrap().done, u64::from(done), "{name}, heir {heir}");
+                let attempt = play.book.job(&JOB.into()).unwrap().tasks[0].attempt;
+                assert_eq!(attempt, if done { 0 } else { 2 }, "{name}, heir {heir}: what is done has none");
+                assert_eq!(play.returned.len(), 0, "{name}, heir {heir}");
+            }
+        }
+    }
+}
+
+// A withdrawn task goes on after its machine hung.
+
+/// It hangs before, at or after the withdrawal, with the stop lying there or refused, and goes on within its lease: the
+/// task is stopped or its machine returned in time, whether or not the cloud answers and whoever owns by then.
+#[test]
+fn a_withdrawn_task_that_goes_on_after_a_hang_is_gone_in_time() {
+    for (hangs_at, hang_s) in
+        [-10.0, -1.0, 0.0, 0.5, 1.0].into_iter().flat_map(|at| [2.0, 8.0, 15.0, 22.0].map(|s| (at, s)))
+    {
+        for (stop_lies, cloud, heir) in
+            [(true, true, false), (true, false, false), (false, false, true), (true, false, true), (false, true, true)]
+        {
+            let name =
+                format!("hangs at {hangs_at} for {hang_s} s, stop lies: {stop_lies}, cloud {cloud}, heir {heir}");
+            let mut play = Play::new(&[("m1", "a"), ("m2", "a")], |_| ());
+            play.world.place(&mut play.book, "m1");
+            (play.reports("m1"), play.reports("m1"));
+            (play.cloud, play.plans) = (cloud, true);
+            play.unreached = if stop_lies { vec![] } else { vec!["m1"] };
+            for step in -24..140 {
+                let t = f64::from(step) * STEP;
+                if t == hangs_at {
+                    play.hang = vec!["m1"];
+                }
+                if t == 0.0 {
+                    play.withdraw(&JOB.into());
+                }
+                if t == 6.0 && heir {
+                    play.heir();
+                }
+                if t == hangs_at + hang_s {
+                    play.hang.clear();
+                }
+                play.step();
+            }
+            assert_eq!(play.live(&JOB.into()), [], "{name}");
+            assert!(!play.book.has_job(&JOB.into()) || !cloud, "{name}: proven gone");
+            assert!(!play.world.workers["m2"].gone, "{name}");
+        }
+    }
+}
+
+// One-task jobs come four a second for minutes, a quarter of them withdrawn.
+
+/// With a change of leaders in the middle: everything that could grow is small at each moment, and all are served.
+#[test]
+fn four_jobs_a_second_for_minutes_grow_nothing() {
+    let names = ["m1", "m2", "m3", "m4"];
+    let mut play = Play::new(&names.map(|m| (m, "a")), |j| j.estimate_s = 1.0);
+    play.plans = true;
+    let (mut jobs, mut last) = (1, Vec::new());
+    let mut started: BTreeMap<(TaskKey, u64), usize> = BTreeMap::new();
+    for step in 0..480 {
+        if step < 400 {
+            for _ in 0..2 {
+                jobs += 1;
+                let id = play.world.accept(&mut play.book, jobs, |j| j.estimate_s = 2.0);
+                last.push((step, id));
+            }
+        }
+        // Each fourth is called off, at once or while it runs.
+        for (at, id) in last.extract_if(.., |(at, _)| step >= *at + 3) {
+            if (at + id.len()) % 2 == 0 && id.ends_with(['0', '2', '4', '6', '8']) {
+                play.withdraw(&id);
+            }
+        }
+        if step == 200 {
+            play.heir();
+        }
+        for m in names {
+            for leg in play.world.workers[m].legs.clone().iter().filter(|l| l.status == LegStatus::Running) {
+                if step > *started.entry((leg.task.clone(), leg.attempt)).or_insert(step) + 4 {
+                    play.world.exits_of(m, &leg.task, leg.attempt, Cause::Done);
+                }
+            }
+        }
+        play.step();
+        drop(play.book.next_drops(1000));
+        for (what, n) in play.book.held() {
+            assert!(n <= 60, "{what} at step {step}: {n}");
+        }
+        assert!(play.world.workers.values().all(|w| w.legs.len() <= 40), "exits are reaped");
+    }
+    for id in play.world.more.keys() {
+        assert!(play.world.more[id].ended.is_some() || play.withdrawn.contains_key(id), "{id} was never served");
+    }
+    let withdrawn = play.withdrawn.len();
+    assert!(jobs == 801 && (150..250).contains(&withdrawn), "{withdrawn} of {jobs} were withdrawn");
+    let left: usize = play
+        .book
+        .held()
+        .into_iter()
+        .filter(|(what, _)| ["ending", "to_store", "to_drop"].contains(what))
+        .map(|(_, n)| n)
+        .sum();
+    assert_eq!((play.book.job_count(), left), (0, 0), "{:?}", play.book.held());
+}
