--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -283,6 +283,8 @@
     pub usage: HashMap<String, (f64, f64)>,
     raised: Instant,
     raise: bool,
+    /// When many machines were last silent together.
+    many_silent_at: Option<Instant>,
     /// When this controller last stood still.
     absent: Option<Gap>,
     /// When everything stored was read.
@@ -296,6 +298,8 @@
     pub holds: HashMap<MachineId, Hold>,
     /// Machines on which others were stopped for a job, until it has come there.
     pub reserved: HashMap<MachineId, Hold>,
+    /// Since when plans have kept room for a gang.
+    pub(super) keeping: Option<Instant>,
     /// Classes and teams that go first, by the account.
     pub below: Below,
     /// Whose fault failures are.
@@ -365,6 +369,7 @@
             usage: HashMap::new(),
             raised: now,
             raise: false,
+            many_silent_at: None,
             absent: None,
             loaded_at: now,
             observed: LruCache::new(MOST_CLASSES),
@@ -372,6 +377,7 @@
             large: Large::new(&properties, now),
             holds: HashMap::new(),
             reserved: HashMap::new(),
+            keeping: None,
             below: Below::default(),
             evidence: Evidence::default(),
             lane: Lane::default(),
--- a/src/scheduling/room.rs
+++ b/src/scheduling/room.rs
@@ -231,7 +231,7 @@
         && spec.types.as_ref().is_none_or(|t| t.iter().any(|t| t == type_name))
 }
 
-/// Up, sane, lately heard of, not known from what may be late copies alone, hearing, and free of tasks that should not be there.
+/// Up, sane, lately reporting, not known from what may be late copies alone, hearing, and free of tasks that should not be there.
 pub fn usable(machine: &Machine, suspect: Duration, now: Instant) -> bool {
     machine.standing == Standing::Up && sane(machine, suspect, now)
 }
@@ -247,15 +247,18 @@
         && machine.known
         && !machine.suspected
         && !machine.deaf
-        && now.saturating_duration_since(machine.heard) < suspect
+        && now.saturating_duration_since(machine.reported_at) < suspect
         && !machine.has_strays()
 }
 
-/// After this much silence a machine gets no new work.
+/// After this long without a report a machine gets no new work.
 pub fn suspect_after(book: &Book) -> Duration {
     book.settings.params.workers.report().mul_f64(SUSPECT_REPORTS)
 }
 
+/// The zone of a machine of which only the name is known.
+const UNKNOWN: &str = "";
+
 /// Where the tasks of one job are, for `samePlace` and `scatter`.
 pub struct Zones<'a> {
     spec: &'a JobSpec,
@@ -286,7 +289,9 @@
     }
 
     pub fn allow(&self, zone: &str) -> bool {
-        let here = self.counts.get(zone).copied().unwrap_or(0);
+        // What an heir has inherited on machines of which nobody has told it more than their names may be anywhere.
+        let unknown = if zone == UNKNOWN { 0 } else { self.counts.get(UNKNOWN).copied().unwrap_or(0) };
+        let here = self.counts.get(zone).copied().unwrap_or(0) + unknown;
         (!self.spec.same_zone || self.counts.iter().all(|(z, n)| *n == 0 || *z == zone))
             && (!self.spec.spread || here < self.spec.tasks.div_ceil(2))
     }
--- a/src/scheduling/tests.rs
+++ b/src/scheduling/tests.rs
@@ -2,6 +2,7 @@
 
 mod hearing;
 mod meetings;
+mod more_meetings;
 mod watermark;
 
 use std::collections::HashMap;
@@ -9,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 mod wishes;
+mod world;
 
 use super::book::{Book, Standing, Via};
 use super::plan;
