A repeat of an accepted job is never refused for good, whatever its body says

It is now refused only once the store says that there is no such job, as was done for 422 already; a node that cannot ask says 503. A body without an id that can be read is refused as before.

--- a/src/users/mod.rs
+++ b/src/users/mod.rs
@@ -6,6 +6,7 @@
 use salvo::conn::tcp::{TcpAcceptor, TcpListener};
 use salvo::http::StatusCode;
 use salvo::prelude::*;
+use serde::Deserialize;
 use tracing::{debug, info};
 
 use crate::history::desk::Verdict;
@@ -148,14 +149,31 @@
     if fits { Ok(()) } else { Err("a task fits no allowed machine type".into()) }
 }
 
+/// Which job a submission speaks of, whatever else is wrong with it.
+#[derive(Deserialize)]
+struct Named {
+    #[serde(rename = "uid")]
+    id: String,
+}
+
+/// A submission that is refused for good, unless its job was accepted: that stays so, whoever accepted it and
+/// whatever its repeat says.
+async fn unless_accepted(node: &Node, id: &str, status: u16, problem: String) -> Reply {
+    match look_up(node, id).await {
+        Reply::Problem(404, _) => Reply::Problem(status, problem),
+        other => other,
+    }
+}
+
 async fn submit(node: &Node, body: &[u8]) -> Reply {
-    let spec = match wire::decode::<JobSpec>(body) {
+    let read = wire::decode::<JobSpec>(body).map_err(|e| e.to_string());
+    let spec = match read.and_then(|spec| spec.check().map(|()| spec)) {
         Ok(spec) => spec,
-        Err(error) => return Reply::Problem(400, error.to_string()),
+        Err(problem) => {
+            let Ok(named) = wire::decode::<Named>(body) else { return Reply::Problem(400, problem) };
+            return unless_accepted(node, &named.id, 400, problem).await;
+        }
     };
-    if let Err(problem) = spec.check() {
-        return Reply::Problem(400, problem);
-    }
     if !lock(&node.mirror).ready {
         return Reply::later("the state service has not been read yet");
     }
@@ -167,11 +185,7 @@
         return Reply::later("the machine types are not known yet");
     };
     if let Err(problem) = can_ever_run(&spec, &node.settings, &catalog) {
-        // What was accepted once stays accepted, whoever accepted it.
-        return match look_up(node, &id).await {
-            Reply::Problem(404, _) => Reply::Problem(422, problem),
-            other => other,
-        };
+        return unless_accepted(node, &id, 422, problem).await;
     }
     accept(node, spec).await
 }
@@ -194,7 +208,7 @@
     let record = JobRecord { spec, at_ms: time_of_day_ms() };
     let size = serde_json::to_vec(&record).map_or(usize::MAX, |v| v.len().saturating_add(ENDED_EXTRA));
     if size as f64 > limits.state.value_kb * 1024.0 {
-        return Reply::Problem(400, "the job is larger than can be kept".into());
+        return unless_accepted(node, &id, 400, "the job is larger than can be kept".into()).await;
     }
     if !can_hold(&record.spec, open, limits.limits.memory_mb) {
         // A retry of a job that is already held must not be told so.
