--- a/src/scheduling/tests/more_meetings.rs
+++ b/src/scheduling/tests/more_meetings.rs
@@ -363,7 +363,7 @@
 /// it. Until it is, nothing is decided; then it counts, and no record means that nothing of its team starts.
 #[test]
 fn what_an_heir_reads_of_ended_jobs_counts_before_anything_is_placed() {
-    let mut play = Play::new(&[("m1", "a"), ("m2", "a"), ("m3", "a")], |j| {
+    let mut play = Play::new(&[("m1", "a"), ("m2", "a"), ("m3", "a"), ("m4", "a"), ("m5", "a")], |j| {
         (j.tasks, j.cpus, j.team) = (5, 4.0, "red".into());
     });
     for (indices, m) in [([0, 1].as_slice(), "m1"), (&[2, 3], "m2"), (&[4], "m3")] {
@@ -377,7 +377,7 @@
     (play.mute, play.unreached) = (vec!["m1", "m2", "m3"], vec!["m1", "m2", "m3"]);
     play.listed();
     // Reports come before everything is read, and are answered with nothing to start.
-    for m in ["m1", "m2", "m3"] {
+    for m in ["m1", "m2", "m3", "m4", "m5"] {
         let answer = play.world.asks(&mut play.book, m);
         assert!(answer.orders.is_empty());
     }
@@ -817,17 +817,29 @@
 /// while. The zone comes back before or after its machines are given up; the withdrawn task in it is gone in time.
 #[test]
 fn a_zone_that_is_cut_off_past_the_lease_comes_back_and_runs_nothing_twice() {
-    for (cut_s, inside_s) in [(20.0, 0.0), (30.0, 0.0), (40.0, 0.0), (40.0, 20.0), (70.0, 0.0), (70.0, 40.0)] {
-        let name = format!("cut for {cut_s} s, the old owner within answers for {inside_s} s");
-        let (within, outside) = (["m1", "m2", "m3"], ["m5", "m6", "m7"]);
+    for (cut_s, inside_s, changes) in [
+        (20.0, 0.0, false),
+        (30.0, 0.0, false),
+        (40.0, 0.0, false),
+        (40.0, 20.0, false),
+        (70.0, 0.0, false),
+        (70.0, 40.0, false),
+        (70.0, 70.0, false),
+        (70.0, 70.0, true),
+    ] {
+        let name = format!("cut for {cut_s} s, the old owner within answers for {inside_s} s, changes: {changes}");
+        let (within, outside) = (["m1", "m2", "m3", "m4"], ["m5", "m6", "m7"]);
         let machines: Vec<(&str, &str)> =
             within.iter().map(|m| (*m, "a")).chain(outside.iter().map(|m| (*m, "b"))).collect();
-        let mut play = Play::new(&machines, |j| (j.tasks, j.cpus, j.estimate_s) = (5, 8.0, 900.0));
+        let mut play = Play::new(&machines, |j| (j.tasks, j.cpus, j.estimate_s) = (6, 8.0, 900.0));
+        // Of the seven one, within, runs what is withdrawn.
+        let first = |j: &mut JobSpec| (j.zone, j.cpus, j.estimate_s) = (Some("a".into()), 8.0, 900.0);
+        let called_off = play.world.accept(&mut play.book, 2, first);
+        let key = TaskKey { job: called_off.clone(), index: 0 };
+        play.book.bind_all(vec![plan::Placement { task: key, attempt: 1, machine: "m1".into() }], play.world.now);
         play.plans = true;
         play.run(6.0);
-        let called_off = play.world.accept(&mut play.book, 2, |j| (j.zone, j.estimate_s) = (None, 900.0));
-        play.run(6.0);
-        assert_eq!((play.live(&JOB.into()).len(), play.live(&called_off).len()), (5, 1), "{name}");
+        assert_eq!((play.live(&JOB.into()).len(), play.live(&called_off).len()), (6, 1), "{name}");
         let mut old = None;
         if inside_s > 0.0 {
             // Within is the old owner, without the store: it acts for its zone until it lets go.
@@ -838,9 +850,12 @@
         (play.mute, play.unreached) = (within.into(), within.into());
         for step in 0..(cut_s / STEP) as usize {
             let t = step as f64 * STEP;
-            if t == 3.0 {
+            if t == 0.5 {
                 play.withdraw(&called_off);
             }
+            if changes && t > 0.0 && t % 12.0 == 0.0 {
+                play.heir();
+            }
             if let Some(old) = old.as_mut().filter(|_| t < inside_s && step % REPORT_STEPS == 0) {
                 for m in within {
                     if play.world.workers[m].gone {
@@ -858,9 +873,10 @@
         play.run(30.0);
         let live = play.live(&JOB.into());
         let left = play.world.workers.values().filter(|w| !w.gone).count();
-        assert_eq!(live.len(), left.min(5), "{name}: {live:?}, returned {:?}", play.returned);
-        assert_eq!(play.returned.len(), before, "{name}: none that is back is returned");
-        assert!(cut_s > 45.0 || left >= 5, "{name}: at most the one with what was withdrawn: {:?}", play.returned);
+        assert_eq!(live.len(), left.min(6), "{name}: {live:?}, returned {:?}", play.returned);
+        let back = &play.returned[before..];
+        assert!(back.iter().all(|m| *m == "m1"), "{name}: none that is back, but for what was withdrawn: {back:?}");
+        assert!(cut_s > 45.0 || left >= 6, "{name}: at most the one with what was withdrawn: {:?}", play.returned);
     }
 }
 
@@ -1056,7 +1072,8 @@
             }
         }
         play.step();
-        drop(play.book.next_drops(1000));
+        let kept = play.world.drop_chunks(&mut play.book);
+        assert!(kept <= 20, "chunks of jobs that are over: {kept}");
         for (what, n) in play.book.held() {
             assert!(n <= 60, "{what} at step {step}: {n}");
         }
@@ -1074,5 +1091,6 @@
         .filter(|(what, _)| ["ending", "to_store", "to_drop"].contains(what))
         .map(|(_, n)| n)
         .sum();
-    assert_eq!((play.book.job_count(), left), (0, 0), "{:?}", play.book.held());
+    let kept = play.world.drop_chunks(&mut play.book);
+    assert_eq!((play.book.job_count(), left, kept), (0, 0, 0), "{:?}", play.book.held());
 }
--- a/src/scheduling/tests/world.rs
+++ b/src/scheduling/tests/world.rs
@@ -342,6 +342,15 @@
         }
     }
 
+    /// Chunks of jobs that are over go; how many of such are left.
+    pub(super) fn drop_chunks(&mut self, book: &mut Book) -> usize {
+        for (id, chunk) in book.next_drops(1000) {
+            assert!(chunk == 0 && self.over(&id), "{id}: what is open is kept");
+            *self.chunk_of(&id) = None;
+        }
+        self.more.values().filter(|kept| kept.ended.is_some() && kept.chunk.is_some()).count()
+    }
+
     pub(super) fn raise(&mut self, book: &mut Book) -> bool {
         let wanted = book.raise_wanted(self.now);
         if wanted {
