--- a/src/scheduling/interleavings/meetings.rs
+++ b/src/scheduling/interleavings/meetings.rs
@@ -211,7 +211,7 @@
 fn seeds() -> std::ops::Range<u64> {
     match std::env::var("MEETINGS_SEED").ok().and_then(|seed| seed.parse().ok()) {
         Some(seed) => seed..seed + 1,
-        None => 0..44,
+        None => 0..56,
     }
 }
 
