--- a/src/scheduling/tests/more_meetings.rs
+++ b/src/scheduling/tests/more_meetings.rs
@@ -112,7 +112,7 @@
         }
         for (n, m) in names.iter().enumerate() {
             let silent = self.world.workers[m].gone || self.mute.contains(m) || hang.contains(m);
-            if (self.steps + n) % REPORT_STEPS == 0 && !silent {
+            if (self.steps + n).is_multiple_of(REPORT_STEPS) && !silent {
                 self.reports(m);
             }
         }
@@ -482,7 +482,7 @@
                 j.zone = rng.random_bool(0.1).then(|| "a".into()).filter(|_| !j.spread);
                 j.estimate_s =
                     if shape == Shape::Service { 0.0 } else { [5.0, 30.0, 300.0][rng.random_range(0..3usize)] };
-                j.due_s = rng.random_bool(0.4).then(|| j.estimate_s * 2.0 + 20.0);
+                j.due_s = rng.random_bool(0.4).then_some(j.estimate_s * 2.0 + 20.0);
                 (j.checkpoint_s, j.save_s) = if rng.random_bool(0.5) { (30.0, 2.0) } else { (0.0, 0.0) };
             });
             if rng.random_bool(0.15) {
@@ -670,7 +670,8 @@
         assert_eq!(play.live(&JOB.into()).len(), 2);
         (play.mute, play.unreached) = (vec!["m1"], vec!["m1"]);
         play.book = play.world.owner();
-        (play.reports("m2"), play.reports("m2"));
+        play.reports("m2");
+        play.reports("m2");
         play.plans = true;
         play.run(4.0);
         assert_eq!(play.live(&JOB.into()).len(), 2, "zone {zone}, scattered {scattered}: nothing is known yet");
@@ -1011,7 +1012,8 @@
                 format!("hangs at {hangs_at} for {hang_s} s, stop lies: {stop_lies}, cloud {cloud}, heir {heir}");
             let mut play = Play::new(&[("m1", "a"), ("m2", "a")], |_| ());
             play.world.place(&mut play.book, "m1");
-            (play.reports("m1"), play.reports("m1"));
+            play.reports("m1");
+            play.reports("m1");
             (play.cloud, play.plans) = (cloud, true);
             play.unreached = if stop_lies { vec![] } else { vec!["m1"] };
             for step in -24..140 {
