Who stood still before it had read anything waits for the store, and spins no more

A proof of freshness for a mirror that is not read fails at once. After a standstill every beat asks for the next proof, and the loop that gives them beats itself: it went round without a pause until the store answered, half a million times in two seconds (tests/unread_standstill.rs, which fails without the pause).

--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -118,6 +118,8 @@
         let asking = lock(&node.mirror).asking();
         let Some(revision) = asking else {
             node.fresh.failed.send_replace(ticket);
+            // After a standstill each beat asks for a proof anew, the one above too.
+            tokio::time::sleep(FRESH_GAP).await;
             continue;
         };
         match changes_now(&node, revision).await {
--- /dev/null
+++ b/tests/unread_standstill.rs
@@ -0,0 +1,42 @@
+//! A controller that stood still before it had read anything, while the state service answers nobody: it waits, and
+//! takes no processor time from those who share its machine.
+
+// A stand-in that panics fails its test, as it should.
+#![allow(clippy::unwrap_used)]
+
+mod stand_in;
+
+use stand_in::{Controller, open_world, settings, until};
+use std::time::{Duration, Instant};
+use tokio::runtime::Runtime;
+
+const WATCHED: Duration = Duration::from_secs(2);
+/// Proofs of freshness that are given up in that time: two a second are asked for anyhow, and a beat before a judgement
+/// by time asks for one more, four times a second and a few.
+const FEW: usize = 60;
+
+#[test]
+fn who_stood_still_before_it_had_read_anything_waits_for_the_store() {
+    let outside = Runtime::new().unwrap();
+    let (world, door) = outside.block_on(open_world());
+    world.state.lock().unwrap().store.set_refused("0", true);
+    let a = Controller::start(&world, &settings("node-a", &[], &door));
+    outside.block_on(async {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        assert!(a.node.mirror.lock().unwrap().asking().is_none(), "nothing is read yet");
+        a.node.beat(Instant::now() + Duration::from_secs(5));
+        assert!(a.node.unproven(), "it stood still for longer than a lease of the leader");
+
+        let mut given_up = a.node.fresh.failed.subscribe();
+        let until_then = Instant::now() + WATCHED;
+        let mut seen = 0;
+        while let Ok(told) = tokio::time::timeout_at(until_then.into(), given_up.changed()).await {
+            told.unwrap();
+            seen += 1;
+        }
+        assert!(seen <= FEW, "{seen} proofs given up in {WATCHED:?}");
+
+        world.state.lock().unwrap().store.set_refused("0", false);
+        until("proven once the store answers", || async { !a.node.unproven() && a.node.watermark().is_some() }).await;
+    });
+}
