An heir counts machines it has not heard of for every zone of a scattered job

A binding that an heir reads names a machine and no zone; until its worker reports or the cloud lists it, its zone is unknown, and it counted for none: the heir placed more than half of a scattered job's tasks in one zone (wrong_place) within a second of taking over.

--- a/src/scheduling/room.rs
+++ b/src/scheduling/room.rs
@@ -256,6 +256,9 @@
     book.settings.params.workers.report().mul_f64(SUSPECT_REPORTS)
 }
 
+/// The zone of a machine that is known by its bindings alone.
+const UNHEARD: &str = "";
+
 /// Where the tasks of one job are, for `samePlace` and `scatter`.
 pub struct Zones<'a> {
     spec: &'a JobSpec,
@@ -268,9 +271,7 @@
         if job.spec().same_zone || job.spec().spread {
             for index in &job.bound {
                 let machine = job.binding(*index).and_then(|b| book.machines.get(&b.machine));
-                if let Some(machine) = machine {
-                    *counts.entry(machine.zone.as_str()).or_default() += 1;
-                }
+                *counts.entry(machine.map_or(UNHEARD, |m| m.zone.as_str())).or_default() += 1;
             }
         }
         Self { spec: job.spec(), counts }
@@ -286,7 +287,9 @@
     }
 
     pub fn allow(&self, zone: &str) -> bool {
-        let here = self.counts.get(zone).copied().unwrap_or(0);
+        // A machine that an heir has not heard of yet may be in any zone.
+        let in_zone = |z: &str| self.counts.get(z).copied().unwrap_or(0);
+        let here = in_zone(zone) + in_zone(UNHEARD);
         (!self.spec.same_zone || self.counts.iter().all(|(z, n)| *n == 0 || *z == zone))
             && (!self.spec.spread || here < self.spec.tasks.div_ceil(2))
     }
--- a/src/scheduling/tests/meetings.rs
+++ b/src/scheduling/tests/meetings.rs
@@ -1071,3 +1071,29 @@
         assert_eq!(book.overdue(world.now + s(after)).len(), usize::from(due), "{name}");
     }
 }
+
+// Meeting 2 again, for jobs that are scattered over zones.
+
+/// Two of four tasks are on a machine that the heir has not heard of, in a zone that it does not know: nothing of the job
+/// is placed where it might make three, and the rest goes to the other zone once it is heard where they are.
+#[test]
+fn what_an_heir_has_not_heard_of_counts_in_every_zone() {
+    let now = Instant::now();
+    for (zone, other) in [("a", "m3"), ("b", "m2")] {
+        let mut book = Book::new(7, example(), Properties::default(), now);
+        let mut job = spec();
+        job.id = JOB.into();
+        (job.tasks, job.spread) = (4, true);
+        let stored = (0..4).map(|i| if i < 2 { Stored::Bound(1, "m1".into()) } else { Stored::Untouched }).collect();
+        book.load_job(Arc::new(JobRecord { spec: job, at_ms: time_of_day_ms() }), vec![(0, 5, stored)], now);
+        book.finish_load(now);
+        book.take_report(report("m2", "c8", "a", false, 1, vec![]), Via::Report, None, now);
+        book.take_report(report("m3", "c8", "b", false, 1, vec![]), Via::Report, None, now);
+        assert_eq!(placed(&mut book, now), [], "m1 in {zone} is not heard of");
+        let legs = (0..2)
+            .map(|i| Leg { task: task(i), attempt: 1, status: LegStatus::Running, cause: None, saved: None })
+            .collect();
+        book.take_report(report("m1", "c8", zone, false, 1, legs), Via::Report, None, now);
+        assert_eq!(placed(&mut book, now), [(2, other.into()), (3, other.into())], "m1 is in {zone}");
+    }
+}
