--- a/src/scheduling/room.rs
+++ b/src/scheduling/room.rs
@@ -271,9 +271,7 @@
         if job.spec().same_zone || job.spec().spread {
             for index in &job.bound {
                 let machine = job.binding(*index).and_then(|b| book.machines.get(&b.machine));
-                if let Some(machine) = machine {
-                    *counts.entry(machine.zone.as_str()).or_default() += 1;
-                }
+                *counts.entry(machine.map_or(UNKNOWN, |m| m.zone.as_str())).or_default() += 1;
             }
         }
         Self { spec: job.spec(), counts }
