--- a/src/scheduling/tests/meetings.rs
+++ b/src/scheduling/tests/meetings.rs
@@ -5,6 +5,7 @@
 use super::world::*;
 use super::*;
 use crate::jobs::End;
+use crate::jobs::record::Stored;
 use crate::scheduling::plan::Placement;
 use crate::wire::workers::{Cause, Order};
 
