An idle job of which nothing runs begins wherever it fits after 60 s

Cause: idle work keeps out of the way by the kind of machine and by what else is on it; where nothing is rented and no machine comes free that was for ever. Now such a job begins with one task in any room; whoever is more urgent stops it as ever.

--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -62,6 +62,13 @@
     pub most: usize,
 }
 
+impl Turn<'_> {
+    /// Idle work of which nothing runs and that has waited for so long that it may begin wherever it fits.
+    fn begins(&self) -> bool {
+        self.rank == Rank::Idle && self.job.bound.is_empty() && self.age >= filler::BEGINS_AFTER
+    }
+}
+
 /// What fails everywhere last of all; else teams short of their guarantee first, then who is below the floor and can still be in time, then
 /// by return; work of no return by age.
 pub fn queue(book: &Book, now: Instant) -> Vec<Turn<'_>> {
@@ -210,6 +217,7 @@
     apt_only: bool,
     /// Since it came.
     waited: Duration,
+    begins: bool,
     share: f64,
     task_return: f64,
     hard: bool,
@@ -246,6 +254,7 @@
             filler,
             apt_only: false,
             waited: age,
+            begins: turn.begins(),
             share: sla::share(agreement.run, agreement.deadline.saturating_sub(age), agreement.cores),
             task_return: agreement.task_return(age + agreement.run),
             hard: agreement.within_reach(age),
@@ -266,7 +275,8 @@
         self.is_open(room.kind)
             && match &self.filler {
                 Some(filler) => {
-                    filler.may_use(self.job.spec(), room, self.waited)
+                    let spec = self.job.spec();
+                    (filler.may_use(spec, room, self.waited) || (self.begins && Filler::may_begin(spec, room)))
                         && (!room.leaving || !self.job.lost_starts(MOST_LEFT))
                 }
                 None => !room.leaving,
@@ -692,6 +702,9 @@
         if turn.suspected && !spec.is_gang() {
             most = most.min(PROBES.saturating_sub(job.bound.len()));
         }
+        if turn.begins() && !spec.is_gang() {
+            most = most.min(1);
+        }
         if most == 0 {
             continue;
         }
