Reverted: an idle job of which nothing runs begins wherever it fits after 60 s

the_largest_idle_arrays_begin_with_one_task failed ([2, 1, 1] where one task of each is asked for): an array whose first task was done began a second while fresh work waited for all machines. That test is right, idle work is behind all else.

--- a/src/scheduling/filler.rs
+++ b/src/scheduling/filler.rs
@@ -16,8 +16,6 @@
 /// A task that takes no more than this part of a machine is tiny, and waits this long for a better place.
 const TINY: f64 = 1.0 / 32.0;
 const TINY_WAITS: Duration = Duration::from_secs(15);
-/// An idle job of which nothing runs begins wherever it fits after this long.
-pub const BEGINS_AFTER: Duration = Duration::from_secs(60);
 /// The part of a machine that idle work may take beside anything else.
 const LITTLE: f64 = 1.0 / 16.0;
 /// Idle tasks need about this long to be gone, saving and reports included: so much of the arrivals of
@@ -100,7 +98,8 @@
         if room.kept {
             return false;
         }
-        if !Self::may_begin(spec, room) || !self.leaves_room(spec, room) {
+        // Of a machine that is being left it has what the rest leaves over, and saves when that is gone.
+        if room.leaving && spec.checkpoint_s <= 0.0 {
             return false;
         }
         // Machines that it uses as they are it has whole, so that whole ones come free when it gives way; of
@@ -111,21 +110,10 @@
         // What is tiny and has waited takes any hole that nobody waits for.
         let tiny = spec.cpus <= room.of.cpus * TINY && spec.memory_gb <= room.of.memory_gb * TINY;
         let whole = apt && !room.leaving;
-        whole == alone || (whole && (little || (tiny && waited >= TINY_WAITS)))
-    }
-
-    /// Whether an idle job of which nothing runs may begin in this room with one task, wherever that is: it has waited
-    /// for `BEGINS_AFTER`, and where nothing is rented and no machine comes free it would wait for ever. Whoever is more
-    /// urgent stops it.
-    pub fn may_begin(spec: &JobSpec, room: &Room) -> bool {
-        // Of a machine that is being left it has what the rest leaves over, and saves when that is gone.
-        !room.leaving || spec.checkpoint_s > 0.0
-    }
-
-    /// Whether nobody who waits would fit there but for this.
-    fn leaves_room(&self, spec: &JobSpec, room: &Room) -> bool {
+        if whole != alone && !(whole && (little || (tiny && waited >= TINY_WAITS))) {
+            return false;
+        }
         // What is free here but for idle work would be taken from who waits for it.
-        let free = room.without_idle();
         let mut after = *room;
         after.take(spec);
         !self.wanted.iter().any(|w| w.open.get(room.kind) == Some(&true) && w.fits(&free) && !w.fits(&after))
--- a/src/scheduling/plan.rs
+++ b/src/scheduling/plan.rs
@@ -62,13 +62,6 @@
     pub most: usize,
 }
 
-impl Turn<'_> {
-    /// Idle work of which nothing runs and that has waited for so long that it may begin wherever it fits.
-    fn begins(&self) -> bool {
-        self.rank == Rank::Idle && self.job.bound.is_empty() && self.age >= filler::BEGINS_AFTER
-    }
-}
-
 /// What fails everywhere last of all; else teams short of their guarantee first, then who is below the floor and can still be in time, then
 /// by return; work of no return by age.
 pub fn queue(book: &Book, now: Instant) -> Vec<Turn<'_>> {
@@ -217,7 +210,6 @@
     apt_only: bool,
     /// Since it came.
     waited: Duration,
-    begins: bool,
     share: f64,
     task_return: f64,
     hard: bool,
@@ -254,7 +246,6 @@
             filler,
             apt_only: false,
             waited: age,
-            begins: turn.begins(),
             share: sla::share(agreement.run, agreement.deadline.saturating_sub(age), agreement.cores),
             task_return: agreement.task_return(age + agreement.run),
             hard: agreement.within_reach(age),
@@ -275,8 +266,7 @@
         self.is_open(room.kind)
             && match &self.filler {
                 Some(filler) => {
-                    let spec = self.job.spec();
-                    (filler.may_use(spec, room, self.waited) || (self.begins && Filler::may_begin(spec, room)))
+                    filler.may_use(self.job.spec(), room, self.waited)
                         && (!room.leaving || !self.job.lost_starts(MOST_LEFT))
                 }
                 None => !room.leaving,
@@ -702,9 +692,6 @@
         if turn.suspected && !spec.is_gang() {
             most = most.min(PROBES.saturating_sub(job.bound.len()));
         }
-        if turn.begins() && !spec.is_gang() {
-            most = most.min(1);
-        }
         if most == 0 {
             continue;
         }
