--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -74,7 +74,7 @@
     pub revision: u64,
 }
 
-/// The names alone of such a part.
+/// The names and versions alone of such a part.
 #[derive(Debug, Deserialize)]
 pub struct Names {
     pub items: Vec<Name>,
@@ -84,6 +84,7 @@
 #[derive(Debug, Deserialize)]
 pub struct Name {
     pub path: String,
+    pub stamp: u64,
 }
 
 /// One change as a watch tells it: a key written or dropped.
--- a/src/history/desk.rs
+++ b/src/history/desk.rs
@@ -9,6 +9,7 @@
 
 use super::ends::Ends;
 use super::moves::{Place, place_of};
+use super::visibility::{Visibility, Visible, visible};
 use crate::jobs::{End, JobId};
 
 /// Questions that wait, of all jobs together; each also holds a connection.
@@ -36,6 +37,7 @@
 
 pub struct Desk<W> {
     ends: Ends,
+    visibility: Visibility,
     /// Jobs in the order in which they were first asked about, and who waits for each.
     queue: VecDeque<(JobId, Instant)>,
     waiting: HashMap<JobId, Vec<W>>,
@@ -70,7 +72,14 @@
 impl<W> Desk<W> {
     /// `batch` jobs at the most are asked about at once.
     pub fn new(batch: usize) -> Self {
-        Self { ends: Ends::default(), queue: VecDeque::new(), waiting: HashMap::new(), waiters: 0, batch: batch.max(1) }
+        Self {
+            ends: Ends::default(),
+            visibility: Visibility::default(),
+            queue: VecDeque::new(),
+            waiting: HashMap::new(),
+            waiters: 0,
+            batch: batch.max(1),
+        }
     }
 
     /// How a job ended, if that was told lately.
@@ -83,6 +92,48 @@
         self.ends.put(id, end);
     }
 
+    /// A withdrawal was stored at this revision, or before.
+    pub fn note_withdrawal(&mut self, id: &JobId, stamp: u64) {
+        self.ends.put(id, End::Withdrawn);
+        if !self.ends.shown(id) {
+            self.visibility.stored_at(id, stamp);
+        }
+    }
+
+    /// A withdrawal stands in the owner's loaded book.
+    pub fn show(&mut self, id: &JobId) {
+        self.ends.put(id, End::Withdrawn);
+        self.ends.show(id);
+        // An id that cannot be held there goes on being judged by its stamp.
+        if self.ends.shown(id) {
+            self.visibility.forget(id);
+        }
+    }
+
+    /// An owner's loaded book holds all ends up to this revision.
+    pub fn advance(&mut self, watermark: u64) {
+        self.visibility.advance(watermark);
+    }
+
+    pub fn watermark(&self) -> u64 {
+        self.visibility.watermark()
+    }
+
+    /// Whether users may hear of this end.
+    pub fn visible(&mut self, id: &JobId, end: End) -> Visible {
+        let (stamp, watermark) = (self.visibility.stamp(id), self.visibility.watermark());
+        let found = visible(end, self.ends.shown(id), stamp, watermark);
+        if found == Visible::Yes && end == End::Withdrawn {
+            self.show(id);
+        }
+        found
+    }
+
+    /// Withdrawals that wait for a watermark.
+    pub fn hidden(&self) -> usize {
+        self.visibility.waiting()
+    }
+
     /// So many wait that some may be refused soon.
     pub fn pressed(&self) -> bool {
         self.queue.len() >= self.batch * MOST_BATCHES / 2
--- a/src/history/mod.rs
+++ b/src/history/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! `moves` holds the transactions that take a job from key to key, `desk` the questions about jobs
 //! that are not known to be open, `reader` asks the store for them in batches, `ends` keeps how jobs
-//! ended at hand, `sweep` reads many ends at once when many are asked about, and `upgrade` takes
-//! over what earlier builds have stored. The argument is in docs/history.md.
+//! ended at hand, `visibility` says which withdrawals users may hear of, `sweep` reads many ends at once when
+//! many are asked about, and `upgrade` takes over what earlier builds have stored. The argument is in
+//! docs/history.md.
 
 pub mod desk;
 pub mod ends;
@@ -14,4 +15,7 @@
 #[cfg(test)]
 mod reckoning;
 pub mod sweep;
+#[cfg(test)]
+mod tests;
 pub mod upgrade;
+pub mod visibility;
--- a/src/history/reader.rs
+++ b/src/history/reader.rs
@@ -10,12 +10,13 @@
 use super::desk::{Batch, Desk, Verdict};
 use super::moves::{self, not_there};
 use super::sweep::Sweep;
-use crate::jobs::record::{JobRecord, OldEnd, old_end_key, old_job_key};
+use super::visibility::Visible;
+use crate::jobs::record::{JobRecord, OldEnd, ended_key, old_end_key, old_job_key};
 use crate::jobs::{End, JobId};
 use crate::node::Node;
 use crate::settings::Settings;
 use crate::store::budget::Urgent;
-use crate::store::{StoreError, TxnOutcome};
+use crate::store::{StateClient, StoreError, TxnOutcome};
 use crate::sync::lock;
 
 type Waiter = oneshot::Sender<Verdict>;
@@ -56,9 +57,56 @@
         lock(&self.desk).note_end(id, end);
     }
 
-    pub fn note_ends<'a>(&self, ends: impl Iterator<Item = (&'a str, End)>) {
+    /// Ends with the revisions at which they were stored.
+    pub fn note_ends<'a>(&self, ends: impl Iterator<Item = (&'a str, End, u64)>) {
         let mut desk = lock(&self.desk);
-        ends.for_each(|(id, end)| desk.note_end(id, end));
+        for (id, end, stamp) in ends {
+            match end {
+                End::Done => desk.note_end(id, end),
+                End::Withdrawn => desk.note_withdrawal(&id.into(), stamp),
+            }
+        }
+    }
+
+    /// A withdrawal that was stored at this revision, or before.
+    pub fn note_withdrawal(&self, id: &JobId, stamp: u64) {
+        lock(&self.desk).note_withdrawal(id, stamp);
+    }
+
+    /// A withdrawal that stands in this owner's loaded book.
+    pub fn show(&self, id: &JobId) {
+        lock(&self.desk).show(id);
+    }
+
+    /// An owner's loaded book holds all ends up to this revision.
+    pub fn advance(&self, watermark: u64) {
+        lock(&self.desk).advance(watermark);
+    }
+
+    /// The highest watermark of any owner that was heard of here.
+    pub fn watermark(&self) -> u64 {
+        lock(&self.desk).watermark()
+    }
+
+    /// Whether users may hear of this end (`visibility`).
+    pub fn visible(&self, id: &JobId, end: End) -> Visible {
+        lock(&self.desk).visible(id, end)
+    }
+
+    /// Asks the state service when a withdrawal was stored, for whoever was told of it without.
+    pub async fn learn_stamp(&self, store: &StateClient, id: &JobId) -> Result<(), StoreError> {
+        for key in [ended_key(id, End::Withdrawn), old_end_key(id)] {
+            if let Some(item) = store.get(&key, Urgent::Asked).await? {
+                self.note_withdrawal(id, item.stamp);
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+
+    /// Withdrawals that wait for a watermark.
+    pub fn hidden(&self) -> usize {
+        lock(&self.desk).hidden()
     }
 
     /// The reading of many ends at once.
--- /dev/null
+++ b/src/history/tests.rs
@@ -0,0 +1,98 @@
+//! Tests of what users may hear of withdrawals.
+
+use std::time::Instant;
+
+use super::desk::Desk;
+use super::ends::Ends;
+use super::visibility::{Visible, visible};
+use crate::jobs::{End, JobId};
+
+fn id(n: usize) -> JobId {
+    format!("run-{n:06}").into()
+}
+
+/// The one rule by which any path tells of an end.
+#[test]
+fn what_users_may_hear_by_cases() {
+    use Visible::*;
+    for (name, end, shown, stamp, watermark, want) in [
+        ("done needs no owner", End::Done, false, None, 0, Yes),
+        ("withdrawn, the owner has not heard", End::Withdrawn, false, Some(9), 8, NotYet),
+        ("withdrawn, the owner has just heard", End::Withdrawn, false, Some(9), 9, Yes),
+        ("withdrawn long ago", End::Withdrawn, false, Some(9), 900, Yes),
+        ("withdrawn, no owner was ever heard of", End::Withdrawn, false, Some(9), 0, NotYet),
+        ("withdrawn, nobody knows when", End::Withdrawn, false, None, 900, Unknown),
+        ("told before, whatever is known now", End::Withdrawn, true, None, 0, Yes),
+    ] {
+        assert_eq!(visible(end, shown, stamp, watermark), want, "{name}");
+    }
+}
+
+/// What was told once is told for ever, and what was not is hidden from every path alike, whether it came by
+/// a transaction's answer, a watch, a comparison or a page of ends.
+#[test]
+fn hidden_until_the_watermark_and_never_again() {
+    let mut desk: Desk<()> = Desk::new(4);
+    desk.note_withdrawal(&id(1), 10);
+    desk.note_withdrawal(&id(2), 20);
+    // By a comparison, which tells no stamp.
+    desk.ask(&id(3), (), Instant::now()).unwrap();
+    let (batch, _) = desk.next_batch(Instant::now());
+    desk.answered(batch, &["h/w/run-000003".to_owned()]);
+    let seen = |desk: &mut Desk<()>| [1, 2, 3].map(|n| desk.visible(&id(n), End::Withdrawn));
+    use Visible::*;
+    assert_eq!(seen(&mut desk), [NotYet, NotYet, Unknown]);
+    desk.advance(15);
+    desk.advance(5);
+    assert_eq!(desk.watermark(), 15, "an older watermark that comes late takes nothing back");
+    assert_eq!(seen(&mut desk), [Yes, NotYet, Unknown]);
+    // A later and looser bound does not hide what an earlier one shows.
+    desk.note_withdrawal(&id(1), 999);
+    desk.note_withdrawal(&id(2), 15);
+    desk.note_withdrawal(&id(3), 16);
+    assert_eq!(seen(&mut desk), [Yes, Yes, NotYet]);
+    desk.show(&id(3));
+    assert_eq!(seen(&mut desk), [Yes, Yes, Yes]);
+    assert_eq!(desk.hidden(), 0, "nothing is kept of what is shown");
+}
+
+/// Ids that do not fit beside the packed ends are judged by their stamps, each time.
+#[test]
+fn long_ids_are_hidden_alike() {
+    let mut desk: Desk<()> = Desk::new(4);
+    let long: JobId = "run-18446744073709551615".into();
+    desk.note_withdrawal(&long, 7);
+    assert_eq!(desk.visible(&long, End::Withdrawn), Visible::NotYet);
+    desk.advance(7);
+    assert_eq!(desk.visible(&long, End::Withdrawn), Visible::Yes);
+    assert_eq!(desk.visible(&long, End::Withdrawn), Visible::Yes);
+}
+
+/// A flood of withdrawals that nobody confirms is bounded; what is forgotten is asked for, not told.
+#[test]
+fn what_is_forgotten_is_unknown_and_never_told() {
+    let mut desk: Desk<()> = Desk::new(4);
+    (0..20_000).for_each(|n| desk.note_withdrawal(&id(n), 100));
+    assert!(desk.hidden() <= 8192);
+    assert_eq!(desk.visible(&id(0), End::Withdrawn), Visible::Unknown);
+    assert_eq!(desk.visible(&id(19_999), End::Withdrawn), Visible::NotYet);
+}
+
+/// The mark that an end may be told shares its slot with the end, and goes with it.
+#[test]
+fn an_end_that_gives_way_takes_its_mark_along() {
+    let mut ends = Ends::default();
+    ends.put("run-99999999999999999", End::Withdrawn);
+    ends.show("run-99999999999999999");
+    ends.show("run-1");
+    assert!(!ends.shown("run-1"), "nothing is shown that is not held");
+    ends.put("run-1", End::Withdrawn);
+    assert!(!ends.shown("run-1") && ends.shown("run-99999999999999999"));
+    assert_eq!(ends.get("run-99999999999999999"), Some(End::Withdrawn));
+    ends.put("run-99999999999999999", End::Withdrawn);
+    assert!(ends.shown("run-99999999999999999"), "noted again, it stays shown");
+    for n in 0..2 * Ends::most() {
+        ends.put(&id(n), End::Withdrawn);
+        assert!(!ends.shown(&id(n)), "{n}");
+    }
+}
--- /dev/null
+++ b/src/history/visibility.rs
@@ -0,0 +1,86 @@
+//! Which withdrawals users may be told of.
+//!
+//! A withdrawal is stored by any controller and carried out by the owner. An owner that the state service
+//! refuses hears of none, and goes on answering workers: whatever was told meanwhile would run on. So the
+//! owner tells its watermark, the revision up to which its loaded book holds every end (a read index, as a
+//! replicated log has it), and a withdrawal is told to users only at or below a watermark. That one was
+//! reached stays true: the owner of the time has the end in its book, and every later one reads it there
+//! before it owns. A `done` needs none: nothing is to be stopped. Pure.
+
+use std::num::NonZeroUsize;
+
+use lru::LruCache;
+
+use crate::jobs::{End, JobId};
+
+/// Withdrawals remembered that wait for the watermark, the latest: of others the state service is asked
+/// for the stamp.
+const MOST_WAITING: NonZeroUsize = NonZeroUsize::new(8192).unwrap();
+
+/// What users may hear of an end that stands in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Visible {
+    Yes,
+    /// Stored, and not yet known to be in the owner's book.
+    NotYet,
+    /// When it was stored is not known here.
+    Unknown,
+}
+
+/// The whole rule. `shown`: it was found visible before. `stamp`: of the end, or anything above it.
+/// `watermark`: the highest of any owner that was heard of here.
+pub fn visible(end: End, shown: bool, stamp: Option<u64>, watermark: u64) -> Visible {
+    match (end, stamp) {
+        (End::Done, _) => Visible::Yes,
+        _ if shown => Visible::Yes,
+        (End::Withdrawn, Some(stamp)) if stamp <= watermark => Visible::Yes,
+        (End::Withdrawn, Some(_)) => Visible::NotYet,
+        (End::Withdrawn, None) => Visible::Unknown,
+    }
+}
+
+/// What one controller knows of this.
+#[derive(Debug)]
+pub struct Visibility {
+    watermark: u64,
+    waiting: LruCache<JobId, u64>,
+}
+
+impl Default for Visibility {
+    fn default() -> Self {
+        Self { watermark: 0, waiting: LruCache::new(MOST_WAITING) }
+    }
+}
+
+impl Visibility {
+    pub fn watermark(&self) -> u64 {
+        self.watermark
+    }
+
+    /// An owner's loaded book holds all ends up to this revision.
+    pub fn advance(&mut self, watermark: u64) {
+        if watermark > self.watermark {
+            self.watermark = watermark;
+        }
+    }
+
+    /// A withdrawal was stored at this revision, or before.
+    pub fn stored_at(&mut self, id: &JobId, stamp: u64) {
+        let known = self.waiting.get(id).copied().unwrap_or(stamp);
+        self.waiting.put(id.clone(), known.min(stamp));
+    }
+
+    /// When the withdrawal was stored, as far as it is known here.
+    pub fn stamp(&self, id: &str) -> Option<u64> {
+        self.waiting.peek(id).copied()
+    }
+
+    /// It need not wait any more.
+    pub fn forget(&mut self, id: &str) {
+        self.waiting.pop(id);
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+}
--- a/src/membership/mesh.rs
+++ b/src/membership/mesh.rs
@@ -1,5 +1,6 @@
-//! What controllers tell one another, as JSON lines: whether the store serves them, and the
-//! owner's counts for display. Nothing that safety rests on travels here.
+//! What controllers tell one another, as JSON lines: whether the store serves them, the owner's counts for
+//! display, and its watermark. Of these only the watermark says what users may hear; it stays true however
+//! late it comes, and without it they hear less.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -11,6 +12,7 @@
 use tracing::{debug, warn};
 
 use crate::jobs::{Counts, JobId};
+use crate::membership::records::{Assignment, Watermark};
 use crate::node::Node;
 use crate::scheduling::served::Row;
 use crate::settings::Peer;
@@ -18,6 +20,10 @@
 use crate::sync::lock;
 
 const EVERY: Duration = Duration::from_secs(1);
+/// Between two lines at the least, where the watermark is waited for.
+const PROMPT: Duration = Duration::from_millis(100);
+/// Lines that make no sense are logged this often at the most.
+const LOG_EVERY: Duration = Duration::from_secs(60);
 /// The account is told this often: what its successor may lack of it.
 const SERVED_EVERY: Duration = Duration::from_secs(20);
 /// A line is dropped with its connection past this size.
@@ -46,12 +52,28 @@
     /// The owner's account of who is served, once in a while.
     #[serde(default)]
     served: Vec<Row>,
+    /// The owner's own watermark; builds before 0.3 tell none.
+    #[serde(default)]
+    watermark: Option<Watermark>,
+    /// The highest watermark that the sender has heard of, from whomever.
+    #[serde(default)]
+    acknowledged: u64,
+}
+
+/// What one other controller said last.
+#[derive(Debug, Clone, Copy)]
+struct Told {
+    /// Since when it has said without a break that the store serves it.
+    serves_since: Option<Instant>,
+    wants: [Want; 2],
+    acknowledged: u64,
+    at: Instant,
 }
 
 #[derive(Debug, Default)]
 pub struct Heard {
-    /// Since when each says that the store serves it, what it wants of it, and when it said so last.
-    peers: HashMap<String, (Option<Instant>, [Want; 2], Instant)>,
+    peers: HashMap<String, Told>,
+    logged: Option<Instant>,
     pub counts: HashMap<JobId, Counts>,
     /// What the owner told last of who is served, and when that was heard.
     pub served: Option<(Vec<Row>, Instant)>,
@@ -60,33 +82,61 @@
 impl Heard {
     /// How many others were heard of lately, and for how long one of them has said that the store serves it.
     pub fn others(&self, now: Instant) -> (usize, Option<Duration>) {
-        let longest = self.lately(now).filter_map(|(since, _)| Some(now.saturating_duration_since(since?))).max();
+        let since = self.lately(now).filter_map(|told| told.serves_since);
+        let longest = since.map(|since| now.saturating_duration_since(since)).max();
         (self.lately(now).count(), longest)
     }
 
     /// A line of a peer.
-    fn told(&mut self, node: String, serves: bool, wants: [Want; 2], now: Instant) {
-        let before = self.peers.get(&node).filter(|(.., at)| now.saturating_duration_since(*at) < STALE);
-        let since = serves.then(|| before.and_then(|(since, ..)| *since).unwrap_or(now));
-        self.peers.insert(node, (since, wants, now));
+    fn told(&mut self, node: String, serves: bool, wants: [Want; 2], acknowledged: u64, now: Instant) {
+        let before = self.peers.get(&node).filter(|told| told.fresh(now));
+        let serves_since = serves.then(|| before.and_then(|told| told.serves_since).unwrap_or(now));
+        self.peers.insert(node, Told { serves_since, wants, acknowledged, at: now });
     }
 
-    fn lately(&self, now: Instant) -> impl Iterator<Item = (Option<Instant>, [Want; 2])> {
-        let fresh = self.peers.values().filter(move |(.., at)| now.saturating_duration_since(*at) < STALE);
-        fresh.map(|(since, wants, _)| (*since, *wants))
+    fn lately(&self, now: Instant) -> impl Iterator<Item = &Told> {
+        self.peers.values().filter(move |told| told.fresh(now))
     }
 
     /// Whether this controller was heard of lately.
     pub fn hears(&self, node: &str, now: Instant) -> bool {
-        self.peers.get(node).is_some_and(|(.., at)| now.saturating_duration_since(*at) < STALE)
+        self.peers.get(node).is_some_and(|told| told.fresh(now))
     }
 
     /// What those want of the state service that were heard of lately.
     pub fn wants(&self, now: Instant) -> Vec<[Want; 2]> {
-        self.lately(now).map(|(_, wants)| wants).collect()
+        self.lately(now).map(|told| told.wants).collect()
+    }
+
+    /// The watermark that every one of these controllers has acknowledged lately.
+    pub fn acknowledged(&self, peers: &[Peer], now: Instant) -> u64 {
+        let of = |peer: &Peer| self.peers.get(&peer.node).filter(|told| told.fresh(now)).map_or(0, |t| t.acknowledged);
+        peers.iter().map(of).min().unwrap_or(u64::MAX)
+    }
+
+    /// Whether a line that makes no sense is to be logged now.
+    fn logs(&mut self, now: Instant) -> bool {
+        let due = self.logged.is_none_or(|at| now.saturating_duration_since(at) >= LOG_EVERY);
+        if due {
+            self.logged = Some(now);
+        }
+        due
     }
 }
 
+impl Told {
+    fn fresh(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) < STALE
+    }
+}
+
+/// A watermark counts if its token is that of the assignment as it is known here, and the sender its owner:
+/// one of an owner that is not known here yet, or no more, is told again by whoever owns.
+pub fn believed(from: &str, told: Option<Watermark>, assignment: Option<&(Assignment, u64)>) -> Option<u64> {
+    let (told, (owner, stamp)) = (told?, assignment?);
+    (owner.node == from && *stamp == told.token).then_some(told.revision)
+}
+
 pub async fn listen(node: Arc<Node>) {
     let listener = loop {
         match TcpListener::bind(&node.settings.mesh_listen).await {
@@ -112,15 +162,29 @@
         text.clear();
         // A peer that has nothing to say for this long is gone or cut off.
         let read = tokio::time::timeout(STALE * 4, (&mut reader).take(LINE_LIMIT).read_line(&mut text)).await;
-        if !matches!(read, Ok(Ok(n)) if n > 0) || !text.ends_with('\n') {
+        if !matches!(read, Ok(Ok(n)) if n > 0) {
             return;
         }
-        let Ok(line) = serde_json::from_str::<Line>(&text) else { return };
+        let known = |line: &Line| node.settings.peers.iter().any(|p| p.node == line.node);
+        let line = match serde_json::from_str::<Line>(&text) {
+            Ok(line) if text.ends_with('\n') && known(&line) => line,
+            outcome => {
+                if lock(&node.heard).logs(Instant::now()) {
+                    let error = outcome.err().map(|e| e.to_string());
+                    warn!(
+                        bytes = text.len(),
+                        ?error,
+                        "a line of no controller that is known, or none that can be read"
+                    );
+                }
+                return;
+            }
+        };
+        let watermark = believed(&line.node, line.watermark, lock(&node.mirror).assignment());
+        node.history.advance(watermark.unwrap_or(0));
         let many = {
             let mut heard = lock(&node.heard);
-            if node.settings.peers.iter().any(|p| p.node == line.node) {
-                heard.told(line.node, line.store_serves, line.wants, Instant::now());
-            }
+            heard.told(line.node, line.store_serves, line.wants, line.acknowledged, Instant::now());
             heard.counts.extend(line.counts);
             if !line.served.is_empty() {
                 heard.served = Some((line.served, Instant::now()));
@@ -148,21 +212,31 @@
     let begun = Instant::now();
     let mut told: HashMap<JobId, Counts> = HashMap::new();
     let mut served_next = Instant::now();
+    let mut news = node.wake.mesh.subscribe();
+    let mut whole_next = Instant::now();
     loop {
-        let counts = node.counts_to_tell(&mut told, MOST_COUNTS);
+        let whole = Instant::now() >= whole_next;
+        let mut counts = Vec::new();
+        if whole {
+            whole_next = Instant::now() + EVERY;
+            counts = node.counts_to_tell(&mut told, MOST_COUNTS);
+        }
         let mut served = Vec::new();
         if Instant::now() >= served_next {
             served_next = Instant::now() + SERVED_EVERY;
             served = node.served_to_tell();
         }
         let (name, wants) = (node.settings.node.clone(), node.wants());
-        let line = Line { node: name, store_serves: node.can_answer(), wants, counts, served };
+        let (watermark, acknowledged) = (node.watermark(), node.history.watermark());
+        let line = Line { node: name, store_serves: node.can_answer(), wants, counts, served, watermark, acknowledged };
         let mut text = serde_json::to_string(&line).unwrap_or_default();
         text.push('\n');
         tokio::time::timeout(WRITE_WITHIN, stream.write_all(text.as_bytes()))
             .await
             .map_err(|_| std::io::ErrorKind::TimedOut)??;
-        tokio::time::sleep(EVERY).await;
+        // At once where a withdrawal waits for it, and all there is to say once a second.
+        tokio::time::sleep(PROMPT).await;
+        let _ = tokio::time::timeout(whole_next.saturating_duration_since(Instant::now()), news.changed()).await;
         // Lines go into a dead connection for minutes before it is known to be dead, and after a cut it
         // is tried again only after as long as the cut took.
         let now = Instant::now();
@@ -192,7 +266,7 @@
             // Not heard for a while: whatever it said before is void.
             (20, "b", true, (1, Some(0))),
         ] {
-            heard.told(node.into(), serves, Default::default(), t + s(at));
+            heard.told(node.into(), serves, Default::default(), 0, t + s(at));
             assert_eq!(heard.others(t + s(at)), (want.0, want.1.map(s)), "{node} at {at}");
         }
         assert!(heard.hears("b", t + s(23)) && !heard.hears("b", t + s(24)) && !heard.hears("c", t + s(20)));
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -8,18 +8,21 @@
 pub mod records;
 pub mod standing;
 pub mod stranded;
+pub mod watermark;
+#[cfg(test)]
+mod watermark_tests;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use tracing::{debug, info, warn};
 
-use crate::jobs::record::{ASSIGNMENT, LEADER};
+use crate::jobs::record::{ASSIGNMENT, LEADER, WATERMARK};
 use crate::node::Node;
 use crate::store::budget::Urgent;
 use crate::store::{Change, Condition, StoreError, TxnOutcome};
 use crate::sync::lock;
-use records::{Assignment, Leader};
+use records::{Assignment, Leader, Watermark};
 
 /// After yielding, the others get this long to take over before this controller tries again.
 const SHY: Duration = Duration::from_secs(10);
@@ -94,7 +97,9 @@
             &node.incarnation,
             leader.as_ref().map(|(l, _)| l.incarnation.as_str()),
             burials < BURIALS && leader.as_ref().is_some_and(|(l, _)| l.node == node.settings.node),
-            assignment.as_ref().map(|(a, _)| a.incarnation.as_str()),
+            // One whose answer never came is written anew: nobody acts under it, and what is stored under an
+            // older token of its own is refused.
+            assignment.as_ref().filter(|(_, s)| node.acts_under(*s)).map(|(a, _)| a.incarnation.as_str()),
             node.raise_wanted(),
             renewed.elapsed() >= renew_every,
         );
@@ -118,6 +123,9 @@
             debug!(%error, ?step, "membership");
             tokio::time::sleep(crate::sync::jitter(Duration::from_millis(150))).await;
         }
+        if let Some(watermark) = node.watermark_to_store(Instant::now()) {
+            store_watermark(&node, watermark).await;
+        }
     }
 }
 
@@ -186,6 +194,22 @@
     Ok(())
 }
 
+/// That it is stored under the assignment that its token names makes it true. A late copy of an older one only
+/// makes a controller that has just started wait for the next.
+fn storing(watermark: Watermark) -> (Condition, Change) {
+    let value = serde_json::to_value(watermark).unwrap_or_default();
+    (Condition::at(ASSIGNMENT, watermark.token), Change::write(WATERMARK, value))
+}
+
+/// Controllers that do not hear this owner read it there.
+async fn store_watermark(node: &Node, watermark: Watermark) {
+    let (condition, change) = storing(watermark);
+    match node.store.txn(&[condition], &[change], Urgent::First).await {
+        Ok(TxnOutcome::Applied(_)) => node.confirmed(watermark.revision, Instant::now()),
+        outcome => debug!(?outcome, "storing the watermark"),
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use hollylanding_emulator::world::store::Store;
--- a/src/membership/records.rs
+++ b/src/membership/records.rs
@@ -16,6 +16,13 @@
     pub teams: Vec<String>,
 }
 
+/// The loaded book of the owner with this token holds every end up to this revision of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Watermark {
+    pub token: u64,
+    pub revision: u64,
+}
+
 /// Workers cannot reach the owner of this token, but reach this controller.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Plea {
--- /dev/null
+++ b/src/membership/watermark.rs
@@ -0,0 +1,46 @@
+//! When the owner stores its watermark: where telling it does not do.
+//!
+//! Controllers tell each other watermarks (`mesh`), which costs nothing. One that does not hear the owner, as
+//! where connections between controllers are refused, would never tell its users of a withdrawal. The owner
+//! sees from what each acknowledges that one lags behind, and stores its watermark for it. Pure.
+
+use std::time::{Duration, Instant};
+
+/// A withdrawal that some controller has not acknowledged for this long is told through the store.
+/// Acknowledgements come with the lines, one a second.
+const PATIENCE: Duration = Duration::from_millis(2500);
+/// The watermark is stored this often at the most: one change.
+const GAP: Duration = Duration::from_secs(1);
+
+/// Withdrawals that others may not have heard the owner confirm.
+#[derive(Debug, Default)]
+pub struct Unconfirmed {
+    /// The oldest and the newest of them, and since when.
+    range: Option<(u64, u64, Instant)>,
+    tried: Option<Instant>,
+}
+
+impl Unconfirmed {
+    /// The owner has heard of a withdrawal that was stored at this revision.
+    pub fn heard(&mut self, stamp: u64, now: Instant) {
+        let (oldest, newest, since) = self.range.unwrap_or((stamp, stamp, now));
+        self.range = Some((oldest.min(stamp), newest.max(stamp), since));
+    }
+
+    /// Every controller holds a watermark this high, told or stored.
+    pub fn confirmed(&mut self, watermark: u64, now: Instant) {
+        self.range = self.range.filter(|(_, newest, _)| *newest > watermark).map(|(oldest, newest, since)| {
+            if oldest > watermark { (oldest, newest, since) } else { (watermark + 1, newest, now) }
+        });
+    }
+
+    /// Whether the watermark is to be stored now; counts as tried.
+    pub fn due(&mut self, now: Instant) -> bool {
+        let waits = self.range.is_some_and(|(.., since)| now.saturating_duration_since(since) >= PATIENCE);
+        let rested = self.tried.is_none_or(|at| now.saturating_duration_since(at) >= GAP);
+        if waits && rested {
+            self.tried = Some(now);
+        }
+        waits && rested
+    }
+}
--- /dev/null
+++ b/src/membership/watermark_tests.rs
@@ -0,0 +1,82 @@
+//! Tests of watermarks between controllers: whose word counts, and when one is stored.
+
+use std::time::{Duration, Instant};
+
+use hollylanding_emulator::world::store::Store;
+
+use super::mesh::believed;
+use super::records::{Assignment, Watermark};
+use super::storing;
+use super::watermark::Unconfirmed;
+use crate::jobs::record::{ASSIGNMENT, WATERMARK};
+use crate::store::Change;
+
+fn assignment(node: &str, stamp: u64) -> (Assignment, u64) {
+    (Assignment { node: node.into(), incarnation: "1".into(), teams: Vec::new() }, stamp)
+}
+
+#[test]
+fn whose_watermark_counts_by_cases() {
+    let told = |token| Some(Watermark { token, revision: 50 });
+    for (name, from, told, known, want) in [
+        ("the owner's", "a", told(7), Some(("a", 7)), Some(50)),
+        ("a build that tells none", "a", None, Some(("a", 7)), None),
+        ("one that is owner no more", "a", told(7), Some(("b", 9)), None),
+        ("one whose assignment was not heard of here", "b", told(9), Some(("a", 7)), None),
+        ("a token that never was", "a", told(8), Some(("a", 7)), None),
+        ("another's under the owner's token", "b", told(7), Some(("a", 7)), None),
+        ("nobody owns, as far as is known", "a", told(7), None, None),
+    ] {
+        let known = known.map(|(node, stamp)| assignment(node, stamp));
+        assert_eq!(believed(from, told, known.as_ref()), want, "{name}");
+    }
+}
+
+/// Nothing is stored where every controller acknowledges in time; where one does not, one change a second at
+/// the most, however many are withdrawn.
+#[test]
+fn the_watermark_is_stored_only_for_those_who_do_not_hear_it() {
+    for (name, acknowledges_after, stores) in [
+        ("all hear", Some(1000), 0),
+        ("a late line", Some(2400), 0),
+        ("one that hears nothing for a while", Some(4000), 2),
+        ("one that is ended", None, 8),
+    ] {
+        let start = Instant::now();
+        let mut unconfirmed = Unconfirmed::default();
+        let mut stored = 0;
+        for ms in (0..10_000u64).step_by(100) {
+            let now = start + Duration::from_millis(ms);
+            // Ten a second in the first half second.
+            if ms < 500 {
+                unconfirmed.heard(100 + ms / 100, now);
+            }
+            if acknowledges_after.is_some_and(|after| ms >= after) {
+                unconfirmed.confirmed(200, now);
+            }
+            stored += u64::from(unconfirmed.due(now));
+        }
+        assert_eq!(stored, stores, "{name}");
+    }
+    // Once it is stored it is not stored again.
+    let start = Instant::now();
+    let mut unconfirmed = Unconfirmed::default();
+    unconfirmed.heard(5, start);
+    assert!(unconfirmed.due(start + Duration::from_secs(3)));
+    unconfirmed.confirmed(5, start + Duration::from_secs(3));
+    assert!(!unconfirmed.due(start + Duration::from_secs(60)));
+}
+
+/// A controller that was replaced cannot store what its book holds: it may lack what its heir has confirmed.
+#[test]
+fn only_under_its_assignment_is_a_watermark_stored() {
+    let mut store = Store::default();
+    let assign = [Change::write(ASSIGNMENT, serde_json::json!("a"))];
+    let token = store.apply_if(&[], &assign).unwrap();
+    let (condition, change) = storing(Watermark { token, revision: 3 });
+    store.apply_if(std::slice::from_ref(&condition), std::slice::from_ref(&change)).unwrap();
+    let stored: Watermark = serde_json::from_value(store.value(WATERMARK).unwrap().clone()).unwrap();
+    assert_eq!(stored, Watermark { token, revision: 3 });
+    store.apply_if(&[], &assign).unwrap();
+    assert!(store.apply_if(&[condition], &[change]).is_err(), "nor does a late copy");
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,6 +1,6 @@
 //! One controller: what its parts share, behind short locks that are never held across an await.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -16,15 +16,15 @@
 use crate::fleet::cloud::CloudClient;
 use crate::history::reader::{self, History};
 use crate::history::sweep;
-use crate::jobs::Counts;
-use crate::jobs::JobId;
 use crate::jobs::door::Door;
 use crate::jobs::record::{ASSIGNMENT, PLEA, time_of_day_ms};
+use crate::jobs::{Counts, End, JobId};
 use crate::kinds::Catalog;
 use crate::membership::mesh::Heard;
-use crate::membership::records::Plea;
+use crate::membership::records::{Plea, Watermark};
 use crate::membership::standing::{Health, LetGo, Patience, Seen, Standing};
 use crate::membership::stranded::Stranded;
+use crate::membership::watermark::Unconfirmed;
 use crate::membership::{self, mesh};
 use crate::scheduling::served::{Account, Row};
 use crate::scheduling::{self, Book};
@@ -39,8 +39,23 @@
 use crate::sync::lock;
 use crate::traffic::Traffic;
 use crate::wire::Http;
+use crate::wire::workers::Report;
 use crate::workers::dispatch;
 
+/// Jobs that are over, by a mirror that holds everything up to a revision.
+#[derive(Debug, Default)]
+pub struct Over {
+    pub jobs: HashSet<JobId>,
+    through: u64,
+}
+
+impl Over {
+    /// Whether all that was stored before this revision is known.
+    pub fn since(&self, revision: u64) -> bool {
+        self.through >= revision
+    }
+}
+
 /// Who is to look again because something changed.
 #[derive(Default)]
 pub struct Wake {
@@ -50,6 +65,8 @@
     pub dispatch: Notify,
     pub fleet: Notify,
     pub declared: Notify,
+    /// Other controllers are to hear the watermark at once.
+    pub mesh: tokio::sync::watch::Sender<()>,
 }
 
 /// Rows of the account told at once: a line between controllers is bounded.
@@ -85,6 +102,8 @@
     /// What users and machines are told while little can be proven.
     health: Mutex<Health>,
     let_go: Mutex<LetGo>,
+    /// Withdrawals that other controllers may not have heard this owner confirm.
+    unconfirmed: Mutex<Unconfirmed>,
     owner_tasks: Mutex<Vec<tokio::task::AbortHandle>>,
 }
 
@@ -131,6 +150,7 @@
             stranded: Mutex::default(),
             health: Mutex::default(),
             let_go: Mutex::default(),
+            unconfirmed: Mutex::default(),
             owner_tasks: Mutex::default(),
             settings,
             properties,
@@ -226,6 +246,10 @@
     /// Hands what the mirror learned to whoever acts on it.
     pub fn spread(&self, news: News) {
         if news.is_empty() {
+            let (mirror, mut held) = (lock(&self.mirror), lock(&self.book));
+            if let Some(book) = held.as_mut() {
+                book.holds_ends(mirror.asking());
+            }
             return;
         }
         if news.ownership {
@@ -236,6 +260,9 @@
         }
         let mirror = lock(&self.mirror);
         let (now, now_ms) = (Instant::now(), time_of_day_ms());
+        if let Some(stored) = mirror.watermark() {
+            self.history.advance(stored.revision);
+        }
         {
             let mut served = lock(&self.served);
             for record in news.opened.iter().filter_map(|id| mirror.open(id)) {
@@ -255,8 +282,15 @@
                 }
             }
             for id in &news.ended {
-                book.end_job(id, self.history.ended(id), now);
+                let how = self.history.ended(id);
+                book.end_job(id, how, now);
+                // What this owner has stored as done needs no confirmation; of the rest any may be withdrawn.
+                if how != Some(End::Done) {
+                    lock(&self.unconfirmed).heard(mirror.ended_by(id).unwrap_or(mirror.revision), now);
+                    self.wake.mesh.send_replace(());
+                }
             }
+            book.holds_ends(mirror.asking());
             self.wake.plan.notify_one();
             self.wake.dispatch.notify_one();
         }
@@ -285,6 +319,62 @@
         tasks.push(tokio::spawn(declared::run::run(self.clone())).abort_handle());
     }
 
+    /// This owner's book is loaded, with all ends up to this revision.
+    pub fn took_over(&self, known: u64, now: Instant) {
+        let mut unconfirmed = lock(&self.unconfirmed);
+        *unconfirmed = Unconfirmed::default();
+        unconfirmed.heard(known, now);
+        self.wake.mesh.send_replace(());
+    }
+
+    /// Whether this controller acts under an assignment with this stamp.
+    pub fn acts_under(&self, stamp: u64) -> bool {
+        lock(&self.book).as_ref().is_some_and(|b| b.token == stamp)
+    }
+
+    /// As the owner: up to which revision its loaded book holds every end. None while it is not sure to be the
+    /// one that is assigned, by all that it has heard.
+    pub fn watermark(&self) -> Option<Watermark> {
+        let (mirror, held) = (lock(&self.mirror), lock(&self.book));
+        let book = held.as_ref().filter(|b| b.loaded)?;
+        let mine = mirror.assignment().is_some_and(|(a, s)| a.incarnation == self.incarnation && *s == book.token);
+        let watermark = Watermark { token: book.token, revision: book.known };
+        drop(held);
+        mine.then(|| self.history.advance(watermark.revision))?;
+        Some(watermark)
+    }
+
+    /// The same where it is to be stored, since another controller has not acknowledged it.
+    pub fn watermark_to_store(&self, now: Instant) -> Option<Watermark> {
+        let watermark = self.watermark()?;
+        let acknowledged = lock(&self.heard).acknowledged(&self.settings.peers, now);
+        let mut unconfirmed = lock(&self.unconfirmed);
+        unconfirmed.confirmed(acknowledged, now);
+        unconfirmed.due(now).then_some(watermark)
+    }
+
+    /// Every controller can read a watermark this high.
+    pub fn confirmed(&self, watermark: u64, now: Instant) {
+        lock(&self.unconfirmed).confirmed(watermark, now);
+    }
+
+    /// The token under which a withdrawal that is stored by this owner may be told at once.
+    pub fn withdraws_under(&self) -> Option<u64> {
+        lock(&self.book).as_ref().filter(|b| b.loaded).map(|b| b.token)
+    }
+
+    /// A withdrawal was stored while this controller owned under this token. True if its book has it now: an
+    /// owner that came since has read it.
+    pub fn withdrew(&self, id: &JobId, token: u64) -> bool {
+        let mut held = lock(&self.book);
+        let Some(book) = held.as_mut().filter(|b| b.loaded && b.first_token <= token) else { return false };
+        book.end_job(id, Some(End::Withdrawn), Instant::now());
+        drop(held);
+        self.history.show(id);
+        self.wake.dispatch.notify_one();
+        true
+    }
+
     /// Stops owning at once: somebody newer does.
     pub fn step_down(&self, why: &str) {
         let owned = lock(&self.book).take();
@@ -422,6 +512,31 @@
         let_go.holds(machine, others, lease, now)
     }
 
+    /// Which jobs of a report are over, as far as the mirror tells. Only looked for where the book alone may
+    /// not decide: it is not loaded, or `acts` is false.
+    pub fn over_among(&self, report: &Report, acts: bool) -> Over {
+        let token = match lock(&self.book).as_ref() {
+            Some(book) if !(acts && book.loaded) => book.token,
+            _ => return Over::default(),
+        };
+        let mirror = lock(&self.mirror);
+        let through = mirror.asking().unwrap_or(0);
+        let over = |id: &&JobId| {
+            // All that was ever started before this assignment had been accepted before it.
+            let missing = through >= token && mirror.open(id).is_none();
+            missing || mirror.ended_by(id).is_some() || self.history.ended(id).is_some()
+        };
+        let jobs = report.legs.iter().map(|leg| &leg.task.job).filter(over).cloned().collect();
+        Over { jobs, through }
+    }
+
+    /// An owner that knows no end that was stored since its last proof may hold machines for so long that
+    /// their leases are over when the first such task has to be gone.
+    pub fn may_hold_blindly(&self, now: Instant) -> bool {
+        let spare = self.settings.params.workers.spare();
+        self.fresh.age(now).is_some_and(|age| age < spare)
+    }
+
     pub fn counts(&self, id: &JobId) -> Counts {
         if let Some(book) = lock(&self.book).as_ref() {
             return book.counts(id);
@@ -474,7 +589,7 @@
         }
         let [ends, asked, waiting] = self.history.held();
         held.push(("audited", lock(&self.audit).remembered()));
-        held.extend([("ends", ends), ("asked", asked), ("waiting", waiting)]);
+        held.extend([("ends", ends), ("asked", asked), ("waiting", waiting), ("hidden", self.history.hidden())]);
         held.push(("served", lock(&self.served).entries()));
         held.push(("at_the_door", lock(&self.door).waiting()));
         held.push(("counts_heard", lock(&self.heard).counts.len()));
--- a/src/scheduling/book/commands.rs
+++ b/src/scheduling/book/commands.rs
@@ -1,9 +1,11 @@
 //! Commands: what each machine is to be told, in answers and directly.
 
+use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
 use super::{Book, Direct, Machine, MachineId, Phase, Standing};
-use crate::wire::workers::{LegStatus, Order};
+use crate::jobs::JobId;
+use crate::wire::workers::{Leg, LegStatus, Order};
 
 /// Orders of one answer or command: about 60 bytes each, well below the body limit.
 const MOST_ORDERS: usize = 400;
@@ -37,6 +39,19 @@
         orders
     }
 
+    /// What a machine is to be told by an owner that cannot prove that it is one, or has not read everything
+    /// yet: stops of tasks whose job is over, and nothing else. An end is final and its stop fenced by the
+    /// token, so neither can be wrong. `over`: jobs known to be so beside those in this book.
+    pub fn stops_only(&self, machine: &str, over: &HashSet<JobId>) -> Vec<Order> {
+        let Some(m) = self.machines.get(machine) else { return Vec::new() };
+        let ended = |id: &JobId| {
+            over.contains(id) || self.ended_at.contains(id) || self.jobs.get(id).is_some_and(|j| j.ended.is_some())
+        };
+        let live = m.legs.iter().filter(|leg| leg.status != LegStatus::Exited && ended(&leg.task.job));
+        let stop = |leg: &Leg| Order::Halt { task: leg.task.clone(), attempt: leg.attempt, grace_s: 0 };
+        live.map(stop).take(MOST_ORDERS).collect()
+    }
+
     fn note_told(&mut self, orders: &[Order], machine: &str) {
         let Some(session) = self.machines.get(machine).map(|m| m.session) else { return };
         for order in orders {
--- a/src/scheduling/book/jobs.rs
+++ b/src/scheduling/book/jobs.rs
@@ -225,6 +225,13 @@
         self.forget_if_over(id);
     }
 
+    /// Everything that stood in the store at this revision has been heard here.
+    pub fn holds_ends(&mut self, revision: Option<u64>) {
+        if let Some(revision) = revision.filter(|_| self.loaded) {
+            self.known = self.known.max(revision);
+        }
+    }
+
     /// Tells once that a job runs; again after a takeover, since no change is written for it.
     pub(super) fn note_begun(&mut self, id: &JobId, now: Instant) {
         let Some(job) = self.jobs.get_mut(id) else { return };
--- a/src/scheduling/book/mod.rs
+++ b/src/scheduling/book/mod.rs
@@ -257,6 +257,8 @@
     /// told under this one.
     pub first_token: u64,
     pub loaded: bool,
+    /// Every end that stood in the store at this revision is in this book: its watermark, once it is loaded.
+    pub known: u64,
     pub settings: Settings,
     pub properties: Properties,
     jobs: HashMap<JobId, JobState, Hashing>,
@@ -341,6 +343,7 @@
             token,
             first_token: token,
             loaded: false,
+            known: 0,
             settings,
             jobs: HashMap::default(),
             ending: BTreeSet::new(),
--- a/src/scheduling/interleavings/mod.rs
+++ b/src/scheduling/interleavings/mod.rs
@@ -280,7 +280,7 @@
             return;
         }
         let id = open[self.rng.random_range(0..open.len())].clone();
-        let withdrawal = moves::withdraw(&self.records[&id], 0);
+        let withdrawal = moves::withdraw(&self.records[&id], None, 0);
         self.send_move(withdrawal);
     }
 
@@ -661,7 +661,7 @@
                 let open: Vec<JobId> =
                     self.records.keys().filter(|id| bad(id) && self.store.has(&open_key(id))).cloned().collect();
                 for id in open {
-                    let withdrawal = moves::withdraw(&self.records[&id], 0);
+                    let withdrawal = moves::withdraw(&self.records[&id], None, 0);
                     self.send_move(withdrawal);
                 }
             }
--- a/src/scheduling/load.rs
+++ b/src/scheduling/load.rs
@@ -91,6 +91,8 @@
         let inherited = orders.len();
         book.inherit_orders(orders, now);
         book.finish_load(now);
+        book.holds_ends(mirror.asking());
+        node.took_over(book.known, now);
         // Before anything else is decided.
         node.wishes_of(book, &mirror, now);
         let (jobs, machines) = (book.job_count(), book.machines.len());
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -118,6 +118,9 @@
     pub max_sockets: u64,
 }
 
+/// A worker's clock that runs slow, and the way of a report and its answer: 4 s at the most.
+const LEASE_MARGIN_S: f64 = 5.0;
+
 impl StateParams {
     /// Conditions that a transaction may have: four for each change that it may have.
     pub fn conditions(&self) -> usize {
@@ -135,6 +138,12 @@
     pub fn lease(&self) -> Duration {
         Duration::from_secs_f64(self.lease_s)
     }
+
+    /// Of the time in which a withdrawn task must be gone, what is left where only the end of its machine's
+    /// lease ends it: a report may have been answered last so long after the withdrawal was told.
+    pub fn spare(&self) -> Duration {
+        Duration::try_from_secs_f64(self.cancel_s - self.lease_s - LEASE_MARGIN_S).unwrap_or_default()
+    }
 }
 
 impl Settings {
@@ -179,6 +188,15 @@
                 return Err(format!("{field}: {value} is not above 0 and at most 1000000"));
             }
         }
+        // What a machine that is told nothing any more still runs is gone with its lease.
+        let least = p.workers.lease_s + p.workers.report_s + LEASE_MARGIN_S;
+        if p.workers.cancel_s < least {
+            return Err(format!(
+                "params.workers.cancel_s: {} is below {least}, which is lease_s, report_s and {LEASE_MARGIN_S} s together: \
+                 withdrawn work could not be gone in time",
+                p.workers.cancel_s
+            ));
+        }
         if let Some(mb) = p.limits.memory_mb.filter(|mb| !(*mb > 0.0 && *mb <= 1e9)) {
             return Err(format!("params.resources.memory_mb: {mb} is not above 0 and at most 1000000000"));
         }
@@ -241,6 +259,7 @@
         for (from, to, want) in [
             ("127.0.0.1:4", "cloud.example:4", "endpoints.cloud: \"cloud.example:4\""),
             ("\"report_s\":3", "\"report_s\":-3", "params.workers.report_s: -3"),
+            ("\"cancel_s\":49", "\"cancel_s\":31", "params.workers.cancel_s: 31 is below 32"),
             ("\"memory_mb\":100", "\"memory_mb\":-1", "params.resources.memory_mb: -1"),
             ("\"txn_ops\":24", "\"txn_ops\":1", "params.state.txn_ops: 1"),
             ("\"cpus_max\":20", "\"cpus_max\":-20", "params.teams.red.cpus_max: -20"),
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -8,7 +8,7 @@
 use crate::standstill::Gap;
 use crate::traffic::{Passage, Traffic};
 pub use crate::wire::state::{Change, Condition, Event, Followed, Item, Page};
-use crate::wire::state::{Granted, Names, Refused, Revised, Txn};
+use crate::wire::state::{Granted, Name, Names, Refused, Revised, Txn};
 use crate::wire::{self, CallError, Http};
 use hyper::Method;
 
@@ -268,19 +268,19 @@
         Pages { client: self, prefix, since: since.map(str::to_owned), more: true }
     }
 
-    /// Names of keys under a prefix, `most` at the most, beginning after one if it is given, and whether
-    /// there are more. What they hold is passed over as it is read.
+    /// Names and versions of keys under a prefix, `most` at the most, beginning after one if it is given, and
+    /// whether there are more. What they hold is passed over as it is read.
     pub async fn names(
         &self,
         prefix: &str,
         since: Option<&str>,
         most: usize,
         urgent: Urgent,
-    ) -> Result<(Vec<String>, bool), StoreError> {
+    ) -> Result<(Vec<Name>, bool), StoreError> {
         let since = since.map(|key| format!("&since={key}")).unwrap_or_default();
         let path = format!("/keys?prefix={prefix}&most={most}{since}");
         match self.call(Method::GET, &path, None, ANSWER_WITHIN * 2, urgent).await? {
-            (200, body) => parse::<Names>(&body).map(|n| (n.items.into_iter().map(|i| i.path).collect(), n.more)),
+            (200, body) => parse::<Names>(&body).map(|n| (n.items, n.more)),
             (other, _) => Err(StoreError::Malformed(format!("{other} to a listing"))),
         }
     }
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -17,8 +17,8 @@
 use crate::declared::{Shelf, records};
 use crate::jobs::JobId;
 use crate::jobs::limits::{self, Held};
-use crate::jobs::record::{ASSIGNMENT, JobRecord, LEADER, OPEN, PLEA, UPGRADED, Upgraded};
-use crate::membership::records::{Assignment, Leader, Plea};
+use crate::jobs::record::{ASSIGNMENT, JobRecord, LEADER, OPEN, PLEA, UPGRADED, Upgraded, WATERMARK};
+use crate::membership::records::{Assignment, Leader, Plea, Watermark};
 
 /// Descriptions kept of jobs that are over: about half a KiB each.
 const ENDED_KEPT: NonZeroUsize = NonZeroUsize::new(2000).unwrap();
@@ -29,6 +29,7 @@
     leader: Option<(Leader, u64)>,
     assignment: Option<(Assignment, u64)>,
     plea: Option<Plea>,
+    watermark: Option<Watermark>,
     upgraded: Option<Upgraded>,
 }
 
@@ -39,6 +40,7 @@
             LEADER => self.leader = read(path, value).map(|l| (l, stamp)),
             ASSIGNMENT => self.assignment = read(path, value).map(|a| (a, stamp)),
             PLEA => self.plea = read(path, value),
+            WATERMARK => self.watermark = read(path, value),
             UPGRADED => self.upgraded = read(path, value),
             _ => return false,
         }
@@ -50,6 +52,7 @@
             LEADER => self.leader = None,
             ASSIGNMENT => self.assignment = None,
             PLEA => self.plea = None,
+            WATERMARK => self.watermark = None,
             _ => return false,
         }
         true
@@ -64,8 +67,8 @@
     open: HashMap<JobId, Arc<JobRecord>>,
     held: Held,
     /// Descriptions of jobs that ended last: a new owner needs them for tasks not yet proven gone,
-    /// and reading them one by one took it seconds.
-    ended: LruCache<JobId, Arc<JobRecord>>,
+    /// and reading them one by one took it seconds. With the revision at which each end stood.
+    ended: LruCache<JobId, (Arc<JobRecord>, u64)>,
     control: Control,
     shelf: Shelf,
 }
@@ -73,6 +76,8 @@
 /// A reading under way, page by page.
 pub struct Loading {
     revision: Option<u64>,
+    /// Of the newest page: what is missing in the end was gone by then.
+    newest: u64,
     seen: HashSet<JobId>,
     control: Control,
     shelf: Shelf,
@@ -136,7 +141,12 @@
 
     /// What was kept of a job that ended lately.
     pub fn ended_record(&self, id: &str) -> Option<Arc<JobRecord>> {
-        self.ended.peek(id).cloned()
+        self.ended.peek(id).map(|(record, _)| record.clone())
+    }
+
+    /// When a job ended that ended lately: a revision at which its end stood.
+    pub fn ended_by(&self, id: &str) -> Option<u64> {
+        self.ended.peek(id).map(|(_, stamp)| *stamp)
     }
 
     pub fn ended_kept(&self) -> usize {
@@ -155,6 +165,11 @@
         self.control.plea.as_ref()
     }
 
+    /// What an owner has stored for controllers that do not hear it.
+    pub fn watermark(&self) -> Option<&Watermark> {
+        self.control.watermark.as_ref()
+    }
+
     /// All that is declared.
     pub fn shelf(&self) -> &Shelf {
         &self.shelf
@@ -189,13 +204,20 @@
     /// page on.
     pub fn load(&mut self) -> Loading {
         self.ready = false;
-        Loading { revision: None, seen: HashSet::new(), control: Control::default(), shelf: Shelf::default() }
+        Loading {
+            revision: None,
+            newest: 0,
+            seen: HashSet::new(),
+            control: Control::default(),
+            shelf: Shelf::default(),
+        }
     }
 
     /// Takes in one page. What has changed since the first one may or may not be included.
     pub fn take_page(&mut self, loading: &mut Loading, page: &Page) -> News {
         let mut news = News::default();
         loading.revision.get_or_insert(page.revision);
+        loading.newest = loading.newest.max(page.revision);
         for item in &page.items {
             if loading.control.put(&item.path, &item.value, item.stamp) {
                 continue;
@@ -219,7 +241,7 @@
         let declared = self.shelf.replace(loading.shelf, self.revision == 0);
         let mut news = News { ownership: true, declared, ..News::default() };
         for id in gone {
-            self.end(&id, &mut news);
+            self.end(&id, loading.newest, &mut news);
         }
         self.control = loading.control;
         self.revision = loading.revision.unwrap_or_default();
@@ -257,7 +279,7 @@
             } else if records::declared(path) {
                 news.declared |= self.shelf.drop_key(path, event.stamp);
             } else if let Some(id) = path.strip_prefix(OPEN) {
-                self.end(id, news);
+                self.end(id, event.stamp, news);
             }
         }
     }
@@ -274,10 +296,10 @@
     }
 
     /// A job leaves its open key only by ending. The description is kept for a while.
-    fn end(&mut self, id: &str, news: &mut News) {
+    fn end(&mut self, id: &str, stamp: u64, news: &mut News) {
         if let Some((id, record)) = self.open.remove_entry(id) {
             self.held -= limits::cost(&record.spec);
-            self.ended.put(id.clone(), record);
+            self.ended.put(id.clone(), (record, stamp));
             news.ended.push(id);
         }
     }
--- a/src/users/mod.rs
+++ b/src/users/mod.rs
@@ -10,8 +10,9 @@
 
 use crate::history::desk::Verdict;
 use crate::history::moves::{self, end_among};
+use crate::history::visibility::Visible;
 use crate::jobs::limits::can_hold;
-use crate::jobs::record::{ENDED_EXTRA, JobRecord, time_of_day_ms};
+use crate::jobs::record::{ASSIGNMENT, ENDED_EXTRA, JobRecord, time_of_day_ms};
 use crate::jobs::{End, JobId, JobSpec, well_formed_id};
 use crate::kinds::Catalog;
 use crate::node::Node;
@@ -47,6 +48,32 @@
     }
 }
 
+/// Stored, and hidden until the owner is known to have it (`history::visibility`).
+const UNCONFIRMED: &str = "the job is being withdrawn: its owner has not confirmed that yet";
+
+/// An end as its users may hear it: a withdrawal only once the owner has it. Every path that tells of an end
+/// goes through here.
+async fn tell_end(node: &Node, id: &JobId, end: End) -> Reply {
+    node.watermark();
+    let mut visible = node.history.visible(id, end);
+    if visible == Visible::Unknown {
+        let stamp = lock(&node.mirror).ended_by(id);
+        match stamp {
+            Some(stamp) => node.history.note_withdrawal(id, stamp),
+            None => {
+                if let Err(error) = node.history.learn_stamp(&node.store, id).await {
+                    debug!(%error, job = %id, "asking when it was withdrawn");
+                }
+            }
+        }
+        visible = node.history.visible(id, end);
+    }
+    match visible {
+        Visible::Yes => ended(id, end),
+        Visible::NotYet | Visible::Unknown => Reply::later(UNCONFIRMED),
+    }
+}
+
 fn ended(id: &str, end: End) -> Reply {
     let status = match end {
         End::Done => Status::Done,
@@ -73,13 +100,13 @@
     if !well_formed_id(id) {
         return Reply::Problem(404, "no such job".into());
     }
-    if let Some(end) = node.history.ended(id) {
-        return ended(id, end);
+    let id: JobId = id.into();
+    if let Some(end) = node.history.ended(&id) {
+        return tell_end(node, &id, end).await;
     }
     if !lock(&node.mirror).ready {
         return Reply::later("the state service has not been read yet");
     }
-    let id: JobId = id.into();
     if open_tasks(node, &id).is_some() {
         if !node.fresh.wait().await {
             return Reply::later("the state service cannot be asked");
@@ -90,7 +117,7 @@
         // It has ended in between: how, the store says.
     }
     match node.history.ask(&id).await {
-        Verdict::Ended(end) => ended(&id, end),
+        Verdict::Ended(end) => tell_end(node, &id, end).await,
         Verdict::Never => Reply::Problem(404, "no such job".into()),
         // Accepted so lately that the mirror has not heard.
         Verdict::Open => open(node, &id, u64::MAX),
@@ -244,13 +271,22 @@
             other => other,
         };
     };
-    let withdrawal = moves::withdraw(&record, time_of_day_ms());
+    let owner = node.withdraws_under();
+    let withdrawal = moves::withdraw(&record, owner, time_of_day_ms());
     match node.store.txn(&withdrawal.conditions, &withdrawal.changes, Urgent::First).await {
-        Ok(TxnOutcome::Applied(_)) => {
+        Ok(TxnOutcome::Applied(stamp)) => {
             info!(job = %id, "withdrawn");
-            node.history.note_end(&id, End::Withdrawn);
             lock(&node.audit).note(Held::Ended(record, End::Withdrawn));
-            ended(&id, End::Withdrawn)
+            if owner.is_some_and(|token| node.withdrew(&id, token)) {
+                return ended(&id, End::Withdrawn);
+            }
+            node.history.note_withdrawal(&id, stamp);
+            tell_end(node, &id, End::Withdrawn).await
+        }
+        Ok(TxnOutcome::Failed(keys)) if keys == [ASSIGNMENT] => {
+            // Another owns by now: the mirror is about to hear it.
+            node.fresh.wanted.notify_one();
+            Reply::later("who owns has just changed")
         }
         Ok(TxnOutcome::Failed(keys)) => moved_on(node, &id, &keys).await,
         outcome => {
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -42,6 +42,10 @@
     let now = Instant::now();
     let mut deposed = false;
     let (report_from, report_at) = (report.machine.clone(), (report.session, report.seq));
+    let knows = node.knows_owner(now);
+    let acts = knows && !unproven;
+    // Of jobs that are over by the mirror an owner stops what runs, whatever else it may do.
+    let over = node.over_among(&report, acts);
     {
         let mut held = lock(&node.book);
         if let Some(book) = held.as_mut() {
@@ -50,14 +54,16 @@
             } else {
                 let catalog = node.catalog();
                 let name = report.machine.clone();
-                let knows = node.knows_owner(now);
                 book.take_report(report, Via::Report, catalog.as_deref(), now);
-                let orders = if unproven || !knows { Vec::new() } else { book.orders_in_answer(&name, now) };
+                let whole = acts && book.loaded;
+                let orders = if whole { book.orders_in_answer(&name, now) } else { book.stops_only(&name, &over.jobs) };
                 let token = book.token;
+                // What has ended since its last proof is in no book: whoever is not held may run on nowhere.
+                let blind = !book.loaded && !over.since(token);
                 drop(held);
                 node.wake.plan.notify_one();
                 node.wake.commit.notify_one();
-                if !knows && !node.holds(&name, now) {
+                if blind && !node.may_hold_blindly(now) || !knows && !node.holds(&name, now) {
                     return Answer::Nobody;
                 }
                 return Answer::Orders(Orders { token, session: None, orders });
--- /dev/null
+++ b/tests/unheard_withdrawals.rs
@@ -0,0 +1,151 @@
+//! Withdrawals that the owner has not heard of: no user is told by any path, and nothing told runs on.
+
+// A stand-in that panics fails its test, as it should.
+#![allow(clippy::unwrap_used)]
+
+mod stand_in;
+
+use hollylanding::wire::{self, Http};
+use hyper::Method;
+use serde_json::json;
+use stand_in::{Controller, ENDLESS, World, ask, job, open_world, settings, until, upload};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::runtime::Runtime;
+
+struct Stage {
+    outside: Runtime,
+    world: Arc<World>,
+    http: Http,
+    a: Controller,
+    b: Controller,
+}
+
+/// Two controllers that do not hear each other, and a job of three endless tasks that the first owns and runs.
+/// A lease of the leader of ten seconds: nobody else comes to own within these tests unless its holder ends.
+fn stage() -> Stage {
+    let outside = Runtime::new().unwrap();
+    let (world, door) = outside.block_on(open_world());
+    let other_door = outside.block_on(world.door(1));
+    upload(&world, &job(1, 3), ENDLESS);
+    let http = Http::default();
+    let lease = "leader.lease.seconds=10";
+    let a = Controller::start_with(&world, &settings("node-a", &["node-b"], &door), lease);
+    outside.block_on(until("the first owns", || async { a.held("open_jobs") == 0 && a.node.watermark().is_some() }));
+    let b = Controller::start_with(&world, &settings("node-b", &["node-a"], &other_door), lease);
+    outside.block_on(async {
+        let body = wire::encode(&job(1, 3));
+        until("accepted", || async {
+            ask(&http, Method::POST, &b.addr, "/work", Some(body.clone())).await.0 / 100 == 2
+        })
+        .await;
+        until("running", || async {
+            ask(&http, Method::GET, &a.addr, "/work/run-000001", None).await.1["running"] == json!(3)
+        })
+        .await;
+    });
+    Stage { outside, world, http, a, b }
+}
+
+impl Stage {
+    async fn withdraw(&self, at: &Controller) -> (u16, serde_json::Value) {
+        ask(&self.http, Method::POST, &at.addr, "/work/run-000001/withdraw", None).await
+    }
+
+    fn live(&self) -> usize {
+        self.world.fleet.lock().unwrap().live("run-000001")
+    }
+
+    fn stored(&self) -> bool {
+        self.world.state.lock().unwrap().store.has("h/w/run-000001")
+    }
+
+    /// Every path by which a user may hear of an end.
+    async fn told(&self, at: &Controller) -> bool {
+        let body = wire::encode(&job(1, 3));
+        let answers = [
+            self.withdraw(at).await,
+            ask(&self.http, Method::GET, &at.addr, "/work/run-000001", None).await,
+            ask(&self.http, Method::POST, &at.addr, "/work", Some(body)).await,
+        ];
+        let told = answers.iter().any(|(_, answer)| answer["status"] == json!("withdrawn"));
+        assert!(told || answers.iter().all(|(status, _)| *status == 503), "{answers:?}");
+        told
+    }
+
+    fn end(self) {
+        drop((self.a, self.b));
+        self.outside.shutdown_background();
+    }
+}
+
+/// The operators' first meeting. The state service refuses the owner alone; the other controller stores the
+/// withdrawal; then it is out for all. It was told "withdrawn" at once, and ran on for the whole outage.
+#[test]
+fn nobody_hears_of_a_withdrawal_that_the_owner_cannot_know() {
+    let stage = stage();
+    stage.outside.block_on(async {
+        stage.world.state.lock().unwrap().store.set_refused("0", true);
+        let (status, answer) = stage.withdraw(&stage.b).await;
+        assert_eq!((status, stage.stored()), (503, true), "stored and not told: {answer}");
+        assert!(!stage.told(&stage.b).await, "by no path");
+        let now = stage.world.now();
+        stage.world.state.lock().unwrap().store.set_out(true, now);
+        assert!(!stage.told(&stage.b).await && !stage.told(&stage.a).await, "nor in the outage");
+        assert_eq!(stage.live(), 3, "the owner cannot know");
+        let now = stage.world.now();
+        stage.world.state.lock().unwrap().store.set_out(false, now);
+        stage.world.state.lock().unwrap().store.set_refused("0", false);
+        until("told once the owner knows", || stage.told(&stage.b)).await;
+        until("gone", || async { stage.live() == 0 }).await;
+        until("the owner's users hear the same", || stage.told(&stage.a)).await;
+    });
+    stage.end();
+}
+
+/// Controllers that do not hear each other while all else is well: the watermark goes through the store.
+#[test]
+fn withdrawals_are_told_where_controllers_do_not_hear_each_other() {
+    let stage = stage();
+    stage.outside.block_on(async {
+        until("told", || stage.told(&stage.b)).await;
+        until("gone", || async { stage.live() == 0 }).await;
+        assert!(stage.world.state.lock().unwrap().store.has("c/watermark"));
+        assert_eq!(stage.b.held("hidden"), 0);
+    });
+    stage.end();
+}
+
+/// The owner's own users hear at once, whoever hears whom.
+#[test]
+fn the_owner_tells_of_a_withdrawal_at_once() {
+    let stage = stage();
+    stage.outside.block_on(async {
+        let (status, answer) = stage.withdraw(&stage.a).await;
+        assert_eq!((status, &answer["status"]), (200, &json!("withdrawn")));
+        until("gone", || async { stage.live() == 0 }).await;
+    });
+    stage.end();
+}
+
+/// Told by the owner while the machine hangs, and then the store is out for all: the owner has to go on stopping
+/// what it has told is withdrawn, though it can prove nothing by then. It held such machines without a word.
+#[test]
+fn an_owner_that_can_prove_nothing_goes_on_stopping_what_was_withdrawn() {
+    let stage = stage();
+    stage.outside.block_on(async {
+        let names: Vec<String> = stage.world.with_fleet(|fleet, _| fleet.names().cloned().collect());
+        let hang = |until| stage.world.with_fleet(|fleet, _| names.iter().for_each(|name| fleet.hang(name, until)));
+        hang(stage.world.now() + Duration::from_secs(20));
+        let (status, answer) = stage.withdraw(&stage.a).await;
+        assert_eq!((status, &answer["status"]), (200, &json!("withdrawn")));
+        let now = stage.world.now();
+        stage.world.state.lock().unwrap().store.set_out(true, now);
+        until("it cannot prove anything", || async { !stage.a.node.knows_owner(Instant::now()) }).await;
+        assert_eq!(stage.live(), 3);
+        hang(Duration::ZERO);
+        until("gone in the midst of the outage", || async { stage.live() == 0 }).await;
+        assert!(!stage.world.state.lock().unwrap().store.serves("0"));
+    });
+    stage.end();
+}
