--- a/crates/emulator/src/driver/mod.rs
+++ b/crates/emulator/src/driver/mod.rs
@@ -363,7 +363,8 @@
             {
                 let mut state = lock(&self.state);
                 // During an outage open watches wait; the store tells nothing to one it refuses.
-                if state.store.serves(node) {
+                let quiet = state.faults.quiet_watches && Instant::now() < until;
+                if state.store.serves(node) && !quiet {
                     match state.follow(&prefix, since) {
                         Some(Ok(told)) => return (200, told),
                         Some(Err(refusal)) => return (refusal.status(), Value::Null),
--- a/crates/emulator/src/driver/state.rs
+++ b/crates/emulator/src/driver/state.rs
@@ -24,6 +24,12 @@
     pub unanswered: u32,
     /// So many writes are carried out this much later, and not answered.
     pub late: (u32, Duration),
+    /// Where set, only writes of keys with this prefix are `unanswered` or `late`.
+    pub only: Option<&'static str>,
+    /// So many late writes have had their time, whether they were carried out or refused by then.
+    pub late_over: u32,
+    /// Watches that wait are told nothing before their time is over; those that do not wait are.
+    pub quiet_watches: bool,
     /// Answers come so much later.
     pub slow: Duration,
     /// Watches hear nothing until then.
@@ -103,6 +109,11 @@
             return Outcome::Answer(Err(Refusal::Malformed("no transaction")));
         };
         let writes = !txn.apply.is_empty();
+        let only = self.faults.only;
+        let among = |c: &Change| {
+            only.is_none_or(|prefix| matches!(c, Change::Write { write, .. } if write.starts_with(prefix)))
+        };
+        let meant = txn.apply.iter().any(among);
         let faults = &mut self.faults;
         if faults.garble_writes {
             return Outcome::Answer(Ok(json!("what is this")));
@@ -120,13 +131,13 @@
                     (faults.lose, faults.lost) = (faults.lose - 1, faults.lost + 1);
                     return Outcome::Answer(Ok(json!({"ledgerRev": self.store.revision() + 1})));
                 }
-                if faults.late.0 > 0 {
+                if meant && faults.late.0 > 0 {
                     faults.late.0 -= 1;
                     return Outcome::Later(faults.late.1);
                 }
             }
         }
-        let silent = writes && self.faults.unanswered > 0;
+        let silent = meant && self.faults.unanswered > 0;
         let answer = self.apply(&txn);
         if silent && answer.as_ref().is_ok_and(|a| a.get("failed").is_none()) {
             self.faults.unanswered -= 1;
@@ -140,6 +151,7 @@
         if let Ok(txn) = serde_json::from_value::<Txn>(body.clone()) {
             let _ = self.apply(&txn);
         }
+        self.faults.late_over += 1;
     }
 
     fn apply(&mut self, txn: &Txn) -> Result<Value, Refusal> {
--- /dev/null
+++ b/tests/close_looks.rs
@@ -0,0 +1,449 @@
+//! Users who look closely: at every node, within milliseconds, while an answer of the state service is lost, an end
+//! and a withdrawal meet, or the work changes hands. What any node says is held against what is stored: it may say
+//! nothing older than what stood when it was asked.
+
+// A stand-in that panics fails its test, as it should.
+#![allow(clippy::unwrap_used)]
+
+mod stand_in;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hollylanding::wire::{self, Http};
+use hollylanding_emulator::driver::state::Faults;
+use hyper::Method;
+use serde_json::{Value, json};
+use stand_in::{Controller, ENDLESS, SHORT, World, ask, job, params, settings, until, upload};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::runtime::Runtime;
+
+/// How far a job is, by what is stored of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Stands {
+    Nowhere,
+    Open,
+    Done,
+    Withdrawn,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum How {
+    LookUp,
+    Submit,
+    Withdraw,
+}
+
+const LOOKS: [How; 2] = [How::LookUp, How::Submit];
+const ALL: [How; 3] = [How::LookUp, How::Submit, How::Withdraw];
+
+struct Stage {
+    outside: Runtime,
+    world: Arc<World>,
+    http: Http,
+}
+
+fn id(n: u64) -> String {
+    format!("run-{n:06}")
+}
+
+/// Three tasks, of which a machine holds many.
+fn small(n: u64) -> Value {
+    let mut job = job(n, 3);
+    (job["cpus"], job["memGb"]) = (json!(0.1), json!(0.1));
+    job
+}
+
+/// The owner and another controller, which do not hear each other, and how long a leader's lease is.
+fn stage(lease_s: u64) -> (Stage, Controller, Controller) {
+    let outside = Runtime::new().unwrap();
+    // Workers' leases outlast these tests: what is gone was stopped.
+    let mut params = params();
+    params.fleet.lease = Duration::from_secs(3600);
+    let (world, doors) = outside.block_on(async {
+        let world = World::open(params);
+        let doors = [world.door(0).await, world.door(1).await];
+        (world, doors)
+    });
+    let lease = format!("leader.lease.seconds={lease_s}");
+    let a = Controller::start_with(&world, &settings("node-a", &["node-b"], &doors[0]), &lease);
+    outside.block_on(until("the first owns", || async { a.node.watermark().is_some() }));
+    let b = Controller::start_with(&world, &settings("node-b", &["node-a"], &doors[1]), &lease);
+    let stage = Stage { outside, world, http: Http::default() };
+    stage.outside.block_on(until("the second is healthy", || stage.healthy(&b)));
+    (stage, a, b)
+}
+
+impl Stage {
+    async fn healthy(&self, at: &Controller) -> bool {
+        ask(&self.http, Method::GET, &at.addr, "/healthz", None).await.0 == 200
+    }
+
+    fn faults(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut self.world.state.lock().unwrap().faults);
+    }
+
+    /// Mirrors learn by proofs of freshness alone: what just happened is not in them by itself.
+    fn quiet_watches(&self) {
+        self.faults(|faults| faults.quiet_watches = true);
+    }
+
+    fn has(&self, key: &str) -> bool {
+        self.world.state.lock().unwrap().store.has(key)
+    }
+
+    fn stamp(&self, key: &str) -> u64 {
+        self.world.state.lock().unwrap().store.stamp(key)
+    }
+
+    fn stands(&self, n: u64) -> Stands {
+        let (state, id) = (self.world.state.lock().unwrap(), id(n));
+        let has = |prefix: &str| state.store.has(&format!("{prefix}{id}"));
+        let (open, done, withdrawn) = (has("c/o/"), has("h/d/"), has("h/w/"));
+        assert!(u8::from(open) + u8::from(done) + u8::from(withdrawn) <= 1, "{id} stands twice");
+        match (open, done, withdrawn) {
+            (true, ..) => Stands::Open,
+            (_, true, _) => Stands::Done,
+            (.., true) => Stands::Withdrawn,
+            _ => Stands::Nowhere,
+        }
+    }
+
+    fn live(&self, n: u64) -> usize {
+        self.world.fleet.lock().unwrap().live(&id(n))
+    }
+
+    fn started(&self, n: u64) -> usize {
+        let task = format!("{}/", id(n));
+        self.world.starts.lock().unwrap().iter().filter(|started| started.starts_with(&task)).count()
+    }
+
+    async fn ask(&self, at: &Controller, n: u64, how: How) -> (u16, Value) {
+        let path = format!("/work/{}", id(n));
+        match how {
+            How::LookUp => ask(&self.http, Method::GET, &at.addr, &path, None).await,
+            How::Submit => self.submit(at, &small(n)).await,
+            How::Withdraw => ask(&self.http, Method::POST, &at.addr, &format!("{path}/withdraw"), None).await,
+        }
+    }
+
+    async fn submit(&self, at: &Controller, job: &Value) -> (u16, Value) {
+        ask(&self.http, Method::POST, &at.addr, "/work", Some(wire::encode(job))).await
+    }
+
+    /// Asks once, and holds the answer against what is stored before and after it. What was told, if anything.
+    async fn look(&self, at: &Controller, n: u64, how: How) -> Option<String> {
+        let before = self.stands(n);
+        let (code, answer) = self.ask(at, n, how).await;
+        let after = self.stands(n);
+        let (node, status) = (&at.node.settings.node, answer["status"].as_str());
+        let may = match (code, status) {
+            (503, None) => true,
+            (404, None) => before == Stands::Nowhere && how != How::Submit,
+            (201, Some("pending")) => before == Stands::Nowhere && how == How::Submit,
+            (200, Some("pending" | "running")) => {
+                before <= Stands::Open && after >= Stands::Open && how != How::Withdraw
+            }
+            (200, Some("done")) => after == Stands::Done,
+            (200, Some("withdrawn")) => after == Stands::Withdrawn,
+            _ => false,
+        };
+        assert!(may, "{how:?} of {n} at {node}: {code} {answer}, which stood {before:?} before and {after:?} after");
+        status.map(str::to_owned)
+    }
+
+    /// All nodes one after another, in all these ways, so often. How many were answered.
+    async fn looks(&self, nodes: [&Controller; 2], n: u64, ways: &[How], rounds: usize) -> usize {
+        let mut told = 0;
+        for _ in 0..rounds {
+            for how in ways {
+                for at in nodes {
+                    told += usize::from(self.look(at, n, *how).await.is_some());
+                }
+            }
+        }
+        told
+    }
+
+    /// Everybody says so, in every way, again and again.
+    async fn all_say(&self, nodes: [&Controller; 2], n: u64, want: &str) {
+        for at in nodes {
+            until(want, || async { self.look(at, n, How::LookUp).await.as_deref() == Some(want) }).await;
+        }
+        for _ in 0..5 {
+            for how in ALL {
+                for at in nodes {
+                    let told = self.look(at, n, how).await;
+                    assert_eq!(told.as_deref(), Some(want), "{how:?} of {n} at {}", at.node.settings.node);
+                }
+            }
+        }
+    }
+
+    /// Submitted at this node until accepted.
+    async fn accepted(&self, at: &Controller, n: u64, run: Duration) {
+        upload(&self.world, &small(n), run);
+        until("accepted", || async { self.look(at, n, How::Submit).await.is_some() }).await;
+    }
+
+    async fn running(&self, n: u64) {
+        until("running", || async { self.started(n) == 3 }).await;
+    }
+
+    fn end(self, controllers: impl IntoIterator<Item = Controller>) {
+        controllers.into_iter().for_each(drop);
+        self.outside.shutdown_background();
+    }
+}
+
+/// Carried out at once and not answered: whoever asks anywhere hears of the job from then on, its repeat too, and
+/// it is accepted once.
+#[test]
+fn an_acceptance_whose_answer_is_lost_is_known_to_all() {
+    let (stage, a, b) = stage(10);
+    stage.outside.block_on(async {
+        stage.quiet_watches();
+        for (n, at) in [(1, &a), (2, &b)] {
+            upload(&stage.world, &small(n), ENDLESS);
+            let key = format!("c/o/{}", id(n));
+            stage.faults(|faults| (faults.unanswered, faults.only) = (1, Some("c/o/")));
+            let others = async {
+                until("stored", || async { stage.has(&key) }).await;
+                stage.looks([&b, &a], n, &LOOKS, 5).await
+            };
+            let (first, told) = tokio::join!(stage.ask(at, n, How::Submit), others);
+            assert_eq!(first.0, 503, "its answer is lost: {first:?}");
+            assert!(told > 0, "nobody was answered");
+            let stamp = stage.stamp(&key);
+            for at in [&b, &a] {
+                until("known", || async { stage.look(at, n, How::Submit).await.is_some() }).await;
+            }
+            stage.running(n).await;
+            assert_eq!((stage.stamp(&key), stage.started(n)), (stamp, 3), "accepted once, and run once");
+        }
+    });
+    stage.end([a, b]);
+}
+
+/// The same of a withdrawal: nobody says from then on that the job is open, and once somebody has told it is gone.
+#[test]
+fn a_withdrawal_whose_answer_is_lost_is_known_to_all() {
+    let (stage, a, b) = stage(10);
+    stage.outside.block_on(async {
+        for (n, at) in [(1, &a), (2, &b)] {
+            stage.accepted(&b, n, ENDLESS).await;
+            stage.running(n).await;
+            stage.quiet_watches();
+            stage.faults(|faults| (faults.unanswered, faults.only) = (1, Some("h/w/")));
+            let others = async {
+                until("stored", || async { stage.stands(n) == Stands::Withdrawn }).await;
+                stage.looks([&b, &a], n, &ALL, 5).await
+            };
+            let (first, _) = tokio::join!(stage.ask(at, n, How::Withdraw), others);
+            assert_eq!(first.0, 503, "its answer is lost: {first:?}");
+            stage.all_say([&a, &b], n, "withdrawn").await;
+            until("gone", || async { stage.live(n) == 0 }).await;
+            stage.faults(|faults| faults.quiet_watches = false);
+        }
+    });
+    stage.end([a, b]);
+}
+
+/// The same of the owner's `done`: it is stored once, and nobody says that the job is open after it.
+#[test]
+fn an_end_whose_answer_is_lost_is_known_to_all() {
+    let (stage, a, b) = stage(10);
+    stage.outside.block_on(async {
+        stage.quiet_watches();
+        for n in 1..=3 {
+            let key = format!("h/d/{}", id(n));
+            stage.faults(|faults| (faults.unanswered, faults.only) = (1, Some("h/d/")));
+            stage.accepted(&b, n, SHORT).await;
+            until("stored", || async { stage.has(&key) }).await;
+            let stamp = stage.stamp(&key);
+            stage.looks([&b, &a], n, &LOOKS, 5).await;
+            stage.all_say([&a, &b], n, "done").await;
+            until("the owner has let it go", || async { a.held("book_jobs") == 0 }).await;
+            assert_eq!((stage.stamp(&key), stage.started(n)), (stamp, 3), "one end, and nothing run again");
+        }
+    });
+    stage.end([a, b]);
+}
+
+/// With nothing wrong: right after an acceptance, an end and a confirmed withdrawal at one node all nodes are asked,
+/// again and again, before any has heard of it by itself.
+#[test]
+fn right_after_an_answer_nobody_says_anything_older() {
+    let (stage, a, b) = stage(10);
+    stage.outside.block_on(async {
+        stage.quiet_watches();
+        for (n, at, other) in [(1, &a, &b), (2, &b, &a)] {
+            stage.accepted(at, n, ENDLESS).await;
+            let told = stage.looks([other, at], n, &LOOKS, 3).await;
+            assert!(told >= 6, "{told} of 12 were answered with nothing wrong");
+            // The first is called off at once, the other once it runs.
+            if n == 2 {
+                stage.running(n).await;
+            }
+            until("told", || async { stage.look(at, n, How::Withdraw).await.is_some() }).await;
+            stage.looks([other, at], n, &ALL, 5).await;
+            stage.all_say([&a, &b], n, "withdrawn").await;
+            until("gone", || async { stage.live(n) == 0 }).await;
+        }
+        for (n, at, other) in [(3, &a, &b), (4, &b, &a), (5, &a, &b), (6, &b, &a)] {
+            stage.accepted(at, n, SHORT).await;
+            until("done", || async { stage.look(at, n, How::LookUp).await.as_deref() == Some("done") }).await;
+            stage.looks([other, at], n, &ALL, 5).await;
+            stage.all_say([&a, &b], n, "done").await;
+        }
+    });
+    stage.end([a, b]);
+}
+
+/// A withdrawal that is carried out only after the job's end, and an end only after its withdrawal, each through
+/// either node: whichever was first stays, and everybody says the same for ever.
+#[test]
+fn an_end_and_a_withdrawal_carried_out_late_change_nothing() {
+    let (stage, a, b) = stage(10);
+    stage.outside.block_on(async {
+        let mut late = 0;
+        for (n, at) in [(1, &a), (2, &b)] {
+            stage.accepted(&b, n, Duration::from_secs(2)).await;
+            stage.running(n).await;
+            stage.faults(|faults| (faults.late, faults.only) = ((1, Duration::from_secs(4)), Some("h/w/")));
+            let first = stage.ask(at, n, How::Withdraw).await;
+            assert_eq!(first.0, 503, "it is not answered: {first:?}");
+            late += 1;
+            until("done", || async { stage.stands(n) == Stands::Done }).await;
+            stage.looks([&a, &b], n, &ALL, 2).await;
+            until("carried out late", || async { stage.world.state.lock().unwrap().faults.late_over == late }).await;
+            assert_eq!(stage.stands(n), Stands::Done);
+            stage.all_say([&a, &b], n, "done").await;
+        }
+        for (n, at) in [(3, &a), (4, &b)] {
+            stage.faults(|faults| (faults.late, faults.only) = ((1, Duration::from_secs(4)), Some("h/d/")));
+            stage.accepted(&b, n, SHORT).await;
+            until("the end is under way", || async { stage.world.state.lock().unwrap().faults.late.0 == 0 }).await;
+            late += 1;
+            until("told", || async { stage.look(at, n, How::Withdraw).await.is_some() }).await;
+            let first = stage.stands(n);
+            assert!(first > Stands::Open);
+            stage.looks([&a, &b], n, &ALL, 2).await;
+            until("carried out late", || async { stage.world.state.lock().unwrap().faults.late_over == late }).await;
+            assert_eq!(stage.stands(n), first);
+            let want = if first == Stands::Done { "done" } else { "withdrawn" };
+            stage.all_say([&a, &b], n, want).await;
+        }
+    });
+    stage.end([a, b]);
+}
+
+/// With nothing else wrong: in the moment in which the last task has ended users withdraw, ask and submit again, at
+/// both nodes at once.
+#[test]
+fn everybody_hears_one_end_where_a_withdrawal_meets_it() {
+    let (stage, a, b) = stage(10);
+    stage.outside.block_on(async {
+        for n in 1..=12 {
+            stage.accepted(if n % 2 == 0 { &a } else { &b }, n, SHORT).await;
+            let ended = |n: u64| {
+                let fleet = stage.world.fleet.lock().unwrap();
+                fleet.results().iter().filter(|task| *task.job == *id(n)).count()
+            };
+            // In fixed steps from some 60 ms before the owner hears of it to as long after.
+            until("ended", || async { ended(n) == 3 || stage.stands(n) > Stands::Open }).await;
+            let begun = Instant::now();
+            while begun.elapsed() < Duration::from_millis(10 * n) && stage.stands(n) == Stands::Open {
+                tokio::task::yield_now().await;
+            }
+            tokio::join!(
+                stage.look(&a, n, How::Withdraw),
+                stage.look(&b, n, How::Withdraw),
+                stage.look(&a, n, How::LookUp),
+                stage.look(&b, n, How::LookUp),
+                stage.look(&a, n, How::Submit),
+                stage.look(&b, n, How::Submit),
+            );
+            until("ended", || async { stage.stands(n) > Stands::Open }).await;
+            let first = stage.stands(n);
+            let want = if first == Stands::Done { "done" } else { "withdrawn" };
+            stage.all_say([&a, &b], n, want).await;
+            assert_eq!((stage.stands(n), stage.started(n)), (first, 3));
+        }
+    });
+    stage.end([a, b]);
+}
+
+/// One withdrawal as it goes over the wire: its status, when to come again, and its body.
+async fn withdraw_raw(addr: &str, n: u64) -> (u16, Option<u64>, Value) {
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    let request = format!(
+        "POST /work/{}/withdraw HTTP/1.1\r\nhost: {addr}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n",
+        id(n)
+    );
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await.unwrap();
+    let split = answer.windows(4).position(|bytes| bytes == b"\r\n\r\n").unwrap();
+    let head = String::from_utf8_lossy(&answer[..split]).to_ascii_lowercase();
+    let code = head.split(' ').nth(1).unwrap().parse().unwrap();
+    let again = head.lines().find_map(|line| line.strip_prefix("retry-after:")).map(|s| s.trim().parse().unwrap());
+    (code, again, wire::decode(&answer[split + 4..]).unwrap_or_default())
+}
+
+/// Jobs are withdrawn in the seconds in which the work changes hands, until somebody owns and has loaded its book:
+/// each is answered at once, told only once that book has it, and confirmed soon after.
+#[test]
+fn withdrawals_while_the_work_changes_hands() {
+    let (stage, a, b) = stage(2);
+    let jobs = 1..=12;
+    stage.outside.block_on(async {
+        for n in jobs.clone() {
+            stage.accepted(&b, n, ENDLESS).await;
+        }
+        for n in jobs.clone() {
+            stage.running(n).await;
+        }
+        // A reading takes its time: many pages, of two keys each.
+        stage.faults(|faults| faults.slow = Duration::from_millis(150));
+    });
+    drop(a);
+    stage.outside.block_on(async {
+        // One after another, so that there is one at each moment.
+        let (mut waiting, mut told, mut next) = (Vec::<u64>::new(), Vec::new(), jobs.clone());
+        let (begun, mut loaded) = (Instant::now(), None);
+        while told.len() < jobs.clone().count() {
+            assert!(begun.elapsed() < stand_in::LONG, "never told: {waiting:?}");
+            waiting.extend(next.next());
+            let mut rest = Vec::new();
+            for n in waiting {
+                let asked = Instant::now();
+                let (code, again, answer) = withdraw_raw(&b.addr, n).await;
+                let took = asked.elapsed();
+                assert!(took < Duration::from_secs(4), "{n} was answered only after {took:?}");
+                if code == 200 {
+                    assert_eq!(answer["status"], "withdrawn");
+                    let stamp = stage.stamp(&format!("h/w/{}", id(n)));
+                    // What was stored under its own token it has put into its book itself, ahead of its watch.
+                    let has = b.node.watermark().is_some_and(|book| book.token < stamp || book.revision >= stamp);
+                    assert!(has && stamp > 0, "{n} was told with no loaded book that has it");
+                    told.push(n);
+                } else {
+                    assert!(code == 503 && again.is_some_and(|s| (1..=30).contains(&s)), "{code} {again:?} {answer}");
+                    rest.push(n);
+                }
+            }
+            waiting = rest;
+            if loaded.is_none() && b.node.watermark().is_some() {
+                loaded = Some(Instant::now());
+            }
+        }
+        let took = loaded.unwrap().elapsed();
+        assert!(took < Duration::from_secs(10), "confirmed {took:?} after the book was loaded");
+        for n in jobs {
+            until("gone", || async { stage.live(n) == 0 }).await;
+        }
+    });
+    stage.end([b]);
+}
