--- a/review/harness/src/chaos.rs
+++ b/review/harness/src/chaos.rs
@@ -86,7 +86,7 @@
     let mut undo: Vec<(Instant, u64, usize)> = Vec::new();
     while started.elapsed() < seconds(trouble_s) {
         std::thread::sleep(Duration::from_millis(1000 + rng.below(4000)));
-        let (kind, node, now) = (rng.below(15), rng.below(3) as usize, Instant::now());
+        let (kind, node, now) = (rng.below(18), rng.below(3) as usize, Instant::now());
         for (_, kind, node) in undo.extract_if(.., |(at, ..)| *at <= now) {
             end_trouble(&world, &mut controllers, kind, node);
         }
@@ -176,6 +176,11 @@
         3 => world.lock().store.down = false,
         7 => world.lock().hold_commands = None,
         8 => world.lock().copy_reports = None,
+        15 | 17 => (0..3).for_each(|i| controllers.set_peers(i, crate::proxy::PASS)),
+        16 => {
+            (0..3).for_each(|i| controllers.set_peers(i, crate::proxy::PASS));
+            world.lock().links[node] = StoreLink::default();
+        }
         _ => world.lock().links[node] = StoreLink::default(),
     }
 }
--- a/review/harness/src/controllers.rs
+++ b/review/harness/src/controllers.rs
@@ -3,9 +3,11 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use crate::http;
+use crate::proxy;
 use crate::world::World;
 
 pub struct Controllers {
@@ -13,6 +15,8 @@
     folder: PathBuf,
     children: Vec<Option<Child>>,
     pub api: Vec<String>,
+    /// By pair of controllers, the switch of the connections that the first opens to the second.
+    switches: Vec<Vec<Arc<AtomicU8>>>,
 }
 
 /// The program and the arguments of the `run` line of the deploy file.
@@ -29,13 +33,16 @@
         let zones = &world.settings.zones;
         let api: Vec<String> = (0..count).map(|_| http::free_addr()).collect();
         let mesh: Vec<String> = (0..count).map(|_| http::free_addr()).collect();
+        let switches: Vec<Vec<Arc<AtomicU8>>> =
+            (0..count).map(|_| (0..count).map(|_| Arc::default()).collect()).collect();
         for i in 0..count {
             let services = world.serve_controller(i);
             let peers: Vec<String> = (0..count)
                 .filter(|j| *j != i)
                 .map(|j| {
                     let area = zones[j % zones.len()];
-                    format!(r#"{{"host_name":"node-{j}","area":"{area}","endpoint":"{}"}}"#, mesh[j])
+                    let endpoint = proxy::start(mesh[j].clone(), switches[i][j].clone());
+                    format!(r#"{{"host_name":"node-{j}","area":"{area}","endpoint":"{endpoint}"}}"#)
                 })
                 .collect();
             let settings = format!(
@@ -47,14 +54,27 @@
             );
             std::fs::write(folder.join(format!("node-{i}.json")), settings).expect("the settings can be written");
         }
-        let mut controllers =
-            Self { command: run_command(root), folder: folder.to_owned(), children: Vec::new(), api: api.clone() };
+        let mut controllers = Self {
+            command: run_command(root),
+            folder: folder.to_owned(),
+            children: Vec::new(),
+            api: api.clone(),
+            switches,
+        };
         controllers.children.resize_with(count, || None);
         (0..count).for_each(|i| controllers.spawn(i));
         world.lock().nodes = api.iter().enumerate().map(|(i, addr)| (format!("node-{i}"), addr.clone())).collect();
         controllers
     }
 
+    /// Sets the switches of all connections between a controller and the others.
+    pub fn set_peers(&self, i: usize, mode: u8) {
+        for j in 0..self.switches.len() {
+            self.switches[i][j].store(mode, Ordering::Relaxed);
+            self.switches[j][i].store(mode, Ordering::Relaxed);
+        }
+    }
+
     pub fn spawn(&mut self, i: usize) {
         let log = std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join(format!("node-{i}.log")));
         let child = Command::new(&self.command[0])
--- a/review/harness/src/fleet.rs
+++ b/review/harness/src/fleet.rs
@@ -50,6 +50,8 @@
     pub renewed: Instant,
     pub tasks: Vec<Task>,
     pub alive: bool,
+    /// When the machine stopped by itself.
+    pub died: Option<Instant>,
     /// Until this time the machine does not execute.
     pub hangs_until: Instant,
     /// Until this time the machine's reports go nowhere.
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod http;
 mod msgpack;
+mod proxy;
 mod store;
 mod users;
 mod world;
--- a/review/harness/src/world.rs
+++ b/review/harness/src/world.rs
@@ -81,7 +81,7 @@
     record: Mutex<std::fs::File>,
 }
 
-/// The limit of request bodies, which the page counts in the form of JSON.
+/// How long a worker waits for the answer to a report.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(4);
 const STEP: Duration = Duration::from_millis(20);
 
@@ -188,6 +188,7 @@
             renewed: now,
             tasks: Vec::new(),
             alive: true,
+            died: None,
             hangs_until: now,
             mute_until: now,
             deaf_until: now,
@@ -472,6 +473,13 @@
                     name.as_str() > since.as_str() && now - r.rented >= lag && r.gone.is_none_or(|at| now - at < lag)
                 });
                 let berths = listed.take(500).map(|(name, r)| {
+                    // "A machine that dies still appears as `running` for about 30 s."
+                    let died = state.fleet.workers.get(name).and_then(|w| w.died);
+                    let status = match (r.up, died) {
+                        (false, _) => "starting",
+                        (_, Some(at)) if now - at > Duration::from_secs(30) => "failed",
+                        _ => "running",
+                    };
                     let endpoint = state.fleet.workers.get(name).map_or(Value::Null, |w| Value::text(&w.endpoint));
                     Value::map([
                         ("uid", Value::text(name)),
@@ -479,7 +487,7 @@
                         ("fleet", Value::text(&r.fleet)),
                         ("yard", Value::text(&r.yard)),
                         ("borrowed", Value::Bool(r.borrowed)),
-                        ("status", Value::text(if r.up { "running" } else { "starting" })),
+                        ("status", Value::text(status)),
                         ("heldS", Value::Float((now - r.rented).saturating_sub(lag).as_secs_f64())),
                     ])
                 });
@@ -518,6 +526,10 @@
     /// A machine stops with all that is on it, without notice.
     pub fn kill_machine(&self, name: &str) {
         self.note(format!("machine {name} stops"));
-        self.lock().fleet.remove(name, Instant::now());
+        let (mut state, now) = (self.lock(), Instant::now());
+        state.fleet.remove(name, now);
+        if let Some(worker) = state.fleet.workers.get_mut(name) {
+            worker.died = Some(now);
+        }
     }
 }
