--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/bin/bash
-# Jobs of a class with many small tasks come four times as often.
+# Direct commands that were carried out are repeated, and a task goes on elsewhere meanwhile.
 here=$(cd "$(dirname "$0")" && pwd)
-exec "$here/../run-case.sh" many-small-tasks "$here"
+exec "$here/../run-case.sh" repeated-commands "$here"
--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -181,67 +181,69 @@
     (settings, Limits { value_kb: 8.0, txn_ops: 24, write_rps: 40.0 }, params)
 }
 
-/// Direct commands that were carried out are repeated later, while users cancel jobs.
+/// How long after a direct command was carried out it is repeated.
+const REPEAT_AFTER: Duration = Duration::from_secs(15);
+
+/// Direct commands that were carried out are repeated later. A task makes room for an urgent job and goes on elsewhere.
 pub fn repeated_commands(context: &Context) -> Verdict {
-    let (settings, limits, params) = freight(5.0, 10);
+    // One machine in each of the two zones.
+    let (settings, limits, params) = freight(5.0, 1);
     let world = World::new(settings, limits, timing(24.0), 3, &context.record);
     let controllers = Controllers::start(&world, &context.root, &context.folder, 3, params);
     if !controllers.wait_healthy(Duration::from_secs(20)) {
         return Verdict::CouldNotRun;
     }
     if context.trouble {
-        world.lock().repeat_commands_after = Some(Duration::from_secs(8));
+        world.lock().repeat_commands_after = Some(REPEAT_AFTER);
     }
     let users = Users::new(world.clone(), controllers.api.clone());
-    let jobs: Vec<Job> =
-        (0..12).map(|n| Job::array(format!("run-{n:06}"), "wagon-match", "vagones", 4, 1.0, 100.0)).collect();
-    for (n, job) in jobs.iter().enumerate() {
-        if !users.submit(job, n % 3) {
-            return Verdict::CouldNotRun;
-        }
-    }
-    // Each job is cancelled as soon as all of its tasks have started.
-    let until = Instant::now() + Duration::from_secs(50);
-    let mut running: Vec<String> = jobs.iter().map(|job| job.id.clone()).collect();
-    let mut cancelling = Vec::new();
-    while !running.is_empty() && Instant::now() < until {
-        std::thread::sleep(Duration::from_millis(100));
-        let ready: Vec<String> = {
-            let state = world.lock();
-            let starts =
-                |id: &str| state.fleet.events.iter().filter(|e| e.what == "start" && job_of(&e.leg) == id).count();
-            running.iter().filter(|id| starts(id) >= 4).cloned().collect()
-        };
-        running.retain(|id| !ready.contains(id));
-        for id in ready {
-            let users = users.clone();
-            cancelling.push(std::thread::spawn(move || {
-                for node in 0..20 {
-                    let answer = users.cancel_once(&id, node % 3);
-                    if answer.is_some_and(|(status, text)| status == 200 && text == "withdrawn") {
-                        return;
-                    }
-                    std::thread::sleep(Duration::from_secs(1));
-                }
-            }));
+    // Each job takes a whole machine. The first saves its progress, so it loses least when room is needed.
+    let whole =
+        |id: &str, run_s: f64| Job { mem: 32.0, ..Job::array(id.into(), "wagon-match", "vagones", 1, 16.0, run_s) };
+    let moved = Job { checkpoint_s: 5.0, stow_s: 1.0, ..whole("run-000001", 40.0) };
+    let other = whole("run-000002", 100.0);
+    let urgent = Job { urgency: "prod", ..whole("run-000003", 4.0) };
+    let has_started = |id: &str| world.lock().fleet.events.iter().any(|e| e.what == "start" && job_of(&e.leg) == id);
+    let wait_for_starts = |ids: &[&str]| {
+        let until = Instant::now() + Duration::from_secs(40);
+        while !ids.iter().all(|id| has_started(id)) && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(20));
         }
+        ids.iter().all(|id| has_started(id))
+    };
+    if !users.submit(&moved, 0) || !users.submit(&other, 1) || !wait_for_starts(&[&moved.id, &other.id]) {
+        world.note("the first two jobs did not start");
+        return Verdict::CouldNotRun;
     }
-    if !running.is_empty() {
-        world.note("not all jobs have started");
+    // The urgent job takes the first one's machine. Then the other job is cancelled, and the first goes on there.
+    if !users.submit(&urgent, 2) || !wait_for_starts(&[&urgent.id]) {
+        world.note("the urgent job did not start");
         return Verdict::CouldNotRun;
     }
-    for thread in cancelling {
-        let _ = thread.join();
+    for node in 0..20 {
+        if users.cancel_once(&other.id, node % 3).is_some_and(|(status, text)| status == 200 && text == "withdrawn") {
+            break;
+        }
+        std::thread::sleep(Duration::from_secs(1));
     }
-    std::thread::sleep(Duration::from_secs(20));
+    let waiting = wait_for_all(&users, &[moved, urgent], Instant::now() + Duration::from_secs(55));
     let state = world.lock();
-    let mut late = Vec::new();
-    for event in state.fleet.events.iter().filter(|e| e.what == "start") {
-        if users.told(job_of(&event.leg)).cancelled.is_some_and(|at| event.at > at) {
-            late.push(format!("{} try {} on {}", event.leg, event.attempt, event.machine));
+    let (mut on, mut twice) = (std::collections::BTreeMap::<&str, Vec<&str>>::new(), Vec::new());
+    for event in &state.fleet.events {
+        let machines = on.entry(&event.leg).or_default();
+        if event.what == "start" {
+            if !machines.is_empty() {
+                let (leg, attempt, machine) = (&event.leg, event.attempt, &event.machine);
+                twice.push(format!("{leg} try {attempt} starts on {machine} while it is on {}", machines.join(", ")));
+            }
+            machines.push(&event.machine);
+        } else {
+            machines.retain(|machine| *machine != event.machine);
         }
     }
+    let verdict = format!("{} jobs not done; ran twice: {} {}", waiting.len(), twice.len(), twice.join("; "));
+    let broken = !twice.is_empty();
     drop(state);
-    world.note(format!("{} starts after a confirmed cancellation: {}", late.len(), late.join(", ")));
-    if late.is_empty() { Verdict::Held } else { Verdict::Broken }
+    world.note(verdict);
+    if broken { Verdict::Broken } else { Verdict::Held }
 }
--- a/review/harness/src/chaos.rs
+++ b/review/harness/src/chaos.rs
@@ -29,7 +29,7 @@
 pub fn chaos(context: &Context) -> Verdict {
     let env = |name: &str, default: u64| std::env::var(name).ok().and_then(|s| s.parse().ok()).unwrap_or(default);
     let seed = env("SEED", 1);
-    let (trouble_s, calm_s, kinds) = (env("TROUBLE_S", 100), env("CALM_S", 110), env("KINDS", u64::MAX));
+    let (trouble_s, calm_s, kinds) = (env("TROUBLE_S", 100), env("CALM_S", 110), env("KINDS", (1 << 18) - 1));
     let mut rng = Rng(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
     let (settings, limits, params) = freight(3.0, 6);
     let params = params.replace(r#""cpus_max":0.0"#, r#""cpus_max":90.0"#);
@@ -86,11 +86,12 @@
     let mut undo: Vec<(Instant, u64, usize)> = Vec::new();
     while started.elapsed() < seconds(trouble_s) {
         std::thread::sleep(Duration::from_millis(1000 + rng.below(4000)));
-        let (kind, node, now) = (rng.below(18), rng.below(3) as usize, Instant::now());
+        let (kind, node, now) =
+            (rng.below(if kinds >> 18 == 0 { 18 } else { 19 }), rng.below(3) as usize, Instant::now());
         for (_, kind, node) in undo.extract_if(.., |(at, ..)| *at <= now) {
             end_trouble(&world, &mut controllers, kind, node);
         }
-        if kinds & (1 << kind) == 0 {
+        if kinds & (1 << kind) == 0 || (kind == 18 && controllers.older[node].is_none()) {
             continue;
         }
         let machines: Vec<String> = {
@@ -273,3 +274,47 @@
     world.note(format!("{} problems; {} jobs, {done} done, {open} open", problems.len(), told.len()));
     problems.len()
 }
+
+/// Entry 24 of the open issues: a leader that is cut off returns a machine on which its successor has placed work.
+pub fn stale_return(context: &Context) -> Verdict {
+    let (settings, limits, params) = freight(3.0, 1);
+    let world = World::new(settings, limits, timing(24.0), 3, &context.record);
+    let controllers = Controllers::start(&world, &context.root, &context.folder, 3, params);
+    if !controllers.wait_healthy(seconds(20)) {
+        return Verdict::CouldNotRun;
+    }
+    let users = Users::new(world.clone(), controllers.api.clone());
+    let first = Job::array("run-000001".into(), "wagon-match", "vagones", 2, 8.0, 200.0);
+    let second = Job::array("run-000002".into(), "wagon-match", "vagones", 2, 16.0, 60.0);
+    users.submit(&first, 0);
+    std::thread::sleep(seconds(8));
+    let leader = {
+        let state = world.lock();
+        let holder = state.store.get("c/leader").map(|(value, _)| value.get("node").as_str().unwrap_or("").to_owned());
+        holder.and_then(|node| node.strip_prefix("node-").and_then(|n| n.parse::<usize>().ok()))
+    };
+    let Some(leader) = leader else { return Verdict::CouldNotRun };
+    // The machines hear nothing for the moment of the cancellation; then the leader is cut off.
+    {
+        let mut state = world.lock();
+        let until = Instant::now() + seconds(2);
+        state.fleet.workers.values_mut().for_each(|w| (w.deaf_until, w.mute_until) = (until, until));
+    }
+    users.cancel_once(&first.id, leader);
+    world.note(format!("node-{leader} is cut off from the state service, the others and the workers"));
+    {
+        let mut state = world.lock();
+        state.links[leader].refused = true;
+        state.unreachable_nodes.push(leader);
+    }
+    controllers.set_peers(leader, crate::proxy::HOLD);
+    users.submit(&second, (leader + 1) % 3);
+    for _ in 0..10 {
+        std::thread::sleep(seconds(5));
+        users.poll(&second.id, (leader + 1) % 3);
+        users.cancel_once(&first.id, (leader + 1) % 3);
+    }
+    let lost = world.lock().fleet.events.iter().filter(|e| e.what == "lost" && job_of(&e.leg) == second.id).count();
+    world.note(format!("{lost} tasks of the second job were lost with returned machines"));
+    if lost > 0 { Verdict::Broken } else { Verdict::Held }
+}
--- a/review/harness/src/controllers.rs
+++ b/review/harness/src/controllers.rs
@@ -14,6 +14,8 @@
     command: Vec<String>,
     folder: PathBuf,
     children: Vec<Option<Child>>,
+    /// By controller, another program that it runs in place of the deploy file's: an older build.
+    pub older: Vec<Option<String>>,
     pub api: Vec<String>,
     /// By pair of controllers, the switch of the connections that the first opens to the second.
     switches: Vec<Vec<Arc<AtomicU8>>>,
@@ -58,10 +60,12 @@
             command: run_command(root),
             folder: folder.to_owned(),
             children: Vec::new(),
+            older: Vec::new(),
             api: api.clone(),
             switches,
         };
         controllers.children.resize_with(count, || None);
+        controllers.older = vec![std::env::var("OLDER_BUILD").ok(); count];
         (0..count).for_each(|i| controllers.spawn(i));
         world.lock().nodes = api.iter().enumerate().map(|(i, addr)| (format!("node-{i}"), addr.clone())).collect();
         controllers
@@ -77,7 +81,8 @@
 
     pub fn spawn(&mut self, i: usize) {
         let log = std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join(format!("node-{i}.log")));
-        let child = Command::new(&self.command[0])
+        let program = self.older[i].as_ref().unwrap_or(&self.command[0]);
+        let child = Command::new(program)
             .args(&self.command[1..])
             .arg(self.folder.join(format!("node-{i}.json")))
             .env("LOG_LEVEL", std::env::var("LOG_LEVEL").unwrap_or_else(|_| "info".into()))
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -42,6 +42,7 @@
         "many-small-tasks" => cases::many_small_tasks(&context),
         "repeated-commands" => cases::repeated_commands(&context),
         "chaos" => chaos::chaos(&context),
+        "stale-return" => chaos::stale_return(&context),
         _ => Verdict::CouldNotRun,
     };
     match verdict {
--- a/review/harness/src/users.rs
+++ b/review/harness/src/users.rs
@@ -28,6 +28,7 @@
     pub fleets: Option<Vec<&'static str>>,
     pub spot: bool,
     pub same_place: bool,
+    pub urgency: &'static str,
 }
 
 impl Job {
@@ -48,6 +49,7 @@
             fleets: None,
             spot: false,
             same_place: false,
+            urgency: "normal",
         }
     }
 
@@ -58,7 +60,7 @@
             ("jobFamily", Value::text(self.family)),
             ("desk", Value::text(self.desk)),
             ("shape", Value::text(self.shape)),
-            ("urgency", Value::text("normal")),
+            ("urgency", Value::text(self.urgency)),
             ("legs", Value::Uint(self.tasks)),
             ("cpus", Value::Float(self.cpus)),
             ("accelerators", Value::Float(0.0)),
