--- a/review/harness/src/chaos.rs
+++ b/review/harness/src/chaos.rs
@@ -87,7 +87,7 @@
     while started.elapsed() < seconds(trouble_s) {
         std::thread::sleep(Duration::from_millis(1000 + rng.below(4000)));
         let (kind, node, now) =
-            (rng.below(if kinds >> 18 == 0 { 18 } else { 19 }), rng.below(3) as usize, Instant::now());
+            (rng.below(if kinds >> 18 == 0 { 18 } else { 20 }), rng.below(3) as usize, Instant::now());
         for (_, kind, node) in undo.extract_if(.., |(at, ..)| *at <= now) {
             end_trouble(&world, &mut controllers, kind, node);
         }
@@ -100,7 +100,7 @@
         };
         let machine =
             if machines.is_empty() { None } else { Some(machines[rng.below(machines.len() as u64) as usize].clone()) };
-        let longest = if rng.below(4) == 0 { 30 } else { 8 };
+        let longest = if kind == 19 || rng.below(4) == 0 { 45 } else { 8 };
         let for_s = 2 + rng.below(longest);
         world.note(format!("trouble {kind} node-{node} {machine:?} for {for_s} s"));
         let until = now + seconds(for_s);
@@ -178,6 +178,11 @@
         7 => world.lock().hold_commands = None,
         8 => world.lock().copy_reports = None,
         15 | 17 => (0..3).for_each(|i| controllers.set_peers(i, crate::proxy::PASS)),
+        19 => {
+            (0..3).for_each(|i| controllers.set_peers(i, crate::proxy::PASS));
+            let mut state = world.lock();
+            (state.links[1], state.cut_zone) = (StoreLink::default(), None);
+        }
         16 => {
             (0..3).for_each(|i| controllers.set_peers(i, crate::proxy::PASS));
             world.lock().links[node] = StoreLink::default();
--- a/review/harness/src/world.rs
+++ b/review/harness/src/world.rs
@@ -63,6 +63,8 @@
     pub nodes: Vec<(String, String)>,
     /// Controllers that no worker can reach.
     pub unreachable_nodes: Vec<usize>,
+    /// The number of the zone that is cut off from everything; controllers are spread over the zones in turn.
+    pub cut_zone: Option<usize>,
     /// Direct commands that were carried out are carried out once more after this time.
     pub repeat_commands_after: Option<Duration>,
     /// Direct commands are not answered, and carried out after this time; one in so many.
@@ -102,6 +104,7 @@
             links: vec![StoreLink::default(); controllers],
             nodes: Vec::new(),
             unreachable_nodes: Vec::new(),
+            cut_zone: None,
             repeat_commands_after: None,
             hold_commands: None,
             copy_reports: None,
@@ -208,6 +211,11 @@
         if request.path == "/inspect" {
             return state.fleet.workers.get_mut(name).filter(|w| w.hears(now)).map(|w| (200, w.report()));
         }
+        // Commands from outside do not reach a zone that is cut off.
+        let zone = state.cut_zone.and_then(|zone| self.settings.zones.get(zone));
+        if zone.is_some_and(|zone| state.fleet.workers.get(name).is_some_and(|w| w.yard == **zone)) {
+            return None;
+        }
         state.counter += 1;
         if let Some((after, one_in)) = state.hold_commands
             && state.counter % one_in == 0
@@ -259,7 +267,13 @@
                 n += 1;
                 let mute = worker.mute_until > now;
                 let (report, shift) = (worker.report(), worker.shift);
-                let cut = mute || state.unreachable_nodes.contains(&(node % count));
+                let zones = &self.settings.zones;
+                let own_zone = state.fleet.workers.get(name).and_then(|w| zones.iter().position(|z| *z == w.yard));
+                let node_zone = Some(node % count % zones.len());
+                let parted = state.cut_zone.is_some()
+                    && own_zone != node_zone
+                    && [own_zone, node_zone].contains(&state.cut_zone);
+                let cut = mute || parted || state.unreachable_nodes.contains(&(node % count));
                 (report, shift, (!cut).then(|| state.nodes[node % count].1.clone()))
             };
             let bytes = encode(&report).len();
@@ -324,6 +338,9 @@
         let world = self.clone();
         http::serve(move |request| {
             if request.path.starts_with("/rentals") || request.path == "/catalog" {
+                if world.lock().links[controller].silent {
+                    return None;
+                }
                 return world.cloud_request(&request);
             }
             world.store_request(controller, &request)
