--- a/review/harness/src/http.rs
+++ b/review/harness/src/http.rs
@@ -17,7 +17,11 @@
 impl Request {
     /// A parameter of the query, with percent-encoding undone.
     pub fn param(&self, name: &str) -> Option<String> {
-        self.query.split('&').filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name).map(|(_, v)| unescape(v))
+        self.query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(key, _)| *key == name)
+            .map(|(_, v)| unescape(v))
     }
 }
 
@@ -95,7 +99,10 @@
             return None;
         };
         let body = encode(&value);
-        let head = format!("HTTP/1.1 {status} x\r\ncontent-type: application/msgpack\r\ncontent-length: {}\r\n\r\n", body.len());
+        let head = format!(
+            "HTTP/1.1 {status} x\r\ncontent-type: application/msgpack\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
         writer.write_all(head.as_bytes()).ok()?;
         writer.write_all(&body).ok()?;
     }
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case of the review. Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
 
 mod cases;
+mod chaos;
 mod controllers;
 mod fleet;
 mod http;
@@ -39,6 +40,7 @@
         "lower-limits" => cases::lower_limits(&context),
         "many-small-tasks" => cases::many_small_tasks(&context),
         "repeated-commands" => cases::repeated_commands(&context),
+        "chaos" => chaos::chaos(&context),
         _ => Verdict::CouldNotRun,
     };
     match verdict {
--- a/review/harness/src/users.rs
+++ b/review/harness/src/users.rs
@@ -95,6 +95,8 @@
     pub cancelled: Option<Instant>,
     pub cancel_asked: Option<Instant>,
     pub last: Option<(u16, String)>,
+    /// Every answer: when it was asked for, when it came, its status and its text.
+    pub answers: Vec<(Instant, Instant, u16, String)>,
 }
 
 pub struct Users {
@@ -121,7 +123,7 @@
         self.told.lock().unwrap_or_else(|p| p.into_inner()).get(id).cloned().unwrap_or_default()
     }
 
-    fn record(&self, what: &str, id: &str, node: usize, answer: &Option<(u16, Value)>) {
+    fn record(&self, what: &str, id: &str, node: usize, asked: Instant, answer: &Option<(u16, Value)>) {
         let text = answer.as_ref().map_or("no answer".into(), |(status, body)| format!("{status} {}", body.json()));
         self.world.note(format!("{what} {id} at node-{node}: {text}"));
         if let Some((status, body)) = answer {
@@ -131,15 +133,16 @@
                 match text.as_str() {
                     "done" => {
                         told.done.get_or_insert(now);
-                    },
+                    }
                     "withdrawn" => {
                         told.cancelled.get_or_insert(now);
-                    },
+                    }
                     "pending" | "running" => {
                         told.accepted.get_or_insert(now);
-                    },
+                    }
                     _ => {}
                 }
+                told.answers.push((asked, now, *status, text.clone()));
                 told.last = Some((*status, text));
             });
         }
@@ -148,8 +151,9 @@
     /// One attempt to submit a job, at one node.
     pub fn submit_once(&self, job: &Job, node: usize) -> Option<(u16, Value)> {
         self.world.lock().fleet.uploads.entry(job.id.clone()).or_insert_with(|| job.upload());
+        let asked = Instant::now();
         let answer = http::call(&self.nodes[node], "POST", "/work", Some(&job.body()), Duration::from_secs(5));
-        self.record("submit", &job.id, node, &answer);
+        self.record("submit", &job.id, node, asked, &answer);
         answer
     }
 
@@ -169,8 +173,9 @@
 
     /// Asks about a job at one node.
     pub fn poll(&self, id: &str, node: usize) -> Option<(u16, String)> {
+        let asked = Instant::now();
         let answer = http::call(&self.nodes[node], "GET", &format!("/work/{id}"), None, Duration::from_secs(2));
-        self.record("ask", id, node, &answer);
+        self.record("ask", id, node, asked, &answer);
         answer.map(|(status, body)| (status, status_of(&body)))
     }
 
@@ -180,8 +185,9 @@
             told.cancel_asked.get_or_insert(Instant::now());
         });
         let path = format!("/work/{id}/withdraw");
+        let asked = Instant::now();
         let answer = http::call(&self.nodes[node], "POST", &path, Some(&Value::map([])), Duration::from_secs(5));
-        self.record("cancel", id, node, &answer);
+        self.record("cancel", id, node, asked, &answer);
         answer.map(|(status, body)| (status, status_of(&body)))
     }
 
