Scheduling: a reap makes every direct launch of its attempt void, so a repeated launch starts nothing again

The attempt had been halted for a job of higher priority and reaped, and its task ran on another machine as attempt 2; the worker started attempt 1 beside it. A job's task could start in the same way after its cancellation was confirmed.

Cause: the leader took an answered command for settled for good (`finish_direct_command`) and voided by a higher fencing token only what was never answered. The protocol lets a worker carry out a command again as long as token and session match, and after a `reap` the worker no longer knows the attempt. So each reap left its own launch behind as valid.

Change: a machine remembers the highest fencing token of a direct launch in its agent epoch. A reap is sent only in a message with a higher token; the response to a heartbeat raises the machine's token if that is needed. The raised token is the revision of the leader's newest write that was conditional on its own record. A later leader's record is stored after it, so it is still higher, and no write, no round trip and no raise for other machines is needed. The worker takes the token and carries out the reap in one step, so nothing lies between them. `is_superseded_by` tells a leader's own raised tokens from a successor's.

--- a/src/scheduling/cluster/commands.rs
+++ b/src/scheduling/cluster/commands.rs
@@ -36,16 +36,19 @@
 }
 
 impl ClusterState {
-    /// The commands in the response to a machine's heartbeat.
+    /// The commands in the response to a machine's heartbeat. The response carries the machine's `command_token`, which
+    /// this may raise.
     pub fn heartbeat_response_commands(&mut self, machine: &str, now: Instant) -> Vec<WorkerCommand> {
         let Some(m) = self.machines.get(machine) else { return Vec::new() };
         // While a direct command is in flight, its effect is not known yet. Halting tasks of ended jobs is always safe,
         // and needed: this response renews the lease, whose expiry would otherwise end them.
+        let reaping_token = self.reaping_token_of(m);
         let commands = if m.direct_command_in_flight {
             self.halts_of_ended_jobs(machine, &HashSet::new())
         } else {
-            self.commands_for_machine(m)
+            self.commands_for_machine(m, reaping_token)
         };
+        self.raise_command_token(machine, &commands, reaping_token);
         self.record_launches(&commands, machine);
         let fencing_token = self.fencing_token;
         if let Some(m) = self.machines.get_mut(machine) {
@@ -94,13 +97,14 @@
         }
     }
 
-    /// All commands that a machine should receive now, as a function of the cluster state alone.
-    fn commands_for_machine(&self, m: &Machine) -> Vec<WorkerCommand> {
+    /// All commands that a machine should receive now, as a function of the cluster state alone. `reaping_token`: the
+    /// fencing token of the message if it reaps.
+    fn commands_for_machine(&self, m: &Machine, reaping_token: u64) -> Vec<WorkerCommand> {
         let mut commands = Vec::new();
         if !self.loaded {
             return commands;
         }
-        commands.extend(m.attempts.iter().filter_map(|report| self.command_for_attempt(m, report)));
+        commands.extend(m.attempts.iter().filter_map(|report| self.command_for_attempt(m, report, reaping_token)));
         if m.recall_at.is_none() {
             commands.extend(m.bound.iter().filter_map(|key| self.launch_command(m, key)));
         }
@@ -113,7 +117,7 @@
     }
 
     /// The command for an attempt that a machine has reported: reap, halt, or none.
-    fn command_for_attempt(&self, m: &Machine, report: &AttemptReport) -> Option<WorkerCommand> {
+    fn command_for_attempt(&self, m: &Machine, report: &AttemptReport, reaping_token: u64) -> Option<WorkerCommand> {
         let (task, attempt) = (report.task.clone(), report.attempt);
         let job = self.jobs.get(&task.job);
         let known = job.and_then(|j| j.tasks.get(task.index as usize).map(|t| (j, t)));
@@ -123,11 +127,12 @@
         });
         if report.status == AttemptStatus::Exited {
             // A completion is stored before its attempt may be reaped, and no attempt is reaped that a command still
-            // in flight could start again.
+            // in flight, or repeated later, could start again.
             let unstored =
                 matches!(known, Some((j, t)) if matches!(t.phase, Phase::Done) && !t.stored && j.ended.is_none());
             // Exited attempts of a suspended job are evaluated when the job is resumed.
-            let may_reap = binding.is_none() && !unstored && m.is_settled() && !self.is_suspended(&task.job);
+            let launches_void = m.is_settled() && m.launches_void_under(reaping_token);
+            let may_reap = binding.is_none() && !unstored && launches_void && !self.is_suspended(&task.job);
             return may_reap.then_some(WorkerCommand::Reap { task, attempt });
         }
         let ended = job.is_none_or(|j| j.ended.is_some());
@@ -190,7 +195,8 @@
     fn direct_command(&mut self, id: MachineId, now: Instant) -> Option<DirectCommand> {
         let m = self.machines.get(&id)?;
         let addr = m.addr.clone()?;
-        let mut commands = self.commands_for_machine(m);
+        let fencing_token = self.command_token_of(m);
+        let mut commands = self.commands_for_machine(m, fencing_token);
         if m.inbound_lost {
             // A launch that may arrive would keep its task from being proven gone; launches go with responses instead.
             commands.retain(|o| !matches!(o, WorkerCommand::Launch { .. }));
@@ -201,10 +207,12 @@
             return None;
         }
         self.record_launches(&commands, &id);
-        let fencing_token = self.fencing_token;
         let m = self.machines.get_mut(&id)?;
         m.direct_command_in_flight = true;
         m.direct_launch_in_flight = commands.iter().any(|o| matches!(o, WorkerCommand::Launch { .. }));
+        if m.direct_launch_in_flight {
+            m.record_direct_launch(fencing_token);
+        }
         m.command_due = false;
         m.next_command_at = now + if m.inbound_lost { MIN_PROBE_INTERVAL } else { MIN_COMMAND_INTERVAL };
         Some(DirectCommand { machine: id, addr, fencing_token, agent_epoch: m.agent_epoch.max(1), commands })
--- a/src/scheduling/cluster/heartbeats.rs
+++ b/src/scheduling/cluster/heartbeats.rs
@@ -44,6 +44,7 @@
         if agent_epoch > self.agent_epoch {
             self.agent_epoch = agent_epoch;
             self.unsettled_token = None;
+            self.direct_launch_token = None;
             self.launch_heartbeat = None;
             self.expected_images.clear();
         }
--- a/src/scheduling/cluster/mod.rs
+++ b/src/scheduling/cluster/mod.rs
@@ -7,6 +7,7 @@
 
 mod accounting;
 mod bindings;
+mod command_tokens;
 mod commands;
 mod failures;
 mod heartbeats;
@@ -70,6 +71,8 @@
     /// The first fencing token of this leader. Under higher ones it is still the same leader, which knows every command
     /// that it has sent since this one.
     pub first_fencing_token: u64,
+    /// The newest revision of the store at which a write was applied that is conditional on this leader's record.
+    fenced_revision: u64,
     /// Whether everything stored has been read; nothing is decided before.
     pub loaded: bool,
     /// The revision of the store up to which every job end is in this cluster state, once it is loaded.
@@ -160,6 +163,7 @@
         Self {
             fencing_token,
             first_fencing_token: fencing_token,
+            fenced_revision: fencing_token,
             loaded: false,
             known_ends_revision: 0,
             watermark: 0,
--- a/src/scheduling/cluster/model/machine.rs
+++ b/src/scheduling/cluster/model/machine.rs
@@ -96,6 +96,11 @@
     pub(in crate::scheduling::cluster) direct_command_in_flight: bool,
     /// Whether the direct command in flight carries a launch.
     pub(in crate::scheduling::cluster) direct_launch_in_flight: bool,
+    /// The highest fencing token of a direct command with a launch in this agent epoch: the command may be repeated
+    /// until the worker has seen a higher one.
+    pub(in crate::scheduling::cluster) direct_launch_token: Option<u64>,
+    /// The fencing token that was raised for this machine alone; 0 if there was none.
+    pub(in crate::scheduling::cluster) raised_token: u64,
     /// The fencing token of a launch that may still arrive.
     pub(in crate::scheduling::cluster) unsettled_token: Option<u64>,
     /// The heartbeat whose response carried a launch.
@@ -161,6 +166,8 @@
             attempts: Vec::new(),
             direct_command_in_flight: false,
             direct_launch_in_flight: false,
+            direct_launch_token: None,
+            raised_token: 0,
             unsettled_token: None,
             launch_heartbeat: None,
             next_command_at: now,
--- a/src/scheduling/commit.rs
+++ b/src/scheduling/commit.rs
@@ -207,6 +207,7 @@
 
 fn record_stored_batch(group_commit: &GroupCommit, batch: &CommitBatch, version: u64) {
     if let Some(cluster) = group_commit.leader.cluster().as_mut() {
+        cluster.record_fenced_write(version);
         cluster.record_stored_shards(&batch.shards, version);
     }
     for job in &batch.ends {
@@ -302,7 +303,12 @@
         tokio::time::timeout(DROP_TIMEOUT, group_commit.store.client.compare_and_swap(&conditions, &changes, priority))
             .await;
     let failed = match outcome {
-        Ok(Ok(CompareAndSwapOutcome::Applied(_))) => return,
+        Ok(Ok(CompareAndSwapOutcome::Applied(revision))) => {
+            if let Some(cluster) = group_commit.leader.cluster().as_mut() {
+                cluster.record_fenced_write(revision);
+            }
+            return;
+        }
         Ok(Ok(CompareAndSwapOutcome::Failed(keys))) => keys,
         _ => Vec::new(),
     };
--- a/src/scheduling/tests/interleaved_simulation/deliveries.rs
+++ b/src/scheduling/tests/interleaved_simulation/deliveries.rs
@@ -21,7 +21,7 @@
         let to = if copy { self.draw_copy_recipient() } else { self.restarted_as.get(&to).copied().unwrap_or(to) };
         let Some(w) = self.workers.iter().position(|w| w.id == heartbeat.machine) else { return };
         let Some(mut leader) = self.leaders.get_mut(to).and_then(Option::take) else { return };
-        if heartbeat.fencing_token > leader.cluster.fencing_token {
+        if leader.cluster.is_superseded_by(heartbeat.fencing_token) {
             return;
         }
         let agent_epoch = heartbeat.agent_epoch;
@@ -41,7 +41,7 @@
             renews_lease = self.renews_lease(&mut leader, policy, &id);
             self.users.tally.stop_only_answers += usize::from(!policy.sends_all_commands() && !commands.is_empty());
         }
-        let (fencing_token, all_commands) = (leader.cluster.fencing_token, policy.sends_all_commands());
+        let (fencing_token, all_commands) = (leader.cluster.command_token(&id), policy.sends_all_commands());
         self.leaders[to] = Some(leader);
         self.trace(&format!("{id} epoch {agent_epoch} to {to}: {policy:?} renews lease {renews_lease} {commands:?}"));
         if !renews_lease {
@@ -94,7 +94,7 @@
 
     /// Delivers a direct command to a worker, which executes it and replies with a heartbeat.
     pub(super) fn deliver_command(&mut self, message: Command) {
-        let Command { id, worker, from, fencing_token, agent_epoch, commands } = message;
+        let Command { id, worker, from, fencing_token, agent_epoch, .. } = message;
         let now = self.now;
         let w = &mut self.workers[worker];
         if w.terminated {
@@ -108,8 +108,7 @@
         if inbound_lost || partitioned || w.hangs_until > now {
             // Executed once the machine continues or the partition heals.
             let due = w.hangs_until.max(w.inbound_lost_until).max(if partitioned { w.partitioned_until } else { now });
-            self.messages
-                .push((due, Message::Command(Command { id, worker, from, fencing_token, agent_epoch, commands })));
+            self.messages.push((due, Message::Command(message)));
             return;
         }
         // A machine that continues after its lease has expired kills its tasks before it executes commands.
@@ -118,7 +117,11 @@
         }
         if fencing_token >= w.fencing_token && agent_epoch == w.agent_epoch {
             w.fencing_token = fencing_token;
-            self.execute(worker, commands);
+            self.execute(worker, message.commands.clone());
+            self.repeat_command(message.clone());
+        }
+        if message.repeat {
+            return;
         }
         let heartbeat = self.workers[worker].heartbeat();
         let machine: MachineId = heartbeat.machine.as_str().into();
--- a/src/scheduling/tests/interleaved_simulation/leaders.rs
+++ b/src/scheduling/tests/interleaved_simulation/leaders.rs
@@ -245,6 +245,7 @@
                 fencing_token,
                 agent_epoch,
                 commands: direct.commands,
+                repeat: false,
             }));
         }
     }
@@ -301,6 +302,7 @@
         }
         match outcome {
             Ok(version) => {
+                leader.cluster.record_fenced_write(version);
                 leader.cluster.record_stored_shards(&batch.shards, version);
                 for job in &batch.ends {
                     leader.cluster.end_job(&job.spec.id, Some(End::Done), self.now);
--- a/src/scheduling/tests/interleaved_simulation/messages.rs
+++ b/src/scheduling/tests/interleaved_simulation/messages.rs
@@ -34,6 +34,7 @@
 }
 
 /// A direct command of a leader to a worker.
+#[derive(Clone)]
 pub(super) struct Command {
     pub(super) id: u64,
     pub(super) worker: usize,
@@ -41,6 +42,8 @@
     pub(super) fencing_token: u64,
     pub(super) agent_epoch: u64,
     pub(super) commands: Vec<WorkerCommand>,
+    /// A repeat of a command that was carried out; nobody waits for its reply.
+    pub(super) repeat: bool,
 }
 
 /// The reply to a direct command.
@@ -113,6 +116,17 @@
         self.messages.push((due, message));
     }
 
+    /// Sends a command that was carried out once more, at times; it arrives up to a minute later. Drawn from a generator
+    /// of its own, so that the other faults of a seed stay the same.
+    pub(super) fn repeat_command(&mut self, command: Command) {
+        if self.fault_free || command.repeat || !self.repeats_rng.random_bool(0.3) {
+            return;
+        }
+        self.repeated_commands += 1;
+        let delay = Duration::from_millis(self.repeats_rng.random_range(500..60_000));
+        self.messages.push((self.now + delay, Message::Command(Command { repeat: true, ..command })));
+    }
+
     /// Sends a user's transaction, at times with a copy that arrives later.
     pub(super) fn send_transaction(&mut self, sent: JobTransaction) {
         let transmissions = if !self.fault_free && self.rng.random_bool(0.2) { 2 } else { 1 };
--- a/src/scheduling/tests/interleaved_simulation/mod.rs
+++ b/src/scheduling/tests/interleaved_simulation/mod.rs
@@ -34,15 +34,20 @@
 
 #[test]
 fn rules_hold_in_seeded_interleavings() {
-    let (mut started_attempts, mut process_pauses, mut failed_attempts, mut faults) = (0, 0, 0, [0; 4]);
+    let (mut started_attempts, mut process_pauses, mut failed_attempts, mut faults) = (0, 0, 0, [0; 5]);
     for seed in 0..40 {
         let mut world = World::new(seed, 6);
         world.simulate(1200);
         started_attempts += world.started_attempts;
         process_pauses += world.process_pauses;
         failed_attempts += world.failed_attempts;
-        let world_faults =
-            [world.late_copies, world.inbound_partitions, world.leader_partitions, world.leader_restarts];
+        let world_faults = [
+            world.late_copies,
+            world.repeated_commands,
+            world.inbound_partitions,
+            world.leader_partitions,
+            world.leader_restarts,
+        ];
         faults.iter_mut().zip(world_faults).for_each(|(all, n)| *all += n);
     }
     assert!(started_attempts > 5000, "too few task attempts started: {started_attempts}");
@@ -52,7 +57,7 @@
     );
     assert!(
         faults.iter().all(|n| *n > 20),
-        "late copies, inbound partitions, leader partitions, leader restarts: {faults:?}"
+        "late copies, repeated commands, inbound partitions, leader partitions, leader restarts: {faults:?}"
     );
 }
 
--- a/src/scheduling/tests/interleaved_simulation/world.rs
+++ b/src/scheduling/tests/interleaved_simulation/world.rs
@@ -22,6 +22,8 @@
 /// A simulated cluster with its controllers, store, cloud and users.
 pub(super) struct World {
     pub(super) rng: StdRng,
+    /// Draws which commands are repeated.
+    pub(super) repeats_rng: StdRng,
     pub(super) start: Instant,
     pub(super) now: Instant,
     pub(super) store: Store,
@@ -49,6 +51,7 @@
     pub(super) started_attempts: usize,
     pub(super) process_pauses: usize,
     pub(super) late_copies: usize,
+    pub(super) repeated_commands: usize,
     pub(super) inbound_partitions: usize,
     pub(super) leader_partitions: usize,
     pub(super) leader_restarts: usize,
@@ -69,6 +72,7 @@
         let machine_type = MachineType { boot_s: 10.0, ..machine_type("t", 4.0, 0.0, 1.0) };
         let mut world = Self {
             rng: StdRng::seed_from_u64(seed),
+            repeats_rng: StdRng::seed_from_u64(seed),
             start,
             now: start,
             store: Store::default(),
@@ -88,6 +92,7 @@
             started_attempts: 0,
             process_pauses: 0,
             late_copies: 0,
+            repeated_commands: 0,
             inbound_partitions: 0,
             leader_partitions: 0,
             leader_restarts: 0,
--- a/src/scheduling/tests/late_commands.rs
+++ b/src/scheduling/tests/late_commands.rs
@@ -243,3 +243,95 @@
     world.exchange_heartbeat(&mut cluster, "m3");
     assert!(world.workers["m3"].has_live_attempt(&task_key(1)));
 }
+
+/// How an attempt that was launched by a direct command comes to its end.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum AttemptEnd {
+    /// Stopped by its leader, as by preemption; the task continues on another machine.
+    Halted,
+    /// Failed; the task continues on another machine.
+    Failed,
+    /// Done.
+    Done,
+    /// Stopped since its job was cancelled.
+    Cancelled,
+}
+
+/// Guards against a repeated launch that starts a reaped attempt again (issue 50, `ran_twice`): the launch was carried
+/// out and answered, and arrives once more at each step after its attempt was reaped or was about to be.
+#[test]
+fn repeated_launch_starts_no_attempt_that_was_reaped() {
+    for (end, repeated_at) in [AttemptEnd::Halted, AttemptEnd::Failed, AttemptEnd::Done, AttemptEnd::Cancelled]
+        .into_iter()
+        .flat_map(|end| (0..8).map(move |at| (end, at)))
+    {
+        let mut world = World::new(&["m1", "m2"], |j| j.tasks = 2);
+        let mut cluster = world.elect_leader();
+        world.exchange_heartbeat(&mut cluster, "m1");
+        world.exchange_heartbeat(&mut cluster, "m2");
+        world.bind_tasks(&mut cluster, &[0], "m1");
+        let launch = world.next_command_to(&mut cluster, "m1").unwrap();
+        assert_eq!(count_launches(&launch.commands), 1);
+        let reply = world.deliver_command(&launch).unwrap();
+        world.deliver_reply(&mut cluster, &launch, reply);
+        match end {
+            AttemptEnd::Halted => cluster.halt_task_or_gang(&task_key(0), 0, world.now),
+            AttemptEnd::Failed => world.exit_task("m1", 0, 1, ExitCause::Error),
+            AttemptEnd::Done => world.exit_task("m1", 0, 1, ExitCause::Done),
+            AttemptEnd::Cancelled => world.cancel_job(&mut cluster, &JOB.into()),
+        }
+        for step in 0..8 {
+            world.exchange_heartbeat(&mut cluster, "m1");
+            world.store_all(&mut cluster);
+            world.drop_ended_shards(&mut cluster);
+            if matches!(end, AttemptEnd::Halted | AttemptEnd::Failed) {
+                world.bind_tasks(&mut cluster, &[0], "m2");
+            }
+            // A direct command with new work may come between the exit and the reap, as it does under load.
+            if let Some(direct) = world.next_command_to(&mut cluster, "m1") {
+                let reply = world.deliver_command(&direct).unwrap();
+                world.deliver_reply(&mut cluster, &direct, reply);
+            }
+            world.exchange_heartbeat(&mut cluster, "m2");
+            if step == repeated_at {
+                drop(world.deliver_command(&launch));
+            }
+        }
+        let case = format!("{end:?}, repeated at {repeated_at}");
+        assert!(world.workers["m1"].reaped.contains(&(task_key(0), 1)), "{case}: the attempt is reaped at last");
+        assert!(!world.workers["m1"].has_live_attempt(&task_key(0)), "{case}");
+        let continues = matches!(end, AttemptEnd::Halted | AttemptEnd::Failed);
+        assert_eq!(world.workers["m2"].has_live_attempt(&task_key(0)), continues, "{case}");
+    }
+}
+
+/// A fencing token that a leader raised for one machine is its own: the worker's report does not depose it. A later
+/// leader's is higher than each of them, so the worker refuses the earlier leader's commands, and its report deposes it.
+#[test]
+fn raised_token_of_one_machine_is_below_every_later_leaders() {
+    let mut world = World::new(&["m1"], |j| j.tasks = 2);
+    let mut old = world.elect_leader();
+    world.exchange_heartbeat(&mut old, "m1");
+    world.bind_tasks(&mut old, &[0], "m1");
+    let launch = world.next_command_to(&mut old, "m1").unwrap();
+    let reply = world.deliver_command(&launch).unwrap();
+    world.deliver_reply(&mut old, &launch, reply);
+    world.exit_task("m1", 0, 1, ExitCause::Done);
+    for _ in 0..3 {
+        world.exchange_heartbeat(&mut old, "m1");
+        world.store_all(&mut old);
+    }
+    let raised = world.workers["m1"].fencing_token;
+    assert!(world.workers["m1"].reaped.contains(&(task_key(0), 1)) && raised > launch.fencing_token);
+    assert!(raised > old.fencing_token && raised == old.command_token("m1"), "raised for this machine alone");
+    assert!(!old.is_superseded_by(raised));
+    world.bind_tasks(&mut old, &[1], "m1");
+    let late = world.next_command_to(&mut old, "m1").unwrap();
+    let mut successor = world.elect_leader();
+    assert!(!successor.is_superseded_by(raised));
+    world.exchange_heartbeat(&mut successor, "m1");
+    let seen = world.workers["m1"].fencing_token;
+    assert!(old.is_superseded_by(seen) && late.fencing_token < seen);
+    drop(world.deliver_command(&late));
+    assert!(!world.workers["m1"].has_live_attempt(&task_key(1)), "the earlier leader's command is refused");
+}
--- a/src/scheduling/tests/world.rs
+++ b/src/scheduling/tests/world.rs
@@ -200,11 +200,12 @@
         let heartbeat = self.next_heartbeat(machine);
         let agent_epoch = heartbeat.agent_epoch;
         cluster.take_heartbeat(heartbeat, MessageKind::Heartbeat, None, self.now);
+        let commands = cluster.heartbeat_response_commands(machine, self.now);
         Answer {
             machine,
             agent_epoch,
-            fencing_token: cluster.fencing_token,
-            commands: cluster.heartbeat_response_commands(machine, self.now),
+            fencing_token: cluster.command_token(machine),
+            commands,
             heartbeat_sent_at: self.now,
         }
     }
@@ -386,13 +387,16 @@
     pub(super) fn store_at_most(&mut self, cluster: &mut ClusterState, max_changes: usize, now: Instant) -> usize {
         let (ends, shards) = cluster.next_writes(max_changes, now);
         let batch = CommitBatch { ends, shards, at_ms: 0 };
-        self.version += u64::from(!batch.shards.is_empty());
+        self.version += u64::from(!batch.is_empty());
         for write in &batch.shards {
             let next = (self.version, write.tasks.clone());
             let shard = self.shard_mut(&write.job);
             assert_eq!(write.version, shard.as_ref().map_or(0, |(version, _)| *version));
             *shard = Some(next);
         }
+        if !batch.is_empty() {
+            cluster.record_fenced_write(self.version);
+        }
         cluster.record_stored_shards(&batch.shards, self.version);
         let changes = batch.changes().len();
         for end in batch.ends {
@@ -422,6 +426,10 @@
             assert!(*shard == 0 && self.has_ended(id), "{id}: the shard of an open job would be deleted");
             *self.shard_mut(id) = None;
         }
+        if !drops.is_empty() {
+            self.version += 1;
+            cluster.record_fenced_write(self.version);
+        }
         drops.len()
     }
 
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -40,7 +40,11 @@
 enum RecordOutcome {
     /// This leader recorded the heartbeat in its cluster state. The commands are for the worker, if its lease may be
     /// renewed.
-    ByLeader(WorkerCommands),
+    ByLeader {
+        commands: WorkerCommands,
+        /// The version of the leader record.
+        leader_version: u64,
+    },
     /// The worker has seen a higher fencing token than this leader's, so this controller is no longer the leader.
     Deposed,
     /// This controller is not the leader.
@@ -69,7 +73,10 @@
     // A leader stops tasks of jobs that have ended according to the watch cache, whatever other commands it may send.
     let ended = service.membership.reported_ends(&heartbeat, policy.may_command());
     match record_heartbeat(service, heartbeat, &mut policy, &ended, now) {
-        RecordOutcome::ByLeader(commands) => answer_as_leader(service, &id.machine, commands, policy, &ended, now),
+        RecordOutcome::ByLeader { commands, leader_version } => {
+            let cache_covers_term = ended.is_complete_through(leader_version);
+            answer_as_leader(service, &id.machine, commands, policy, cache_covers_term, now)
+        }
         RecordOutcome::Deposed => {
             service.membership.step_down("higher fencing token reported by a worker");
             HeartbeatResponse::Unavailable
@@ -99,7 +106,7 @@
 ) -> RecordOutcome {
     let mut cluster_guard = service.leader.cluster();
     let Some(cluster) = cluster_guard.as_mut() else { return RecordOutcome::NotLeader };
-    if heartbeat.fencing_token > cluster.fencing_token {
+    if cluster.is_superseded_by(heartbeat.fencing_token) {
         return RecordOutcome::Deposed;
     }
     let catalog = service.catalog.get();
@@ -111,23 +118,25 @@
     } else {
         cluster.halts_of_ended_jobs(&machine, &ended.jobs)
     };
-    RecordOutcome::ByLeader(WorkerCommands { fencing_token: cluster.fencing_token, agent_epoch: None, orders })
+    let commands = WorkerCommands { fencing_token: cluster.command_token(&machine), agent_epoch: None, orders };
+    RecordOutcome::ByLeader { commands, leader_version: cluster.fencing_token }
 }
 
-/// Responds with the commands if the worker's lease may be renewed.
+/// Responds with the commands if the worker's lease may be renewed. `cache_covers_term`: the watch cache has everything
+/// that was stored before this leader's record.
 fn answer_as_leader(
     service: &WorkerService,
     machine: &str,
     commands: WorkerCommands,
     policy: ResponsePolicy,
-    ended: &ReportedEnds,
+    cache_covers_term: bool,
     now: Instant,
 ) -> HeartbeatResponse {
     service.wakeups.plan.notify_one();
     service.wakeups.commit.notify_one();
     let leases_expire_in_time = || service.membership.leases_end_in_time(now);
     let holds_machine = || service.membership.must_hold_worker(machine, now);
-    if policy.renews_lease(ended.is_complete_through(commands.fencing_token), leases_expire_in_time, holds_machine) {
+    if policy.renews_lease(cache_covers_term, leases_expire_in_time, holds_machine) {
         HeartbeatResponse::Commands(commands)
     } else {
         HeartbeatResponse::Unavailable
