Tests: real controllers are sent each carried-out command once more

The emulated workers record what they carried out, and the test delivers it again once every attempt is reaped.

--- a/crates/emulator/src/driver/mod.rs
+++ b/crates/emulator/src/driver/mod.rs
@@ -3,6 +3,7 @@
 
 mod machines;
 pub mod relay;
+pub mod request_log;
 mod server;
 pub mod state;
 
@@ -18,6 +19,7 @@
 use crate::world::fleet::{self, AttemptEvent, Fleet, Upload};
 use crate::world::store::Limits;
 use relay::LinkSwitch;
+use request_log::RequestLog;
 pub use server::listen;
 use state::State;
 
@@ -87,6 +89,8 @@
     pub nodes: Mutex<Vec<Node>>,
     /// Tasks (`job/index`) in the order in which they were started.
     pub starts: Mutex<Vec<String>>,
+    /// Requests that were carried out, if they are recorded.
+    pub request_log: Mutex<RequestLog>,
     /// Events for the judge; empty unless [`Params::judged`].
     pub record: Mutex<Vec<Entry>>,
     /// The addresses of each machine's worker, by controller; a single address if no controller's link has a switch.
@@ -109,6 +113,7 @@
             fleet: Mutex::new(Fleet::new(params.fleet)),
             nodes: Mutex::default(),
             starts: Mutex::default(),
+            request_log: Mutex::default(),
             record: Mutex::default(),
             worker_addrs: Mutex::default(),
             link_switches: Mutex::default(),
--- a/crates/emulator/src/driver/server.rs
+++ b/crates/emulator/src/driver/server.rs
@@ -113,6 +113,9 @@
         match outcome {
             Some((accepted, heartbeat)) => {
                 let status = if accepted { 200 } else { 409 };
+                if accepted {
+                    lock(&self.world.request_log).record_commands(&self.machine, orders);
+                }
                 Answer::new(status, serde_json::to_value(heartbeat).unwrap_or_default())
             }
             None => {
@@ -253,7 +256,12 @@
         // A separate statement, so that the lock is not held during the waits below.
         let outcome = lock(&self.world.state).compare_and_swap(&body);
         match outcome {
-            Outcome::Answer(answer) => return answer,
+            Outcome::Answer(answer) => {
+                if answer.as_ref().is_ok_and(|answer| answer.get("failed").is_none()) {
+                    lock(&self.world.request_log).record_transaction(&body);
+                }
+                return answer;
+            }
             Outcome::Silence => {}
             Outcome::Later(delay) => {
                 let world = self.world.clone();
--- a/crates/emulator/src/world/fleet.rs
+++ b/crates/emulator/src/world/fleet.rs
@@ -202,6 +202,11 @@
         self.workers.values().flat_map(|w| &w.tasks).filter(|t| t.is_live()).count()
     }
 
+    /// Number of attempts that the workers know, live or ended and not yet reaped.
+    pub fn count_attempts(&self) -> usize {
+        self.workers.values().map(|worker| worker.tasks.len()).sum()
+    }
+
     /// The completed tasks, whose results are stored.
     pub fn results(&self) -> &HashSet<TaskKey> {
         &self.results
