Cloud orders: an answered order write cannot store a completed order again

A completed order whose write was answered had its key deleted under the same fencing token. That write delivered once more met both of its conditions (the leader record, the key absent) and stored the order as an open one; the next leader would carry it out again, ask for machines that nobody wants any more and wait for some that are gone. An order names requests and machines for good, so no rule breaks by it: it costs machines.

Change: the fencing token of every order write is kept, not only of the unanswered ones. An order is marked as completed while a write under its token could still pass, and deleted under a later token. The mechanism is the one that late unanswered writes had.

Tests: `repeated_transactions_change_nothing` runs a real controller and delivers every applied transaction once more; before the change the write of an order changed the store, now nothing does. Three tests held the wrong assumption and are as strict or stricter now: late_copies_are_rejected_or_change_nothing took the answered order write out of its list ("no copy arrives late") and keeps it; clean_up_marks_only_orders_written_under_the_current_token expects the mark where "every write was answered" stood; late_copy_does_not_reopen_a_completed_order covers both. The simulation of replaced leaders records every write.

--- a/src/cloud_orders.rs
+++ b/src/cloud_orders.rs
@@ -35,8 +35,8 @@
     /// Names of the machines to terminate.
     #[serde(rename = "return")]
     Terminate(Vec<String>),
-    /// The order was carried out. Its key is kept while an unanswered write of the order may still be applied, so that
-    /// such a late write cannot store the order again as an open one.
+    /// The order was carried out. Its key is kept while a write of the order may still be applied, late or once more, so
+    /// that such a write cannot store the order again as an open one.
     #[serde(rename = "done")]
     Completed,
 }
@@ -229,9 +229,9 @@
     }
 }
 
-/// For each order with an unanswered write, by the order's key: the fencing token under which the last such write was
+/// For each order that this leader has written, by the order's key: the fencing token under which the last write was
 /// sent.
-pub type UnansweredWrites = HashMap<String, u64>;
+pub type OrderWriteTokens = HashMap<String, u64>;
 
 /// Compare-and-swap that removes completed orders from the store.
 #[derive(Debug)]
@@ -243,13 +243,13 @@
 }
 
 impl OrderCleanUp {
-    /// Creates the write that cleans up the orders with these keys. If an order has an unanswered write under the
-    /// current fencing token and its key were deleted, that write could still arrive and store the order again. Such an
-    /// order is marked as completed instead, and deleted under a later fencing token, whose conditions the late write
-    /// fails.
-    pub fn new(keys: &[String], unanswered: &UnansweredWrites, fencing_token: u64) -> Self {
+    /// Creates the write that cleans up the orders with these keys. If an order was written under the current fencing
+    /// token and its key were deleted, that write could arrive late, or once more although it was answered, and store
+    /// the order again. Such an order is marked as completed instead, and deleted under a later fencing token, whose
+    /// conditions the late write fails.
+    pub fn new(keys: &[String], write_tokens: &OrderWriteTokens, fencing_token: u64) -> Self {
         let change = |key: &String| {
-            if unanswered.get(key).is_some_and(|write_token| *write_token >= fencing_token) {
+            if write_tokens.get(key).is_some_and(|write_token| *write_token >= fencing_token) {
                 let mark = StoredOrder { epoch: fencing_token, action: CloudAction::Completed };
                 Change::write(key, serde_json::to_value(mark).unwrap_or_default())
             } else {
--- a/src/cloud_orders/tests.rs
+++ b/src/cloud_orders/tests.rs
@@ -70,7 +70,7 @@
     used: BTreeSet<String>,
     /// Its orders, each with whether it is stored and may be carried out.
     orders: Vec<(CloudOrder, bool)>,
-    unanswered: HashMap<String, u64>,
+    write_tokens: HashMap<String, u64>,
     last_number: u64,
 }
 
@@ -93,8 +93,8 @@
             let orders: Vec<(CloudOrder, bool)> = items.filter(|_| with_stored_orders).map(|o| (o, true)).collect();
             let terminating: BTreeSet<String> = orders.iter().flat_map(|(o, _)| machines_to_terminate(o)).collect();
             let fleet = cloud.difference(&terminating).cloned().collect();
-            let (used, unanswered) = (BTreeSet::new(), HashMap::new());
-            leaders.push(SimulatedLeader { fencing_token, fleet, used, orders, unanswered, last_number: 0 });
+            let (used, write_tokens) = (BTreeSet::new(), HashMap::new());
+            leaders.push(SimulatedLeader { fencing_token, fleet, used, orders, write_tokens, last_number: 0 });
         }
         // Mostly the current leader, otherwise any of them: a replaced one may not know that it was replaced.
         let newest = leaders.len() - 1;
@@ -120,8 +120,10 @@
                     let order = leader.orders[n].0.clone();
                     if !with_stored_orders {
                         leader.orders[n].1 = true;
-                    } else if rng.random_ratio(1, 4) {
-                        leader.unanswered.insert(order.key.clone(), leader.fencing_token);
+                        continue;
+                    }
+                    leader.write_tokens.insert(order.key.clone(), leader.fencing_token);
+                    if rng.random_ratio(1, 4) {
                         late_writes.push((order, leader.fencing_token));
                     } else {
                         let outcome = store.apply_if(&order.conditions(leader.fencing_token), &[order.change()]);
@@ -146,7 +148,7 @@
                 if is_current && with_stored_orders {
                     let stored = leader.orders.iter().filter(|(_, is_stored)| *is_stored);
                     let keys: Vec<String> = stored.map(|(o, _)| o.key.clone()).collect();
-                    let clean_up = OrderCleanUp::new(&keys, &leader.unanswered, leader.fencing_token);
+                    let clean_up = OrderCleanUp::new(&keys, &leader.write_tokens, leader.fencing_token);
                     store.apply_if(&clean_up.conditions, &clean_up.changes).unwrap();
                     leader.orders.retain(|(_, is_stored)| !is_stored);
                 }
--- a/src/cloud_orders/tests/late.rs
+++ b/src/cloud_orders/tests/late.rs
@@ -36,18 +36,17 @@
         let mut store = Store::default();
         let fencing_token = write_leader_record(&mut store);
         let order = CloudOrder::new("me", fencing_token, 1, action);
-        // The first write is unanswered, and the second is applied.
-        let unanswered = HashMap::from([(order.key.clone(), fencing_token)]);
+        let write_tokens = HashMap::from([(order.key.clone(), fencing_token)]);
         let (conditions, changes) = (order.conditions(fencing_token), [order.change()]);
         store.apply_if(&conditions, &changes).unwrap();
-        let clean_up = OrderCleanUp::new(std::slice::from_ref(&order.key), &unanswered, fencing_token);
+        let clean_up = OrderCleanUp::new(std::slice::from_ref(&order.key), &write_tokens, fencing_token);
         store.apply_if(&clean_up.conditions, &clean_up.changes).unwrap();
-        assert!(store.apply_if(&conditions, &changes).is_err(), "the first write arrives late");
+        assert!(store.apply_if(&conditions, &changes).is_err(), "the write arrives once more");
         let inherited = read_inherited_orders(&store);
         assert!(inherited.provisioning.is_empty() && inherited.terminations.is_empty(), "{inherited:?}");
         // The leader with the next fencing token deletes the key, and neither late write passes its conditions.
         let next_token = write_leader_record(&mut store);
-        let deletion = OrderCleanUp::new(&inherited.completed, &unanswered, next_token);
+        let deletion = OrderCleanUp::new(&inherited.completed, &write_tokens, next_token);
         assert_eq!(deletion.changes, [Change::Drop { drop: order.key.clone() }]);
         store.apply_if(&deletion.conditions, &deletion.changes).unwrap();
         assert!(store.apply_if(&conditions, &changes).is_err());
@@ -56,19 +55,19 @@
     }
 }
 
-/// An order is deleted at once if all its writes were answered or the unanswered ones have an older fencing token;
-/// otherwise it is marked as completed. Either takes one change.
+/// An order is deleted if no write of it can pass the conditions any more; otherwise it is marked as completed, also if
+/// its write was answered, since an answered write can be repeated. Either takes one change.
 #[test]
-fn clean_up_marks_only_orders_with_unanswered_write_under_current_token() {
+fn clean_up_marks_only_orders_written_under_the_current_token() {
     let key = "d/me-7-1".to_owned();
-    let unanswered = |write_token: u64| HashMap::from([(key.clone(), write_token)]);
+    let written_under = |write_token: u64| HashMap::from([(key.clone(), write_token)]);
     let cases = [
-        ("every write was answered", HashMap::new(), true),
-        ("unanswered write under the current token", unanswered(7), false),
-        ("unanswered write under an earlier token", unanswered(6), true),
+        ("written by an earlier leader", HashMap::new(), true),
+        ("written under the current token", written_under(7), false),
+        ("written under an earlier token", written_under(6), true),
     ];
-    for (case, unanswered, is_deleted) in cases {
-        let OrderCleanUp { conditions, changes } = OrderCleanUp::new(std::slice::from_ref(&key), &unanswered, 7);
+    for (case, write_tokens, is_deleted) in cases {
+        let OrderCleanUp { conditions, changes } = OrderCleanUp::new(std::slice::from_ref(&key), &write_tokens, 7);
         assert_eq!(conditions, [Condition::at(LEADER_RECORD_KEY, 7)]);
         assert_eq!(changes == [Change::Drop { drop: key.clone() }], is_deleted, "{case}");
         assert_eq!(changes.len(), 1, "{case}");
--- a/src/fleet/cloud_operations.rs
+++ b/src/fleet/cloud_operations.rs
@@ -6,7 +6,7 @@
 
 use super::manager::Fleet;
 use super::scale_out::CapacityRefusals;
-use crate::cloud_orders::{UnansweredWrites, unique_name};
+use crate::cloud_orders::{OrderWriteTokens, unique_name};
 use crate::machine_kinds::MachineKind;
 use crate::sync::lock;
 
@@ -27,9 +27,9 @@
     last_number: u64,
     /// Keys of orders that were carried out and are still stored.
     pub(super) completed: Vec<String>,
-    /// Fencing tokens of unanswered order writes.
-    pub(super) unanswered: UnansweredWrites,
-    /// Keys of orders with an unanswered write that are marked as completed, to be deleted under a later fencing token.
+    /// Fencing tokens of the order writes that may still be applied, late or once more.
+    pub(super) write_tokens: OrderWriteTokens,
+    /// Keys of orders that are marked as completed, to be deleted under a later fencing token.
     pub(super) marked: Vec<String>,
 }
 
@@ -56,9 +56,9 @@
     /// Returns the keys of the orders to clean up under this fencing token, including those marked under an earlier
     /// one.
     pub(super) fn orders_to_clean_up(&mut self, fencing_token: u64) -> &[String] {
-        let unanswered = &self.unanswered;
+        let write_tokens = &self.write_tokens;
         let is_deletable =
-            |key: &mut String| unanswered.get(key).is_none_or(|write_token| *write_token < fencing_token);
+            |key: &mut String| write_tokens.get(key).is_none_or(|write_token| *write_token < fencing_token);
         self.completed.extend(self.marked.extract_if(.., is_deletable));
         &self.completed
     }
@@ -72,10 +72,10 @@
     pub(super) fn record_clean_up(&mut self, keys: &[String], fencing_token: u64) {
         self.completed.retain(|key| !keys.contains(key));
         for key in keys {
-            if self.unanswered.get(key).is_some_and(|write_token| *write_token >= fencing_token) {
+            if self.write_tokens.get(key).is_some_and(|write_token| *write_token >= fencing_token) {
                 self.marked.push(key.clone());
             } else {
-                self.unanswered.remove(key);
+                self.write_tokens.remove(key);
             }
         }
     }
--- a/src/fleet/order_storage.rs
+++ b/src/fleet/order_storage.rs
@@ -11,8 +11,8 @@
 use crate::cloud_orders::{
     CloudAction, CloudOrder, InheritedOrders, MAX_MACHINES_PER_TERMINATION, OrderCleanUp, StoreStep,
 };
+use crate::store::CompareAndSwapOutcome;
 use crate::store::budget::RequestPriority;
-use crate::store::{CompareAndSwapOutcome, StoreError};
 use crate::sync::jitter;
 
 /// Number of completed orders at which the clean-up gets a higher priority than background requests and no longer waits
@@ -75,10 +75,8 @@
         loop {
             let Some(fencing_token) = self.fencing_token() else { return Err(NotStored::Deposed) };
             let conditions = order.conditions(fencing_token);
+            self.operations().write_tokens.insert(order.key.clone(), fencing_token);
             let outcome = fleet.store.client.compare_and_swap(&conditions, &change, RequestPriority::Critical).await;
-            if outcome == Err(StoreError::Unanswered) {
-                self.operations().unanswered.insert(order.key.clone(), fencing_token);
-            }
             match order.next_step(&outcome, self.fencing_token()) {
                 StoreStep::Execute => return Ok(order.key),
                 StoreStep::Abandon => return Err(NotStored::Deposed),
@@ -110,7 +108,7 @@
             let mut operations = self.operations();
             let keys: Vec<String> =
                 operations.orders_to_clean_up(fencing_token).iter().take(max_orders).cloned().collect();
-            let clean_up = OrderCleanUp::new(&keys, &operations.unanswered, fencing_token);
+            let clean_up = OrderCleanUp::new(&keys, &operations.write_tokens, fencing_token);
             (keys, clean_up)
         };
         if keys.is_empty() {
--- a/src/store/tests/late_transactions.rs
+++ b/src/store/tests/late_transactions.rs
@@ -158,19 +158,15 @@
     lifecycle.send("shards dropped", conditions, changes);
     lifecycle.send_job_transaction("third acceptance", job_transactions::accept_job(&jobs[2], true));
 
-    // One order with an unanswered attempt, and one whose attempts were all answered.
-    for (n, name, clean_up, unanswered) in
-        [(1, "order", "order marked as done", true), (2, "next order", "order cleaned up", false)]
-    {
-        let order = CloudOrder::new("me", fencing_token, n, CloudAction::Terminate(vec![format!("m{n}")]));
-        lifecycle.send(name, order.conditions(fencing_token), [order.change()]);
-        let late: HashMap<String, u64> = unanswered.then(|| (order.key.clone(), fencing_token)).into_iter().collect();
-        let OrderCleanUp { conditions, changes } =
-            OrderCleanUp::new(std::slice::from_ref(&order.key), &late, fencing_token);
-        if !unanswered {
-            // Every attempt was answered, so no copy arrives late.
-            lifecycle.sent.retain(|(sent, ..)| *sent != name);
-        }
+    // An order of an earlier token, whose key is deleted, and one of the current token, which is marked as done.
+    let order = |n| CloudOrder::new("me", fencing_token, n, CloudAction::Terminate(vec![format!("m{n}")]));
+    let (earlier, current) = (order(1), order(2));
+    lifecycle.send("order", earlier.conditions(fencing_token), [earlier.change()]);
+    let fencing_token = lifecycle.become_leader("a leads under the next token");
+    lifecycle.send("next order", current.conditions(fencing_token), [current.change()]);
+    let write_tokens = HashMap::from([(current.key.clone(), fencing_token)]);
+    for (clean_up, key) in [("order cleaned up", earlier.key), ("order marked as done", current.key)] {
+        let OrderCleanUp { conditions, changes } = OrderCleanUp::new(&[key], &write_tokens, fencing_token);
         lifecycle.send(clean_up, conditions, changes);
     }
 
--- a/tests/repeated_requests.rs
+++ b/tests/repeated_requests.rs
@@ -6,9 +6,12 @@
 
 mod stand_in;
 
+use std::collections::BTreeMap;
+
 use hollylanding::protocol::{self, Http};
 use hollylanding_emulator::driver::request_log::RequestLog;
 use hyper::Method;
+use serde_json::Value;
 use stand_in::{ControllerProcess, ENDLESS, SHORT, World, job, open_world, send_request, settings, upload, wait_until};
 use tokio::runtime::Runtime;
 
@@ -16,13 +19,31 @@
 const SHORT_JOB: u64 = 1;
 const ENDLESS_JOB: u64 = 2;
 const TASKS: u64 = 20;
+/// Prefix of the keys of cloud orders.
+const ORDER_PREFIX: &str = "d/";
+/// The leader's stored watermark, which a repeat may set back: what was confirmed stays confirmed.
+const WATERMARK_KEY: &str = "c/watermark";
 
 /// Takes the requests that were recorded so far; what is carried out from now on is not recorded.
 fn take_request_log(world: &World) -> RequestLog {
     std::mem::take(&mut *world.request_log.lock().unwrap())
 }
 
-/// Submits both jobs, cancels the endless one while its tasks run, and waits until all attempts are reaped.
+/// Whether the store has a cloud order that is still to be carried out.
+fn has_open_order(world: &World) -> bool {
+    let state = world.state.lock().unwrap();
+    state.store.entries_with_prefix(ORDER_PREFIX).any(|(_, order, _)| order["what"] != "done")
+}
+
+/// Everything that is stored, without the watermark.
+fn stored_values(world: &World) -> BTreeMap<String, Value> {
+    let state = world.state.lock().unwrap();
+    let entries = state.store.entries_with_prefix("").filter(|(key, ..)| *key != WATERMARK_KEY);
+    entries.map(|(key, value, _)| (key.to_owned(), value.clone())).collect()
+}
+
+/// Submits both jobs, cancels the endless one while its tasks run, and waits until nothing is left to be done: all
+/// attempts are reaped and all cloud orders completed and cleaned up.
 async fn run_jobs(world: &World, controller: &ControllerProcess) {
     let http = Http::default();
     let post = async |path: &str, body: Option<Vec<u8>>| {
@@ -37,6 +58,7 @@
     wait_until("cancelled", || post(&cancellation, None)).await;
     let is_reaped = || world.with_fleet(|fleet, _| fleet.count_attempts() == 0);
     wait_until("all attempts reaped", async || is_reaped()).await;
+    wait_until("no order left to be carried out", async || !has_open_order(world)).await;
 }
 
 /// Guards against launches that stay valid after the reap of their attempt (issue 50, `ran_twice`, starts after a
@@ -60,3 +82,27 @@
     drop(controller);
     outside.shutdown_background();
 }
+
+/// Guards against writes that are taken for void because they were answered: every transaction is delivered once more
+/// when its effect has been superseded. An order to the cloud used to be stored again as an open one, and the next
+/// leader carried it out a second time.
+#[test]
+fn repeated_transactions_change_nothing() {
+    let outside = Runtime::new().unwrap();
+    let (world, door) = outside.block_on(open_world());
+    upload(&world, &job(SHORT_JOB, TASKS), SHORT);
+    upload(&world, &job(ENDLESS_JOB, TASKS), ENDLESS);
+    world.request_log.lock().unwrap().enable();
+    let controller = ControllerProcess::start(&world, &settings("node-a", &[], &door));
+    outside.block_on(run_jobs(&world, &controller));
+    let transactions = take_request_log(&world).transactions;
+    assert!(transactions.len() > 5, "{transactions:?}");
+    drop(controller);
+    let stored = stored_values(&world);
+    for repeat in transactions {
+        let now = world.now();
+        let _ = world.state.lock().unwrap().store.compare_and_swap(&repeat, now);
+        assert_eq!(stored_values(&world), stored, "changed by {repeat:?}");
+    }
+    outside.shutdown_background();
+}
