--- a/tests/repeated_requests.rs
+++ b/tests/repeated_requests.rs
@@ -7,6 +7,7 @@
 mod stand_in;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use hollylanding::protocol::{self, Http};
 use hollylanding_emulator::driver::request_log::RequestLog;
@@ -24,11 +25,6 @@
 /// The leader's stored watermark, which a repeat may set back: what was confirmed stays confirmed.
 const WATERMARK_KEY: &str = "c/watermark";
 
-/// Takes the requests that were recorded so far; what is carried out from now on is not recorded.
-fn take_request_log(world: &World) -> RequestLog {
-    std::mem::take(&mut *world.request_log.lock().unwrap())
-}
-
 /// Whether the store has a cloud order that is still to be carried out.
 fn has_open_order(world: &World) -> bool {
     let state = world.state.lock().unwrap();
@@ -61,26 +57,41 @@
     wait_until("no order left to be carried out", async || !has_open_order(world)).await;
 }
 
+/// A world in which a controller has run both jobs and ended.
+struct FinishedRun {
+    world: Arc<World>,
+    /// The requests that the controller sent and the world carried out.
+    carried_out: RequestLog,
+    /// Runs the world for as long as it exists.
+    _outside: Runtime,
+}
+
+impl FinishedRun {
+    fn new() -> Self {
+        let outside = Runtime::new().unwrap();
+        let (world, door) = outside.block_on(open_world());
+        upload(&world, &job(SHORT_JOB, TASKS), SHORT);
+        upload(&world, &job(ENDLESS_JOB, TASKS), ENDLESS);
+        world.request_log.lock().unwrap().enable();
+        let controller = ControllerProcess::start(&world, &settings("node-a", &[], &door));
+        outside.block_on(run_jobs(&world, &controller));
+        drop(controller);
+        let carried_out = std::mem::take(&mut *world.request_log.lock().unwrap());
+        Self { world, carried_out, _outside: outside }
+    }
+}
+
 /// Guards against launches that stay valid after the reap of their attempt (issue 50, `ran_twice`, starts after a
 /// confirmed cancellation): every direct command is delivered once more when all attempts were reaped.
 #[test]
 fn repeated_commands_start_no_task() {
-    let outside = Runtime::new().unwrap();
-    let (world, door) = outside.block_on(open_world());
-    upload(&world, &job(SHORT_JOB, TASKS), SHORT);
-    upload(&world, &job(ENDLESS_JOB, TASKS), ENDLESS);
-    world.request_log.lock().unwrap().enable();
-    let controller = ControllerProcess::start(&world, &settings("node-a", &[], &door));
-    outside.block_on(run_jobs(&world, &controller));
-    let commands = take_request_log(&world).commands;
-    assert!(!commands.is_empty(), "tasks were launched by direct commands");
-    for repeat in commands {
+    let FinishedRun { world, carried_out, .. } = &FinishedRun::new();
+    assert!(!carried_out.commands.is_empty(), "tasks were launched by direct commands");
+    for repeat in &carried_out.commands {
         world.with_fleet(|fleet, now| fleet.command(&repeat.machine, &repeat.commands, now));
         let attempts = world.with_fleet(|fleet, _| fleet.count_attempts());
         assert_eq!(attempts, 0, "{repeat:?} starts a task again");
     }
-    drop(controller);
-    outside.shutdown_background();
 }
 
 /// Guards against writes that are taken for void because they were answered: every transaction is delivered once more
@@ -88,21 +99,12 @@
 /// leader carried it out a second time.
 #[test]
 fn repeated_transactions_change_nothing() {
-    let outside = Runtime::new().unwrap();
-    let (world, door) = outside.block_on(open_world());
-    upload(&world, &job(SHORT_JOB, TASKS), SHORT);
-    upload(&world, &job(ENDLESS_JOB, TASKS), ENDLESS);
-    world.request_log.lock().unwrap().enable();
-    let controller = ControllerProcess::start(&world, &settings("node-a", &[], &door));
-    outside.block_on(run_jobs(&world, &controller));
-    let transactions = take_request_log(&world).transactions;
-    assert!(transactions.len() > 5, "{transactions:?}");
-    drop(controller);
-    let stored = stored_values(&world);
-    for repeat in transactions {
+    let FinishedRun { world, carried_out, .. } = &FinishedRun::new();
+    assert!(carried_out.transactions.len() > 5, "{carried_out:?}");
+    let stored = stored_values(world);
+    for repeat in &carried_out.transactions {
         let now = world.now();
-        let _ = world.state.lock().unwrap().store.compare_and_swap(&repeat, now);
-        assert_eq!(stored_values(&world), stored, "changed by {repeat:?}");
+        let _ = world.state.lock().unwrap().store.compare_and_swap(repeat, now);
+        assert_eq!(stored_values(world), stored, "changed by {repeat:?}");
     }
-    outside.shutdown_background();
 }
