--- a/src/rollouts/tests/model.rs
+++ b/src/rollouts/tests/model.rs
@@ -59,6 +59,23 @@
     seq: u64,
 }
 
+impl KnownReplica {
+    /// A replica of which nothing but its binding is known.
+    fn bound(attempt: u64, machine: u64, zone: usize, bound_at: u64) -> Self {
+        Self {
+            attempt,
+            machine,
+            zone,
+            bound_at,
+            last_heartbeat: None,
+            running_since: None,
+            stopping: false,
+            fencing_token: 0,
+            seq: 0,
+        }
+    }
+}
+
 /// Job (0: old, 1: new) and index of a replica.
 type Key = (usize, u32);
 
@@ -186,22 +203,7 @@
         self.current_token += 1;
         let now = self.now;
         let inherit = |(key, (attempt, machine, zone)): (&Key, &(u64, u64, usize))| {
-            let (attempt, machine, zone) = (*attempt, *machine, *zone);
-            let (last_heartbeat, running_since, stopping, fencing_token, seq) = (None, None, false, 0, 0);
-            (
-                *key,
-                KnownReplica {
-                    attempt,
-                    machine,
-                    zone,
-                    bound_at: now,
-                    last_heartbeat,
-                    running_since,
-                    stopping,
-                    fencing_token,
-                    seq,
-                },
-            )
+            (*key, KnownReplica::bound(*attempt, *machine, *zone, now))
         };
         self.leaders.push(Leader {
             fencing_token: self.current_token,
@@ -246,21 +248,7 @@
         self.bound.insert(key, (attempt, machine, zone));
         let (fencing_token, now) = (self.current_token, self.now);
         if let Some(leader) = self.leaders.iter_mut().find(|o| o.fencing_token == fencing_token) {
-            let (last_heartbeat, running_since, stopping, fencing_token, seq) = (None, None, false, 0, 0);
-            leader.replicas.insert(
-                key,
-                KnownReplica {
-                    attempt,
-                    machine,
-                    zone,
-                    bound_at: now,
-                    last_heartbeat,
-                    running_since,
-                    stopping,
-                    fencing_token,
-                    seq,
-                },
-            );
+            leader.replicas.insert(key, KnownReplica::bound(attempt, machine, zone, now));
         }
     }
 
--- a/src/scheduling/tests.rs
+++ b/src/scheduling/tests.rs
@@ -3,6 +3,7 @@
 mod cancellations;
 mod completions_across_takeovers;
 mod confirmed_cancellations;
+mod drawn_faults;
 mod hangs;
 mod intents;
 mod interleaved_simulation;
--- a/src/scheduling/tests/starvation_after_faults.rs
+++ b/src/scheduling/tests/starvation_after_faults.rs
@@ -5,6 +5,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use super::drawn_faults::{MACHINES, draw_job};
 use super::simulation::*;
 use super::world::*;
 use super::*;
@@ -15,7 +16,6 @@
 /// Runs one seeded simulation and returns the longest time in seconds that a job which could start has waited after the
 /// faults, with a description of that job. If `steady`, jobs also arrive after the faults.
 fn longest_wait_after_faults(seed: u64, steady: bool) -> (f64, String) {
-    const MACHINES: [&str; 10] = ["m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9"];
     let mut rng = StdRng::seed_from_u64(seed);
     let machines: Vec<(&str, &str)> = (0..10).map(|n| (MACHINES[n], if n % 2 == 0 { "a" } else { "b" })).collect();
     let mut simulation = Simulation::new(&machines, |j| (j.tasks, j.estimate_s) = (1, 1.0));
@@ -33,58 +33,18 @@
         let in_fault_phase = t < 120.0;
         if (in_fault_phase || steady) && rng.random_bool(if in_fault_phase { 0.5 } else { 0.1 }) {
             jobs += 1;
-            let shape = [Shape::Array, Shape::Array, Shape::Gang, Shape::Service][rng.random_range(0..4usize)];
-            let urgency = [Urgency::Prod, Urgency::High, Urgency::Normal][rng.random_range(0..3usize)];
-            let id = simulation.world.accept_job(&mut simulation.cluster, jobs, |j| {
-                (j.shape, j.urgency) = (shape, urgency);
-                j.class = ["c", "d", "e"][rng.random_range(0..3usize)].into();
-                j.team = if rng.random_bool(0.3) { "red".into() } else { "blue".into() };
-                j.tasks = if shape == Shape::Service { 1 } else { rng.random_range(1..6) };
-                j.cpus = [0.25, 1.0, 2.0, 4.0][rng.random_range(0..4usize)];
-                j.gpus = if rng.random_bool(0.1) { 1.0 } else { 0.0 };
-                j.same_zone = rng.random_bool(0.2);
-                j.spread = !j.same_zone && rng.random_bool(0.2);
-                j.zone = rng.random_bool(0.1).then(|| "a".into()).filter(|_| !j.spread);
-                j.estimate_s =
-                    if shape == Shape::Service { 0.0 } else { [5.0, 30.0, 300.0][rng.random_range(0..3usize)] };
-                j.due_s = rng.random_bool(0.4).then_some(j.estimate_s * 2.0 + 20.0);
-                (j.checkpoint_s, j.save_s) = if rng.random_bool(0.5) { (30.0, 2.0) } else { (0.0, 0.0) };
-            });
+            let urgencies = [Urgency::Prod, Urgency::High, Urgency::Normal];
+            let id =
+                simulation.world.accept_job(&mut simulation.cluster, jobs, |job| draw_job(&mut rng, &urgencies, job));
             if rng.random_bool(0.15) {
                 simulation.cancel_job(&id);
             }
         }
         if in_fault_phase && rng.random_bool(0.15) {
-            let m = MACHINES[rng.random_range(0..10usize)];
-            match rng.random_range(0..7) {
-                0 => simulation.outbound_lost.push(m),
-                1 => simulation.paused.push(m),
-                2 => simulation.inbound_lost.push(m),
-                3 => (simulation.outbound_lost.push(m), simulation.commands_refused.push(m)).0,
-                4 => {
-                    (
-                        simulation.outbound_lost,
-                        simulation.paused,
-                        simulation.inbound_lost,
-                        simulation.commands_refused,
-                    ) = Default::default()
-                }
-                5 => simulation.fail_over(),
-                _ => simulation.store_available = !simulation.store_available,
-            }
-            // Three machines have no faults, so that there is always capacity to wait for.
-            for list in [
-                &mut simulation.outbound_lost,
-                &mut simulation.paused,
-                &mut simulation.inbound_lost,
-                &mut simulation.commands_refused,
-            ] {
-                list.retain(|m| !["m0", "m1", "m8"].contains(m));
-            }
+            simulation.inject_drawn_fault(&mut rng);
         }
         if !in_fault_phase {
-            (simulation.outbound_lost, simulation.paused, simulation.inbound_lost, simulation.commands_refused) =
-                Default::default();
+            simulation.end_machine_faults();
             simulation.store_available = true;
         }
         // Tasks end, or fail during the fault phase.
--- a/src/scheduling/tests/starvation_with_idle_work.rs
+++ b/src/scheduling/tests/starvation_with_idle_work.rs
@@ -6,6 +6,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use super::drawn_faults::{FAULT_FREE_MACHINES, MACHINES, draw_job};
 use super::simulation::{DrainingCapacity, STEP_S, Simulation};
 use super::world::*;
 use super::*;
@@ -14,9 +15,6 @@
 use crate::scheduling::fairness::FairShareAccounting;
 use crate::settings::Objective;
 
-const MACHINES: [&str; 10] = ["m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9"];
-/// Machines without faults, so that there is always capacity to wait for.
-const FAULT_FREE_MACHINES: [&str; 3] = ["m0", "m1", "m8"];
 /// Length of the fault phase in seconds.
 const FAULT_PHASE_S: f64 = 100.0;
 /// Length of the simulation in seconds.
@@ -73,54 +71,16 @@
     fn submit_job(&mut self) {
         self.jobs += 1;
         let rng = &mut self.rng;
-        let shape = [Shape::Array, Shape::Array, Shape::Gang, Shape::Service][rng.random_range(0..4usize)];
         let urgencies = [Urgency::Prod, Urgency::High, Urgency::Normal, Urgency::Idle, Urgency::Idle];
-        let urgency = urgencies[rng.random_range(0..urgencies.len())];
-        let id = self.simulation.world.accept_job(&mut self.simulation.cluster, self.jobs, |j| {
-            (j.shape, j.urgency) = (shape, urgency);
-            j.class = ["c", "d", "e"][rng.random_range(0..3usize)].into();
-            j.team = if rng.random_bool(0.3) { "red".into() } else { "blue".into() };
-            j.tasks = if shape == Shape::Service { 1 } else { rng.random_range(1..6) };
-            j.cpus = [0.25, 1.0, 2.0, 4.0][rng.random_range(0..4usize)];
-            j.gpus = if rng.random_bool(0.1) { 1.0 } else { 0.0 };
-            j.same_zone = rng.random_bool(0.2);
-            j.spread = !j.same_zone && rng.random_bool(0.2);
-            j.zone = rng.random_bool(0.1).then(|| "a".into()).filter(|_| !j.spread);
-            j.estimate_s = if shape == Shape::Service { 0.0 } else { [5.0, 30.0, 300.0][rng.random_range(0..3usize)] };
-            j.due_s = rng.random_bool(0.4).then_some(j.estimate_s * 2.0 + 20.0);
-            (j.checkpoint_s, j.save_s) = if rng.random_bool(0.5) { (30.0, 2.0) } else { (0.0, 0.0) };
-        });
+        let id = self
+            .simulation
+            .world
+            .accept_job(&mut self.simulation.cluster, self.jobs, |job| draw_job(rng, &urgencies, job));
         if rng.random_bool(0.15) {
             self.simulation.cancel_job(&id);
         }
     }
 
-    /// Injects a drawn fault, or ends faults.
-    fn inject_fault(&mut self) {
-        let m = MACHINES[self.rng.random_range(0..10usize)];
-        let simulation = &mut self.simulation;
-        match self.rng.random_range(0..7) {
-            0 => simulation.outbound_lost.push(m),
-            1 => simulation.paused.push(m),
-            2 => simulation.inbound_lost.push(m),
-            3 => (simulation.outbound_lost.push(m), simulation.commands_refused.push(m)).0,
-            4 => {
-                (simulation.outbound_lost, simulation.paused, simulation.inbound_lost, simulation.commands_refused) =
-                    Default::default()
-            }
-            5 => simulation.fail_over(),
-            _ => simulation.store_available = !simulation.store_available,
-        }
-        for list in [
-            &mut simulation.outbound_lost,
-            &mut simulation.paused,
-            &mut simulation.inbound_lost,
-            &mut simulation.commands_refused,
-        ] {
-            list.retain(|m| !FAULT_FREE_MACHINES.contains(m));
-        }
-    }
-
     /// Ends tasks that have run for their drawn time. During the fault phase some fail.
     fn end_tasks(&mut self, in_fault_phase: bool) {
         let now = self.simulation.world.now;
@@ -200,12 +160,11 @@
                 self.submit_job();
             }
             if in_fault_phase && self.rng.random_bool(0.15) {
-                self.inject_fault();
+                self.simulation.inject_drawn_fault(&mut self.rng);
             }
             if !in_fault_phase {
                 let simulation = &mut self.simulation;
-                (simulation.outbound_lost, simulation.paused, simulation.inbound_lost, simulation.commands_refused) =
-                    Default::default();
+                simulation.end_machine_faults();
                 simulation.store_available = true;
             }
             self.end_tasks(in_fault_phase);
