--- a/crates/emulator/src/driver/state.rs
+++ b/crates/emulator/src/driver/state.rs
@@ -95,6 +95,26 @@
     pub changes: u64,
     /// Size of the largest response, in bytes.
     pub largest: usize,
+    /// The transactions that were refused as invalid, in the order of their arrival.
+    pub invalid: Vec<InvalidTransaction>,
+}
+
+/// A transaction that was refused as invalid: malformed, or larger than the limits allow.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InvalidTransaction {
+    /// Number of conditions.
+    pub conditions: usize,
+    /// The keys that it was to change.
+    pub changed_keys: Vec<String>,
+}
+
+impl InvalidTransaction {
+    fn of(transaction: &CompareAndSwap) -> Self {
+        let changed = transaction.apply.iter().map(|change| match change {
+            Change::Write { write: key, .. } | Change::Drop { drop: key } => key.clone(),
+        });
+        Self { conditions: transaction.conditions.len(), changed_keys: changed.collect() }
+    }
 }
 
 impl State {
@@ -109,6 +129,7 @@
             refused: 0,
             changes: 0,
             largest: 0,
+            invalid: Vec::new(),
         }
     }
 
@@ -195,7 +216,11 @@
     /// Executes a transaction without faults.
     fn apply(&mut self, compare_and_swap: &CompareAndSwap) -> Result<Value, Refusal> {
         let now = self.now();
-        self.store.compare_and_swap(compare_and_swap, now).map(|done| match done {
+        let outcome = self.store.compare_and_swap(compare_and_swap, now);
+        if matches!(outcome, Err(Refusal::Malformed(_))) {
+            self.invalid.push(InvalidTransaction::of(compare_and_swap));
+        }
+        outcome.map(|done| match done {
             Ok(revision) => json!({"ledgerRev": revision}),
             Err(refused) => json!({"failed": refused.failed, "ledgerRev": refused.revision}),
         })
--- a/crates/emulator/src/world/store.rs
+++ b/crates/emulator/src/world/store.rs
@@ -101,6 +101,13 @@
         }
     }
 
+    /// Changes the limits. What is stored stays as it is, also where it is larger than the new limits allow.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.request_budget = TokenBucket::new(limits.requests_per_second, 1.0);
+        self.change_budget = TokenBucket::new(limits.changes_per_second, 1.0);
+        self.limits = limits;
+    }
+
     /// Begins or ends an outage. When an outage ends, every lease gets its full time to live again.
     pub fn set_outage(&mut self, outage: bool, now: Duration) {
         if self.outage && !outage {
--- a/crates/protocol/src/state.rs
+++ b/crates/protocol/src/state.rs
@@ -167,6 +167,17 @@
     pub revision: u64,
 }
 
+/// The answer to a request that was refused as invalid (status 400).
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InvalidRequest {
+    /// The reason, [`NO_SUCH_LEASE`] or any other text.
+    pub error: String,
+}
+
+/// Reason of a refusal: a write names a lease that has ended. Any other reason means that the request itself is invalid
+/// or larger than the limits allow.
+pub const NO_SUCH_LEASE: &str = "no such lease";
+
 /// The answer to a request for a lease.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct GrantedLease {
