--- a/src/audit.rs
+++ b/src/audit.rs
@@ -25,7 +25,6 @@
 use crate::jobs::record::{JobRecord, ended_key, open_key, shard_key, time_of_day_ms};
 use crate::jobs::{End, JobId};
 use crate::scheduling::leader_state::LeaderState;
-use crate::settings::Settings;
 use crate::store::handle::StateStore;
 use crate::sync::lock;
 use crate::wakeups::Wakeups;
@@ -46,7 +45,7 @@
     Open(JobId),
     /// A job that this controller's own transaction has ended, and how it ended.
     Ended(Arc<JobRecord>, End),
-    /// A shard of a job's tasks: the job, the shard's number and its version.
+    /// A shard of a job's tasks: the job, the shard's first task and its version.
     Shard(JobId, u64, u64),
 }
 
@@ -124,6 +123,15 @@
         batch
     }
 
+    /// Takes back a batch that could not be compared: it is compared next. Suspects were not taken out.
+    fn return_batch(&mut self, batch: Vec<AcknowledgedWrite>) {
+        for write in batch.into_iter().rev() {
+            if !self.suspects.contains_key(&write.key()) {
+                self.round.push_front(write);
+            }
+        }
+    }
+
     /// Returns the writes of a batch that are missing now and were missing in the comparison before. Writes that are
     /// missing for the first time become suspects.
     fn find_lost(&mut self, batch: Vec<AcknowledgedWrite>, failed: &[String]) -> Vec<AcknowledgedWrite> {
@@ -156,7 +164,6 @@
 
 /// Compares the writes that the state service has acknowledged with what it has stored.
 pub struct Auditor {
-    settings: Arc<Settings>,
     store: Arc<StateStore>,
     history: Arc<JobHistory>,
     leader: Arc<LeaderState>,
@@ -167,13 +174,12 @@
 impl Auditor {
     /// Creates an auditor that knows of no acknowledged writes.
     pub fn new(
-        settings: Arc<Settings>,
         store: Arc<StateStore>,
         history: Arc<JobHistory>,
         leader: Arc<LeaderState>,
         wakeups: Arc<Wakeups>,
     ) -> Self {
-        Self { settings, store, history, leader, wakeups, audit: Mutex::default() }
+        Self { store, history, leader, wakeups, audit: Mutex::default() }
     }
 
     /// Remembers a write that the state service has just acknowledged.
@@ -218,9 +224,9 @@
 
 /// Compares acknowledged writes with the store and restores those that are lost, forever.
 pub async fn run(auditor: Arc<Auditor>) {
-    let max_conditions = auditor.settings.params.state.max_conditions();
     loop {
         tokio::time::sleep(MIN_AUDIT_PAUSE.max(auditor.store.client.refill_time(MIN_AUDIT_PAUSE_REQUESTS))).await;
+        let max_conditions = auditor.store.client.limits().max_conditions();
         let batch = lock(&auditor.audit).next_batch(max_conditions, || writes_of_leader(&auditor));
         if batch.is_empty() || !auditor.store.watch_cache().is_ready() {
             continue;
@@ -231,6 +237,7 @@
             Ok(_) => Vec::new(),
             Err(error) => {
                 debug!(%error, "audit read failed");
+                lock(&auditor.audit).return_batch(batch);
                 continue;
             }
         };
@@ -251,11 +258,12 @@
     }
 }
 
-/// Builds the transaction that writes an end again, on condition that the job has no end at all.
-pub(crate) fn restore_end(record: &JobRecord, end: End, now_ms: u64) -> JobTransaction {
+/// Builds the transaction that writes an end again, on condition that the job has no end at all. The record is cut to
+/// `max_bytes`.
+pub(crate) fn restore_end(record: &JobRecord, end: End, now_ms: u64, max_bytes: usize) -> JobTransaction {
     JobTransaction {
         conditions: not_ended_conditions(&record.spec.id).collect(),
-        changes: end_changes(record, end, now_ms).into(),
+        changes: end_changes(record, end, now_ms, max_bytes).into(),
     }
 }
 
@@ -271,7 +279,8 @@
             }
         }
         AcknowledgedWrite::Ended(record, end) => {
-            let transaction = restore_end(record, *end, time_of_day_ms());
+            let max_bytes = auditor.store.client.limits().max_value_bytes;
+            let transaction = restore_end(record, *end, time_of_day_ms(), max_bytes);
             if let CompareAndSwapOutcome::Failed(keys) = auditor
                 .store
                 .client
--- a/src/cloud_orders.rs
+++ b/src/cloud_orders.rs
@@ -53,6 +53,15 @@
 }
 
 impl CloudAction {
+    /// Whether the order names several requests or machines, so that smaller orders can do the same.
+    fn can_be_split(&self) -> bool {
+        match self {
+            Self::Provision(requests) => requests.len() > 1,
+            Self::Terminate(machines) => machines.len() > 1,
+            Self::Completed => false,
+        }
+    }
+
     /// Checks that the order exceeds no limit of the cloud's API.
     fn check_limits(&self) -> Result<(), InvalidOrder> {
         match self {
@@ -105,6 +114,8 @@
     Execute,
     /// The order may not be stored: repeat the write.
     Retry,
+    /// The order is too large to be stored: store smaller ones in its place.
+    Split,
     /// Another controller leads. If the order was stored, that controller carries it out.
     Abandon,
 }
@@ -149,6 +160,7 @@
             (Ok(CompareAndSwapOutcome::Failed(keys)), _) if !keys.iter().any(|k| k == LEADER_RECORD_KEY) => {
                 StoreStep::Execute
             }
+            (Err(StoreError::TooLarge(_)), _) if self.action.can_be_split() => StoreStep::Split,
             // The leader record changed: this leader has a newer fencing token, or it does not know yet that another
             // controller leads. An unanswered or refused write is repeated as well.
             _ => StoreStep::Retry,
--- a/src/controller/state_owners.rs
+++ b/src/controller/state_owners.rs
@@ -18,6 +18,7 @@
 use crate::settings::{Properties, Settings};
 use crate::store::StateClient;
 use crate::store::handle::StateStore;
+use crate::store::transaction_limits::LimitTracker;
 use crate::traffic::Traffic;
 use crate::users::UserService;
 use crate::wakeups::Wakeups;
@@ -58,8 +59,7 @@
             catalog.clone(),
             wakeups.clone(),
         ));
-        let audit =
-            Arc::new(Auditor::new(settings.clone(), store.clone(), history.clone(), leader.clone(), wakeups.clone()));
+        let audit = Arc::new(Auditor::new(store.clone(), history.clone(), leader.clone(), wakeups.clone()));
         Self { settings, properties, http, traffic, wakeups, catalog, store, history, leader, membership, audit }
     }
 
@@ -91,7 +91,6 @@
     /// Creates the state of the group commit.
     pub(super) fn group_commit(&self) -> GroupCommit {
         GroupCommit {
-            settings: self.settings.clone(),
             store: self.store.clone(),
             history: self.history.clone(),
             membership: self.membership.clone(),
@@ -149,6 +148,7 @@
     let (limits, others) = (&settings.params.state, settings.peers.len());
     let requests = initial_budget(REQUEST_SHARES, limits.rps, others, now);
     let writes = initial_budget(WRITE_SHARES, limits.write_rps, others, now);
-    let client = StateClient::new(http, settings.endpoints.state.clone(), requests, writes, traffic);
+    let client =
+        StateClient::new(http, settings.endpoints.state.clone(), requests, writes, LimitTracker::new(limits), traffic);
     StateStore::new(Arc::new(client))
 }
--- a/src/declarations/context.rs
+++ b/src/declarations/context.rs
@@ -71,6 +71,10 @@
         self.store.client.available_writes(priority)
     }
 
+    fn max_value_bytes(&self) -> usize {
+        self.store.client.limits().max_value_bytes
+    }
+
     async fn compare_and_swap(
         &self,
         conditions: &[Condition],
--- a/src/declarations/driver.rs
+++ b/src/declarations/driver.rs
@@ -107,12 +107,26 @@
     stored_revision: u64,
     /// Declarations whose status is too large to store; each is logged once.
     too_large: BTreeSet<DeclarationId>,
+    /// Maximum size of a status, in bytes of JSON.
+    max_status_bytes: usize,
 }
 
 impl DeclarationDriver {
     /// Creates a driver for these kinds.
     pub fn new(kinds: &'static [KindOperations]) -> Self {
-        Self { kinds, next_kind: 0, last_written: BTreeMap::new(), stored_revision: 0, too_large: BTreeSet::new() }
+        Self {
+            kinds,
+            next_kind: 0,
+            last_written: BTreeMap::new(),
+            stored_revision: 0,
+            too_large: BTreeSet::new(),
+            max_status_bytes: MAX_VALUE_BYTES,
+        }
+    }
+
+    /// Sets the maximum size of a value that the state service takes, in bytes of JSON.
+    pub fn set_max_value_bytes(&mut self, bytes: usize) {
+        self.max_status_bytes = MAX_VALUE_BYTES.min(bytes);
     }
 
     /// Records that these writes are being sent; the next evaluation continues after them in the round-robin order.
@@ -188,14 +202,13 @@
         let last_name = self.last_written.get(&kind).cloned().unwrap_or_default();
         let (before, after): (Vec<&str>, Vec<&str>) =
             view.registry.names_of_kind(kind).partition(|name| *name <= last_name.as_str());
-        let max_bytes = MAX_VALUE_BYTES.min((view.settings.params.state.value_kb * 1024.0) as usize);
         for name in after.into_iter().chain(before) {
             if writes.iter().any(|w| w.kind == kind && w.name == name) {
                 continue;
             }
             let Some(next) = (operations.next_status)(name, view) else { continue };
             let bytes = next.value.to_string().len();
-            if bytes > max_bytes {
+            if bytes > self.max_status_bytes {
                 events.extend(self.report_too_large(kind, name, bytes));
                 continue;
             }
--- a/src/declarations/operator/client.rs
+++ b/src/declarations/operator/client.rs
@@ -15,6 +15,7 @@
 use crate::protocol::Http;
 use crate::settings::Settings;
 use crate::store::budget::{RequestPriority, TokenBucket};
+use crate::store::transaction_limits::LimitTracker;
 use crate::store::{CompareAndSwapOutcome, StateClient, StoreError};
 use crate::sync::jitter;
 
@@ -31,6 +32,11 @@
 /// Bytes counted for the framing of each write.
 const FRAMING_BYTES_PER_WRITE: usize = 200;
 
+/// Whether a transaction failed since it is larger than the state service allows.
+fn is_too_large(error: &OperatorError) -> bool {
+    matches!(error, OperatorError::NoAnswer(NoAnswer::StateService { source: StoreError::TooLarge(_), .. }))
+}
+
 /// Whether a verb is applied for the first time, or again after a conflict.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Attempt {
@@ -65,7 +71,8 @@
         let requests = TokenBucket::new(limits.rps * RATE_LIMIT_SHARE, REQUEST_BURST, now);
         let writes = TokenBucket::new(limits.write_rps * RATE_LIMIT_SHARE, limits.txn_ops as f64, now);
         let endpoint = settings.endpoints.state.clone();
-        let store = StateClient::new(http.clone(), endpoint, requests, writes, Default::default());
+        let store =
+            StateClient::new(http.clone(), endpoint, requests, writes, LimitTracker::new(limits), Default::default());
         Self { settings, store, http, timeout }
     }
 
@@ -110,7 +117,12 @@
         let mut remaining = writes;
         while !remaining.is_empty() {
             let (batch, later) = remaining.split_at(self.batch_size(remaining));
-            match self.write_batch(kind, stored, batch).await? {
+            let outcome = self.write_batch(kind, stored, batch).await;
+            if outcome.as_ref().is_err_and(is_too_large) && self.batch_size(remaining) < batch.len() {
+                // The refusal has lowered the limits: the same writes follow in smaller transactions.
+                continue;
+            }
+            match outcome? {
                 WriteOutcome::Written(revision) => {
                     stored.operators_version = revision;
                     *last_progress = Instant::now();
@@ -125,7 +137,7 @@
 
     /// Returns how many of the writes fit in one transaction, at least 1.
     fn batch_size(&self, writes: &[SpecWrite]) -> usize {
-        let max_writes = (self.settings.params.state.txn_ops as usize).saturating_sub(1).max(1);
+        let max_writes = self.store.limits().max_changes.saturating_sub(1).max(1);
         let mut bytes = 0;
         let fitting = writes.iter().take(max_writes).take_while(|write| {
             bytes += write.spec.as_ref().map_or(0, |spec| spec.to_string().len()) + FRAMING_BYTES_PER_WRITE;
@@ -217,7 +229,7 @@
         loop {
             match call().await {
                 Ok(answer) => return Ok(answer),
-                Err(source) if started_at.elapsed() > self.timeout || source.is_invalid_response() => {
+                Err(source) if started_at.elapsed() > self.timeout || source.is_final() => {
                     return Err(NoAnswer::StateService { endpoint: self.settings.endpoints.state.clone(), source });
                 }
                 Err(_) => tokio::time::sleep(jitter(RETRY_INTERVAL)).await,
--- a/src/declarations/run.rs
+++ b/src/declarations/run.rs
@@ -39,6 +39,8 @@
     fn query_job_end(&self, id: &JobId);
     /// Returns the number of changes that the request budget admits now at this priority.
     fn writable_changes(&self, priority: RequestPriority) -> usize;
+    /// Returns the maximum size of a value that the state service takes, in bytes of JSON.
+    fn max_value_bytes(&self) -> usize;
     /// Sends one transaction to the state service, within the controller's request budget for this priority.
     fn compare_and_swap(
         &self,
@@ -111,6 +113,7 @@
     loop {
         wait_for_work(&*context).await;
         let now = Instant::now();
+        driver.set_max_value_bytes(context.max_value_bytes());
         let output = context.with_state(|cluster, watch_cache, job_end| {
             driver.evaluate(cluster, watch_cache, job_end, now, time_of_day_ms())
         });
--- a/src/declarations/tests.rs
+++ b/src/declarations/tests.rs
@@ -454,6 +454,10 @@
     fn writable_changes(&self, _: RequestPriority) -> usize {
         self.calls.fetch_add(1, Ordering::Relaxed)
     }
+    fn max_value_bytes(&self) -> usize {
+        usize::MAX
+    }
+
     async fn compare_and_swap(
         &self,
         _: &[Condition],
--- a/src/fleet/order_storage.rs
+++ b/src/fleet/order_storage.rs
@@ -30,6 +30,9 @@
     /// The caller gave up. The write may still be applied, so the order is cleaned up like a completed one.
     #[error("the store did not answer in time")]
     GivenUp,
+    /// The order is too large for one value of the store.
+    #[error("the order is too large for the store")]
+    TooLarge,
 }
 
 impl CloudOperator {
@@ -80,6 +83,11 @@
             match order.next_step(&outcome, self.fencing_token()) {
                 StoreStep::Execute => return Ok(order.key),
                 StoreStep::Abandon => return Err(NotStored::Deposed),
+                StoreStep::Split => {
+                    // An earlier attempt without an answer may still be applied.
+                    self.operations().completed.push(order.key);
+                    return Err(NotStored::TooLarge);
+                }
                 StoreStep::Retry if gives_up() => {
                     self.operations().completed.push(order.key);
                     return Err(NotStored::GivenUp);
@@ -103,7 +111,7 @@
         let client = &self.fleet.store.client;
         let is_urgent = self.operations().orders_to_clean_up(fencing_token).len() >= URGENT_CLEAN_UP_ORDERS;
         let priority = if is_urgent { RequestPriority::Placement } else { RequestPriority::Background };
-        let max_orders = client.available_writes(priority).min(self.fleet.settings.params.state.txn_ops as usize);
+        let max_orders = client.available_writes(priority).min(client.limits().max_changes);
         let (keys, clean_up) = {
             let mut operations = self.operations();
             let keys: Vec<String> =
--- a/src/fleet/provisioning.rs
+++ b/src/fleet/provisioning.rs
@@ -1,5 +1,6 @@
 //! Provisioning of machines at the cloud, each time under a stored order.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use tracing::{debug, info, warn};
@@ -7,6 +8,7 @@
 use super::RETRY_DELAY;
 use super::cloud::{CloudError, ProvisioningRequest};
 use super::cloud_operations::{CloudOperations, CloudOperator};
+use super::order_storage::NotStored;
 use super::scale_out::{MachineDemand, count_machines_by_kind, plan_scale_out};
 use crate::cloud_orders::{CloudAction, MAX_MACHINES_PER_PROVISIONING, ProvisioningOrder};
 use crate::machine_kinds::MachineKind;
@@ -63,13 +65,20 @@
         requests
     }
 
-    /// Provisions machines of one kind once the order for it is stored.
+    /// Provisions machines of one kind once the order for it is stored, or the smaller orders into which it is split.
     pub(super) async fn provision(self, requests: Vec<ProvisioningRequest>) {
-        match self.store_order(CloudAction::Provision(requests.clone()), || false).await {
-            Ok(key) => self.complete_provisioning(ProvisioningOrder { key, requests }).await,
-            Err(error) => {
-                debug!(%error, count = requests.len(), "scale-out order dropped");
-                self.remove_requested(requests);
+        let mut pending = VecDeque::from([requests]);
+        while let Some(mut requests) = pending.pop_front() {
+            match self.store_order(CloudAction::Provision(requests.clone()), || false).await {
+                Ok(key) => self.clone().complete_provisioning(ProvisioningOrder { key, requests }).await,
+                Err(NotStored::TooLarge) => {
+                    let second_half = requests.split_off(requests.len().div_ceil(2));
+                    pending.extend([requests, second_half]);
+                }
+                Err(error) => {
+                    debug!(%error, count = requests.len(), "scale-out order dropped");
+                    self.remove_requested(requests);
+                }
             }
         }
     }
--- a/src/fleet/terminations.rs
+++ b/src/fleet/terminations.rs
@@ -1,5 +1,6 @@
 //! Termination of machines at the cloud, each under a stored order.
 
+use std::collections::VecDeque;
 use std::time::Instant;
 
 use tracing::debug;
@@ -41,8 +42,26 @@
     /// process pause, cannot store an order. If it is paused between storing the order and the call, it terminates only
     /// machines whose termination its successor has read from the store. Machines whose termination is overdue because
     /// of a cancellation are terminated without an order if the store does not answer, since a late cancellation is
-    /// worse than a termination that was not needed.
+    /// worse than a termination that was not needed. An order that is too large for the store is split into smaller ones.
     pub(super) async fn terminate(self, machines: Vec<String>) {
+        let mut pending = VecDeque::from([machines]);
+        while let Some(mut machines) = pending.pop_front() {
+            let keys = match self.store_termination(&machines).await {
+                Ok(key) => vec![key],
+                Err(NotStored::GivenUp) => Vec::new(),
+                Err(NotStored::TooLarge) => {
+                    let second_half = machines.split_off(machines.len().div_ceil(2));
+                    pending.extend([machines, second_half]);
+                    continue;
+                }
+                Err(NotStored::Deposed) => return,
+            };
+            self.clone().complete_termination(TerminationCall { keys, machines }).await;
+        }
+    }
+
+    /// Stores the order for the termination of these machines. Gives up if one of them is overdue.
+    async fn store_termination(&self, machines: &[String]) -> Result<String, NotStored> {
         let is_overdue = || {
             let overdue = {
                 let guard = self.fleet.leader.cluster();
@@ -50,12 +69,7 @@
             };
             machines.iter().any(|machine| overdue.contains(machine.as_str()))
         };
-        let keys = match self.store_order(CloudAction::Terminate(machines.clone()), is_overdue).await {
-            Ok(key) => vec![key],
-            Err(NotStored::GivenUp) => Vec::new(),
-            Err(NotStored::Deposed) => return,
-        };
-        self.complete_termination(TerminationCall { keys, machines }).await;
+        self.store_order(CloudAction::Terminate(machines.to_vec()), is_overdue).await
     }
 
     /// Repeats the termination call until it succeeds: only the cloud's answer proves that the machines and all tasks
--- a/src/history/job_transactions.rs
+++ b/src/history/job_transactions.rs
@@ -78,21 +78,22 @@
     }
 }
 
-/// The two changes that end a job: the key of its end is written, its open key dropped.
-pub fn end_changes(record: &JobRecord, end: End, now_ms: u64) -> [Change; 2] {
+/// The two changes that end a job: the key of its end is written, its open key dropped. The stored record of the end is
+/// cut to `max_bytes`.
+pub fn end_changes(record: &JobRecord, end: End, now_ms: u64, max_bytes: usize) -> [Change; 2] {
     let id = &record.spec.id;
-    let ended = EndedRecord { job: record.clone(), ended_ms: now_ms };
+    let ended = EndedRecord::fitting(record, now_ms, max_bytes);
     [Change::write(ended_key(id, end), to_value(&ended)), Change::Drop { drop: open_key(id) }]
 }
 
 /// The transaction that cancels a job that was seen open, and so can have left its open key only by ending. With the
 /// fencing token of a leader as `leader`, the cancellation is applied only while the leader record has this token: a
-/// leader needs that to report the cancellation at once.
-pub fn cancel_job(record: &JobRecord, leader: Option<u64>, now_ms: u64) -> JobTransaction {
+/// leader needs that to report the cancellation at once. The stored record of the end is cut to `max_bytes`.
+pub fn cancel_job(record: &JobRecord, leader: Option<u64>, now_ms: u64, max_bytes: usize) -> JobTransaction {
     let leader_unchanged = leader.map(|fencing_token| Condition::at(LEADER_RECORD_KEY, fencing_token));
     JobTransaction {
         conditions: not_ended_conditions(&record.spec.id).chain(leader_unchanged).collect(),
-        changes: end_changes(record, End::Cancelled, now_ms).into(),
+        changes: end_changes(record, End::Cancelled, now_ms, max_bytes).into(),
     }
 }
 
--- a/src/history/job_transactions/tests.rs
+++ b/src/history/job_transactions/tests.rs
@@ -5,7 +5,8 @@
 #[test]
 fn ended_record_decodes_and_exceeds_the_open_one_by_at_most_the_reserved_size() {
     let job = JobRecord { spec: spec(), accepted_ms: 5 };
-    let [Change::Write { write, value, .. }, Change::Drop { drop }] = end_changes(&job, End::Cancelled, u64::MAX)
+    let [Change::Write { write, value, .. }, Change::Drop { drop }] =
+        end_changes(&job, End::Cancelled, u64::MAX, usize::MAX)
     else {
         panic!("a write and a drop");
     };
--- a/src/history/query_queue.rs
+++ b/src/history/query_queue.rs
@@ -52,11 +52,27 @@
         self.queries.iter().map(|(id, _)| id)
     }
 
+    /// The number of jobs.
+    pub fn len(&self) -> usize {
+        self.queries.len()
+    }
+
     /// Whether the batch has no job.
     pub fn is_empty(&self) -> bool {
         self.queries.is_empty()
     }
 
+    /// Splits the batch into batches of at most `size` jobs (at least 1).
+    pub fn split(self, size: usize) -> Vec<Self> {
+        let mut batches = Vec::new();
+        let mut queries = self.queries;
+        while !queries.is_empty() {
+            let rest = queries.split_off(queries.len().min(size.max(1)));
+            batches.push(Self { queries: std::mem::replace(&mut queries, rest) });
+        }
+        batches
+    }
+
     /// The jobs, each with its waiters.
     pub fn into_queries(self) -> Vec<JobQuery<W>> {
         self.queries
@@ -123,6 +139,11 @@
         }
     }
 
+    /// Sets the largest number of jobs in a batch from now on.
+    pub fn set_batch_size(&mut self, batch_size: usize) {
+        self.batch_size = batch_size.max(1);
+    }
+
     /// How a job ended, if the end is in memory.
     pub fn known_end(&self, id: &str) -> Option<End> {
         self.ends.get(id)
--- a/src/history/reader.rs
+++ b/src/history/reader.rs
@@ -1,6 +1,7 @@
 //! Sends the queries about jobs that are not known to be open to the store: one request compares the key versions of a
 //! batch of jobs.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -46,7 +47,11 @@
         if let Err(error) = reader.store.client.reserve(RequestPriority::Query).await {
             debug!(%error, "job query batch delayed");
         }
-        let batch = lock(&reader.history.queries).next_batch(Instant::now());
+        let batch = {
+            let mut queries = lock(&reader.history.queries);
+            queries.set_batch_size(max_jobs_per_batch(&reader.store));
+            queries.next_batch(Instant::now())
+        };
         deliver(batch.expired.answer_all(JobQueryAnswer::Unavailable));
         if !batch.due.is_empty() {
             let reader = reader.clone();
@@ -65,24 +70,48 @@
     }
 }
 
+/// The largest number of jobs that one comparison may ask about. The state service allows four conditions per change,
+/// and a query about a job has at most four, so it is the number of changes allowed.
+fn max_jobs_per_batch(store: &StateStore) -> usize {
+    store.client.limits().max_changes
+}
+
+/// Sends a batch, using a request that was reserved before. A batch that is too large for the state service is split, and
+/// the smaller ones are sent after it.
 async fn send_batch(reader: &HistoryReader, batch: QueryBatch<Waiter>) {
-    let may_hold_old_jobs = reader.store.watch_cache().may_hold_old_jobs();
-    let conditions: Vec<_> = batch.ids().flat_map(|id| never_accepted_conditions(id, may_hold_old_jobs)).collect();
-    match reader.store.client.compare_reserved(&conditions).await {
-        Ok(failed) => {
-            let resolved = lock(&reader.history.queries).resolve(batch, &failed);
-            deliver(resolved.answers);
-            if !resolved.old_jobs.is_empty() {
-                query_old_jobs(reader, resolved.old_jobs).await;
+    let mut pending = VecDeque::from([batch]);
+    while let Some(batch) = pending.pop_front() {
+        match compare_batch(reader, &batch).await {
+            Ok(failed) => {
+                let resolved = lock(&reader.history.queries).resolve(batch, &failed);
+                deliver(resolved.answers);
+                if !resolved.old_jobs.is_empty() {
+                    query_old_jobs(reader, resolved.old_jobs).await;
+                }
+            }
+            Err(StoreError::TooLarge(_)) if batch.len() > max_jobs_per_batch(&reader.store) => {
+                pending.extend(batch.split(max_jobs_per_batch(&reader.store)));
+            }
+            Err(error) => {
+                debug!(%error, count = batch.len(), "job query batch failed");
+                deliver(batch.answer_all(JobQueryAnswer::Unavailable));
             }
         }
-        Err(error) => {
-            debug!(%error, count = batch.ids().count(), "job query batch failed");
-            deliver(batch.answer_all(JobQueryAnswer::Unavailable));
+        if !pending.is_empty()
+            && let Err(error) = reader.store.client.reserve(RequestPriority::Query).await
+        {
+            debug!(%error, "job query batch delayed");
         }
     }
 }
 
+/// Compares all keys of the jobs of a batch, and returns those that exist.
+async fn compare_batch(reader: &HistoryReader, batch: &QueryBatch<Waiter>) -> Result<Vec<String>, StoreError> {
+    let may_hold_old_jobs = reader.store.watch_cache().may_hold_old_jobs();
+    let conditions: Vec<_> = batch.ids().flat_map(|id| never_accepted_conditions(id, may_hold_old_jobs)).collect();
+    reader.store.client.compare_reserved(&conditions).await
+}
+
 /// Queries one by one the jobs that were found under an earlier build's key.
 async fn query_old_jobs(reader: &HistoryReader, batch: QueryBatch<Waiter>) {
     for (id, waiters) in batch.into_queries() {
--- a/src/history/tests/answer_time.rs
+++ b/src/history/tests/answer_time.rs
@@ -132,7 +132,8 @@
     let [class, team, image, g8, c96] = strings;
     let spec = JobSpec { class, team, image, types: Some(vec![g8, c96]), due_s: Some(86_399.5), ..spec() };
     let record = JobRecord { spec, accepted_ms: time_of_day_ms() };
-    let [Change::Write { write, value, .. }, _] = end_changes(&record, End::Cancelled, time_of_day_ms()) else {
+    let [Change::Write { write, value, .. }, _] = end_changes(&record, End::Cancelled, time_of_day_ms(), usize::MAX)
+    else {
         panic!("a write and a drop");
     };
     let item = serde_json::json!({"path": write, "value": value, "stamp": 1_000_000_000});
--- a/src/history/tests/cancellation_visibility.rs
+++ b/src/history/tests/cancellation_visibility.rs
@@ -128,7 +128,7 @@
         if replaced {
             store.apply_if(&[], &write_leader_record).unwrap();
         }
-        let cancellation = job_transactions::cancel_job(&record, by_leader.then_some(fencing_token), 9);
+        let cancellation = job_transactions::cancel_job(&record, by_leader.then_some(fencing_token), 9, usize::MAX);
         let outcome = store.apply_if(&cancellation.conditions, &cancellation.changes);
         assert_eq!(outcome.is_ok(), stored, "{case}");
         assert_eq!(store.has("h/w/run-000001"), stored, "{case}");
--- a/src/history/tests/simulation.rs
+++ b/src/history/tests/simulation.rs
@@ -317,7 +317,7 @@
                 self.cancelled.entry(job).or_insert(self.step);
                 self.send_transaction(
                     index,
-                    job_transactions::cancel_job(&record, None, 9),
+                    job_transactions::cancel_job(&record, None, 9, usize::MAX),
                     ResponsePurpose::Request(request_id, UserAnswer::Ended(End::Cancelled)),
                 );
             }
@@ -368,7 +368,7 @@
         let (job, record) = open_jobs.swap_remove(self.rng.random_range(0..open_jobs.len()));
         let end = JobTransaction {
             conditions: not_ended_conditions(&job).collect(),
-            changes: end_changes(&record, End::Done, 9).into(),
+            changes: end_changes(&record, End::Done, 9, usize::MAX).into(),
         };
         self.send_transaction(index, end, ResponsePurpose::End(job));
     }
--- a/src/history/upgrade.rs
+++ b/src/history/upgrade.rs
@@ -81,9 +81,18 @@
             Ok(record) => {
                 let adoption = adopt_job(&record, item.version);
                 // It fails if another controller has moved the job already, or the job has ended meanwhile.
-                let outcome =
-                    store.compare_and_swap(&adoption.conditions, &adoption.changes, RequestPriority::Critical).await?;
-                open += u64::from(matches!(outcome, CompareAndSwapOutcome::Applied(_)));
+                match store.compare_and_swap(&adoption.conditions, &adoption.changes, RequestPriority::Critical).await {
+                    Ok(outcome) => open += u64::from(matches!(outcome, CompareAndSwapOutcome::Applied(_))),
+                    Err(error @ StoreError::TooLarge(_)) => {
+                        ended += 1;
+                        error!(
+                            %error,
+                            key = item.path,
+                            "stored job of an earlier build too large to move; skipping it in the upgrade"
+                        );
+                    }
+                    Err(error) => return Err(error),
+                }
             }
             Err(error) => {
                 error!(%error, key = item.path, "stored job of an earlier build not decoded; skipping it in the upgrade")
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -71,16 +71,24 @@
 pub fn old_end_key(id: &str) -> String {
     format!("{OLD_END_PREFIX}{id}")
 }
-/// Key of one shard of a job's tasks: shard n holds the tasks from n × [`TASKS_PER_SHARD`] on.
-pub fn shard_key(id: &str, shard: u64) -> String {
-    format!("{TASK_SHARD_PREFIX}{id}/{shard:05}")
+/// Key of the shard that holds a job's tasks from number `first_task` on. Blocks of [`TASKS_PER_SHARD`] tasks are
+/// numbered, and a shard that was split off a block adds the position of its first task in the block. In key order each
+/// shard stands before the next one of its job.
+pub fn shard_key(id: &str, first_task: u64) -> String {
+    let (block, position) = (first_task / TASKS_PER_SHARD, first_task % TASKS_PER_SHARD);
+    if position == 0 {
+        format!("{TASK_SHARD_PREFIX}{id}/{block:05}")
+    } else {
+        format!("{TASK_SHARD_PREFIX}{id}/{block:05}-{position:03}")
+    }
 }
 
-/// The job's id and the shard's number of a key that [`shard_key`] made; none for any other key.
+/// The job's id and the number of the shard's first task of a key that [`shard_key`] made; none for any other key.
 pub fn parse_shard_key(key: &str) -> Option<(&str, u64)> {
-    let (id, number) = key.strip_prefix(TASK_SHARD_PREFIX)?.split_once('/')?;
-    let shard = number.parse().ok()?;
-    (is_valid_job_id(id) && shard_key(id, shard) == key).then_some((id, shard))
+    let (id, place) = key.strip_prefix(TASK_SHARD_PREFIX)?.split_once('/')?;
+    let (block, position) = place.split_once('-').unwrap_or((place, "0"));
+    let first_task = block.parse::<u64>().ok()?.checked_mul(TASKS_PER_SHARD)?.checked_add(position.parse().ok()?)?;
+    (is_valid_job_id(id) && shard_key(id, first_task) == key).then_some((id, first_task))
 }
 
 /// A stored job: its description, and when it was accepted.
@@ -98,18 +106,56 @@
     pub fn age(&self, now_ms: u64) -> Duration {
         Duration::from_millis(now_ms.saturating_sub(self.accepted_ms))
     }
+
+    /// Size of the record as JSON, in bytes.
+    pub fn json_bytes(&self) -> usize {
+        serde_json::to_vec(self).map_or(usize::MAX, |json| json.len())
+    }
+
+    /// Upper bound on the size of the record of an end as JSON, in bytes, computed without encoding it.
+    fn max_json_bytes(&self) -> usize {
+        let spec = &self.spec;
+        let texts = [&*spec.id, &spec.class, &spec.team, &spec.image].into_iter();
+        let texts = texts.chain(spec.zone.as_deref()).chain(spec.types.iter().flatten().map(String::as_str));
+        texts.map(|text| text.len() * MAX_JSON_BYTES_PER_TEXT_BYTE + TEXT_FRAMING_BYTES).sum::<usize>()
+            + MAX_RECORD_BYTES_WITHOUT_TEXTS
+    }
 }
 
+/// Most bytes of JSON for one byte of text: a control character is escaped as `\u0000`.
+const MAX_JSON_BYTES_PER_TEXT_BYTE: usize = 6;
+/// Quotes and comma of a text.
+const TEXT_FRAMING_BYTES: usize = 3;
+/// Most bytes of JSON that the record of an ended job takes without its texts: field names, numbers and flags.
+const MAX_RECORD_BYTES_WITHOUT_TEXTS: usize = 700;
+
 /// An ended job as it is stored forever: the job's record, and when it ended.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct EndedRecord {
-    /// The job's record as it was while the job was open.
+    /// The job's record as it was while the job was open, possibly without the texts that only a start needs
+    /// ([`Self::fitting`]).
     #[serde(flatten)]
     pub job: JobRecord,
     /// When the job ended, in milliseconds since 1970 by the writing controller's wall clock.
     pub ended_ms: u64,
 }
 
+impl EndedRecord {
+    /// Creates the record of an end that takes at most `max_bytes` of JSON, if the job's record does or can be cut to
+    /// that. The end of a job must be stored whatever its user sent, and an ended job is never started again: its class,
+    /// image, machine types and zone are left out where the whole record is too large.
+    pub fn fitting(record: &JobRecord, ended_ms: u64, max_bytes: usize) -> Self {
+        let mut job = record.clone();
+        if record.max_json_bytes() > max_bytes && record.json_bytes() + ENDED_RECORD_EXTRA_BYTES > max_bytes {
+            job.spec.class = String::new();
+            job.spec.image = String::new();
+            job.spec.types = None;
+            job.spec.zone = None;
+        }
+        Self { job, ended_ms }
+    }
+}
+
 /// Most bytes of JSON that an [`EndedRecord`] takes beyond the job's own record.
 pub const ENDED_RECORD_EXTRA_BYTES: usize = 40;
 
@@ -147,9 +193,19 @@
     Done,
 }
 
+/// Field of an encoded shard that holds only a part of its block. Builds that do not split shards cannot decode it, and
+/// so treat the block as unreadable in place of taking the other parts' tasks for untouched.
+const PART_FIELD: &str = "part";
+
 /// Encodes one shard as an array with one item per task: `0` untouched, `-1` done, `n` waiting after n attempts,
-/// `[n, machine]` bound in attempt n.
-pub fn encode_shard(tasks: &[StoredTask]) -> Value {
+/// `[n, machine]` bound in attempt n. With `is_part`, the shard holds only a part of the tasks of its block, and the
+/// array stands in an object.
+pub fn encode_shard(tasks: &[StoredTask], is_part: bool) -> Value {
+    let tasks = encode_tasks(tasks);
+    if is_part { serde_json::json!({ PART_FIELD: tasks }) } else { tasks }
+}
+
+fn encode_tasks(tasks: &[StoredTask]) -> Value {
     let items = tasks
         .iter()
         .map(|task| match task {
@@ -169,6 +225,11 @@
     tasks.iter().map(|task| if let StoredTask::Bound(_, machine) = task { machine.len() + 26 } else { 22 }).sum()
 }
 
+/// Size of an encoded shard as JSON, in bytes.
+pub fn shard_bytes(tasks: &[StoredTask]) -> usize {
+    encode_shard(tasks, true).to_string().len()
+}
+
 /// Attempt numbers from this one on are rejected when read: later attempts could not be numbered or stored.
 pub const ATTEMPT_NUMBER_LIMIT: u64 = 1 << 62;
 
@@ -177,9 +238,11 @@
     value.as_u64().filter(|attempt| *attempt < ATTEMPT_NUMBER_LIMIT)
 }
 
-/// Decodes a shard encoded by [`encode_shard`]; none if any of its items is invalid.
+/// Decodes a shard encoded by [`encode_shard`], whole or a part; none if any of its items is invalid.
 pub fn decode_shard(value: &Value) -> Option<Vec<StoredTask>> {
     value
+        .get(PART_FIELD)
+        .unwrap_or(value)
         .as_array()?
         .iter()
         .map(|item| match item {
--- a/src/membership/store_shares.rs
+++ b/src/membership/store_shares.rs
@@ -32,7 +32,7 @@
 
     /// Recomputes this controller's shares of the state service's limits.
     pub(crate) fn update_store_shares(&self) {
-        let (limits, others) = (&self.settings.params.state, self.settings.peers.len());
+        let (limits, others) = (self.store.client.total_rates(), self.settings.peers.len());
         let own_demand = self.store_demand();
         let peer_demands = lock(&self.peer_states).store_demands(Instant::now());
         let share = |kind: usize, shares: FixedShares, limit: f64| {
@@ -44,8 +44,8 @@
             share_by_demand(limit, shares, &all)
         };
         self.store.client.set_shares(RequestRates {
-            requests: share(0, REQUEST_SHARES, limits.rps),
-            writes: share(1, WRITE_SHARES, limits.write_rps),
+            requests: share(0, REQUEST_SHARES, limits.requests),
+            writes: share(1, WRITE_SHARES, limits.writes),
         });
     }
 }
--- a/src/scheduling/cluster/jobs.rs
+++ b/src/scheduling/cluster/jobs.rs
@@ -6,10 +6,10 @@
 
 use tracing::{debug, info};
 
-use super::model::image_digest;
+use super::model::{JobShards, image_digest};
 use super::{Arrivals, Binding, ClusterState, JobState, Machine, MachineId, Phase, Task};
 use crate::jobs::TaskCounts;
-use crate::jobs::record::{JobRecord, StoredTask, TASKS_PER_SHARD, time_of_day_ms};
+use crate::jobs::record::{JobRecord, StoredTask, time_of_day_ms};
 use crate::jobs::{End, JobId, JobSpec};
 use crate::protocol::workers::{AttemptStatus, TaskKey};
 use crate::scheduling::fairness::AccountingEvent;
@@ -97,7 +97,7 @@
             waiting: (0..n as u32).collect(),
             bound: BTreeSet::new(),
             done: 0,
-            shard_versions: vec![0; n.div_ceil(TASKS_PER_SHARD as usize)],
+            shards: JobShards::new(n as u64),
             ended: None,
             ended_after: 0,
             ended_done: false,
@@ -112,14 +112,16 @@
         }
     }
 
-    /// Loads one stored task shard of a job that was just added: at a failover, before anything is decided.
-    pub fn load_shard(&mut self, id: &JobId, shard: u64, version: u64, stored: Vec<StoredTask>, now: Instant) {
+    /// Loads the stored task shard that begins with this task, of a job that was just added: at a failover, before
+    /// anything is decided. The shards of a job are loaded in the order of their tasks.
+    pub fn load_shard(&mut self, id: &JobId, first_task: u64, version: u64, stored: Vec<StoredTask>, now: Instant) {
         let Some(job) = self.jobs.get_mut(id) else { return };
-        let Some(slot) = job.shard_versions.get_mut(shard as usize) else { return };
-        *slot = version;
-        let first = shard as usize * TASKS_PER_SHARD as usize;
+        let Some(tasks) = job.shards.load(first_task, version, stored.len()) else {
+            self.hide_attempts(id, first_task, stored.len(), version);
+            return;
+        };
         let mut inherited = Vec::new();
-        for (index, item) in (first as u32..).zip(stored) {
+        for (index, item) in (tasks.start as u32..tasks.end as u32).zip(stored) {
             let Some(task) = job.tasks.get_mut(index as usize) else { break };
             job.placed_tasks += usize::from(item != StoredTask::Untouched);
             match item {
@@ -153,12 +155,12 @@
         }
     }
 
-    /// Adds a job with its stored task shards, as (shard, version, tasks).
+    /// Adds a job with its stored task shards, as (first task, version, tasks).
     pub fn load_job(&mut self, record: Arc<JobRecord>, shards: Vec<(u64, u64, Vec<StoredTask>)>, now: Instant) {
         let id = record.spec.id.clone();
         self.add_job(record, now);
-        for (shard, version, stored) in shards {
-            self.load_shard(&id, shard, version, stored, now);
+        for (first_task, version, stored) in shards {
+            self.load_shard(&id, first_task, version, stored, now);
         }
     }
 
@@ -258,9 +260,7 @@
             && job.ended.is_some()
             && job.bound.is_empty()
         {
-            let versions = (0u64..).zip(&job.shard_versions);
-            let stored: Vec<u64> = versions.filter(|(_, version)| **version > 0).map(|(shard, _)| shard).collect();
-            self.shards_to_drop.extend(stored.into_iter().map(|shard| (id.clone(), shard)));
+            self.shards_to_drop.extend(job.shards.stored_keys().map(|first_task| (id.clone(), first_task)));
             self.jobs.remove(id);
             self.ending_jobs.remove(id);
         }
--- a/src/scheduling/cluster/mod.rs
+++ b/src/scheduling/cluster/mod.rs
@@ -34,8 +34,8 @@
     Arrivals, Binding, CapacityIntent, Intents, JobState, Machine, MachineId, MachineState, Phase, Placement,
     PriorityBoost, ReplicaIntent, Reservation, Task, TeamUsage, WindowPosition,
 };
-pub use storing::ShardWrite;
 use storing::UnstoredShards;
+pub use storing::{FoundShard, QueuePosition, ShardValue, ShardWrite};
 use unreadable::SuspendedJobs;
 
 use super::failure_attribution::FailureAttribution;
--- a/src/scheduling/cluster/model/job.rs
+++ b/src/scheduling/cluster/model/job.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::MachineId;
+use super::{JobShards, MachineId};
 use crate::jobs::JobSpec;
-use crate::jobs::record::{JobRecord, StoredTask, TASKS_PER_SHARD};
+use crate::jobs::record::{JobRecord, StoredTask};
 use crate::protocol::workers::AttemptStatus;
 use crate::scheduling::promises::{Promise, min_start_slack_s};
 use crate::sla::Agreement;
@@ -121,8 +121,8 @@
     pub bound: BTreeSet<u32>,
     /// How many tasks are done.
     pub done: u64,
-    /// The stored version of each task shard; 0 if it was never stored.
-    pub(in crate::scheduling::cluster) shard_versions: Vec<u64>,
+    /// The shards in which the tasks are stored.
+    pub(in crate::scheduling::cluster) shards: JobShards,
     /// When this process learned that the job ended, done or cancelled.
     pub ended: Option<Instant>,
     /// A revision of the store at which the job's end was not stored yet.
@@ -151,19 +151,15 @@
         &self.record.spec
     }
 
-    /// Shards whose stored value is up to date, so that no write of them is pending, as (shard, version).
+    /// Shards whose stored value is up to date, so that no write of them is pending, as (first task, version).
     pub fn stored_shards(&self) -> impl Iterator<Item = (u64, u64)> {
-        let is_stored = |shard: u64| self.shard(shard).iter().all(|t| t.stored);
-        (0u64..)
-            .zip(self.shard_versions.iter().copied())
-            .filter(move |(shard, version)| *version > 0 && is_stored(*shard))
+        self.shards.stored().filter(|(first_task, _)| self.shard(*first_task).iter().all(|t| t.stored))
     }
 
-    /// The tasks of a shard.
-    pub(in crate::scheduling::cluster) fn shard(&self, shard: u64) -> &[Task] {
-        let from = (shard * TASKS_PER_SHARD) as usize;
-        let to = (from + TASKS_PER_SHARD as usize).min(self.tasks.len());
-        self.tasks.get(from..to).unwrap_or_default()
+    /// The tasks of the shard that begins with this task.
+    pub(in crate::scheduling::cluster) fn shard(&self, first_task: u64) -> &[Task] {
+        let tasks = self.shards.tasks(first_task).unwrap_or_default();
+        self.tasks.get(tasks.start as usize..tasks.end as usize).unwrap_or_default()
     }
 
     /// Whether no promise to the job's user can be kept any more by starting the job now or later.
--- a/src/scheduling/cluster/model/mod.rs
+++ b/src/scheduling/cluster/model/mod.rs
@@ -6,6 +6,7 @@
 mod load;
 mod machine;
 mod placement;
+mod shards;
 mod team_usage;
 
 pub use arrivals::Arrivals;
@@ -16,6 +17,7 @@
 pub use machine::AllocatedResources;
 pub use machine::{Machine, MachineState, image_digest};
 pub use placement::{Placement, Reservation};
+pub(super) use shards::{JobShards, block_of};
 pub use team_usage::TeamUsage;
 
 pub use crate::scheduling::ids::MachineId;
--- a/src/scheduling/cluster/unreadable.rs
+++ b/src/scheduling/cluster/unreadable.rs
@@ -16,13 +16,14 @@
 //! shard last changed at revision r has seen at most r attempts of a task, or `HIDDEN_ATTEMPT_BASE` + r if it was
 //! unreadable before. The attempts of tasks in an unreadable shard continue after `HIDDEN_ATTEMPT_BASE` + r.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
 use tracing::{error, info};
 
 use super::{ClusterState, Machine, MachineId, Phase, TeamUsage};
-use crate::jobs::record::{ATTEMPT_NUMBER_LIMIT, TASKS_PER_SHARD};
+use crate::jobs::record::{ATTEMPT_NUMBER_LIMIT, shard_key};
 use crate::jobs::{JobId, Shape};
 use crate::protocol::workers::{AttemptReport, AttemptStatus, ExitCause, TaskKey};
 
@@ -40,7 +41,8 @@
 /// A job with shards that could not be read.
 #[derive(Debug)]
 pub(super) struct SuspendedJob {
-    unreadable_shards: BTreeSet<u64>,
+    /// The tasks of each unreadable shard, by its first task.
+    unreadable_shards: BTreeMap<u64, Range<u64>>,
     team: String,
     /// Cores and accelerators that the hidden tasks may take; the team's usage includes them.
     hidden_usage: TeamUsage,
@@ -48,8 +50,11 @@
 
 impl SuspendedJob {
     fn hides_attempt(&self, id: &JobId, attempt_report: &AttemptReport) -> bool {
-        attempt_report.task.job == *id
-            && self.unreadable_shards.contains(&(u64::from(attempt_report.task.index) / TASKS_PER_SHARD))
+        attempt_report.task.job == *id && self.hides_task(u64::from(attempt_report.task.index))
+    }
+
+    fn hides_task(&self, task: u64) -> bool {
+        self.unreadable_shards.values().any(|tasks| tasks.contains(&task))
     }
 }
 
@@ -70,15 +75,14 @@
 impl ClusterState {
     /// Loads an unreadable shard of a job that was just added: the job is suspended, and the shard's tasks count as
     /// bound for the quota of its team.
-    pub fn load_unreadable_shard(&mut self, id: &JobId, shard: u64, version: u64, now: Instant) {
+    pub fn load_unreadable_shard(&mut self, id: &JobId, first_task: u64, version: u64, now: Instant) {
         let Some(job) = self.jobs.get_mut(id) else { return };
-        let Some(slot) = usize::try_from(shard).ok().and_then(|shard| job.shard_versions.get_mut(shard)) else {
+        let Some(tasks) = job.shards.load(first_task, version, usize::MAX) else {
+            self.hide_attempts(id, first_task, usize::MAX, version);
             return;
         };
-        *slot = version;
-        let from = (shard * TASKS_PER_SHARD) as usize;
-        let hidden_tasks = job.shard(shard).len();
-        for task in job.tasks.iter_mut().skip(from).take(hidden_tasks) {
+        let hidden_tasks = (tasks.end - tasks.start) as usize;
+        for task in job.tasks.iter_mut().skip(tasks.start as usize).take(hidden_tasks) {
             task.attempt = last_hidden_attempt(version);
             task.stored = false;
         }
@@ -86,18 +90,30 @@
         job.not_before = now + SUSPENDED_JOB_HOLD;
         let spec = job.record.spec.clone();
         let suspended = self.suspended_jobs.entry(id.clone()).or_insert_with(|| SuspendedJob {
-            unreadable_shards: BTreeSet::new(),
+            unreadable_shards: BTreeMap::new(),
             team: spec.team.clone(),
             hidden_usage: TeamUsage::default(),
         });
-        suspended.unreadable_shards.insert(shard);
+        suspended.unreadable_shards.insert(first_task, tasks);
         let (cpus, gpus) = (spec.cpus * hidden_tasks as f64, spec.gpus * hidden_tasks as f64);
         suspended.hidden_usage.add(cpus, gpus);
         let used = self.team_usage.entry(spec.team).or_default();
         used.add(cpus, gpus);
+        let shard = shard_key(id, first_task);
         error!(job = %id, shard, "task shard not decoded; suspending the job until no hidden task can run");
     }
 
+    /// Numbers the attempts of hidden tasks after those of a stored shard whose own tasks do not count, since an
+    /// unreadable shard before it holds them.
+    pub(super) fn hide_attempts(&mut self, id: &JobId, first_task: u64, count: usize, version: u64) {
+        let (Some(job), Some(suspended)) = (self.jobs.get_mut(id), self.suspended_jobs.get(id)) else { return };
+        for (number, task) in (first_task..).zip(job.tasks.iter_mut().skip(first_task as usize).take(count)) {
+            if suspended.hides_task(number) {
+                task.attempt = task.attempt.max(last_hidden_attempt(version));
+            }
+        }
+    }
+
     /// Stops the readable tasks of suspended gangs: their attempts have lost the hidden tasks.
     pub(super) fn halt_suspended_gangs(&mut self, now: Instant) {
         let gang = |id: &&JobId| self.jobs.get(*id).is_some_and(|job| job.spec().is_gang() && !job.is_complete());
@@ -148,8 +164,8 @@
         let Some(job) = self.jobs.get_mut(id).filter(|job| job.ended.is_none()) else { return };
         job.not_before = now;
         info!(job = %id, "job resumed");
-        for shard in suspended.unreadable_shards {
-            self.rewrite_unreadable_shard(id, shard);
+        for first_task in suspended.unreadable_shards.into_keys() {
+            self.rewrite_unreadable_shard(id, first_task);
         }
         for (key, machine) in done {
             self.complete_task(&key, &machine, now);
--- a/src/scheduling/commit.rs
+++ b/src/scheduling/commit.rs
@@ -4,30 +4,37 @@
 //! each job that it concerns. A transaction without an answer is retried unchanged until the answer is definite: a
 //! delayed copy then fails on the shard versions, or on the end. The end of a job deletes its open key in the same
 //! transaction.
+//!
+//! A transaction that the service does not take for its size is put back and parted: the next batches keep to what its
+//! refusal has taught (`store::transaction_limits`). An earlier copy of it without an answer may still be applied; then
+//! a part fails like any delayed copy, and the keys are read.
+
+mod conflicts;
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use tracing::{debug, info, warn};
+use tracing::{debug, info};
 
-use super::cluster::ShardWrite;
+use super::cluster::{QueuePosition, ShardValue, ShardWrite};
 use super::leader_state::LeaderState;
 use crate::audit::{AcknowledgedWrite, Auditor};
 use crate::history::job_history::JobHistory;
-use crate::history::job_transactions::{end_changes, find_end, not_ended_conditions};
+use crate::history::job_transactions::{end_changes, not_ended_conditions};
 use crate::jobs::record::{
-    ENDED_RECORD_EXTRA_BYTES, JobRecord, LEADER_RECORD_KEY, decode_shard, encode_shard, max_shard_bytes, open_key,
-    shard_key, time_of_day_ms,
+    ENDED_RECORD_EXTRA_BYTES, JobRecord, LEADER_RECORD_KEY, encode_shard, max_shard_bytes, open_key, shard_key,
+    time_of_day_ms,
 };
 use crate::jobs::{End, JobId};
 use crate::membership::Membership;
-use crate::settings::Settings;
 use crate::store::budget::RequestPriority;
 use crate::store::handle::StateStore;
-use crate::store::{Change, CompareAndSwapOutcome, Condition, StoreError};
+use crate::store::transaction_limits::TransactionSize;
+use crate::store::{Change, CompareAndSwapOutcome, Condition, StoreError, TransactionLimits};
 use crate::sync::jitter;
 use crate::wakeups::Wakeups;
+use conflicts::resolve_conflicts;
 
 /// Time in which changes are collected into one batch; a tenth of what a user would notice.
 const BATCH_DELAY: Duration = Duration::from_millis(40);
@@ -37,6 +44,8 @@
 const DROP_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause before a request to the store is retried, before jitter.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Pause after a transaction was refused for its size and nothing can be made smaller, before jitter.
+const TOO_LARGE_RETRY_DELAY: Duration = Duration::from_millis(1000);
 /// Maximum size of the changes in a transaction, whose limit of 64 KiB also covers conditions and framing.
 const MAX_CHANGE_BYTES: usize = 40 * 1024;
 /// Size of the keys and conditions of one change.
@@ -46,8 +55,6 @@
 
 /// The group commit and the services that it uses.
 pub struct GroupCommit {
-    /// The platform's settings.
-    pub settings: Arc<Settings>,
     /// The state service.
     pub store: Arc<StateStore>,
     /// Learns of each stored job end.
@@ -70,25 +77,35 @@
     pub shards: Vec<ShardWrite>,
     /// When the jobs ended, as Unix time in milliseconds.
     pub at_ms: u64,
+    /// Maximum size of a stored value, in bytes.
+    pub max_value_bytes: usize,
 }
 
 impl CommitBatch {
     /// The changes of the transaction.
     pub fn changes(&self) -> Vec<Change> {
-        let ends = self.ends.iter().flat_map(|job| end_changes(job, End::Done, self.at_ms));
-        let shards = self.shards.iter().map(|s| Change::write(shard_key(&s.job, s.shard), encode_shard(&s.tasks)));
+        let ends = self.ends.iter().flat_map(|job| end_changes(job, End::Done, self.at_ms, self.max_value_bytes));
+        let shards = self.shard_values().map(|(job, value)| {
+            Change::write(shard_key(job, value.first_task), encode_shard(&value.tasks, value.is_part))
+        });
         ends.chain(shards).collect()
     }
 
     /// The conditions of the transaction: this leader still leads, the shards have their expected versions, and none of
     /// the jobs has ended.
     pub fn conditions(&self, fencing_token: u64) -> Vec<Condition> {
-        let shards = self.shards.iter().map(|s| Condition::at(shard_key(&s.job, s.shard), s.version));
+        let shards =
+            self.shard_values().map(|(job, value)| Condition::at(shard_key(job, value.first_task), value.version));
         let jobs: BTreeSet<&JobId> = self.jobs().collect();
         let ends = jobs.into_iter().flat_map(|id| not_ended_conditions(id));
         std::iter::once(Condition::at(LEADER_RECORD_KEY, fencing_token)).chain(shards).chain(ends).collect()
     }
 
+    /// The shard values of this batch, with their jobs.
+    fn shard_values(&self) -> impl Iterator<Item = (&JobId, &ShardValue)> {
+        self.shards.iter().flat_map(|write| write.values().map(|value| (&write.job, value)))
+    }
+
     /// Every job with an end or a shard in this batch.
     pub fn jobs(&self) -> impl Iterator<Item = &JobId> {
         self.ends.iter().map(|job| &job.spec.id).chain(self.shards.iter().map(|s| &s.job))
@@ -99,6 +116,11 @@
         self.ends.iter().map(|job| job.spec.id.clone()).collect()
     }
 
+    /// Whether the batch holds a single end or shard, so that it cannot be parted.
+    fn is_single(&self) -> bool {
+        self.ends.len() + self.shards.len() <= 1
+    }
+
     /// Whether there is nothing to store.
     pub fn is_empty(&self) -> bool {
         self.ends.is_empty() && self.shards.is_empty()
@@ -144,29 +166,30 @@
 /// The next batch of due writes. None if nothing is due or this controller doesn't lead.
 fn next_batch(group_commit: &GroupCommit) -> Option<CommitBatch> {
     // Limited to the writes that the budget has ready: a full batch would wait until the budget allows a whole burst.
-    let max_changes = (group_commit.settings.params.state.txn_ops as usize)
-        .min(group_commit.store.client.available_writes(RequestPriority::Placement).max(1));
+    let client = &group_commit.store.client;
+    let max_changes = client.limits().max_changes.min(client.available_writes(RequestPriority::Placement).max(1));
+    let limits = TransactionLimits { max_changes, ..client.limits() };
     let mut guard = group_commit.leader.cluster();
     let cluster = guard.as_mut().filter(|cluster| cluster.loaded)?;
     let now = Instant::now();
     if !cluster.has_due_writes(now) {
         return None;
     }
-    let (mut ends, mut shards) = cluster.next_writes(max_changes, now);
+    let (mut ends, mut shards) = cluster.next_writes(&limits, now);
     let mut bytes = 0;
-    let size = |job: &Arc<JobRecord>| {
-        serde_json::to_vec(&**job).map_or(0, |v| v.len()) + ENDED_RECORD_EXTRA_BYTES + CHANGE_OVERHEAD_BYTES
-    };
-    let excess_ends = ends.split_off(count_fitting(&mut bytes, ends.iter().map(size)));
-    let excess_shards = shards
-        .split_off(count_fitting(&mut bytes, shards.iter().map(|s| max_shard_bytes(&s.tasks) + CHANGE_OVERHEAD_BYTES)));
+    let end_size = |job: &Arc<JobRecord>| job.json_bytes() + ENDED_RECORD_EXTRA_BYTES + CHANGE_OVERHEAD_BYTES;
+    let value_size = |value: &ShardValue| max_shard_bytes(&value.tasks) + CHANGE_OVERHEAD_BYTES;
+    let shard_size = |write: &ShardWrite| write.values().map(value_size).sum();
+    let excess_ends = ends.split_off(count_fitting(&mut bytes, ends.iter().map(end_size)));
+    let excess_shards = shards.split_off(count_fitting(&mut bytes, shards.iter().map(shard_size)));
     let excess_ends: Vec<JobId> = excess_ends.iter().map(|job| job.spec.id.clone()).collect();
-    cluster.requeue_writes(&excess_ends, &excess_shards);
-    let batch = CommitBatch { ends, shards, at_ms: time_of_day_ms() };
+    cluster.requeue_writes(&excess_ends, &excess_shards, QueuePosition::First);
+    let batch = CommitBatch { ends, shards, at_ms: time_of_day_ms(), max_value_bytes: limits.max_value_bytes };
     (!batch.is_empty()).then_some(batch)
 }
 
-/// Stores a batch, retrying until the outcome is definite. Returns false once this controller no longer leads.
+/// Stores a batch, retrying until the outcome is definite or the batch has to be parted. Returns false once this
+/// controller no longer leads.
 async fn store_batch(group_commit: &Arc<GroupCommit>, batch: CommitBatch) -> bool {
     let changes = batch.changes();
     let priority = if batch.ends.is_empty() { RequestPriority::Placement } else { RequestPriority::Critical };
@@ -184,27 +207,54 @@
                 debug!(?keys, unanswered, "transaction rejected");
                 let now_token = group_commit.leader.cluster().as_ref().map(|cluster| cluster.fencing_token);
                 if keys.iter().any(|k| k == LEADER_RECORD_KEY) {
-                    if now_token.is_some_and(|t| t > fencing_token) {
-                        continue;
+                    if now_token.is_none_or(|token| token <= fencing_token) {
+                        await_leader(group_commit).await;
                     }
-                    // Wait until the watch cache shows the leader. It may be this controller itself, under a fencing
-                    // token whose acquisition has not been answered yet.
-                    group_commit.store.read_barrier.wait_for_proof().await;
-                    group_commit.membership.check_deposed();
-                    group_commit.wakeups.membership.notify_one();
-                    tokio::time::sleep(jitter(RETRY_DELAY)).await;
                     continue;
                 }
                 return resolve_conflicts(group_commit, batch, keys).await;
             }
             Ok(CompareAndSwapOutcome::LeaseExpired) => {}
-            Err(StoreError::Unanswered) => unanswered = true,
-            Err(error) => debug!(%error, "transaction failed"),
+            Err(StoreError::TooLarge(size)) => {
+                put_back(group_commit, batch, &size).await;
+                return true;
+            }
+            Err(error) => {
+                unanswered |= error == StoreError::Unanswered;
+                debug!(%error, "transaction failed");
+            }
         }
         tokio::time::sleep(jitter(RETRY_DELAY)).await;
     }
 }
 
+/// Waits until the watch cache shows the leader. It may be this controller itself, under a fencing token whose
+/// acquisition has not been answered yet.
+async fn await_leader(group_commit: &GroupCommit) {
+    group_commit.store.read_barrier.wait_for_proof().await;
+    group_commit.membership.check_deposed();
+    group_commit.wakeups.membership.notify_one();
+    tokio::time::sleep(jitter(RETRY_DELAY)).await;
+}
+
+fn requeue(group_commit: &GroupCommit, batch: &CommitBatch, position: QueuePosition) {
+    if let Some(cluster) = group_commit.leader.cluster().as_mut() {
+        cluster.requeue_writes(&batch.ended_ids(), &batch.shards, position);
+    }
+}
+
+/// Puts back a batch that was not stored for its size. Its parts are stored next; what cannot be made smaller waits
+/// behind all other writes.
+async fn put_back(group_commit: &GroupCommit, batch: CommitBatch, size: &TransactionSize) {
+    let explained = !group_commit.store.client.limits().admits(size);
+    if explained && !batch.is_single() {
+        requeue(group_commit, &batch, QueuePosition::First);
+        return;
+    }
+    requeue(group_commit, &batch, QueuePosition::Last);
+    tokio::time::sleep(jitter(if explained { RETRY_DELAY } else { TOO_LARGE_RETRY_DELAY })).await;
+}
+
 fn record_stored_batch(group_commit: &GroupCommit, batch: &CommitBatch, version: u64) {
     if let Some(cluster) = group_commit.leader.cluster().as_mut() {
         cluster.record_fenced_write(version);
@@ -227,57 +277,13 @@
     group_commit.wakeups.plan.notify_one();
 }
 
-/// Resolves a rejected transaction: reads each key with an unexpected version, and decides by its value. Returns false
-/// once this controller no longer leads.
-async fn resolve_conflicts(group_commit: &Arc<GroupCommit>, batch: CommitBatch, keys: Vec<String>) -> bool {
-    for id in batch.jobs() {
-        if let Some(end) = find_end(&keys, id) {
-            record_end(group_commit, id, end);
-        }
-    }
-    for write in &batch.shards {
-        let key = &shard_key(&write.job, write.shard);
-        if !keys.contains(key) {
-            continue;
-        }
-        let item = loop {
-            if group_commit.leader.cluster().is_none() {
-                return false;
-            }
-            match group_commit.store.client.get(key, RequestPriority::Critical).await {
-                Ok(item) => break item,
-                Err(error) => {
-                    debug!(%error, key, "task shard read failed while resolving a rejected transaction");
-                    tokio::time::sleep(jitter(RETRY_DELAY)).await;
-                }
-            }
-        };
-        let mut guard = group_commit.leader.cluster();
-        let Some(cluster) = guard.as_mut() else { return false };
-        let version = item.as_ref().map_or(0, |i| i.version);
-        let same = item.and_then(|i| decode_shard(&i.value)).is_some_and(|t| t == write.tasks);
-        if same {
-            // An earlier copy of this transaction was applied.
-            cluster.record_stored_shards(std::slice::from_ref(write), version);
-        } else {
-            warn!(key, "stored task shard conflicts with the cluster state; overwriting it");
-            cluster.set_shard_version(&write.job, write.shard, version);
-        }
-    }
-    if let Some(cluster) = group_commit.leader.cluster().as_mut() {
-        cluster.requeue_writes(&batch.ended_ids(), &batch.shards);
-    }
-    group_commit.wakeups.dispatch.notify_one();
-    true
-}
-
 /// The conditions and changes that delete shards of ended jobs. They require that the jobs are not open: a job whose
 /// end was lost and that was restored (`audit`) is open again, and a delayed copy of the deletion must not remove its
 /// new bindings.
 pub(crate) fn shard_drops(drops: &[(JobId, u64)], fencing_token: u64) -> (Vec<Condition>, Vec<Change>) {
     let jobs: BTreeSet<&JobId> = drops.iter().map(|(id, _)| id).collect();
     let closed = jobs.into_iter().map(|id| Condition::absent(open_key(id)));
-    let changes = drops.iter().map(|(id, shard)| Change::Drop { drop: shard_key(id, *shard) }).collect();
+    let changes = drops.iter().map(|(id, first_task)| Change::Drop { drop: shard_key(id, *first_task) }).collect();
     (std::iter::once(Condition::at(LEADER_RECORD_KEY, fencing_token)).chain(closed).collect(), changes)
 }
 
@@ -289,8 +295,8 @@
 
 /// Deletes shards of ended jobs, as many as the write budget allows.
 async fn drop_ended_shards(group_commit: &Arc<GroupCommit>, priority: RequestPriority) {
-    let max_drops =
-        group_commit.store.client.available_writes(priority).min(group_commit.settings.params.state.txn_ops as usize);
+    let client = &group_commit.store.client;
+    let max_drops = client.available_writes(priority).min(client.limits().max_changes);
     let (drops, fencing_token) = match group_commit.leader.cluster().as_mut() {
         Some(cluster) => (cluster.take_shard_drops(max_drops), cluster.fencing_token),
         None => return,
--- a/src/scheduling/fairness/tests/mod.rs
+++ b/src/scheduling/fairness/tests/mod.rs
@@ -27,6 +27,7 @@
 use crate::scheduling::promises::{Promise, feasible_start_slacks_s, promises_of};
 use crate::settings::tests::example;
 use crate::sla::priority_weight;
+use crate::store::TransactionLimits;
 
 fn s(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds)
@@ -285,7 +286,7 @@
         }
         let placed = plan::place(&mut self.cluster, &catalog(), now);
         self.cluster.bind_placements(placed, now);
-        let (ends, shards) = self.cluster.next_writes(10_000, now);
+        let (ends, shards) = self.cluster.next_writes(&TransactionLimits::of_changes(10_000), now);
         self.cluster.record_stored_shards(&shards, u64::from(t));
         for job in ends {
             let age = self
--- a/src/scheduling/load.rs
+++ b/src/scheduling/load.rs
@@ -13,7 +13,7 @@
 
 use crate::cloud_orders::{CLOUD_ORDER_PREFIX, CloudOrder};
 use crate::jobs::JobId;
-use crate::jobs::record::{JobRecord, TASK_SHARD_PREFIX};
+use crate::jobs::record::{JobRecord, TASK_SHARD_PREFIX, shard_key};
 use crate::scheduling::scheduler::Scheduler;
 use crate::store::StoreError;
 use ended_jobs::{EndedJobs, find_done_jobs};
@@ -150,13 +150,13 @@
         if cluster.has_job(&shard.job) {
             shard.load_into(cluster, now);
         } else if shard.tasks.is_none() {
-            let (job, shard) = (&shard.job, shard.number);
+            let (job, shard) = (&shard.job, shard_key(&shard.job, shard.first_task));
             error!(%job, shard, "task shard of a closed job not decoded; stopping its tasks when workers report them");
         } else if shard.has_bound_task() && !done.contains(&shard.job) {
-            let (job, shard) = (&shard.job, shard.number);
+            let (job, shard) = (&shard.job, shard_key(&shard.job, shard.first_task));
             error!(%job, shard, "task shard without a stored job found; stopping its tasks when workers report them");
         } else {
-            cluster.requeue_shard_drops(vec![(shard.job, shard.number)]);
+            cluster.requeue_shard_drops(vec![(shard.job, shard.first_task)]);
         }
     }
     Ok(())
--- a/src/scheduling/load/ended_jobs.rs
+++ b/src/scheduling/load/ended_jobs.rs
@@ -1,6 +1,6 @@
 //! Ended jobs whose task shards are still stored: which of them are done, and when the cancelled ones ended.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -78,16 +78,23 @@
 
 /// Finds which of these jobs, none of them open, are done: the condition that their done key is absent fails.
 pub(super) async fn find_done_jobs(scheduler: &Scheduler, ids: BTreeSet<JobId>) -> Result<HashSet<JobId>, StoreError> {
-    let ids: Vec<JobId> = ids.into_iter().collect();
-    let max_conditions = scheduler.settings.params.state.max_conditions().max(1);
+    let client = &scheduler.store.client;
+    let mut remaining: VecDeque<JobId> = ids.into_iter().collect();
     let mut done = HashSet::new();
-    for ids in ids.chunks(max_conditions) {
-        let absent: Vec<Condition> = ids.iter().map(|id| Condition::absent(ended_key(id, End::Done))).collect();
-        if let CompareAndSwapOutcome::Failed(keys) =
-            scheduler.store.client.compare_and_swap(&absent, &[], RequestPriority::Critical).await?
-        {
-            done.extend(keys.iter().filter_map(|key| key.strip_prefix(DONE_JOB_PREFIX)).map(JobId::from));
+    while !remaining.is_empty() {
+        let count = remaining.len().min(client.limits().max_conditions().max(1));
+        let absent: Vec<Condition> =
+            remaining.iter().take(count).map(|id| Condition::absent(ended_key(id, End::Done))).collect();
+        match client.compare_and_swap(&absent, &[], RequestPriority::Critical).await {
+            Ok(CompareAndSwapOutcome::Failed(keys)) => {
+                done.extend(keys.iter().filter_map(|key| key.strip_prefix(DONE_JOB_PREFIX)).map(JobId::from));
+            }
+            Ok(_) => {}
+            // Compared again, fewer at a time: the refusal has lowered the limits.
+            Err(StoreError::TooLarge(size)) if !client.limits().admits(&size) => continue,
+            Err(error) => return Err(error),
         }
+        remaining.drain(..count);
     }
     Ok(done)
 }
--- a/src/scheduling/load/shard.rs
+++ b/src/scheduling/load/shard.rs
@@ -13,8 +13,8 @@
 pub(super) struct Shard {
     /// The job whose tasks these are.
     pub(super) job: JobId,
-    /// The shard's number within its job.
-    pub(super) number: u64,
+    /// The number of the shard's first task.
+    pub(super) first_task: u64,
     /// The version of the shard's key.
     pub(super) version: u64,
     /// The stored tasks; None if they cannot be decoded.
@@ -24,7 +24,7 @@
 impl Shard {
     /// Decodes a stored key and value. None if the key does not name a shard.
     pub(super) fn from_item(item: KeyValue) -> Option<Self> {
-        let Some((job, number)) = parse_shard_key(&item.path) else {
+        let Some((job, first_task)) = parse_shard_key(&item.path) else {
             error!(key = item.path, "stored key not recognized; ignoring it");
             return None;
         };
@@ -32,7 +32,7 @@
         if tasks.is_none() {
             error!(key = item.path, "stored task shard not decoded; suspending its job if it is open");
         }
-        Some(Self { job: job.into(), number, version: item.version, tasks })
+        Some(Self { job: job.into(), first_task, version: item.version, tasks })
     }
 
     /// Whether the shard shows a task bound to a machine; false if it cannot be decoded.
@@ -43,8 +43,8 @@
     /// Loads the shard into the cluster state, which holds its job.
     pub(super) fn load_into(self, cluster: &mut ClusterState, now: Instant) {
         match self.tasks {
-            Some(tasks) => cluster.load_shard(&self.job, self.number, self.version, tasks, now),
-            None => cluster.load_unreadable_shard(&self.job, self.number, self.version, now),
+            Some(tasks) => cluster.load_shard(&self.job, self.first_task, self.version, tasks, now),
+            None => cluster.load_unreadable_shard(&self.job, self.first_task, self.version, now),
         }
     }
 }
--- a/src/scheduling/load/tests.rs
+++ b/src/scheduling/load/tests.rs
@@ -46,7 +46,7 @@
         for task in decode_shard(&value).into_iter().flatten() {
             let (StoredTask::Waiting(attempt) | StoredTask::Bound(attempt, _)) = task else { panic!("{value}") };
             let next = vec![StoredTask::Waiting(attempt + 1)];
-            assert_eq!(decode_shard(&encode_shard(&next)), Some(next), "{value}");
+            assert_eq!(decode_shard(&encode_shard(&next, false)), Some(next), "{value}");
         }
     }
 }
--- a/src/scheduling/tests/interleaved_simulation/combined_faults.rs
+++ b/src/scheduling/tests/interleaved_simulation/combined_faults.rs
@@ -335,7 +335,7 @@
     world.run_without_end(&id, 1);
     world.refuse_leader_at_store(Duration::from_secs(14));
     (0..5).for_each(|_| world.step());
-    let sent = crate::history::job_transactions::cancel_job(&world.records[&id], None, 0);
+    let sent = crate::history::job_transactions::cancel_job(&world.records[&id], None, 0, usize::MAX);
     world.apply_transaction(&sent.conditions, &sent.changes).expect("the store serves the follower");
     (0..15).for_each(|_| world.step());
     world.start_store_outage(Duration::from_secs(68));
@@ -366,7 +366,7 @@
     world.workers.iter_mut().for_each(|w| w.hangs_until = far_future);
     let (leader, confirmed_at) = (world.leader, world.now);
     let fencing_token = world.leaders[leader].as_ref().expect("it leads").cluster.fencing_token;
-    let sent = crate::history::job_transactions::cancel_job(&world.records[&id], Some(fencing_token), 0);
+    let sent = crate::history::job_transactions::cancel_job(&world.records[&id], Some(fencing_token), 0, usize::MAX);
     world.apply_transaction(&sent.conditions, &sent.changes).expect("the store serves the leader");
     world.apply_cancellation(leader, &id, fencing_token);
     for after_s in leader_ends_after_s {
@@ -408,7 +408,7 @@
     }
     world.refuse_leader_at_store(Duration::from_secs(120));
     world.take_over();
-    let sent = crate::history::job_transactions::cancel_job(&world.records[&id], None, 0);
+    let sent = crate::history::job_transactions::cancel_job(&world.records[&id], None, 0, usize::MAX);
     world.apply_transaction(&sent.conditions, &sent.changes).expect("the store serves the follower");
     let successor = world.leader;
     while world.leaders[successor].as_ref().is_some_and(|leader| !leader.cluster.loaded) {
--- a/src/scheduling/tests/interleaved_simulation/jobs.rs
+++ b/src/scheduling/tests/interleaved_simulation/jobs.rs
@@ -41,7 +41,7 @@
             return;
         }
         let id = open[self.rng.random_range(0..open.len())].clone();
-        let cancellation = job_transactions::cancel_job(&self.records[&id], None, 0);
+        let cancellation = job_transactions::cancel_job(&self.records[&id], None, 0, usize::MAX);
         self.send_transaction(cancellation);
     }
 }
--- a/src/scheduling/tests/interleaved_simulation/leaders.rs
+++ b/src/scheduling/tests/interleaved_simulation/leaders.rs
@@ -17,15 +17,16 @@
 };
 use crate::jobs::{End, JobId};
 use crate::process_pause::ProcessPause;
-use crate::scheduling::cluster::{ClusterState, MachineId, MachineState};
+use crate::scheduling::cluster::{ClusterState, FoundShard, MachineId, MachineState, QueuePosition};
 use crate::scheduling::commit::CommitBatch;
 use crate::scheduling::plan;
 use crate::settings::Properties;
 use crate::settings::tests::example;
+use crate::store::transaction_limits::{TransactionLimits, TransactionSize};
 use crate::store::{Change, Condition};
 
 /// Most writes in a commit batch.
-const MAX_WRITES_PER_BATCH: usize = 12;
+pub(super) const MAX_WRITES_PER_BATCH: usize = 12;
 /// Time without an answer of the store after which a batch is sent again.
 const BATCH_RETRY_INTERVAL: Duration = Duration::from_millis(1500);
 
@@ -42,6 +43,8 @@
 /// A controller that leads, or that is deposed and has not learned of it yet.
 pub(super) struct Leader {
     pub(super) cluster: ClusterState,
+    /// The limits on transactions, as far as this leader knows them.
+    pub(super) limits: TransactionLimits,
     /// The commit batch that is to be sent, with the time of the next try.
     pub(super) batch: Option<(CommitBatch, Instant)>,
     /// Events that the watch of this leader has yet to deliver, in order.
@@ -90,6 +93,7 @@
         let inherited_machines = cluster.machines.keys().cloned().collect();
         self.leaders.push(Some(Leader {
             cluster,
+            limits: TransactionLimits::of_changes(MAX_WRITES_PER_BATCH),
             batch: None,
             watch_events: Vec::new(),
             requested_terminations: HashSet::new(),
@@ -214,8 +218,8 @@
     fn store_changes(&mut self, leader: &mut Leader) -> bool {
         let now = self.now;
         if leader.batch.is_none() {
-            let (ends, shards) = leader.cluster.next_writes(MAX_WRITES_PER_BATCH, now);
-            let batch = CommitBatch { ends, shards, at_ms: 0 };
+            let (ends, shards) = leader.cluster.next_writes(&leader.limits, now);
+            let batch = CommitBatch { ends, shards, at_ms: 0, max_value_bytes: usize::MAX };
             if !batch.is_empty() {
                 leader.batch = Some((batch, now));
             }
@@ -289,6 +293,13 @@
             leader.batch = Some((batch, self.now + BATCH_RETRY_INTERVAL));
             return false;
         }
+        if !self.admits(&changes) {
+            // Refused for its size: the leader learns the limits and parts the batch.
+            leader.limits = self.store_limits;
+            self.too_large_transactions += 1;
+            leader.cluster.requeue_writes(&batch.ended_ids(), &batch.shards, QueuePosition::Last);
+            return false;
+        }
         let outcome = self.apply_transaction(&conditions, &changes);
         if draw > 0.95 && !self.fault_free {
             // Applied, and repeated later nevertheless.
@@ -303,6 +314,7 @@
         match outcome {
             Ok(version) => {
                 leader.cluster.record_fenced_write(version);
+                self.split_shards += batch.shards.iter().map(|write| write.split_off.len()).sum::<usize>();
                 leader.cluster.record_stored_shards(&batch.shards, version);
                 for job in &batch.ends {
                     leader.cluster.end_job(&job.spec.id, Some(End::Done), self.now);
@@ -314,6 +326,15 @@
         false
     }
 
+    /// Whether the store takes a transaction with these changes. The limit on values is so low here that it is applied
+    /// to task shards alone, which are split even in small jobs then.
+    fn admits(&self, changes: &[Change]) -> bool {
+        let is_shard =
+            |change: &&Change| matches!(change, Change::Write { write, .. } if write.starts_with(TASK_SHARD_PREFIX));
+        let shards: Vec<Change> = changes.iter().filter(is_shard).cloned().collect();
+        self.store_limits.admits(&TransactionSize { changes: changes.len(), ..TransactionSize::of(&[], &shards) })
+    }
+
     /// Handles a batch that was rejected for these keys: adopts the ends and versions that they have in the store, and
     /// queues the rest of the batch again.
     fn handle_rejected_batch(&self, leader: &mut Leader, batch: &CommitBatch, keys: &[String]) {
@@ -323,14 +344,18 @@
             }
         }
         for write in &batch.shards {
-            let key = shard_key(&write.job, write.shard);
-            let version = self.store.version(&key);
-            if self.store.value(&key).and_then(decode_shard).is_some_and(|t| t == write.tasks) {
-                leader.cluster.record_stored_shards(std::slice::from_ref(write), version);
-            } else {
-                leader.cluster.set_shard_version(&write.job, write.shard, version);
-            }
+            let found: Vec<FoundShard> = write
+                .values()
+                .map(|value| {
+                    let key = shard_key(&write.job, value.first_task);
+                    FoundShard {
+                        version: self.store.version(&key),
+                        tasks: self.store.value(&key).and_then(decode_shard),
+                    }
+                })
+                .collect();
+            leader.cluster.resolve_rejected_shard(write, &found);
         }
-        leader.cluster.requeue_writes(&batch.ended_ids(), &batch.shards);
+        leader.cluster.requeue_writes(&batch.ended_ids(), &batch.shards, QueuePosition::First);
     }
 }
--- a/src/scheduling/tests/interleaved_simulation/mod.rs
+++ b/src/scheduling/tests/interleaved_simulation/mod.rs
@@ -17,8 +17,12 @@
 
 use std::time::Duration;
 
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use world::World;
 
+use crate::store::TransactionLimits;
+
 /// Simulated time of a step.
 const STEP: Duration = Duration::from_millis(100);
 /// How long a worker runs its tasks after the heartbeat that was answered last.
@@ -61,6 +65,22 @@
     );
 }
 
+/// Guards against a task that is started twice, or a job that never ends, because the store has lowered its limits: the
+/// shards that were stored before are split while leaders change, and late copies of larger writes are still applied.
+#[test]
+fn rules_hold_while_shards_are_split() {
+    let (mut refused, mut split) = (0, 0);
+    for seed in 0..40 {
+        let mut world = World::new(seed, 6);
+        let fall = StdRng::seed_from_u64(seed).random_range(100..1000);
+        world.lowered_limits = Some((fall, TransactionLimits { max_changes: 6, max_value_bytes: 300 }));
+        world.simulate(1200);
+        refused += world.too_large_transactions;
+        split += world.split_shards;
+    }
+    assert!(refused > 40 && split > 40, "{refused} transactions refused, {split} shards split off");
+}
+
 /// Runs the simulation at a size at which plans, shards and commands no longer fit into one step of the leader.
 #[test]
 fn rules_hold_with_hundreds_of_machines() {
--- a/src/scheduling/tests/interleaved_simulation/steps.rs
+++ b/src/scheduling/tests/interleaved_simulation/steps.rs
@@ -167,7 +167,7 @@
         let open: Vec<JobId> =
             self.records.keys().filter(|id| always_fails(id) && self.store.has(&open_key(id))).cloned().collect();
         for id in open {
-            let cancellation = job_transactions::cancel_job(&self.records[&id], None, 0);
+            let cancellation = job_transactions::cancel_job(&self.records[&id], None, 0, usize::MAX);
             self.send_transaction(cancellation);
         }
     }
@@ -175,6 +175,9 @@
     /// Simulates this number of steps with faults, then steps without faults until all jobs have ended.
     pub(super) fn simulate(&mut self, steps: usize) {
         for step in 0..steps {
+            if let Some((_, limits)) = self.lowered_limits.filter(|(from, _)| *from == step) {
+                self.store_limits = limits;
+            }
             self.draw_faults(step);
             self.step();
         }
--- a/src/scheduling/tests/interleaved_simulation/users.rs
+++ b/src/scheduling/tests/interleaved_simulation/users.rs
@@ -466,7 +466,7 @@
         if self.rng.random_bool(0.5) {
             if self.users.followers.iter().any(|f| f.store_refused_until <= self.now) {
                 let due = self.now + Duration::from_millis(self.rng.random_range(1..150));
-                let sent = job_transactions::cancel_job(&self.records[&id], None, 0);
+                let sent = job_transactions::cancel_job(&self.records[&id], None, 0, usize::MAX);
                 let (conditions, changes) = (sent.conditions, sent.changes);
                 self.messages.push((due, Message::CompareAndSwap { conditions, changes }));
             }
@@ -480,7 +480,7 @@
         }
         let leader = leaders[self.rng.random_range(0..leaders.len())];
         let fencing_token = self.leaders[leader].as_ref().expect("it leads").cluster.fencing_token;
-        let sent = job_transactions::cancel_job(&self.records[&id], Some(fencing_token), 0);
+        let sent = job_transactions::cancel_job(&self.records[&id], Some(fencing_token), 0, usize::MAX);
         if self.apply_transaction(&sent.conditions, &sent.changes).is_ok()
             && !(self.store_is_slow() && self.rng.random_bool(0.4))
         {
--- a/src/scheduling/tests/interleaved_simulation/world.rs
+++ b/src/scheduling/tests/interleaved_simulation/world.rs
@@ -18,6 +18,7 @@
 use crate::machine_kinds::tests::machine_type;
 use crate::machine_kinds::{Catalog, MachineType};
 use crate::protocol::workers::TaskKey;
+use crate::store::TransactionLimits;
 
 /// A simulated cluster with its controllers, store, cloud and users.
 pub(super) struct World {
@@ -27,6 +28,14 @@
     pub(super) start: Instant,
     pub(super) now: Instant,
     pub(super) store: Store,
+    /// The limits on a transaction that the store applies at once; late copies are applied whatever their size.
+    pub(super) store_limits: TransactionLimits,
+    /// The step at which the store lowers its limits, and the limits from then on.
+    pub(super) lowered_limits: Option<(usize, TransactionLimits)>,
+    /// Number of transactions that were refused for their size.
+    pub(super) too_large_transactions: usize,
+    /// Number of shards that were split off others.
+    pub(super) split_shards: usize,
     pub(super) workers: Vec<Worker>,
     /// All controllers that have led, by the order of their elections; none once one has ended or steps down.
     pub(super) leaders: Vec<Option<Leader>>,
@@ -76,6 +85,10 @@
             start,
             now: start,
             store: Store::default(),
+            store_limits: TransactionLimits::of_changes(usize::MAX),
+            lowered_limits: None,
+            too_large_transactions: 0,
+            split_shards: 0,
             workers: (0..machines).map(|n| Worker::new(n, start)).collect(),
             leaders: Vec::new(),
             leader: 0,
--- a/src/scheduling/tests/new_machines.rs
+++ b/src/scheduling/tests/new_machines.rs
@@ -3,6 +3,7 @@
 use super::world::*;
 use super::*;
 use crate::scheduling::cluster::DirectCommand;
+use crate::store::TransactionLimits;
 
 /// The write of a binding is unacknowledged: it is applied at once, or never (a late one is refused, since another
 /// leads by then). Until its success is known, neither the leader nor the same one deposed launches the tasks. The
@@ -20,12 +21,12 @@
         let decisions = plan::place(&mut old, &catalog(), world.now);
         assert_eq!(decisions.len(), 2, "{name}");
         old.bind_placements(decisions, world.now);
-        let (_, writes) = old.next_writes(99, world.now);
+        let (_, writes) = old.next_writes(&TransactionLimits::of_changes(99), world.now);
         assert_eq!(writes.len(), 1, "{name}");
         let mut delayed: Vec<DirectCommand> = Vec::new();
         if stored {
             world.version += 1;
-            world.shard = Some((world.version, writes[0].tasks.clone()));
+            world.shard = Some((world.version, writes[0].shard.tasks.clone()));
         }
         let mut successor = None;
         for step in 0..16 {
--- a/src/scheduling/tests/placement.rs
+++ b/src/scheduling/tests/placement.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::fleet::scale_out::{CapacityRefusals, plan_scale_out};
 use crate::scheduling::reservations;
+use crate::store::TransactionLimits;
 
 #[test]
 fn tasks_are_placed_where_capacity_zones_types_and_limits_allow() {
@@ -156,7 +157,7 @@
     let first = plan::place(&mut cluster, &catalog(), now);
     assert_eq!(first.len(), 8);
     cluster.bind_placements(first.clone(), now);
-    let (_, shards) = cluster.next_writes(10, now);
+    let (_, shards) = cluster.next_writes(&TransactionLimits::of_changes(10), now);
     cluster.record_stored_shards(&shards, 1);
     for machine in ["m1", "m2", "m3", "m4"] {
         cluster.heartbeat_response_commands(machine, now);
--- a/src/scheduling/tests/preemption.rs
+++ b/src/scheduling/tests/preemption.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::scheduling::preempt;
+use crate::store::TransactionLimits;
 
 #[test]
 fn job_of_higher_urgency_preempts_lower_and_not_equal_urgency() {
@@ -11,7 +12,7 @@
     let first = plan::place(&mut cluster, &catalog(), now);
     cluster.bind_placements(first, now);
     // The task is stored and its launch is sent, so that it has to be stopped and cannot just be unbound.
-    let (_, shards) = cluster.next_writes(10, now);
+    let (_, shards) = cluster.next_writes(&TransactionLimits::of_changes(10), now);
     cluster.record_stored_shards(&shards, 1);
     assert_eq!(cluster.heartbeat_response_commands("m1", now).len(), 1);
     add_job(&mut cluster, 2, now, |j| j.cpus = 8.0);
@@ -37,7 +38,7 @@
     let first = plan::place(&mut cluster, &catalog(), now);
     assert_eq!(first.len(), 24, "idle work uses the spare capacity");
     cluster.bind_placements(first, now);
-    let (_, shards) = cluster.next_writes(10, now);
+    let (_, shards) = cluster.next_writes(&TransactionLimits::of_changes(10), now);
     cluster.record_stored_shards(&shards, 1);
     for machine in ["m1", "m2", "m3"] {
         cluster.heartbeat_response_commands(machine, now);
--- a/src/scheduling/tests/scaling.rs
+++ b/src/scheduling/tests/scaling.rs
@@ -6,6 +6,7 @@
 use crate::fleet::drain::choose_drains;
 use crate::fleet::scale_out::{CapacityRefusals, plan_scale_out};
 use crate::machine_kinds::MachineKind;
+use crate::store::TransactionLimits;
 
 #[test]
 fn scale_out_rents_the_cheapest_kind_and_backs_off_from_refused_kinds() {
@@ -183,7 +184,7 @@
         add_job(&mut cluster, 1, now, |j| (j.urgency, j.checkpoint_s) = (Urgency::Idle, checkpoint_s));
         let first = plan::place(&mut cluster, &catalog(), now);
         cluster.bind_placements(first, now);
-        let (_, shards) = cluster.next_writes(10, now);
+        let (_, shards) = cluster.next_writes(&TransactionLimits::of_changes(10), now);
         cluster.record_stored_shards(&shards, 1);
         cluster.heartbeat_response_commands("m1", now);
         cluster.drain_machine(&"m1".into(), &[], now);
--- a/src/scheduling/tests/silent_machines.rs
+++ b/src/scheduling/tests/silent_machines.rs
@@ -4,6 +4,7 @@
 use crate::fleet::scale_in::find_surplus_machines;
 use crate::machine_kinds::MachineKind;
 use crate::process_pause::ProcessPause;
+use crate::store::TransactionLimits;
 
 /// Regression test for incident ab99: a leader that was cut off from its workers, or had been paused, took the whole
 /// fleet for dead and terminated it.
@@ -111,7 +112,7 @@
     add_job(&mut cluster, 1, now, |j| j.cpus = 8.0);
     let first = plan::place(&mut cluster, &catalog(), now);
     cluster.bind_placements(first, now);
-    let (_, shards) = cluster.next_writes(10, now);
+    let (_, shards) = cluster.next_writes(&TransactionLimits::of_changes(10), now);
     cluster.record_stored_shards(&shards, 1);
     cluster.heartbeat_response_commands("m1", now);
     let pause_start = now + secs(110);
--- a/src/scheduling/tests/steady_load.rs
+++ b/src/scheduling/tests/steady_load.rs
@@ -126,7 +126,7 @@
             if let Some(record) =
                 simulation.cluster.job(&id).filter(|job| job.ended.is_none()).map(|job| job.record.clone())
             {
-                period.changes_of_others += job_transactions::cancel_job(&record, None, 0).changes.len();
+                period.changes_of_others += job_transactions::cancel_job(&record, None, 0, usize::MAX).changes.len();
                 period.transactions += 1;
                 simulation.cancel_job(&id);
             }
--- a/src/scheduling/tests/stored_tasks.rs
+++ b/src/scheduling/tests/stored_tasks.rs
@@ -1,6 +1,7 @@
 //! Task shards: how writes are batched, and a takeover that loads thousands of tasks.
 
 use super::*;
+use crate::store::TransactionLimits;
 
 /// Tasks of an array end one by one. Their ends are stored together after a short delay, while starts are stored at
 /// once.
@@ -11,7 +12,7 @@
     add_job(&mut cluster, 1, now, |j| j.tasks = 150);
     let decisions = plan::place(&mut cluster, &catalog(), now);
     cluster.bind_placements(decisions.clone(), now);
-    let (_, shards) = cluster.next_writes(10, now);
+    let (_, shards) = cluster.next_writes(&TransactionLimits::of_changes(10), now);
     assert_eq!(shards.len(), 1, "all starts are stored in one shard at once");
     cluster.record_stored_shards(&shards, 1);
     let mut writes = 0;
@@ -31,7 +32,7 @@
             at,
         );
         if cluster.has_due_writes(at) {
-            let (_, shards) = cluster.next_writes(10, at);
+            let (_, shards) = cluster.next_writes(&TransactionLimits::of_changes(10), at);
             writes += shards.len();
             cluster.record_stored_shards(&shards, 2 + n as u64);
         }
@@ -52,7 +53,7 @@
         let shard = |shard: u64| {
             let tasks = shard * TASKS_PER_SHARD..((shard + 1) * TASKS_PER_SHARD).min(600);
             let bound = tasks.map(|i| StoredTask::Bound(1, format!("host-{:06}", (n * 600 + i) % 1000)));
-            (shard, 5, bound.collect())
+            (shard * TASKS_PER_SHARD, 5, bound.collect())
         };
         let shards = (0..600u64.div_ceil(TASKS_PER_SHARD)).map(shard).collect();
         cluster.load_job(Arc::new(JobRecord { spec: job, accepted_ms: time_of_day_ms() }), shards, now);
--- a/src/scheduling/tests/unreadable_shards.rs
+++ b/src/scheduling/tests/unreadable_shards.rs
@@ -6,6 +6,7 @@
 use crate::jobs::record::StoredTask;
 use crate::protocol::workers::ExitCause;
 use crate::scheduling::cluster::TeamUsage;
+use crate::store::TransactionLimits;
 
 /// Longer than any suspension of a job, with the example's settings and the default election lease.
 const AFTER_SUSPENSION_S: f64 = 120.0;
@@ -100,10 +101,10 @@
         cluster.tick(now);
         let job = cluster.job(&JOB.into()).unwrap();
         assert_eq!((cluster.is_suspended(&JOB.into()), now < job.not_before), (suspended, suspended), "{name}");
-        let stored = cluster.next_writes(9, now).1;
+        let stored = cluster.next_writes(&TransactionLimits::of_changes(9), now).1;
         let expected: Vec<u64> = if suspended { vec![] } else { vec![5] };
         assert_eq!(
-            stored.iter().map(|write| write.version).collect::<Vec<_>>(),
+            stored.iter().map(|write| write.shard.version).collect::<Vec<_>>(),
             expected,
             "{name}: stored on the condition of the unreadable shard's revision"
         );
@@ -231,7 +232,7 @@
         let mut cluster = ClusterState::new(7, example(), Properties::default(), now);
         let bound = vec![StoredTask::Bound(1, "m1".into()); 192];
         cluster.load_job(Arc::new(JobRecord { spec: job, accepted_ms: u64::MAX }), vec![(0, 5, bound)], now);
-        cluster.load_unreadable_shard(&JOB.into(), 1, 5, now);
+        cluster.load_unreadable_shard(&JOB.into(), 192, 5, now);
         cluster.finish_load(now);
         let job = cluster.job(&JOB.into()).unwrap();
         assert_eq!(job.bound.len(), 192, "{shape:?}: no task is proven gone yet");
--- a/src/scheduling/tests/world.rs
+++ b/src/scheduling/tests/world.rs
@@ -9,6 +9,7 @@
 use crate::scheduling::cluster::Placement;
 use crate::scheduling::commit::CommitBatch;
 use crate::settings::Settings;
+use crate::store::TransactionLimits;
 use std::collections::{BTreeMap, HashSet};
 
 /// The id of the first job, which every `World` has.
@@ -385,13 +386,13 @@
 
     /// Stores what is due in one transaction of at most `max_changes`, and returns its number of changes.
     pub(super) fn store_at_most(&mut self, cluster: &mut ClusterState, max_changes: usize, now: Instant) -> usize {
-        let (ends, shards) = cluster.next_writes(max_changes, now);
-        let batch = CommitBatch { ends, shards, at_ms: 0 };
+        let (ends, shards) = cluster.next_writes(&TransactionLimits::of_changes(max_changes), now);
+        let batch = CommitBatch { ends, shards, at_ms: 0, max_value_bytes: usize::MAX };
         self.version += u64::from(!batch.is_empty());
         for write in &batch.shards {
-            let next = (self.version, write.tasks.clone());
+            let next = (self.version, write.shard.tasks.clone());
             let shard = self.shard_mut(&write.job);
-            assert_eq!(write.version, shard.as_ref().map_or(0, |(version, _)| *version));
+            assert_eq!(write.shard.version, shard.as_ref().map_or(0, |(version, _)| *version));
             *shard = Some(next);
         }
         if !batch.is_empty() {
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -18,7 +18,7 @@
 /// Ratio of the longest pause between two heartbeats to `report_s`, which a worker varies by plus or minus a quarter.
 const MAX_HEARTBEAT_FACTOR: f64 = 1.25;
 /// Minimum of `txn_ops`: accepting and ending a job take two changes each.
-const MIN_TXN_OPS: u64 = 2;
+pub(crate) const MIN_TXN_OPS: u64 = 2;
 /// Minimum of `max_sockets`: connections to the store, the cloud, workers, users and other controllers.
 const MIN_SOCKETS: u64 = 16;
 
@@ -96,7 +96,14 @@
         ("params.state.value_kb", params.state.value_kb),
         ("params.cloud.rps", params.cloud.rps),
     ];
-    for (field, value) in positive {
+    let next = params.state.next.clone().unwrap_or_default();
+    let announced = [
+        ("params.state.next.rps", next.rps),
+        ("params.state.next.write_rps", next.write_rps),
+        ("params.state.next.value_kb", next.value_kb),
+    ];
+    let announced = announced.into_iter().filter_map(|(field, value)| Some((field, value?)));
+    for (field, value) in positive.into_iter().chain(announced) {
         if !(value > 0.0 && value <= MAX_VALUE) {
             return Err(InvalidSettings::field(field, format!("{value} is not above 0 and at most {MAX_VALUE}")));
         }
@@ -113,11 +120,11 @@
             format!("{} is not between 0 and {MAX_SKEW_MS}", params.skew_ms),
         ));
     }
-    if params.state.txn_ops < MIN_TXN_OPS {
-        return Err(InvalidSettings::field(
-            "params.state.txn_ops",
-            format!("{} is below {MIN_TXN_OPS}", params.state.txn_ops),
-        ));
+    let changes = [("params.state.txn_ops", Some(params.state.txn_ops)), ("params.state.next.txn_ops", next.txn_ops)];
+    for (field, value) in changes.into_iter().filter_map(|(field, value)| Some((field, value?))) {
+        if value < MIN_TXN_OPS {
+            return Err(InvalidSettings::field(field, format!("{value} is below {MIN_TXN_OPS}")));
+        }
     }
     if params.limits.max_sockets < MIN_SOCKETS {
         return Err(InvalidSettings::field(
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,6 +5,7 @@
 mod error;
 mod properties;
 
+pub(crate) use check::MIN_TXN_OPS;
 pub use error::{InvalidProperties, InvalidSettings, SettingsError};
 pub use properties::Properties;
 
@@ -148,6 +149,26 @@
     pub value_kb: f64,
     /// Maximum number of changes in one transaction, at least 2. It may have four times as many conditions.
     pub txn_ops: u64,
+    /// Limits that the service will have from some moment on, without further notice.
+    #[serde(default)]
+    pub next: Option<AnnouncedLimits>,
+}
+
+/// Limits of the state service that are announced for later; one that is absent stays as it is.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub struct AnnouncedLimits {
+    /// Requests per second.
+    #[serde(default)]
+    pub rps: Option<f64>,
+    /// Changes per second.
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    /// Maximum size of the value of one key, in KiB.
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    /// Maximum number of changes in one transaction, at least 2.
+    #[serde(default)]
+    pub txn_ops: Option<u64>,
 }
 
 /// Limits of the cloud's API.
@@ -176,9 +197,17 @@
 const MAX_CLOCK_DRIFT_RATIO: f64 = 0.0005;
 
 impl StateParams {
-    /// Maximum number of conditions in one transaction: four times the maximum number of changes.
-    pub fn max_conditions(&self) -> usize {
-        (self.txn_ops as usize).saturating_mul(4)
+    /// The limits that are announced for later, where they are lower than the present ones; none if nothing is
+    /// announced.
+    pub fn announced(&self) -> Option<Self> {
+        let next = self.next.as_ref()?;
+        Some(Self {
+            rps: next.rps.unwrap_or(self.rps).min(self.rps),
+            write_rps: next.write_rps.unwrap_or(self.write_rps).min(self.write_rps),
+            value_kb: next.value_kb.unwrap_or(self.value_kb).min(self.value_kb),
+            txn_ops: next.txn_ops.unwrap_or(self.txn_ops).min(self.txn_ops),
+            next: None,
+        })
     }
 }
 
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -1,22 +1,30 @@
-//! The client of the state service, which keeps to this controller's share of the service's rate limits.
+//! The client of the state service, which keeps to this controller's share of the service's rate limits and to its limits
+//! on transactions.
+
+mod leases;
+mod listing;
+mod refusals;
 
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+pub use listing::Pages;
+use listing::percent_encode;
+
 use super::budget::{RequestPriority, TokenBucket};
 use super::error::{StoreError, UndecodableResponse};
+use super::log_limit::LogLimit;
 use super::share::RateMeter;
+use super::transaction_limits::{LimitTracker, TransactionLimits};
 use crate::process_pause::ProcessPause;
 pub use crate::protocol::state::{Change, Condition, KeyValue, KeyValuePage, WatchEvent, WatchResponse};
-use crate::protocol::state::{CompareAndSwap, FailedConditions, GrantedLease, KeyVersionPage, StoreRevision};
+use crate::protocol::state::{CompareAndSwap, FailedConditions, InvalidRequest, NO_SUCH_LEASE, StoreRevision};
 use crate::protocol::{self, CallError, Http};
 use crate::traffic::{CallKind, Traffic};
 use hyper::Method;
 
 /// Timeout of a request. Responses usually take 10 ms and occasionally a few hundred.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Maximum number of keys on one page of a listing; only one page is in memory at a time.
-const PAGE_SIZE: u64 = 250;
 /// Status reported in place of the HTTP status when the response was too large to be read.
 const OVERSIZED_RESPONSE_STATUS: u16 = 0;
 /// Maximum time between two attempts to take tokens: the priority of the call may have risen in the meantime.
@@ -35,37 +43,6 @@
     LeaseExpired,
 }
 
-/// A listing in progress. Each page is consistent as of its own revision, which is never older than that of the page
-/// before.
-pub struct Pages<'a> {
-    client: &'a StateClient,
-    prefix: &'a str,
-    after_key: Option<String>,
-    has_more: bool,
-}
-
-impl Pages<'_> {
-    /// Reads the next page; none after the last. After an error the same page can be requested again.
-    pub async fn next(&mut self) -> Result<Option<KeyValuePage>, StoreError> {
-        if !self.has_more {
-            return Ok(None);
-        }
-        let mut path = format!("/keys?prefix={}&most={PAGE_SIZE}", self.prefix);
-        if let Some(key) = &self.after_key {
-            path.push_str("&since=");
-            path.push_str(&percent_encode(key));
-        }
-        let page: KeyValuePage =
-            match self.client.call(Method::GET, &path, None, REQUEST_TIMEOUT * 2, RequestPriority::Critical).await? {
-                (200, body) => decode_response(&body)?,
-                (status, _) => return Err(StoreError::UnexpectedStatus { status, request: "a listing" }),
-            };
-        self.has_more = page.more && !page.items.is_empty();
-        self.after_key = page.items.last().map(|item| item.path.clone());
-        Ok(Some(page))
-    }
-}
-
 /// Client of the state service. Every call first waits for this controller's share of the request rate, and every
 /// transaction for its share of the change rate.
 pub struct StateClient {
@@ -77,6 +54,11 @@
     health: Mutex<StoreHealth>,
     /// Recent rates of the requests and changes that this controller attempted, admitted or not.
     demand: Mutex<DemandMeters>,
+    limits: Mutex<LimitTracker>,
+    /// Held while the limits are found out, so that several refusals at once are explained once.
+    probing: tokio::sync::Mutex<()>,
+    /// Limits the rate of log lines about transactions that are too large.
+    too_large: Mutex<LogLimit>,
     traffic: Arc<Traffic>,
 }
 
@@ -127,28 +109,43 @@
     protocol::decode(body).map_err(|error| UndecodableResponse::from(error).into())
 }
 
-/// Percent-encodes a key for a URI. Without it, a key with a character that no URI may contain would end every listing
-/// at that key.
-pub(super) fn percent_encode(key: &str) -> String {
-    let is_unreserved = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~/".contains(&byte);
-    let mut encoded = String::with_capacity(key.len());
-    for byte in key.bytes() {
-        if is_unreserved(byte) {
-            encoded.push(char::from(byte));
-        } else {
-            encoded.push_str(&format!("%{byte:02X}"));
-        }
-    }
-    encoded
+/// Whether any of the changes attaches a key to a lease.
+fn names_lease(changes: &[Change]) -> bool {
+    changes.iter().any(|change| matches!(change, Change::Write { permit: Some(_), .. }))
+}
+
+/// Whether the body of a refusal of a transaction with a lease says that the lease has ended. A refusal without a
+/// readable reason counts as one, since a new lease can always be granted.
+fn is_missing_lease(body: &[u8]) -> bool {
+    protocol::decode::<InvalidRequest>(body).map_or(true, |refusal| refusal.error == NO_SUCH_LEASE)
 }
 
 impl StateClient {
-    /// Creates a client of the service at `addr`. `requests` and `writes` hold this controller's shares of its limits.
-    pub fn new(http: Http, addr: String, requests: TokenBucket, writes: TokenBucket, traffic: Arc<Traffic>) -> Self {
+    /// Creates a client of the service at `addr`. `requests` and `writes` hold this controller's shares of its rate
+    /// limits, `limits` the limits on transactions.
+    pub fn new(
+        http: Http,
+        addr: String,
+        requests: TokenBucket,
+        writes: TokenBucket,
+        limits: LimitTracker,
+        traffic: Arc<Traffic>,
+    ) -> Self {
+        let (limits, probing, too_large) = (Mutex::new(limits), tokio::sync::Mutex::default(), Mutex::default());
         let (requests, writes) = (Mutex::new(requests), Mutex::new(writes));
         let now = Instant::now();
         let demand = Mutex::new(DemandMeters { requests: RateMeter::new(now), writes: RateMeter::new(now) });
-        Self { http, addr, requests, writes, health: Mutex::default(), demand, traffic }
+        Self { http, addr, requests, writes, health: Mutex::default(), demand, limits, probing, too_large, traffic }
+    }
+
+    /// Returns the limits on a transaction, as far as this controller knows them. They may fall with any refusal.
+    pub fn limits(&self) -> TransactionLimits {
+        crate::sync::lock(&self.limits).limits()
+    }
+
+    /// Returns the rates that the service allows to all controllers in total, as far as this controller knows them.
+    pub fn total_rates(&self) -> RequestRates {
+        crate::sync::lock(&self.limits).rates()
     }
 
     /// Returns when the service last served this controller and last failed to.
@@ -269,19 +266,29 @@
         changes: &[Change],
         priority: RequestPriority,
     ) -> Result<CompareAndSwapOutcome, StoreError> {
+        self.check_size(conditions, changes)?;
         if !changes.is_empty() {
             crate::sync::lock(&self.demand).writes.count(changes.len() as f64, Instant::now());
             Self::take_tokens(&self.writes, changes.len() as f64, priority).await?;
             self.traffic.add(CallKind::StoreChange, changes.len() as u64);
         }
+        self.reserve(priority).await?;
+        self.transact_reserved(conditions, changes).await
+    }
+
+    /// Sends a transaction, using a request that was reserved before.
+    async fn transact_reserved(
+        &self,
+        conditions: &[Condition],
+        changes: &[Change],
+    ) -> Result<CompareAndSwapOutcome, StoreError> {
         let body = protocol::encode(&CompareAndSwap::new(conditions, changes));
-        let (status, body) = self.call(Method::POST, "/txn", Some(body), REQUEST_TIMEOUT, priority).await?;
+        let (status, body) = self.call_reserved(Method::POST, "/txn", Some(body), REQUEST_TIMEOUT).await?;
         match status {
             200 => Ok(CompareAndSwapOutcome::Applied(decode_response::<StoreRevision>(&body)?.revision)),
             409 => Ok(CompareAndSwapOutcome::Failed(decode_response::<FailedConditions>(&body)?.failed)),
-            400 if changes.iter().any(|change| matches!(change, Change::Write { permit: Some(_), .. })) => {
-                Ok(CompareAndSwapOutcome::LeaseExpired)
-            }
+            400 if names_lease(changes) && is_missing_lease(&body) => Ok(CompareAndSwapOutcome::LeaseExpired),
+            400 => Err(self.record_refusal(conditions, changes).await),
             status => Err(StoreError::UnexpectedStatus { status, request: "a transaction" }),
         }
     }
@@ -299,33 +306,9 @@
     /// Compares versions without changing anything, using a request that was reserved before. Returns the keys whose
     /// versions differ from the required ones, all as of one revision.
     pub async fn compare_reserved(&self, conditions: &[Condition]) -> Result<Vec<String>, StoreError> {
-        let body = protocol::encode(&CompareAndSwap::new(conditions, &[]));
-        match self.call_reserved(Method::POST, "/txn", Some(body), REQUEST_TIMEOUT).await? {
-            (200, _) => Ok(Vec::new()),
-            (409, body) => Ok(decode_response::<FailedConditions>(&body)?.failed),
-            (status, _) => Err(StoreError::UnexpectedStatus { status, request: "a comparison" }),
-        }
-    }
-
-    /// Lists the keys under a prefix page by page, starting after `after_key` if it is given.
-    pub fn pages<'a>(&'a self, prefix: &'a str, after_key: Option<&str>) -> Pages<'a> {
-        Pages { client: self, prefix, after_key: after_key.map(str::to_owned), has_more: true }
-    }
-
-    /// Reads one page of the keys under a prefix with their versions: at most `limit` keys, starting after `after_key`
-    /// if it is given. The values are skipped while the response is decoded.
-    pub async fn key_versions(
-        &self,
-        prefix: &str,
-        after_key: Option<&str>,
-        limit: usize,
-        priority: RequestPriority,
-    ) -> Result<KeyVersionPage, StoreError> {
-        let since = after_key.map(|key| format!("&since={}", percent_encode(key))).unwrap_or_default();
-        let path = format!("/keys?prefix={prefix}&most={limit}{since}");
-        match self.call(Method::GET, &path, None, REQUEST_TIMEOUT * 2, priority).await? {
-            (200, body) => decode_response(&body),
-            (status, _) => Err(StoreError::UnexpectedStatus { status, request: "a listing" }),
+        match self.transact_reserved(conditions, &[]).await? {
+            CompareAndSwapOutcome::Failed(keys) => Ok(keys),
+            CompareAndSwapOutcome::Applied(_) | CompareAndSwapOutcome::LeaseExpired => Ok(Vec::new()),
         }
     }
 
@@ -346,44 +329,6 @@
             (status, _) => Err(StoreError::UnexpectedStatus { status, request: "a watch" }),
         }
     }
-
-    /// Creates a lease that expires after `ttl` unless it is renewed, and returns its id. The keys attached to it are
-    /// deleted when it ends.
-    pub async fn grant_lease(&self, ttl: Duration) -> Result<u64, StoreError> {
-        let body = protocol::encode(&serde_json::json!({"lifeMs": ttl.as_millis() as u64}));
-        match self.call(Method::POST, "/grants", Some(body), REQUEST_TIMEOUT, RequestPriority::Critical).await? {
-            (200, body) => Ok(decode_response::<GrantedLease>(&body)?.permit),
-            (status, _) => Err(StoreError::UnexpectedStatus { status, request: "a lease grant" }),
-        }
-    }
-
-    /// Revokes a lease at once and deletes the keys attached to it.
-    pub async fn revoke_lease(&self, lease: u64) -> Result<(), StoreError> {
-        let path = format!("/grants/{lease}");
-        match self.call(Method::DELETE, &path, None, REQUEST_TIMEOUT, RequestPriority::Critical).await? {
-            (200..=299 | 404, _) => Ok(()),
-            (status, _) => Err(StoreError::UnexpectedStatus { status, request: "a lease revocation" }),
-        }
-    }
-
-    /// Renews a lease. Returns false if it no longer exists.
-    pub async fn renew_lease(&self, lease: u64) -> Result<bool, StoreError> {
-        let path = format!("/grants/{lease}/renew");
-        match self
-            .call(
-                Method::POST,
-                &path,
-                Some(protocol::encode(&serde_json::json!({}))),
-                REQUEST_TIMEOUT,
-                RequestPriority::Critical,
-            )
-            .await?
-        {
-            (200, _) => Ok(true),
-            (404, _) => Ok(false),
-            (status, _) => Err(StoreError::UnexpectedStatus { status, request: "a lease renewal" }),
-        }
-    }
 }
 
 #[cfg(test)]
--- a/src/store/error.rs
+++ b/src/store/error.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::transaction_limits::TransactionSize;
 use crate::protocol::DecodeError;
 
 /// Why a call to the state service has no usable response, and whether it can still take effect.
@@ -10,6 +11,13 @@
     /// The request was refused with this HTTP status, or never sent (0): it is not executed, now or later.
     #[error("the state service refused the request or could not be reached (status {0})")]
     Unavailable(u16),
+    /// The transaction is larger than the service allows, and was refused, or not sent since it would be: it is not
+    /// executed, now or later. Sent again unchanged, it would be refused again.
+    #[error(
+        "the state service does not take a transaction as large as this one ({} conditions, {} changes, {} bytes under {})",
+        .0.conditions, .0.changes, .0.largest_value_bytes, .0.largest_key
+    )]
+    TooLarge(Box<TransactionSize>),
     /// The response did not arrive in time: the request was executed, was not executed, or is executed later.
     #[error("the state service did not answer in time")]
     Unanswered,
@@ -31,10 +39,11 @@
 }
 
 impl StoreError {
-    /// Returns whether the service answered in violation of its protocol.
+    /// Returns whether the same request would fail in the same way again: the service answered in violation of its
+    /// protocol, or does not take a transaction of this size.
     #[must_use]
-    pub fn is_invalid_response(&self) -> bool {
-        matches!(self, Self::UnexpectedStatus { .. } | Self::Undecodable(_))
+    pub fn is_final(&self) -> bool {
+        matches!(self, Self::UnexpectedStatus { .. } | Self::Undecodable(_) | Self::TooLarge(_))
     }
 }
 
--- a/src/store/tests/late_transactions.rs
+++ b/src/store/tests/late_transactions.rs
@@ -22,7 +22,7 @@
 use crate::jobs::{End, JobId, JobSpec};
 use crate::membership::{leader_record_write, lease_acquisition, lease_removal};
 use crate::records::leadership::{LeaderRecord, LeaseHolder, TakeoverRequest};
-use crate::scheduling::cluster::ShardWrite;
+use crate::scheduling::cluster::{ShardValue, ShardWrite};
 use crate::scheduling::commit::{CommitBatch, remaining_drops, shard_drops};
 use crate::store::{Change, Condition};
 
@@ -95,7 +95,7 @@
         ends: Vec<Arc<JobRecord>>,
         shards: Vec<ShardWrite>,
     ) -> u64 {
-        let batch = CommitBatch { ends, shards, at_ms: 5 };
+        let batch = CommitBatch { ends, shards, at_ms: 5, max_value_bytes: usize::MAX };
         self.send(name, batch.conditions(fencing_token), batch.changes())
     }
 
@@ -129,7 +129,8 @@
 
 fn shard(record: &JobRecord, version: u64, attempt: u64) -> ShardWrite {
     let tasks = vec![StoredTask::Bound(attempt, "host-000001".into())];
-    ShardWrite { job: record.spec.id.clone(), shard: 0, version, tasks }
+    let shard = ShardValue { first_task: 0, version, is_part: false, tasks };
+    ShardWrite { job: record.spec.id.clone(), shard, split_off: Vec::new() }
 }
 
 #[test]
@@ -150,7 +151,7 @@
     let placed = lifecycle.send_batch("next placement", fencing_token, vec![], vec![shard(&jobs[0], placed, 2)]);
     lifecycle.send_job_transaction("second acceptance", job_transactions::accept_job(&jobs[1], true));
     lifecycle.send_batch("placement of the second job", fencing_token, vec![], vec![shard(&jobs[1], 0, 1)]);
-    lifecycle.send_job_transaction("cancellation", job_transactions::cancel_job(&jobs[1], None, 5));
+    lifecycle.send_job_transaction("cancellation", job_transactions::cancel_job(&jobs[1], None, 5, usize::MAX));
     lifecycle.send_batch("update of the first job", fencing_token, vec![], vec![shard(&jobs[0], placed, 3)]);
     lifecycle.send_batch("end", fencing_token, vec![jobs[0].clone()], vec![]);
     let drops = jobs[..2].iter().map(|job| (job.spec.id.clone(), 0)).collect::<Vec<_>>();
@@ -185,7 +186,7 @@
 
     // Data that the store has lost is restored.
     lifecycle.store.lose_newest_keys("h/d/", 1);
-    lifecycle.send_job_transaction("end restored", restore_end(&jobs[0], End::Done, 9));
+    lifecycle.send_job_transaction("end restored", restore_end(&jobs[0], End::Done, 9, usize::MAX));
     lifecycle.store.lose_newest_keys(&open_key(&jobs[2].spec.id), 1);
     lifecycle.send_job_transaction("job restored", job_transactions::accept_job(&jobs[2], true));
 
@@ -216,8 +217,13 @@
     let (mut store, job, fencing_token) = (Store::default(), record(1), 1);
     store.apply_if(&[], &[Change::write(LEADER_RECORD_KEY, json!("a"))]).unwrap();
     let accept = job_transactions::accept_job(&job, false);
-    let place = |version| CommitBatch { ends: vec![], shards: vec![shard(&job, version, 1)], at_ms: 5 };
-    let end = CommitBatch { ends: vec![job.clone()], shards: vec![], at_ms: 5 };
+    let place = |version| CommitBatch {
+        ends: vec![],
+        shards: vec![shard(&job, version, 1)],
+        at_ms: 5,
+        max_value_bytes: usize::MAX,
+    };
+    let end = CommitBatch { ends: vec![job.clone()], shards: vec![], at_ms: 5, max_value_bytes: usize::MAX };
     store.apply_if(&accept.conditions, &accept.changes).unwrap();
     store.apply_if(&place(0).conditions(fencing_token), &place(0).changes()).unwrap();
     store.apply_if(&end.conditions(fencing_token), &end.changes()).unwrap();
--- a/src/users/cancellation.rs
+++ b/src/users/cancellation.rs
@@ -9,7 +9,7 @@
 use super::service::UserService;
 use super::write_tracker::{JobWrite, WriteTracker};
 use crate::audit::AcknowledgedWrite;
-use crate::history::job_transactions;
+use crate::history::job_transactions::{self, JobTransaction};
 use crate::jobs::record::{JobRecord, LEADER_RECORD_KEY, time_of_day_ms};
 use crate::jobs::{End, JobId};
 use crate::protocol::users::{JobAnswer, Status};
@@ -48,13 +48,20 @@
 ) -> UserResponse {
     let id = record.spec.id.clone();
     let leader = service.membership.cancellation_fencing_token();
-    let cancellation = job_transactions::cancel_job(&record, leader, time_of_day_ms());
+    let client = &service.store.client;
+    let cancellation = || {
+        let max_bytes = client.limits().max_value_bytes;
+        job_transactions::cancel_job(&record, leader, time_of_day_ms(), max_bytes)
+    };
+    let send = async |transaction: JobTransaction| {
+        client.compare_and_swap(&transaction.conditions, &transaction.changes, RequestPriority::Critical).await
+    };
     let tracked = write_tracker.track(JobWrite::Cancellation, &record);
-    let outcome = service
-        .store
-        .client
-        .compare_and_swap(&cancellation.conditions, &cancellation.changes, RequestPriority::Critical)
-        .await;
+    let mut outcome = send(cancellation()).await;
+    if matches!(outcome, Err(StoreError::TooLarge(_))) {
+        // The refusal has lowered the limits, to which the record of the end is cut.
+        outcome = send(cancellation()).await;
+    }
     match outcome {
         Ok(CompareAndSwapOutcome::Applied(version)) => {
             tracked.applied();
@@ -75,7 +82,7 @@
             UserResponse::retry_soon("who owns has just changed")
         }
         outcome => {
-            if matches!(outcome, Err(StoreError::Unavailable(_))) {
+            if matches!(outcome, Err(StoreError::Unavailable(_) | StoreError::TooLarge(_))) {
                 tracked.not_applied();
             }
             debug!(?outcome, job = %id, "job cancellation failed");
--- a/src/users/submission.rs
+++ b/src/users/submission.rs
@@ -116,9 +116,7 @@
 
 /// Whether the job's record, with the bytes that its end adds, stays within the store's size limit for a value.
 fn fits_in_store(service: &UserService, record: &JobRecord) -> bool {
-    let size =
-        serde_json::to_vec(record).map_or(usize::MAX, |bytes| bytes.len().saturating_add(ENDED_RECORD_EXTRA_BYTES));
-    size as f64 <= service.settings.params.state.value_kb * 1024.0
+    record.json_bytes().saturating_add(ENDED_RECORD_EXTRA_BYTES) <= service.store.client.limits().max_value_bytes
 }
 
 /// A refusal by admission control.
@@ -180,9 +178,13 @@
                 tracked.not_applied();
                 tokio::time::sleep(WRITE_RETRY_PAUSE).await;
             }
-            Err(StoreError::Unavailable(status)) => {
+            Err(StoreError::TooLarge(_)) if !fits_in_store(service, &record) => {
                 tracked.not_applied();
-                debug!(status, job = %id, "job acceptance refused by the store");
+                return refuse_unless_accepted(service, &id, RequestError::JobTooLarge).await;
+            }
+            Err(error @ (StoreError::TooLarge(_) | StoreError::Unavailable(_))) => {
+                tracked.not_applied();
+                debug!(%error, job = %id, "job acceptance refused by the store");
                 return UserResponse::retry_soon("the state service cannot be written");
             }
             outcome => {
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -81,7 +81,7 @@
 }
 
 fn tasks(value: &Value) -> Result<Value, String> {
-    record::decode_shard(value).map(|tasks| record::encode_shard(&tasks)).ok_or_else(|| "unreadable".to_owned())
+    record::decode_shard(value).map(|tasks| record::encode_shard(&tasks, false)).ok_or_else(|| "unreadable".to_owned())
 }
 
 fn cloud_order(value: &Value) -> Result<Value, String> {
@@ -201,7 +201,7 @@
         "assignment": record::LEADER_RECORD_KEY,
         "takeover request": record::TAKEOVER_REQUEST_KEY,
         "watermark": record::WATERMARK_KEY,
-        "tasks": [record::TASK_SHARD_PREFIX, record::shard_key(id, 7)],
+        "tasks": [record::TASK_SHARD_PREFIX, record::shard_key(id, 7 * record::TASKS_PER_SHARD)],
         "tasks of one chunk": record::TASKS_PER_SHARD,
         "cloud orders": CLOUD_ORDER_PREFIX,
         "declared": [SPEC_PREFIX, STATUS_PREFIX, OPERATORS_KEY],
