Group commit: a batch beyond the burst of a lowered rate is parted

No start or end is stored.

Now a batch of more than one write that is refused with 429 for 3 s is put back, and for a minute half as many changes are sent at once.

--- a/src/fleet/order_storage.rs
+++ b/src/fleet/order_storage.rs
@@ -111,7 +111,7 @@
         let client = &self.fleet.store.client;
         let is_urgent = self.operations().orders_to_clean_up(fencing_token).len() >= URGENT_CLEAN_UP_ORDERS;
         let priority = if is_urgent { RequestPriority::Placement } else { RequestPriority::Background };
-        let max_orders = client.available_writes(priority).min(client.limits().max_changes);
+        let max_orders = client.available_writes(priority).min(client.changes_at_once());
         let (keys, clean_up) = {
             let mut operations = self.operations();
             let keys: Vec<String> =
--- a/src/scheduling/commit.rs
+++ b/src/scheduling/commit.rs
@@ -46,6 +46,11 @@
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Pause after a transaction was refused for its size and nothing can be made smaller, before jitter.
 const TOO_LARGE_RETRY_DELAY: Duration = Duration::from_millis(1000);
+/// Time for which one transaction is refused as beyond the rate limit until it is taken to exceed the limit's burst,
+/// which holds the changes of one second.
+const BURST_REFUSAL_TIME: Duration = Duration::from_secs(3);
+/// HTTP status with which the store refuses a request because of its rate limit.
+const TOO_MANY_REQUESTS: u16 = 429;
 /// Maximum size of the changes in a transaction, whose limit of 64 KiB also covers conditions and framing.
 const MAX_CHANGE_BYTES: usize = 40 * 1024;
 /// Size of the keys and conditions of one change.
@@ -167,7 +172,7 @@
 fn next_batch(group_commit: &GroupCommit) -> Option<CommitBatch> {
     // Limited to the writes that the budget has ready: a full batch would wait until the budget allows a whole burst.
     let client = &group_commit.store.client;
-    let max_changes = client.limits().max_changes.min(client.available_writes(RequestPriority::Placement).max(1));
+    let max_changes = client.changes_at_once().min(client.available_writes(RequestPriority::Placement).max(1));
     let limits = TransactionLimits { max_changes, ..client.limits() };
     let mut guard = group_commit.leader.cluster();
     let cluster = guard.as_mut().filter(|cluster| cluster.loaded)?;
@@ -194,6 +199,7 @@
     let changes = batch.changes();
     let priority = if batch.ends.is_empty() { RequestPriority::Placement } else { RequestPriority::Critical };
     let mut unanswered = false;
+    let mut rate_refused_since = None;
     loop {
         let Some(fencing_token) = group_commit.leader.cluster().as_ref().map(|cluster| cluster.fencing_token) else {
             return false;
@@ -219,8 +225,17 @@
                 put_back(group_commit, batch, &size).await;
                 return true;
             }
+            Err(StoreError::Unavailable(TOO_MANY_REQUESTS)) => {
+                let refused_since = *rate_refused_since.get_or_insert_with(Instant::now);
+                if refused_since.elapsed() >= BURST_REFUSAL_TIME && !batch.is_single() {
+                    group_commit.store.client.record_burst_refusals(changes.len());
+                    requeue(group_commit, &batch, QueuePosition::First);
+                    return true;
+                }
+            }
             Err(error) => {
                 unanswered |= error == StoreError::Unanswered;
+                rate_refused_since = None;
                 debug!(%error, "transaction failed");
             }
         }
@@ -296,7 +311,7 @@
 /// Deletes shards of ended jobs, as many as the write budget allows.
 async fn drop_ended_shards(group_commit: &Arc<GroupCommit>, priority: RequestPriority) {
     let client = &group_commit.store.client;
-    let max_drops = client.available_writes(priority).min(client.limits().max_changes);
+    let max_drops = client.available_writes(priority).min(client.changes_at_once());
     let (drops, fencing_token) = match group_commit.leader.cluster().as_mut() {
         Some(cluster) => (cluster.take_shard_drops(max_drops), cluster.fencing_token),
         None => return,
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -148,6 +148,16 @@
         crate::sync::lock(&self.limits).rates()
     }
 
+    /// Returns how many changes may be sent at once.
+    pub fn changes_at_once(&self) -> usize {
+        crate::sync::lock(&self.limits).changes_at_once(Instant::now())
+    }
+
+    /// Records that the service refused a transaction of so many changes again and again as beyond its rate.
+    pub fn record_burst_refusals(&self, changes: usize) {
+        crate::sync::lock(&self.limits).record_burst_refusals(changes, Instant::now());
+    }
+
     /// Returns when the service last served this controller and last failed to.
     pub fn health(&self) -> StoreHealth {
         *crate::sync::lock(&self.health)
--- a/src/store/transaction_limits.rs
+++ b/src/store/transaction_limits.rs
@@ -7,6 +7,8 @@
 //! allowed by comparisons that write nothing (`store::client::refusals`), and blames the largest value otherwise.
 //! Everything that builds transactions asks for the limits each time.
 
+use std::time::{Duration, Instant};
+
 use super::client::{Change, Condition, RequestRates};
 use crate::settings::{MIN_TXN_OPS, StateParams};
 
@@ -17,6 +19,9 @@
 /// Values up to this size are never taken for the reason of a refusal. Records of jobs, leaders and orders of single
 /// machines stay below it.
 const MIN_VALUE_BYTES: usize = 1024;
+/// Time for which fewer changes are sent at once after they exceeded the service's burst.
+const BURST_BACKOFF: Duration = Duration::from_secs(60);
+
 /// Largest transaction that the service accepts, as far as is known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TransactionLimits {
@@ -110,6 +115,8 @@
     announced: Option<StateParams>,
     /// Whether any limit is lower than the settings say.
     lowered: bool,
+    /// The number of changes that fits into the service's burst, and until when it is kept to.
+    burst: Option<(usize, Instant)>,
 }
 
 impl LimitTracker {
@@ -120,6 +127,7 @@
             rates: RequestRates { requests: params.rps, writes: params.write_rps },
             announced: params.announced(),
             lowered: false,
+            burst: None,
         }
     }
 
@@ -128,6 +136,12 @@
         self.current
     }
 
+    /// The number of changes that may be sent at once: the limit, or fewer if they exceeded the service's burst lately.
+    pub fn changes_at_once(&self, now: Instant) -> usize {
+        let burst = self.burst.filter(|(_, until)| now < *until).map(|(changes, _)| changes);
+        self.current.max_changes.min(burst.unwrap_or(usize::MAX))
+    }
+
     /// The rates that the service allows to all controllers in total.
     pub fn rates(&self) -> RequestRates {
         self.rates
@@ -164,6 +178,11 @@
         self.lowered = true;
         true
     }
+
+    /// Records that the service refused so many changes again and again as beyond its rate: its burst may be smaller.
+    pub fn record_burst_refusals(&mut self, changes: usize, now: Instant) {
+        self.burst = Some(((changes / 2).max(MIN_CHANGES), now + BURST_BACKOFF));
+    }
 }
 
 #[cfg(test)]
--- a/src/store/transaction_limits/tests.rs
+++ b/src/store/transaction_limits/tests.rs
@@ -56,6 +56,14 @@
     assert_eq!((tracker.limits().max_changes, tracker.limits().max_conditions()), (2, 8));
 }
 
+#[test]
+fn changes_beyond_the_burst_are_sent_fewer_at_once_for_a_while() {
+    let (mut tracker, now) = (LimitTracker::new(&SETTINGS), Instant::now());
+    tracker.record_burst_refusals(24, now);
+    assert_eq!((tracker.changes_at_once(now), tracker.limits().max_changes), (12, 24));
+    assert_eq!(tracker.changes_at_once(now + BURST_BACKOFF), 24);
+}
+
 #[test]
 fn transactions_are_measured_by_changes_conditions_and_values() {
     let conditions = [Condition::absent("a"), Condition::absent("b")];
--- a/tests/lowered_limits.rs
+++ b/tests/lowered_limits.rs
@@ -315,3 +315,24 @@
     });
     deployment.end([leader]);
 }
+
+/// Guards against a batch that the state service never takes, since it has more changes than a lowered rate allows in
+/// one burst.
+#[test]
+fn jobs_end_after_the_rate_falls_below_one_batch() {
+    let (deployment, leader, other) = start_leader_and_follower(LEASE_S);
+    deployment.outside.block_on(async {
+        // The jobs start and end together.
+        for n in 1..=20 {
+            deployment.accept(&other, &wide_job(n, 1), Duration::from_secs(6)).await;
+        }
+        for n in 1..=20 {
+            wait_until("started", || async { deployment.count_starts(n) == 1 }).await;
+        }
+        deployment.lower_limits(Limits { changes_per_second: 6.0, ..Limits::default() });
+        for n in 1..=20 {
+            deployment.wait_until_stored(n, StoredStatus::Done).await;
+        }
+    });
+    deployment.end([leader, other]);
+}
