--- a/src/audit/tests.rs
+++ b/src/audit/tests.rs
@@ -24,6 +24,18 @@
     }
 }
 
+/// Guards against lost writes that are passed over: a comparison that failed is made again, in smaller parts.
+#[test]
+fn batch_that_could_not_be_compared_comes_next() {
+    let mut audit = Audit::default();
+    (0..9).for_each(|n| audit.remember(AcknowledgedWrite::Accepted(record(n))));
+    let batch = audit.next_batch(24, Vec::new);
+    assert_eq!(batch.len(), 8);
+    audit.return_batch(batch.clone());
+    let again: Vec<_> = (0..4).flat_map(|_| audit.next_batch(6, Vec::new)).collect();
+    assert_eq!(again, batch);
+}
+
 #[test]
 fn write_missing_twice_is_lost_and_audit_size_is_bounded() {
     let mut audit = Audit::default();
--- a/src/cloud_orders/tests.rs
+++ b/src/cloud_orders/tests.rs
@@ -9,6 +9,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use super::*;
+use crate::store::transaction_limits::TransactionSize;
 use serde_json::json;
 
 fn failed(keys: &[&str]) -> Result<CompareAndSwapOutcome, StoreError> {
@@ -37,6 +38,16 @@
     for (name, outcome, fencing_token, want) in cases {
         assert_eq!(order.next_step(&outcome, fencing_token), want, "{name}");
     }
+    let too_large = || Err(StoreError::TooLarge(Box::new(TransactionSize::of(&[], &[order.change()]))));
+    let machines = |n: usize| CloudAction::Terminate(vec!["m".into(); n]);
+    for (action, fencing_token, want) in [
+        (machines(2), Some(7), StoreStep::Split),
+        (machines(2), None, StoreStep::Abandon),
+        (machines(1), Some(7), StoreStep::Retry),
+    ] {
+        let order = CloudOrder::new("me", 7, 1, action.clone());
+        assert_eq!(order.next_step(&too_large(), fencing_token), want, "{action:?}, too large");
+    }
     let item = KeyValue { path: order.key.clone(), value: serde_json::json!({"epoch": 7}), version: 1 };
     assert_eq!(CloudOrder::from_key_value(&item), None, "an order without its action is rejected");
 }
--- a/src/history/job_transactions/tests.rs
+++ b/src/history/job_transactions/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::jobs::JobSpec;
 use crate::jobs::tests::spec;
 
 /// An ended record that outgrew the open one by more than the reserved size could be too large to be stored.
@@ -17,6 +18,28 @@
     assert_eq!(read.spec, job.spec);
 }
 
+/// Guards against a job that can never end: its record fitted into a value when it was accepted, and no longer does.
+/// Whatever the user sent, the record of the end is cut to what a value may take, and still decodes.
+#[test]
+fn record_of_an_end_is_cut_to_the_limit_on_values() {
+    let long = |byte: &str| byte.repeat(900);
+    let mut spec = spec();
+    (spec.class, spec.image) = (long("c"), long("\u{1}"));
+    (spec.types, spec.zone) = (Some(vec![long("t"); 3]), Some(long("z")));
+    let job = JobRecord { spec, accepted_ms: u64::MAX };
+    for (max_bytes, is_cut) in [(usize::MAX, false), (16_384, false), (2048, true), (1024, true)] {
+        let [Change::Write { value, .. }, _] = end_changes(&job, End::Done, u64::MAX, max_bytes) else {
+            panic!("a write and a drop");
+        };
+        assert!(value.to_string().len() <= max_bytes, "{max_bytes}");
+        let read: EndedRecord = serde_json::from_value(value).unwrap();
+        assert_eq!(read.job.spec != job.spec, is_cut, "{max_bytes}");
+        let kept = |spec: &JobSpec| (spec.id.clone(), spec.team.clone(), spec.tasks, spec.cpus, spec.gpus, spec.shape);
+        assert_eq!((kept(&read.job.spec), read.ended_ms), (kept(&job.spec), u64::MAX), "{max_bytes}");
+        assert_eq!(read.job.spec.check(), Ok(()), "a successor loads it");
+    }
+}
+
 #[test]
 fn job_location_is_derived_from_its_key() {
     for (key, expected) in [
--- a/src/history/query_queue/tests.rs
+++ b/src/history/query_queue/tests.rs
@@ -65,3 +65,22 @@
     assert!(answers.is_empty());
     assert_eq!(old_jobs.ids().collect::<Vec<_>>(), [&id(1)]);
 }
+
+/// Guards against queries that are dropped where a batch is split: each job is in one part, with all its waiters.
+#[test]
+fn split_batch_keeps_every_query() {
+    let now = Instant::now();
+    let mut queries = QueryQueue::new(7);
+    for n in 0..7 {
+        queries.enqueue(&id(n), n, now).unwrap();
+        queries.enqueue(&id(n), n + 100, now).unwrap();
+    }
+    let NextBatch { due: batch, expired: _ } = queries.next_batch(now);
+    let parts = batch.split(3);
+    assert_eq!(parts.iter().map(QueryBatch::len).collect::<Vec<_>>(), [3, 3, 1]);
+    let kept: Vec<_> = parts.into_iter().flat_map(QueryBatch::into_queries).collect();
+    assert_eq!(kept, (0..7).map(|n| (id(n), vec![n, n + 100])).collect::<Vec<_>>());
+    queries.set_batch_size(2);
+    (0..5).for_each(|n| queries.enqueue(&id(n), n, now).unwrap());
+    assert_eq!(queries.next_batch(now).due.len(), 2);
+}
--- a/src/store/client/tests.rs
+++ b/src/store/client/tests.rs
@@ -17,3 +17,13 @@
         assert!(uri.parse::<hyper::Uri>().is_ok(), "{uri}");
     }
 }
+
+/// A refusal of a write with a lease means that the lease has ended only if it says so, or says nothing: a new lease can
+/// always be granted, and a transaction that is too large stays so under any lease.
+#[test]
+fn refusal_of_a_lease_is_told_from_other_refusals() {
+    let reason = |error: &str| protocol::encode(&serde_json::json!({ "error": error }));
+    assert!(is_missing_lease(&reason("no such lease")));
+    assert!(is_missing_lease(&[]));
+    assert!(!is_missing_lease(&reason("a value above the limit")));
+}
--- a/tests/declarations.rs
+++ b/tests/declarations.rs
@@ -16,6 +16,7 @@
 };
 use hollylanding::scheduling::intents::Intents;
 use hollylanding::settings::Settings;
+use hollylanding_emulator::world::store::Limits;
 use serde::{Deserialize, Serialize};
 use stand_in::{World, open_world, settings};
 use tokio::runtime::Runtime;
@@ -171,6 +172,24 @@
     });
 }
 
+/// Guards against a command that fails, or repeats one transaction until its timeout, since the state service has lowered
+/// its limits: the declarations follow in smaller transactions.
+#[test]
+fn declarations_are_written_in_transactions_as_small_as_the_limits_ask_for() {
+    let runtime = Runtime::new().unwrap();
+    runtime.block_on(async {
+        let (world, door) = open_world().await;
+        let operator = operator(&door, Duration::from_secs(20));
+        let specs: Vec<_> = (0..40).map(|n| serde_json::json!({"name": format!("w{n}"), "team": "blue"})).collect();
+        let specs = operator.parse_specs(DeclarationKind::Window, &serde_json::to_string(&specs).unwrap()).unwrap();
+        world.state.lock().unwrap().store.set_limits(Limits { txn_ops: 5, ..Limits::default() });
+        assert_eq!(operator.declare(DeclarationKind::Window, &specs).await.unwrap().len(), 40);
+        let state = world.state.lock().unwrap();
+        assert_eq!(state.count("c/s/window/"), 40);
+        assert!(state.invalid[0].changed_keys.len() > 5 && state.invalid.len() <= 10, "{:?}", state.invalid);
+    });
+}
+
 /// The exit statuses that scripts see: 0, 1 and 2.
 #[test]
 fn command_exit_statuses() {
