Group commit: a batch whose refusal nothing explains is halved, and one that cannot be cut does not spin

Found by reading the fix again, never seen: a batch refused for a size that neither the changes, the conditions nor a value explain was put back whole, once a second; and a record of an end that stays over the limit (a team's name of 1 KiB) was put back ahead of all others without a pause. Now the first is sent in halves, down to single changes, and the second waits behind the rest.

--- a/src/scheduling/commit.rs
+++ b/src/scheduling/commit.rs
@@ -228,7 +228,7 @@
             Err(StoreError::Unavailable(TOO_MANY_REQUESTS)) => {
                 let refused_since = *rate_refused_since.get_or_insert_with(Instant::now);
                 if refused_since.elapsed() >= BURST_REFUSAL_TIME && !batch.is_single() {
-                    group_commit.store.client.record_burst_refusals(changes.len());
+                    group_commit.store.client.halve_changes_at_once(changes.len());
                     requeue(group_commit, &batch, QueuePosition::First);
                     return true;
                 }
@@ -258,16 +258,23 @@
     }
 }
 
-/// Puts back a batch that was not stored for its size. Its parts are stored next; what cannot be made smaller waits
-/// behind all other writes.
+/// Puts back a batch that was not stored for its size. Its parts are stored next, half as many at once if the limits do not
+/// explain the refusal; what cannot be made smaller waits behind all other writes.
 async fn put_back(group_commit: &GroupCommit, batch: CommitBatch, size: &TransactionSize) {
-    let explained = !group_commit.store.client.limits().admits(size);
-    if explained && !batch.is_single() {
-        requeue(group_commit, &batch, QueuePosition::First);
+    let client = &group_commit.store.client;
+    let is_explained = !client.limits().admits(size);
+    // Otherwise one of its values was as large although the limit was known.
+    let can_be_cut = size.largest_value_bytes <= batch.max_value_bytes;
+    if batch.is_single() || !can_be_cut {
+        requeue(group_commit, &batch, QueuePosition::Last);
+        tokio::time::sleep(jitter(if is_explained { RETRY_DELAY } else { TOO_LARGE_RETRY_DELAY })).await;
         return;
     }
-    requeue(group_commit, &batch, QueuePosition::Last);
-    tokio::time::sleep(jitter(if explained { RETRY_DELAY } else { TOO_LARGE_RETRY_DELAY })).await;
+    requeue(group_commit, &batch, QueuePosition::First);
+    if !is_explained {
+        client.halve_changes_at_once(size.changes);
+        tokio::time::sleep(jitter(RETRY_DELAY)).await;
+    }
 }
 
 fn record_stored_batch(group_commit: &GroupCommit, batch: &CommitBatch, version: u64) {
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -153,9 +153,10 @@
         crate::sync::lock(&self.limits).changes_at_once(Instant::now())
     }
 
-    /// Records that the service refused a transaction of so many changes again and again as beyond its rate.
-    pub fn record_burst_refusals(&self, changes: usize) {
-        crate::sync::lock(&self.limits).record_burst_refusals(changes, Instant::now());
+    /// Lets half as many changes be sent at once for a while, since the service does not take so many and the known limits
+    /// do not say why.
+    pub fn halve_changes_at_once(&self, changes: usize) {
+        crate::sync::lock(&self.limits).halve_changes_at_once(changes, Instant::now());
     }
 
     /// Returns when the service last served this controller and last failed to.
--- a/src/store/transaction_limits.rs
+++ b/src/store/transaction_limits.rs
@@ -19,8 +19,8 @@
 /// Values up to this size are never taken for the reason of a refusal. Records of jobs, leaders and orders of single
 /// machines stay below it.
 const MIN_VALUE_BYTES: usize = 1024;
-/// Time for which fewer changes are sent at once after they exceeded the service's burst.
-const BURST_BACKOFF: Duration = Duration::from_secs(60);
+/// Time for which fewer changes are sent at once after the service did not take more.
+const REDUCTION_TIME: Duration = Duration::from_secs(60);
 
 /// Largest transaction that the service accepts, as far as is known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -115,8 +115,8 @@
     announced: Option<StateParams>,
     /// Whether any limit is lower than the settings say.
     lowered: bool,
-    /// The number of changes that fits into the service's burst, and until when it is kept to.
-    burst: Option<(usize, Instant)>,
+    /// A number of changes below the limit, and until when it is kept to.
+    reduced: Option<(usize, Instant)>,
 }
 
 impl LimitTracker {
@@ -127,7 +127,7 @@
             rates: RequestRates { requests: params.rps, writes: params.write_rps },
             announced: params.announced(),
             lowered: false,
-            burst: None,
+            reduced: None,
         }
     }
 
@@ -136,10 +136,10 @@
         self.current
     }
 
-    /// The number of changes that may be sent at once: the limit, or fewer if they exceeded the service's burst lately.
+    /// The number of changes that may be sent at once: the limit, or fewer if the service did not take as many lately.
     pub fn changes_at_once(&self, now: Instant) -> usize {
-        let burst = self.burst.filter(|(_, until)| now < *until).map(|(changes, _)| changes);
-        self.current.max_changes.min(burst.unwrap_or(usize::MAX))
+        let reduced = self.reduced.filter(|(_, until)| now < *until).map(|(changes, _)| changes);
+        self.current.max_changes.min(reduced.unwrap_or(usize::MAX))
     }
 
     /// The rates that the service allows to all controllers in total.
@@ -179,9 +179,10 @@
         true
     }
 
-    /// Records that the service refused so many changes again and again as beyond its rate: its burst may be smaller.
-    pub fn record_burst_refusals(&mut self, changes: usize, now: Instant) {
-        self.burst = Some(((changes / 2).max(MIN_CHANGES), now + BURST_BACKOFF));
+    /// Keeps to half as many changes at once for a while: the service refused so many again and again as beyond its rate, or
+    /// for a size that no known limit explains.
+    pub fn halve_changes_at_once(&mut self, changes: usize, now: Instant) {
+        self.reduced = Some(((changes / 2).max(1), now + REDUCTION_TIME));
     }
 }
 
--- a/src/store/transaction_limits/tests.rs
+++ b/src/store/transaction_limits/tests.rs
@@ -57,11 +57,13 @@
 }
 
 #[test]
-fn changes_beyond_the_burst_are_sent_fewer_at_once_for_a_while() {
+fn fewer_changes_are_sent_at_once_for_a_while() {
     let (mut tracker, now) = (LimitTracker::new(&SETTINGS), Instant::now());
-    tracker.record_burst_refusals(24, now);
+    tracker.halve_changes_at_once(24, now);
     assert_eq!((tracker.changes_at_once(now), tracker.limits().max_changes), (12, 24));
-    assert_eq!(tracker.changes_at_once(now + BURST_BACKOFF), 24);
+    assert_eq!(tracker.changes_at_once(now + REDUCTION_TIME), 24);
+    tracker.halve_changes_at_once(1, now);
+    assert_eq!(tracker.changes_at_once(now), 1);
 }
 
 #[test]
