--- a/src/scheduling/tests/interleaved_simulation/workers.rs
+++ b/src/scheduling/tests/interleaved_simulation/workers.rs
@@ -10,7 +10,7 @@
 use super::store::has_ended;
 use super::world::World;
 use super::{ANSWER_TIMEOUT, CANCELLATION_DEADLINE, WORKER_LEASE};
-use crate::jobs::record::{StoredTask, TASK_SHARD_PREFIX, decode_shard, parse_shard_key};
+use crate::jobs::record::StoredTask;
 use crate::protocol::workers::{AttemptReport, AttemptStatus, ExitCause, Heartbeat, TaskKey, WorkerCommand};
 
 /// The consecutive answers of a leader that a worker did not hear.
@@ -180,26 +180,13 @@
 
     /// Checks that a completion that is reaped is stored, or that its job has ended.
     fn check_reap(&self, task: &TaskKey) {
-        let done = self.stored_task(task) == Some(StoredTask::Done);
+        let done = self.stored_tasks(&task.job).get(&u64::from(task.index)) == Some(&StoredTask::Done);
         assert!(
             done || has_ended(&self.store, &task.job),
             "the completion of {task:?} was reaped before it was stored"
         );
     }
 
-    /// The stored state of a task. Where several keys hold it, the one that begins first counts.
-    fn stored_task(&self, task: &TaskKey) -> Option<StoredTask> {
-        let prefix = format!("{TASK_SHARD_PREFIX}{}/", task.job);
-        let shards = self.store.entries_with_prefix(&prefix).map(|(key, value, _)| {
-            let (_, first_task) = parse_shard_key(key).expect("own keys");
-            (first_task, decode_shard(value).expect("own values"))
-        });
-        let mut held = shards.filter_map(|(first_task, tasks)| {
-            tasks.into_iter().nth(u64::from(task.index).checked_sub(first_task)? as usize)
-        });
-        held.next()
-    }
-
     /// Runs the workers for a step: expired leases, exits of tasks and heartbeats.
     pub(super) fn run_workers(&mut self) {
         for w in 0..self.workers.len() {
