--- a/src/scheduling/tests/interleaved_simulation/mod.rs
+++ b/src/scheduling/tests/interleaved_simulation/mod.rs
@@ -81,6 +81,13 @@
     assert!(refused > 40 && split > 40, "{refused} transactions refused, {split} shards split off");
 }
 
+/// Guards against a task that is placed on a machine of which the leader could know that it is partitioned one way. Found by
+/// a long run of the seeds from 40 to 439.
+#[test]
+fn no_task_is_placed_on_a_machine_partitioned_one_way_in_seed_262() {
+    World::new(262, 6).simulate(1200);
+}
+
 /// Runs the simulation at a size at which plans, shards and commands no longer fit into one step of the leader.
 #[test]
 fn rules_hold_with_hundreds_of_machines() {
