--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -2,7 +2,9 @@
 //! 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
 mod http;
+mod idle_work;
 mod report_limit;
+mod sick_machines;
 mod state;
 mod users;
 mod value;
@@ -33,6 +35,8 @@
     };
     let run = match case.as_str() {
         "report-limit" => report_limit::run,
+        "idle-work" => idle_work::run,
+        "sick-machines" => sick_machines::run,
         "withdrawals" => withdrawals::run,
         _ => {
             eprintln!("no such case: {case}");
@@ -48,7 +52,7 @@
             exit(2);
         }
     };
-    let sizes = world::Sizes::deti_klima();
+    let sizes = if case == "sick-machines" { world::Sizes::fa_lima() } else { world::Sizes::deti_klima() };
     let world = world::World::new(sizes, record, temp);
     world.note(&format!(
         "case {case}, {}",
--- a/review/standin-2/src/report_limit.rs
+++ b/review/standin-2/src/report_limit.rs
@@ -26,7 +26,17 @@
         return Outcome::CouldNotRun("the controllers did not become healthy".into());
     }
     let legs = if trouble { 1900 } else { 600 };
-    let job = Job { id: "run-000412", class: "soil-probes", legs, cpus: 0.05, mem_gb: 0.1, run_s: RUN_S };
+    let job = Job {
+        id: "run-000412",
+        desk: "agro-lab",
+        class: "soil-probes",
+        fleets: vec!["ilios"],
+        legs,
+        cpus: 0.05,
+        mem_gb: 0.1,
+        run_s: RUN_S,
+        ..Job::default()
+    };
     if !users.submit(&job) {
         return Outcome::Held("the job was not accepted".into());
     }
--- a/review/standin-2/src/users.rs
+++ b/review/standin-2/src/users.rs
@@ -17,21 +17,45 @@
 }
 
 /// An array of tasks without checkpoints, without a deadline.
+#[derive(Clone)]
 pub struct Job {
     pub id: &'static str,
+    pub desk: &'static str,
     pub class: &'static str,
+    pub urgency: &'static str,
+    /// Allowed machine types; any if empty.
+    pub fleets: Vec<&'static str>,
     pub legs: u64,
     pub cpus: f64,
+    pub gpus: f64,
     pub mem_gb: f64,
     pub run_s: f64,
 }
 
+impl Default for Job {
+    fn default() -> Self {
+        Self {
+            id: "run-000001",
+            desk: "klimatismos",
+            class: "leaf-vision",
+            urgency: "normal",
+            fleets: vec![],
+            legs: 1,
+            cpus: 1.0,
+            gpus: 0.0,
+            mem_gb: 8.0,
+            run_s: 300.0,
+        }
+    }
+}
+
 impl Job {
     fn body(&self) -> Value {
-        map! {"uid" => self.id, "jobFamily" => self.class, "desk" => "klimatismos", "shape" => "sweep", "urgency" => "normal",
-        "legs" => self.legs, "cpus" => self.cpus, "accelerators" => 0.0, "memGb" => self.mem_gb, "kit" => "img-01", "imageGb" => 0.5,
-        "fleets" => Value::Null, "yard" => Value::Null, "samePlace" => false, "scatter" => false, "borrowed" => false,
-        "expectedS" => self.run_s, "milestoneS" => 0.0, "stowS" => 0.0, "dueS" => Value::Null}
+        let fleets = if self.fleets.is_empty() { Value::Null } else { self.fleets.clone().into() };
+        map! {"uid" => self.id, "jobFamily" => self.class, "desk" => self.desk, "shape" => "sweep", "urgency" => self.urgency,
+        "legs" => self.legs, "cpus" => self.cpus, "accelerators" => self.gpus, "memGb" => self.mem_gb, "kit" => "img-01",
+        "imageGb" => 0.5, "fleets" => fleets, "yard" => Value::Null, "samePlace" => false, "scatter" => false,
+        "borrowed" => false, "expectedS" => self.run_s, "milestoneS" => 0.0, "stowS" => 0.0, "dueS" => Value::Null}
     }
 }
 
--- a/review/standin-2/src/withdrawals.rs
+++ b/review/standin-2/src/withdrawals.rs
@@ -54,7 +54,7 @@
     }
     // Two machines with 96 cores each: `healthy` runs on the first, `early` on the second. Then `bystander` fits on the
     // first alone, and `late` on the second alone.
-    let job = |id, cpus| Job { id, class: "leaf-vision", legs: 1, cpus, mem_gb: 8.0, run_s: 300.0 };
+    let job = |id, cpus| Job { id, fleets: vec!["ilios"], cpus, gpus: 1.0, ..Job::default() };
     let (healthy, early, bystander, late) =
         (job("run-000001", 90.0), job("run-000002", 80.0), job("run-000003", 5.0), job("run-000004", 10.0));
     let start = |job: &Job| users.submit(job) && users.wait_started(job.id);
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -30,7 +30,7 @@
     pub most: usize,
 }
 
-/// Sizes of a deployment. The values of `deti-klima` are those of its site file.
+/// Sizes of a small deployment, as the settings and the catalog state them.
 pub struct Sizes {
     pub zones: Vec<&'static str>,
     pub types: Vec<MachineType>,
@@ -51,24 +51,57 @@
     pub sockets: u64,
 }
 
+fn machine_type(
+    name: &'static str,
+    (cpus, gpus, mem_gb): (f64, f64, f64),
+    (rate, spot): (f64, f64),
+    startup_s: f64,
+    pull: f64,
+    most: usize,
+) -> MachineType {
+    MachineType { name, cpus, gpus, mem_gb, rate, spot, startup_s, boot_s: 1.5, pull, most }
+}
+
 impl Sizes {
+    /// `fa-lima` as it has grown, with the number of machines of the first site file.
+    pub fn fa_lima() -> Self {
+        let types = vec![
+            machine_type("trocha", (16.0, 0.0, 64.0), (0.96, 0.33), 25.0, 0.3, 20),
+            machine_type("cumbre", (16.0, 2.0, 128.0), (4.61, 1.45), 50.0, 0.25, 14),
+        ];
+        let teams = ["rutas", "tripulacion", "vagones", "demanda", "depositos"];
+        Self {
+            zones: vec!["costa", "sierra"],
+            types,
+            teams: teams.map(|name| (name, 0.0)).to_vec(),
+            rps: 100.0,
+            write_rps: 40.0,
+            value_kb: 8.0,
+            txn_ops: 24,
+            cloud_rps: 8.0,
+            list_lag_s: 8.0,
+            report_s: 5.0,
+            lease_s: 24.0,
+            gang_wait_s: 35.0,
+            gang_peer_s: 8.0,
+            cancel_s: 49.0,
+            cores: 0.16,
+            memory_mb: 136.0,
+            sockets: 3000,
+        }
+    }
+
+    /// `deti-klima` by its first site file, with the guest team of the later pages.
     pub fn deti_klima() -> Self {
-        let ilios = MachineType {
-            name: "ilios",
-            cpus: 96.0,
-            gpus: 8.0,
-            mem_gb: 384.0,
-            rate: 29.31,
-            spot: 12.63,
-            startup_s: 50.0,
-            boot_s: 1.5,
-            pull: 0.8,
-            most: 4,
-        };
+        let types = vec![
+            machine_type("mikro", (32.0, 0.0, 128.0), (1.92, 0.84), 40.0, 0.6, 12),
+            machine_type("megalo", (64.0, 0.0, 128.0), (3.49, 1.46), 30.0, 0.2, 4),
+            machine_type("ilios", (96.0, 8.0, 384.0), (29.31, 12.63), 50.0, 0.8, 23),
+        ];
         Self {
             zones: vec!["messara"],
-            types: vec![ilios],
-            teams: vec![("klimatismos", 0.0)],
+            types,
+            teams: vec![("klimatismos", 0.0), ("agro-lab", 0.0)],
             rps: 80.0,
             write_rps: 20.0,
             value_kb: 16.0,
@@ -95,6 +128,7 @@
     until: Instant,
     run: Duration,
     cpus: f64,
+    fails: bool,
 }
 
 struct Agent {
@@ -136,6 +170,8 @@
     charters: Mutex<HashMap<String, Vec<String>>>,
     machines: Mutex<BTreeMap<String, Arc<Machine>>>,
     pub jobs: Mutex<HashMap<String, Value>>,
+    starts: Mutex<HashMap<String, u64>>,
+    rented: Mutex<HashMap<&'static str, usize>>,
     pub run_s: Mutex<HashMap<String, f64>>,
     pub nodes: Mutex<Vec<(String, String)>>,
     record: Mutex<File>,
@@ -144,6 +180,8 @@
     /// The next machine that receives a launch stops with all that is on it.
     pub die_at_launch: AtomicBool,
     pub died: Mutex<Option<String>>,
+    /// Until then machines fail every task that they start.
+    pub sick_until: Mutex<Option<Instant>>,
     /// The controller that last answered a report with 200.
     pub leader: Mutex<Option<usize>>,
 }
@@ -175,6 +213,12 @@
     m.lock().unwrap_or_else(|e| e.into_inner())
 }
 
+impl Machine {
+    pub fn kind_name(&self, world: &World) -> &'static str {
+        world.sizes.types[self.kind].name
+    }
+}
+
 impl World {
     pub fn new(sizes: Sizes, record: File, folder: PathBuf) -> Arc<Self> {
         let state = State::new(sizes.rps, sizes.write_rps, sizes.value_kb, sizes.txn_ops);
@@ -188,6 +232,8 @@
             charters: Mutex::default(),
             machines: Mutex::default(),
             jobs: Mutex::default(),
+            starts: Mutex::default(),
+            rented: Mutex::default(),
             run_s: Mutex::default(),
             nodes: Mutex::default(),
             record: Mutex::new(record),
@@ -195,6 +241,7 @@
             children: Mutex::default(),
             die_at_launch: AtomicBool::new(false),
             died: Mutex::default(),
+            sick_until: Mutex::default(),
             leader: Mutex::default(),
         })
     }
@@ -383,7 +430,8 @@
             thread::spawn(move || this.run_machine(&machine));
             names.push(name);
         }
-        self.note(&format!("rented {names:?}"));
+        self.note(&format!("rented {names:?} of type {}", self.sizes.types[kind].name));
+        *lock(&self.rented).entry(self.sizes.types[kind].name).or_default() += count;
         charters.insert(charter, names.clone());
         (200, map! {"berths" => names})
     }
@@ -470,7 +518,7 @@
             if a.status == "fetching" && now >= a.until {
                 (a.status, a.until, changed) = ("running", now + a.run, true);
             } else if a.status == "running" && now >= a.until {
-                (a.status, a.cause, changed) = ("ended", Some("done"), true);
+                (a.status, a.cause, changed) = ("ended", Some(if a.fails { "error" } else { "done" }), true);
             }
         }
         agent.changed |= changed;
@@ -541,15 +589,25 @@
                         _ => None,
                     };
                     let run = lock(&self.run_s).get(&id).copied().unwrap_or(1.0);
+                    let fails = lock(&self.sick_until).is_some_and(|until| now < until);
                     let attempt = Attempt {
                         status: if refused.is_some() { "ended" } else { "fetching" },
                         cause: refused,
                         until: now + Duration::from_millis(300),
-                        run: Duration::from_secs_f64(run),
+                        run: if fails { Duration::from_millis(500) } else { Duration::from_secs_f64(run) },
                         cpus,
+                        fails,
                     };
+                    self.note(&format!(
+                        "{} try {} on {}: {}",
+                        key.0,
+                        key.1,
+                        m.name,
+                        refused.unwrap_or(if fails { "starts, and will fail" } else { "starts" })
+                    ));
                     if refused.is_none() {
                         m.starts.fetch_add(1, Ordering::Relaxed);
+                        *lock(&self.starts).entry(id).or_default() += 1;
                     }
                     agent.attempts.insert(key, attempt);
                     agent.changed = true;
@@ -558,6 +616,7 @@
                 "halt" => {
                     if let Some(a) = agent.attempts.get_mut(&key).filter(|a| a.status != "ended") {
                         (a.status, a.cause) = ("ended", Some("halted"));
+                        self.note(&format!("{} try {} on {}: halted", key.0, key.1, m.name));
                         agent.changed = true;
                     }
                 }
@@ -572,6 +631,16 @@
         }
     }
 
+    /// How many tasks of the job were started.
+    pub fn starts(&self, id: &str) -> u64 {
+        lock(&self.starts).get(id).copied().unwrap_or(0)
+    }
+
+    /// How many machines of the type were rented.
+    pub fn rented(&self, name: &str) -> usize {
+        lock(&self.rented).get(name).copied().unwrap_or(0)
+    }
+
     /// The machine on which a task of the job runs.
     pub fn machine_of(&self, id: &str) -> Option<String> {
         let prefix = format!("{id}/");
