--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case of the review: `standin-2 CASE FOLDER`. The exit status is 1 if the rule was broken, 0 if it held and
 //! 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
+mod gang;
 mod http;
 mod idle_work;
 mod report_limit;
@@ -35,6 +36,7 @@
     };
     let run = match case.as_str() {
         "report-limit" => report_limit::run,
+        "gang" => gang::run,
         "idle-work" => idle_work::run,
         "sick-machines" => sick_machines::run,
         "withdrawals" => withdrawals::run,
@@ -52,7 +54,10 @@
             exit(2);
         }
     };
-    let sizes = if case == "sick-machines" { world::Sizes::fa_lima() } else { world::Sizes::deti_klima() };
+    let sizes = match case.as_str() {
+        "sick-machines" | "gang" => world::Sizes::fa_lima(),
+        _ => world::Sizes::deti_klima(),
+    };
     let world = world::World::new(sizes, record, temp);
     world.note(&format!(
         "case {case}, {}",
--- a/review/standin-2/src/users.rs
+++ b/review/standin-2/src/users.rs
@@ -16,13 +16,16 @@
     next: AtomicUsize,
 }
 
-/// An array of tasks without checkpoints, without a deadline.
+/// A job without checkpoints and without a deadline.
 #[derive(Clone)]
 pub struct Job {
     pub id: &'static str,
     pub desk: &'static str,
     pub class: &'static str,
     pub urgency: &'static str,
+    /// A gang whose tasks are all in one zone; otherwise an array.
+    pub gang_in_one_zone: bool,
+    pub yard: Option<&'static str>,
     /// Allowed machine types; any if empty.
     pub fleets: Vec<&'static str>,
     pub legs: u64,
@@ -39,6 +42,8 @@
             desk: "klimatismos",
             class: "leaf-vision",
             urgency: "normal",
+            gang_in_one_zone: false,
+            yard: None,
             fleets: vec![],
             legs: 1,
             cpus: 1.0,
@@ -52,9 +57,9 @@
 impl Job {
     fn body(&self) -> Value {
         let fleets = if self.fleets.is_empty() { Value::Null } else { self.fleets.clone().into() };
-        map! {"uid" => self.id, "jobFamily" => self.class, "desk" => self.desk, "shape" => "sweep", "urgency" => self.urgency,
+        map! {"uid" => self.id, "jobFamily" => self.class, "desk" => self.desk, "shape" => if self.gang_in_one_zone { "group" } else { "sweep" }, "urgency" => self.urgency,
         "legs" => self.legs, "cpus" => self.cpus, "accelerators" => self.gpus, "memGb" => self.mem_gb, "kit" => "img-01",
-        "imageGb" => 0.5, "fleets" => fleets, "yard" => Value::Null, "samePlace" => false, "scatter" => false,
+        "imageGb" => 0.5, "fleets" => fleets, "yard" => self.yard.map_or(Value::Null, Value::from), "samePlace" => self.gang_in_one_zone, "scatter" => false,
         "borrowed" => false, "expectedS" => self.run_s, "milestoneS" => 0.0, "stowS" => 0.0, "dueS" => Value::Null}
     }
 }
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -27,11 +27,14 @@
     /// Boot time of the machines here; machines may be up within a second or two.
     pub boot_s: f64,
     pub pull: f64,
+    /// Machines in each zone.
     pub most: usize,
 }
 
 /// Sizes of a small deployment, as the settings and the catalog state them.
 pub struct Sizes {
+    /// Machines of a type in a zone, where it differs from the type's number.
+    pub capacity: Vec<(&'static str, &'static str, usize)>,
     pub zones: Vec<&'static str>,
     pub types: Vec<MachineType>,
     pub teams: Vec<(&'static str, f64)>,
@@ -69,8 +72,9 @@
             machine_type("trocha", (16.0, 0.0, 64.0), (0.96, 0.33), 25.0, 0.3, 20),
             machine_type("cumbre", (16.0, 2.0, 128.0), (4.61, 1.45), 50.0, 0.25, 14),
         ];
-        let teams = ["rutas", "tripulacion", "vagones", "demanda", "depositos"];
+        let teams = ["rutas", "tripulacion", "vagones", "demanda", "depositos", "minera-sur"];
         Self {
+            capacity: vec![],
             zones: vec!["costa", "sierra"],
             types,
             teams: teams.map(|name| (name, 0.0)).to_vec(),
@@ -99,6 +103,7 @@
             machine_type("ilios", (96.0, 8.0, 384.0), (29.31, 12.63), 50.0, 0.8, 23),
         ];
         Self {
+            capacity: vec![],
             zones: vec!["messara"],
             types,
             teams: vec![("klimatismos", 0.0), ("agro-lab", 0.0)],
@@ -129,6 +134,8 @@
     run: Duration,
     cpus: f64,
     fails: bool,
+    /// The job if the task belongs to a gang, and the number of tasks of the gang.
+    gang: Option<(String, u64)>,
 }
 
 struct Agent {
@@ -174,6 +181,8 @@
     rented: Mutex<HashMap<&'static str, usize>>,
     pub run_s: Mutex<HashMap<String, f64>>,
     pub nodes: Mutex<Vec<(String, String)>>,
+    /// The tasks of each attempt of a gang that have their image, and since when.
+    gangs: Mutex<HashMap<(String, u64), HashMap<String, Instant>>>,
     record: Mutex<File>,
     folder: PathBuf,
     children: Mutex<Vec<Child>>,
@@ -236,6 +245,7 @@
             rented: Mutex::default(),
             run_s: Mutex::default(),
             nodes: Mutex::default(),
+            gangs: Mutex::default(),
             record: Mutex::new(record),
             folder,
             children: Mutex::default(),
@@ -395,11 +405,15 @@
         let (Some(kind), Some(zone)) = (kind, zone) else { return (400, Value::Null) };
         let spot = *body.get("borrowed") == Value::Bool(true);
         let mut machines = lock(&self.machines);
-        let held = machines.values().filter(|m| m.kind == kind).count();
+        let held = machines.values().filter(|m| m.kind == kind && m.zone == *zone).count();
+        let name = self.sizes.types[kind].name;
+        let most = self.sizes.capacity.iter().find(|(t, z, _)| *t == name && z == zone).map(|(.., most)| *most);
+        let most = most.unwrap_or(self.sizes.types[kind].most);
         // There are no spot machines here.
-        let room = if spot { 0 } else { self.sizes.types[kind].most.saturating_sub(held) };
+        let room = if spot { 0 } else { most.saturating_sub(held) };
         let count = (body.get("count").int() as usize).min(room);
         if count == 0 {
+            self.note(&format!("no capacity of {name} in {zone}, spot {spot}"));
             return (503, map! {"error" => "no capacity"});
         }
         static NEXT: AtomicU64 = AtomicU64::new(1);
@@ -430,7 +444,7 @@
             thread::spawn(move || this.run_machine(&machine));
             names.push(name);
         }
-        self.note(&format!("rented {names:?} of type {}", self.sizes.types[kind].name));
+        self.note(&format!("rented {names:?} of type {} in {zone}", self.sizes.types[kind].name));
         *lock(&self.rented).entry(self.sizes.types[kind].name).or_default() += count;
         charters.insert(charter, names.clone());
         (200, map! {"berths" => names})
@@ -514,9 +528,22 @@
             agent.changed = true;
         }
         let mut changed = false;
-        for a in agent.attempts.values_mut() {
+        for ((leg, attempt), a) in &mut agent.attempts {
             if a.status == "fetching" && now >= a.until {
-                (a.status, a.until, changed) = ("running", now + a.run, true);
+                if let Some((job, _)) = &a.gang {
+                    lock(&self.gangs).entry((job.clone(), *attempt)).or_default().insert(leg.clone(), now);
+                    (a.status, changed) = ("gathering", true);
+                } else {
+                    (a.status, a.until, changed) = ("running", now + a.run, true);
+                }
+            } else if a.status == "gathering"
+                && let Some((job, legs)) = &a.gang
+                && let Some(ready) = lock(&self.gangs).get(&(job.clone(), *attempt))
+                && ready.len() as u64 == *legs
+            {
+                // All tasks of the gang begin when the last one has its image.
+                let began = ready.values().max().copied().unwrap_or(now);
+                (a.status, a.until, changed) = ("running", began + a.run, true);
             } else if a.status == "running" && now >= a.until {
                 (a.status, a.cause, changed) = ("ended", Some(if a.fails { "error" } else { "done" }), true);
             }
@@ -597,6 +624,10 @@
                         run: if fails { Duration::from_millis(500) } else { Duration::from_secs_f64(run) },
                         cpus,
                         fails,
+                        gang: spec
+                            .as_ref()
+                            .filter(|s| s.get("shape").text() == "group")
+                            .map(|s| (s.get("uid").text().to_owned(), s.get("legs").int())),
                     };
                     self.note(&format!(
                         "{} try {} on {}: {}",
