--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -2,6 +2,7 @@
 //! 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
 mod gang;
+mod gang_zone;
 mod http;
 mod idle_work;
 mod sick_machines;
@@ -35,6 +36,7 @@
     };
     let run = match case.as_str() {
         "gang" => gang::run,
+        "gang-zone" => gang_zone::run,
         "idle-work" => idle_work::run,
         "sick-machines" => sick_machines::run,
         "withdrawals" => withdrawals::run,
@@ -52,10 +54,13 @@
             exit(2);
         }
     };
-    let sizes = match case.as_str() {
-        "sick-machines" => world::Sizes::fa_lima(),
+    let mut sizes = match case.as_str() {
+        "sick-machines" | "gang-zone" => world::Sizes::fa_lima(),
         _ => world::Sizes::deti_klima(),
     };
+    if case == "gang-zone" && trouble {
+        sizes.capacity = vec![("trocha", "costa", 1), ("cumbre", "costa", 0)];
+    }
     let world = world::World::new(sizes, record, temp);
     world.note(&format!(
         "case {case}, {}",
