--- a/review/standin-2/src/gang.rs
+++ b/review/standin-2/src/gang.rs
@@ -1,4 +1,5 @@
-//! A gang of short tasks, while a tiny task of a guest keeps a machine up that has room for one task of the gang.
+//! Gangs whose tasks must be in one zone, while a small task of another job keeps a machine up that has room for one task
+//! of the gang.
 
 use std::sync::Arc;
 use std::thread;
@@ -11,16 +12,8 @@
 /// How long the gang is watched after its acceptance.
 const WATCHED: Duration = Duration::from_secs(102);
 
-pub fn run(world: &Arc<World>, trouble: bool) -> Outcome {
-    let api = match world.start_controllers() {
-        Ok(api) => api,
-        Err(error) => return Outcome::CouldNotRun(error),
-    };
-    let users = Users::new(world, api);
-    if !users.wait_healthy() {
-        return Outcome::CouldNotRun("the controllers did not become healthy".into());
-    }
-    // A tiny task of a guest, which leaves room for one task of the gang on its machine.
+/// A gang of short tasks, and a tiny task of a guest.
+pub fn run_beside_guest(world: &Arc<World>, trouble: bool) -> Outcome {
     let guest = Job {
         id: "run-000800",
         desk: "agro-lab",
@@ -31,9 +24,6 @@
         run_s: 150.0,
         ..Job::default()
     };
-    if trouble && !(users.submit(&guest) && users.wait_started(guest.id)) {
-        return Outcome::CouldNotRun("the guest's job did not start".into());
-    }
     let gang = Job {
         id: "run-000801",
         class: "airflow-solve",
@@ -44,7 +34,44 @@
         run_s: 35.0,
         ..Job::default()
     };
-    if !users.submit(&gang) {
+    run(world, trouble.then_some(guest), &gang)
+}
+
+/// A small task that must be in `costa`, on the only machine there if the cloud has no more.
+pub fn run_in_full_zone(world: &Arc<World>, _: bool) -> Outcome {
+    let small = Job {
+        id: "run-000900",
+        desk: "vagones",
+        class: "wagon-match",
+        yard: Some("costa"),
+        mem_gb: 2.4,
+        run_s: 120.0,
+        ..Job::default()
+    };
+    let gang = Job {
+        id: "run-000901",
+        desk: "rutas",
+        class: "roster-solve",
+        gang_in_one_zone: true,
+        legs: 2,
+        cpus: 15.0,
+        mem_gb: 51.0,
+        run_s: 50.0,
+        ..Job::default()
+    };
+    run(world, Some(small), &gang)
+}
+
+/// Submits the gang once the first job runs, if there is one, and watches the gang.
+fn run(world: &Arc<World>, first: Option<Job>, gang: &Job) -> Outcome {
+    let users = match Users::start(world) {
+        Ok(users) => users,
+        Err(error) => return Outcome::CouldNotRun(error),
+    };
+    if !first.is_none_or(|job| users.submit(&job) && users.wait_started(job.id)) {
+        return Outcome::CouldNotRun("the first job did not start".into());
+    }
+    if !users.submit(gang) {
         return Outcome::CouldNotRun("the gang was not accepted".into());
     }
     let began = Instant::now();
@@ -53,12 +80,12 @@
         thread::sleep(Duration::from_secs(3));
         done = matches!(users.ask(gang.id), Some((200, body)) if body.get("status").text() == "done");
     }
+    let rented: Vec<String> =
+        world.sizes.types.iter().map(|t| format!("{} `{}`", world.rented(t.name), t.name)).collect();
     let summary = format!(
-        "gang done: {done}, its tasks were started {} times; machines rented in all: {} `mikro`, {} `megalo`, {} `ilios`",
+        "gang done: {done}, its tasks were started {} times; machines rented in all: {}",
         world.starts(gang.id),
-        world.rented("mikro"),
-        world.rented("megalo"),
-        world.rented("ilios"),
+        rented.join(", "),
     );
     if done { Outcome::Held(summary) } else { Outcome::Broken(summary) }
 }
--- a/review/standin-2/src/idle_work.rs
+++ b/review/standin-2/src/idle_work.rs
@@ -12,14 +12,10 @@
 const WATCHED: Duration = Duration::from_secs(105);
 
 pub fn run(world: &Arc<World>, trouble: bool) -> Outcome {
-    let api = match world.start_controllers() {
-        Ok(api) => api,
+    let users = match Users::start(world) {
+        Ok(users) => users,
         Err(error) => return Outcome::CouldNotRun(error),
     };
-    let users = Users::new(world, api);
-    if !users.wait_healthy() {
-        return Outcome::CouldNotRun("the controllers did not become healthy".into());
-    }
     let urgency = if trouble { "idle" } else { "normal" };
     let guest = Job {
         desk: "agro-lab",
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -2,7 +2,6 @@
 //! 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
 mod gang;
-mod gang_zone;
 mod http;
 mod idle_work;
 mod sick_machines;
@@ -35,8 +34,8 @@
         exit(2);
     };
     let run = match case.as_str() {
-        "gang" => gang::run,
-        "gang-zone" => gang_zone::run,
+        "gang" => gang::run_beside_guest,
+        "gang-zone" => gang::run_in_full_zone,
         "idle-work" => idle_work::run,
         "sick-machines" => sick_machines::run,
         "withdrawals" => withdrawals::run,
--- a/review/standin-2/src/sick_machines.rs
+++ b/review/standin-2/src/sick_machines.rs
@@ -16,14 +16,10 @@
 const WATCHED: Duration = Duration::from_secs(112);
 
 pub fn run(world: &Arc<World>, trouble: bool) -> Outcome {
-    let api = match world.start_controllers() {
-        Ok(api) => api,
+    let users = match Users::start(world) {
+        Ok(users) => users,
         Err(error) => return Outcome::CouldNotRun(error),
     };
-    let users = Users::new(world, api);
-    if !users.wait_healthy() {
-        return Outcome::CouldNotRun("the controllers did not become healthy".into());
-    }
     let began = Instant::now();
     if trouble {
         *lock(&world.sick_until) = Some(began + SICK);
--- a/review/standin-2/src/users.rs
+++ b/review/standin-2/src/users.rs
@@ -65,12 +65,14 @@
 }
 
 impl Users {
-    pub fn new(world: &Arc<World>, api: Vec<String>) -> Self {
-        Self { world: world.clone(), api, next: AtomicUsize::new(0) }
+    /// Starts the controllers, and waits until all of them are healthy.
+    pub fn start(world: &Arc<World>) -> Result<Self, String> {
+        let users = Self { world: world.clone(), api: world.start_controllers()?, next: AtomicUsize::new(0) };
+        if users.wait_healthy() { Ok(users) } else { Err("the controllers did not become healthy".into()) }
     }
 
     /// Waits until every controller is healthy.
-    pub fn wait_healthy(&self) -> bool {
+    fn wait_healthy(&self) -> bool {
         let until = Instant::now() + Duration::from_secs(20);
         while Instant::now() < until {
             if (0..self.api.len()).all(|n| self.healthy(n)) {
--- a/review/standin-2/src/withdrawals.rs
+++ b/review/standin-2/src/withdrawals.rs
@@ -44,14 +44,10 @@
 }
 
 pub fn run(world: &Arc<World>, trouble: bool) -> Outcome {
-    let api = match world.start_controllers() {
-        Ok(api) => api,
+    let users = match Users::start(world) {
+        Ok(users) => users,
         Err(error) => return Outcome::CouldNotRun(error),
     };
-    let users = Users::new(world, api);
-    if !users.wait_healthy() {
-        return Outcome::CouldNotRun("the controllers did not become healthy".into());
-    }
     // Two machines with 96 cores each: `healthy` runs on the first, `early` on the second. Then `bystander` fits on the
     // first alone, and `late` on the second alone.
     let job = |id, cpus| Job { id, fleets: vec!["ilios"], cpus, gpus: 1.0, ..Job::default() };
