--- /dev/null
+++ b/review/standin-2/src/users.rs
@@ -0,0 +1,115 @@
+//! Users: they submit, ask and cancel as the protocol says, through one controller after the other.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::http;
+use crate::map;
+use crate::value::Value;
+use crate::world::{World, lock};
+
+pub struct Users {
+    world: Arc<World>,
+    api: Vec<String>,
+    next: AtomicUsize,
+}
+
+/// An array of tasks without checkpoints, without a deadline.
+pub struct Job {
+    pub id: &'static str,
+    pub class: &'static str,
+    pub legs: u64,
+    pub cpus: f64,
+    pub mem_gb: f64,
+    pub run_s: f64,
+}
+
+impl Job {
+    fn body(&self) -> Value {
+        map! {"uid" => self.id, "jobFamily" => self.class, "desk" => "klimatismos", "shape" => "sweep", "urgency" => "normal",
+        "legs" => self.legs, "cpus" => self.cpus, "accelerators" => 0.0, "memGb" => self.mem_gb, "kit" => "img-01", "imageGb" => 0.5,
+        "fleets" => Value::Null, "yard" => Value::Null, "samePlace" => false, "scatter" => false, "borrowed" => false,
+        "expectedS" => self.run_s, "milestoneS" => 0.0, "stowS" => 0.0, "dueS" => Value::Null}
+    }
+}
+
+impl Users {
+    pub fn new(world: &Arc<World>, api: Vec<String>) -> Self {
+        Self { world: world.clone(), api, next: AtomicUsize::new(0) }
+    }
+
+    /// Waits until every controller is healthy.
+    pub fn wait_healthy(&self) -> bool {
+        let until = Instant::now() + Duration::from_secs(20);
+        while Instant::now() < until {
+            if (0..self.api.len()).all(|n| self.healthy(n)) {
+                self.world.note("all controllers are healthy");
+                return true;
+            }
+            thread::sleep(Duration::from_millis(200));
+        }
+        false
+    }
+
+    pub fn healthy(&self, node: usize) -> bool {
+        http::call(&self.api[node], "GET", "/healthz", None, Duration::from_secs(1))
+            .is_some_and(|(status, _)| status == 200)
+    }
+
+    fn next_node(&self) -> usize {
+        self.next.fetch_add(1, Ordering::Relaxed) % self.api.len()
+    }
+
+    /// Submits a job, with retries for up to 60 s. Returns whether it was accepted.
+    pub fn submit(&self, job: &Job) -> bool {
+        lock(&self.world.jobs).insert(job.id.to_owned(), job.body());
+        lock(&self.world.run_s).insert(job.id.to_owned(), job.run_s);
+        let until = Instant::now() + Duration::from_secs(60);
+        while Instant::now() < until {
+            let node = self.next_node();
+            let answer = http::call(&self.api[node], "POST", "/work", Some(&job.body()), Duration::from_secs(5));
+            self.world.note(&format!("submit {} ({} legs) at {node}: {}", job.id, job.legs, shown(&answer)));
+            if matches!(answer, Some((200 | 201, _))) {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(1000));
+        }
+        false
+    }
+
+    /// Waits until a task of the job runs.
+    pub fn wait_started(&self, id: &str) -> bool {
+        let until = Instant::now() + Duration::from_secs(12);
+        while Instant::now() < until {
+            if self.world.machine_of(id).is_some() {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        false
+    }
+
+    /// Asks one controller about a job. Returns the status code, and the job's status.
+    pub fn ask_at(&self, node: usize, id: &str) -> Option<(u16, Value)> {
+        let answer = http::call(&self.api[node], "GET", &format!("/work/{id}"), None, Duration::from_secs(2));
+        self.world.note(&format!("ask {id} at {node}: {}", shown(&answer)));
+        answer
+    }
+
+    pub fn ask(&self, id: &str) -> Option<(u16, Value)> {
+        self.ask_at(self.next_node(), id)
+    }
+
+    /// Asks to cancel a job, once, at one controller.
+    pub fn withdraw_at(&self, node: usize, id: &str) -> Option<(u16, Value)> {
+        let answer = http::call(&self.api[node], "POST", &format!("/work/{id}/withdraw"), None, Duration::from_secs(5));
+        self.world.note(&format!("withdraw {id} at {node}: {}", shown(&answer)));
+        answer
+    }
+}
+
+pub fn shown(answer: &Option<(u16, Value)>) -> String {
+    answer.as_ref().map_or("no answer".into(), |(status, body)| format!("{status} {}", body.json()))
+}
