Submissions: repeated ones are answered without machine types

Callers saw: a controller that was started while the cloud was out answered a repeated submission of an ended job 503 until the cloud was back, while repeated submissions of open jobs and polls were answered.

Cause: without machine types a submission was refused before the store was asked whether its job had been accepted.

Change: the store is asked first. One step serves this and the two other refusals that depend on it.

Evidence: repeated_submission_of_an_ended_job_is_answered_without_machine_ types failed before (503 where "done" is stored), passes now; both tests of tests/repeated_and_invalid_submissions pass.

--- a/src/users/submission.rs
+++ b/src/users/submission.rs
@@ -37,15 +37,20 @@
     id: String,
 }
 
-/// Refuses a submission for good, unless its job was accepted before; then it responds with the job's status. An
-/// acceptance is final, whichever controller accepted the job and whatever a repeated request contains.
-async fn refuse_unless_accepted(service: &UserService, id: &str, error: RequestError) -> UserResponse {
+/// Gives this response to a submission, unless its job was accepted before; then it responds with the job's status.
+async fn respond_unless_accepted(service: &UserService, id: &str, response: UserResponse) -> UserResponse {
     match look_up_job(service, id).await {
-        UserResponse::Rejected(RequestError::NoSuchJob) => UserResponse::Rejected(error),
-        other => other,
+        UserResponse::Rejected(RequestError::NoSuchJob) => response,
+        status => status,
     }
 }
 
+/// Refuses a submission for good, unless its job was accepted before. An acceptance is final, whichever controller
+/// accepted the job and whatever a repeated request contains.
+async fn refuse_unless_accepted(service: &UserService, id: &str, error: RequestError) -> UserResponse {
+    respond_unless_accepted(service, id, UserResponse::Rejected(error)).await
+}
+
 /// Decodes a submission and makes the checks that do not depend on machines and teams.
 fn decode_submission(body: &[u8]) -> Result<JobSpec, RequestError> {
     let spec: JobSpec = protocol::decode_whole(body)?;
@@ -70,7 +75,8 @@
         return look_up_job(service, &id).await;
     }
     let Some(catalog) = service.catalog.get() else {
-        return UserResponse::retry_soon("the machine types are not known yet");
+        let undecided = UserResponse::retry_soon("the machine types are not known yet");
+        return respond_unless_accepted(service, &id, undecided).await;
     };
     if let Err(infeasible) = check_feasible(&spec, &service.settings, &catalog) {
         return refuse_unless_accepted(service, &id, infeasible.into()).await;
@@ -90,14 +96,9 @@
         return refuse_unless_accepted(service, &id, RequestError::JobTooLarge).await;
     }
     if !fits_in_memory(&record.spec, open_work, service.settings.params.limits.memory_mb) {
-        // A retry for a job that was accepted gets the job's status instead.
-        return match look_up_job(service, &id).await {
-            UserResponse::Rejected(RequestError::NoSuchJob) => UserResponse::RetryLater {
-                reason: "more work is open than can be held",
-                after_s: RETRY_WHEN_JOBS_END_S,
-            },
-            other => other,
-        };
+        let full =
+            UserResponse::RetryLater { reason: "more work is open than can be held", after_s: RETRY_WHEN_JOBS_END_S };
+        return respond_unless_accepted(service, &id, full).await;
     }
     let ticket = match admit_submission(service, &record.spec) {
         Ok(ticket) => ticket,
--- a/tests/repeated_and_invalid_submissions.rs
+++ b/tests/repeated_and_invalid_submissions.rs
@@ -150,3 +150,30 @@
     });
     deployment.end([b, c]);
 }
+
+/// Guards against repeated submissions that are answered 503 for as long as the cloud is out: a controller that was
+/// started meanwhile does not know the machine types, and has not heard of jobs that ended before its start.
+#[test]
+fn repeated_submission_of_an_ended_job_is_answered_without_machine_types() {
+    let (deployment, a, b) = start_leader_and_follower(3);
+    deployment.outside.block_on(async {
+        for n in [1, 2] {
+            deployment.submit_until_accepted(&a, n, if n == 1 { SHORT } else { ENDLESS }).await;
+        }
+        deployment.all_report([&a, &b], 1, "done").await;
+        wait_until("cancelled", || async { deployment.request_and_check(&a, 2, UserRequest::Cancel).await.is_some() })
+            .await;
+    });
+    deployment.world.cloud.lock().unwrap().set_outage(true);
+    let c = deployment.start_controller(&["node-a", "node-b", "node-c"], 2, 3);
+    deployment.outside.block_on(async {
+        wait_until("the third has read the store", || async { c.controller.store.watch_cache().is_ready() }).await;
+        for (n, status) in [(1, "done"), (2, "withdrawn")] {
+            let answer = deployment.request_and_check(&c, n, UserRequest::Submit).await;
+            assert_eq!(answer.as_deref(), Some(status), "{n}");
+        }
+        assert!(c.controller.catalog.get().is_none());
+        assert_eq!(deployment.request_and_check(&c, 3, UserRequest::Submit).await, None, "nothing may be decided");
+    });
+    deployment.end([a, b, c]);
+}
