Idle work and accelerators: one rule in place of four copies

The rule that idle work which fits only machines with accelerators may have them stood in the planner, in placement and twice in the drain pool. It is one method of CapacityContext now.

--- a/src/fleet/drain/capacity_pool.rs
+++ b/src/fleet/drain/capacity_pool.rs
@@ -76,7 +76,7 @@
     /// candidate for scale-in. This includes machines whose accelerators they would not use only if they are `overdue`.
     pub(super) fn keep_capacity(&mut self, spec: &JobSpec, zones: &JobZones, count: u64, overdue: bool) {
         let allowed = self.kinds_kept_for(spec, zones);
-        let may_waste_gpus = if spec.is_idle() { self.context.needs_accelerated_machine(spec) } else { overdue };
+        let may_waste_gpus = self.context.idle_work_needs_accelerated_machine(spec) || (overdue && !spec.is_idle());
         if !self.pack_tasks(spec, &allowed, count, None) {
             for (index, offer) in self.context.offers.iter().enumerate() {
                 let is_suitable = offer.is_some_and(|offer| may_waste_gpus || offer.wastes_no_gpus(spec));
@@ -88,7 +88,7 @@
     /// Returns, for each kind, whether machines of it are kept for the job. None is kept for idle work that would not
     /// use the machine's accelerators and fits other machines.
     fn kinds_kept_for(&self, spec: &JobSpec, zones: &JobZones) -> Vec<bool> {
-        let needs_accelerated = spec.is_idle() && self.context.needs_accelerated_machine(spec);
+        let needs_accelerated = self.context.idle_work_needs_accelerated_machine(spec);
         let mut kept = self.context.allowed_kinds(spec, zones);
         for (kept, offer) in kept.iter_mut().zip(&self.context.offers) {
             *kept &= offer.is_some_and(|offer| {
--- a/src/fleet/scale_out/planner.rs
+++ b/src/fleet/scale_out/planner.rs
@@ -287,7 +287,7 @@
         let overdue = queued.age > queued.job.agreement.run_time;
         let max_relative_cost = self.cluster.properties.max_idle_price_ratio;
         let spec = queued.job.spec();
-        let needs_accelerated = spec.is_idle() && self.context.needs_accelerated_machine(spec);
+        let needs_accelerated = self.context.idle_work_needs_accelerated_machine(spec);
         backfill::idle_permissions(spec, &priced.offer, relative_cost, max_relative_cost, overdue, needs_accelerated)
             .provision
     }
--- a/src/scheduling/capacity.rs
+++ b/src/scheduling/capacity.rs
@@ -102,6 +102,12 @@
         })
     }
 
+    /// Whether the job is idle work that fits only machines with accelerators. Other idle work leaves those to work that
+    /// uses the accelerators.
+    pub fn idle_work_needs_accelerated_machine(&self, spec: &JobSpec) -> bool {
+        spec.is_idle() && self.needs_accelerated_machine(spec)
+    }
+
     /// Whether the cloud has machines of a kind, as far as is known.
     fn is_obtainable(&self, type_name: &str, zone: &str, spot: bool) -> bool {
         let is_kind = |kind: &MachineKind| kind.type_name == type_name && kind.zone == zone && kind.spot == spot;
--- a/src/scheduling/plan/search.rs
+++ b/src/scheduling/plan/search.rs
@@ -247,7 +247,7 @@
             overdue,
             self.now,
         );
-        demand.needs_accelerated = spec.is_idle() && self.context.needs_accelerated_machine(spec);
+        demand.needs_accelerated = self.context.idle_work_needs_accelerated_machine(spec);
         demand.held_back_tasks.extend(self.intents.stopped_replicas(queued.id));
         demand.avoids_gpu_waste =
             !spec.is_idle() && !overdue && self.reclaim_from_idle(spec, &demand.allowed_kinds, waiting as u64);
