Preemption: the candidate of a machine in steps of their own

preemption_candidate had 58 lines: it released what is being stopped, collected and ordered what may be stopped, and chose the victims. Each is a function now, with a type for a preemptible task in place of a tuple. No behaviour changes; library tests pass.

--- a/src/scheduling/preempt.rs
+++ b/src/scheduling/preempt.rs
@@ -9,8 +9,8 @@
 
 use tracing::info;
 
-use super::capacity::{CapacityContext, JobZones, is_schedulable, suspect_timeout};
-use super::cluster::{ClusterState, JobState, Machine, MachineId, Phase, Reservation};
+use super::capacity::{CapacityContext, FreeCapacity, JobZones, is_schedulable, suspect_timeout};
+use super::cluster::{Binding, ClusterState, JobState, Machine, MachineId, Phase, Reservation, Task};
 use super::plan::{AMOUNT_TOLERANCE, QueuedJob, Quotas, queue};
 use crate::jobs::{JobSpec, Urgency};
 use crate::machine_kinds::Catalog;
@@ -151,6 +151,21 @@
     (fitting_tasks >= tasks_needed).then_some(chosen)
 }
 
+/// A task that may be stopped for another job.
+struct PreemptibleTask<'a> {
+    /// What is lost by stopping it.
+    loss: f64,
+    key: TaskKey,
+    spec: &'a JobSpec,
+}
+
+/// The tasks chosen to be stopped on a machine.
+struct ChosenVictims {
+    tasks: Victims,
+    /// What is lost by stopping all of them.
+    loss: f64,
+}
+
 /// Returns what would have to be stopped on a machine to free capacity for tasks of the job, the least loss first;
 /// `None` if no task of the job would fit even then.
 fn preemption_candidate<'a>(
@@ -164,52 +179,86 @@
 ) -> Option<PreemptionCandidate<'a>> {
     let spec = queued.job.spec();
     let mut capacity = context.capacity(machine).filter(|r| allowed_kinds[r.kind])?;
+    // The capacity of tasks that are being stopped already counts as free.
+    let stopping = bound_tasks(cluster, machine).filter(|(.., binding)| binding.halt_grace_s.is_some());
+    stopping.for_each(|(_, other, ..)| capacity.release(other.spec()));
+    let max_tasks =
+        if spec.is_gang() { tasks_needed } else { cluster.intents.placeable_tasks(queued.id, queued.job) as u64 };
+    let preemptible = preemptible_tasks(cluster, machine, queued, now);
+    let victims = choose_victims(spec, preemptible, max_tasks, &mut capacity);
+    let fitting_tasks = capacity.fitting_tasks(spec, max_tasks);
+    (fitting_tasks > 0).then(|| PreemptionCandidate {
+        machine,
+        zone: context.zone(capacity.kind),
+        fitting_tasks,
+        victims: victims.tasks,
+        wastes_gpus: !capacity.wastes_no_gpus(spec),
+        loss: victims.loss,
+    })
+}
+
+/// Returns the tasks that are bound to a machine, each with its job and its binding.
+fn bound_tasks<'a>(
+    cluster: &'a ClusterState,
+    machine: &'a Machine,
+) -> impl Iterator<Item = (&'a TaskKey, &'a JobState, &'a Task, &'a Binding)> {
+    machine.bound.iter().filter_map(|key| {
+        let job = cluster.job(&key.job)?;
+        let task = job.tasks.get(key.index as usize)?;
+        let Phase::Bound(binding) = &task.phase else { return None };
+        Some((key, job, task, &**binding))
+    })
+}
+
+/// Returns the tasks on a machine that may be stopped for the job, the least loss first.
+fn preemptible_tasks<'a>(
+    cluster: &'a ClusterState,
+    machine: &'a Machine,
+    queued: &QueuedJob,
+    now: Instant,
+) -> Vec<PreemptibleTask<'a>> {
+    let spec = queued.job.spec();
     let may_stop = |other: &JobSpec| {
         other.urgency < spec.urgency
             || (queued.guaranteed && other.team != spec.team && exceeds_guarantee(cluster, other))
     };
-    let mut stoppable: Vec<(f64, TaskKey, &JobSpec)> = Vec::new();
-    for key in &machine.bound {
-        let Some(other) = cluster.job(&key.job) else { continue };
-        let Some(task) = other.tasks.get(key.index as usize) else { continue };
-        let Phase::Bound(binding) = &task.phase else { continue };
-        if binding.halt_grace_s.is_some() {
-            // The task is being stopped already; its capacity counts as free.
-            capacity.release(other.spec());
-        } else if may_stop(other.spec())
-            && task.attempt < max_attempts(other.spec())
-            && !is_running_only_first_task(other)
-        {
-            stoppable.push((preemption_loss(other, binding.run_time(now)), key.clone(), other.spec()));
-        }
-    }
-    stoppable.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-    let (mut victims, mut total_loss) = (Vec::new(), 0.0);
-    // Idle work is stopped on all that the job can use: idle work left behind would keep a whole machine from others.
-    let max_tasks =
-        if spec.is_gang() { tasks_needed } else { cluster.intents.placeable_tasks(queued.id, queued.job) as u64 };
-    let mut without_idle = capacity;
-    stoppable.iter().filter(|(.., other)| other.is_idle()).for_each(|(.., other)| without_idle.release(other));
+    let running = bound_tasks(cluster, machine).filter(|(.., binding)| binding.halt_grace_s.is_none());
+    let preemptible = running.filter(|(_, other, task, _)| {
+        may_stop(other.spec()) && task.attempt < max_attempts(other.spec()) && !is_running_only_first_task(other)
+    });
+    let mut tasks: Vec<PreemptibleTask> = preemptible
+        .map(|(key, other, _, binding)| PreemptibleTask {
+            loss: preemption_loss(other, binding.run_time(now)),
+            key: key.clone(),
+            spec: other.spec(),
+        })
+        .collect();
+    tasks.sort_by(|a, b| a.loss.total_cmp(&b.loss).then(a.key.cmp(&b.key)));
+    tasks
+}
+
+/// Chooses the tasks to stop and releases their capacity. Idle work is stopped on all that the job can use: idle work
+/// left behind would keep a whole machine from others.
+fn choose_victims(
+    spec: &JobSpec,
+    preemptible: Vec<PreemptibleTask>,
+    max_tasks: u64,
+    capacity: &mut FreeCapacity,
+) -> ChosenVictims {
+    let mut without_idle = *capacity;
+    preemptible.iter().filter(|task| task.spec.is_idle()).for_each(|task| without_idle.release(task.spec));
     let max_without_idle = without_idle.fitting_tasks(spec, max_tasks).max(1);
-    for (loss, key, other) in stoppable {
-        if capacity.fitting_tasks(spec, max_tasks) >= if other.is_idle() { max_without_idle } else { 1 } {
+    let mut victims = ChosenVictims { tasks: Vec::new(), loss: 0.0 };
+    for task in preemptible {
+        let sufficient_tasks = if task.spec.is_idle() { max_without_idle } else { 1 };
+        if capacity.fitting_tasks(spec, max_tasks) >= sufficient_tasks {
             break;
         }
-        capacity.release(other);
-        total_loss += loss;
-        victims.push((key, other.save_s.ceil() as u64 + 1));
+        capacity.release(task.spec);
+        victims.loss += task.loss;
+        victims.tasks.push((task.key, task.spec.save_s.ceil() as u64 + 1));
     }
-    let fitting_tasks = capacity.fitting_tasks(spec, max_tasks);
-    let zone = context.zone(capacity.kind);
-    let wastes_gpus = !capacity.wastes_no_gpus(spec);
-    (fitting_tasks > 0).then_some(PreemptionCandidate {
-        machine,
-        zone,
-        fitting_tasks,
-        victims,
-        wastes_gpus,
-        loss: total_loss,
-    })
+    victims
 }
 
 /// Whether only the first task of an idle job is placed and has not run yet. Large idle jobs begin with one task that
