Cancellation of jobs: sending and failing in functions of their own

No behaviour changes; library tests, tests/unconfirmed_cancellations and tests/response_consistency pass.

--- a/src/users/cancellation.rs
+++ b/src/users/cancellation.rs
@@ -9,7 +9,7 @@
 use super::service::UserService;
 use super::write_tracker::{JobWrite, WriteTracker};
 use crate::audit::AcknowledgedWrite;
-use crate::history::job_transactions::{self, JobTransaction};
+use crate::history::job_transactions;
 use crate::jobs::record::{JobRecord, LEADER_RECORD_KEY, time_of_day_ms};
 use crate::jobs::{End, JobId};
 use crate::protocol::users::{JobAnswer, Status};
@@ -51,21 +51,8 @@
 ) -> UserResponse {
     let id = record.spec.id.clone();
     let leader = service.membership.cancellation_fencing_token();
-    let client = &service.store.client;
-    let cancellation = || {
-        let max_bytes = client.limits().max_value_bytes;
-        job_transactions::cancel_job(&record, leader, time_of_day_ms(), max_bytes)
-    };
-    let send = async |transaction: JobTransaction| {
-        client.compare_and_swap(&transaction.conditions, &transaction.changes, RequestPriority::Critical).await
-    };
     let tracked = write_tracker.track(JobWrite::Cancellation, &record);
-    let mut outcome = send(cancellation()).await;
-    if matches!(outcome, Err(StoreError::TooLarge(_))) {
-        // The refusal has lowered the limits, to which the record of the end is cut.
-        outcome = send(cancellation()).await;
-    }
-    match outcome {
+    match send_cancellation(service, &record, leader).await {
         Ok(CompareAndSwapOutcome::Applied(version)) => {
             tracked.applied();
             service.audit.remember(AcknowledgedWrite::Ended(record, End::Cancelled));
@@ -79,14 +66,7 @@
         }
         Ok(CompareAndSwapOutcome::Failed(keys)) => {
             tracked.not_applied();
-            if keys != [LEADER_RECORD_KEY] {
-                let response = respond_after_conflict(service, &id, &keys).await;
-                let is_cancelled = service.history.known_end(&id) == Some(End::Cancelled);
-                return if is_cancelled { respond_when_confirmed(service, &id).await } else { response };
-            }
-            // Another controller has become the leader; the watch cache is about to receive its leader record.
-            service.store.read_barrier.request_proof();
-            UserResponse::retry_soon("who owns has just changed")
+            respond_to_failure(service, &id, &keys).await
         }
         outcome => {
             if matches!(outcome, Err(StoreError::Unavailable(_) | StoreError::TooLarge(_))) {
@@ -97,3 +77,34 @@
         }
     }
 }
+
+/// Sends the transaction that cancels a job, and once more if it is too large for the state service: the refusal has
+/// lowered the limits, to which the record of the end is cut.
+async fn send_cancellation(
+    service: &UserService,
+    record: &JobRecord,
+    leader: Option<u64>,
+) -> Result<CompareAndSwapOutcome, StoreError> {
+    let client = &service.store.client;
+    let send = async || {
+        let max_bytes = client.limits().max_value_bytes;
+        let cancellation = job_transactions::cancel_job(record, leader, time_of_day_ms(), max_bytes);
+        client.compare_and_swap(&cancellation.conditions, &cancellation.changes, RequestPriority::Critical).await
+    };
+    match send().await {
+        Err(StoreError::TooLarge(_)) => send().await,
+        outcome => outcome,
+    }
+}
+
+/// Responds after the transaction that cancels a job failed on these keys.
+async fn respond_to_failure(service: &UserService, id: &JobId, keys: &[String]) -> UserResponse {
+    if keys == [LEADER_RECORD_KEY] {
+        // Another controller has become the leader; the watch cache is about to receive its leader record.
+        service.store.read_barrier.request_proof();
+        return UserResponse::retry_soon("who owns has just changed");
+    }
+    let response = respond_after_conflict(service, id, keys).await;
+    let is_cancelled = service.history.known_end(id) == Some(End::Cancelled);
+    if is_cancelled { respond_when_confirmed(service, id).await } else { response }
+}
