Tests: a job is cancelled while a launch is on its way to a faulty machine

120 cases: the machine stops, hangs past its lease, hears nothing, reaches nobody or is sound; the leader stays, changes before or after the cancellation, twice, goes on without the store, or ends; the launch is 2 to 40 s late; the cloud is out for 75 s. All controllers are asked at each step, by the production code. Nothing may start after the confirmation, no answer may be older than one given, each question must be answered that reaches a controller with access to the store, and a stopped machine keeps its job's cancellation unconfirmed until it is terminated.

--- a/src/scheduling/tests/interleaved_simulation/deliveries.rs
+++ b/src/scheduling/tests/interleaved_simulation/deliveries.rs
@@ -163,9 +163,13 @@
         let _ = self.apply_transaction(&conditions, &changes);
     }
 
-    /// Lets the cloud terminate a machine and report it.
+    /// Lets the cloud terminate a machine and report it; in an outage of the cloud the leader's request waits.
     pub(super) fn deliver_termination_request(&mut self, from: usize, machine: MachineId) {
         let now = self.now;
+        if self.cloud_out_until > now {
+            self.messages.push((self.cloud_out_until, Message::TerminateMachine { from, machine }));
+            return;
+        }
         if let Some(w) = self.workers.iter_mut().find(|w| *w.id == *machine) {
             (w.terminated, w.terminated_at) = (true, w.terminated_at.or(Some(now)));
         }
--- a/src/scheduling/tests/interleaved_simulation/mod.rs
+++ b/src/scheduling/tests/interleaved_simulation/mod.rs
@@ -8,6 +8,7 @@
 mod deliveries;
 mod faults;
 mod jobs;
+mod launches_in_flight;
 mod leaders;
 mod messages;
 mod steps;
--- a/src/scheduling/tests/interleaved_simulation/users.rs
+++ b/src/scheduling/tests/interleaved_simulation/users.rs
@@ -555,7 +555,7 @@
 
     /// Lets a user ask any controller, also a leader, about a cancelled job. Once one has confirmed the cancellation, no
     /// other may report the job as open.
-    fn ask_any_controller(&mut self, id: &JobId) {
+    pub(super) fn ask_any_controller(&mut self, id: &JobId) {
         let (now, out) = (self.now, self.store_is_out());
         let leaders = (0..self.leaders.len())
             .filter(|i| self.leaders[*i].as_ref().is_some_and(|leader| leader.pause.is_none()))
--- a/src/scheduling/tests/interleaved_simulation/world.rs
+++ b/src/scheduling/tests/interleaved_simulation/world.rs
@@ -71,6 +71,8 @@
     pub(super) max_jobs: usize,
     /// No more faults are drawn, and messages are neither delayed for long nor duplicated.
     pub(super) fault_free: bool,
+    /// Until then the cloud carries out no request.
+    pub(super) cloud_out_until: Instant,
     pub(super) users: Users,
 }
 
@@ -113,6 +115,7 @@
             machine_count: machines,
             max_jobs: machines * 2 + 2,
             fault_free: false,
+            cloud_out_until: start,
             users: Users::new(false, start),
         };
         world.take_over();
