Confirmations: several ends at one revision wait for theirs each

A reload of the watch cache shows several at one revision, of which only the last was kept; if that was a job that is done, the others waited for the next write, 10 s at the most, and without peers for the next cancellation. A test holds it; it failed before (the assertion on two ends at one revision).

--- a/src/membership/watermark.rs
+++ b/src/membership/watermark.rs
@@ -5,7 +5,7 @@
 //! cancellation that no user has been told of. The leader stores for all cancellations together, and only if that
 //! confirms one. The functions are pure.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use crate::jobs::JobId;
@@ -23,9 +23,9 @@
 const LAG_LIMIT: Duration = Duration::from_secs(10);
 
 /// Returns the watermark that a controller may send or store as the leader, given the fencing token of its loaded cluster
-/// state and a revision up to which cancellations are confirmed. None unless the last leader record that it has observed, which is at
-/// least as recent as the cluster state, names this process and token. After another process's leader record, the
-/// cluster state may hold ends unknown to the successor, whose commands the workers then follow.
+/// state and a revision up to which cancellations are confirmed. None unless the last leader record that it has
+/// observed, which is at least as recent as the cluster state, names this process and token. After another process's
+/// leader record, the cluster state may hold ends unknown to the successor, whose commands the workers then follow.
 pub fn own_watermark(
     me: &str,
     cluster: Option<(u64, u64)>,
@@ -52,8 +52,8 @@
 /// Ends that the leader may have to confirm, and when it stored confirmations.
 #[derive(Debug, Default)]
 pub struct UnconfirmedCancellations {
-    /// Ends that may be cancellations, by a revision at which they were stored.
-    pending: BTreeMap<u64, JobId>,
+    /// Ends that may be cancellations, each with a revision at which it was stored.
+    pending: BTreeSet<(u64, JobId)>,
     /// Revision of the load of the cluster state: all ends up to it are to be confirmed.
     loaded: Option<u64>,
     /// When a write was last due.
@@ -70,7 +70,7 @@
 
     /// Records that the leader has observed an end, stored at this revision, that may be a cancellation.
     pub fn observe_end(&mut self, id: &JobId, revision: u64) {
-        self.pending.insert(revision, id.clone());
+        self.pending.insert((revision, id.clone()));
         if self.pending.len() > MAX_PENDING_ENDS {
             self.pending.pop_first();
         }
@@ -78,7 +78,7 @@
 
     /// Forgets ends that need no confirmation.
     pub fn forget(&mut self, needs_none: impl Fn(&JobId) -> bool) {
-        self.pending.retain(|_, id| !needs_none(id));
+        self.pending.retain(|(_, id)| !needs_none(id));
     }
 
     /// Returns whether `offered` is to be stored now in place of `stored`, because it confirms a cancellation that
@@ -90,7 +90,7 @@
         now: Instant,
     ) -> bool {
         let stored_limit = |id: &JobId| stored.map_or(0, |stored| stored.limit_for(id));
-        self.pending.retain(|revision, id| *revision > stored_limit(id));
+        self.pending.retain(|(revision, id)| *revision > stored_limit(id));
         self.loaded = self.loaded.filter(|revision| *revision > stored.map_or(0, |s| s.last_revision()));
         let confirms_end = self.pending.iter().any(|(revision, id)| *revision <= offered.limit_for(id));
         let releases = stored.is_some_and(|stored| !stored.held.is_subset(&offered.held));
--- a/src/membership/watermark/tests.rs
+++ b/src/membership/watermark/tests.rs
@@ -130,6 +130,11 @@
     unconfirmed.observe_end(&id(1), 95);
     unconfirmed.forget(|ended| *ended == id(1));
     assert!(!unconfirmed.take_store_due(Some(&confirmed(90, &[])), &confirmed(100, &[]), now));
+    // A reload of the watch cache shows several ends at one revision.
+    let mut unconfirmed = UnconfirmedCancellations::default();
+    (1..=2).for_each(|number| unconfirmed.observe_end(&id(number), 95));
+    unconfirmed.forget(|ended| *ended == id(2));
+    assert!(unconfirmed.take_store_due(Some(&confirmed(90, &[])), &confirmed(100, &[]), now));
 }
 
 /// A deposed leader confirms nothing, since its cluster state may lack what its successor knows; and a write that is
