--- a/crates/emulator/src/world/fleet.rs
+++ b/crates/emulator/src/world/fleet.rs
@@ -197,6 +197,12 @@
         self.workers.values().flat_map(|w| &w.tasks).filter(|t| t.is_live() && *t.key.job == *job).count()
     }
 
+    /// Number of attempts of a job that are on this machine and have not ended.
+    pub fn count_live_tasks_on(&self, machine: &str, job: &str) -> usize {
+        let tasks = self.workers.get(machine).into_iter().flat_map(|worker| &worker.tasks);
+        tasks.filter(|t| t.is_live() && *t.key.job == *job).count()
+    }
+
     /// Number of attempts of all jobs that are on some machine and have not ended.
     pub fn count_all_live_tasks(&self) -> usize {
         self.workers.values().flat_map(|w| &w.tasks).filter(|t| t.is_live()).count()
--- a/src/audit.rs
+++ b/src/audit.rs
@@ -20,7 +20,7 @@
 
 use crate::history::job_history::JobHistory;
 use crate::history::job_transactions::{
-    JobTransaction, accept_job, end_changes, never_accepted_conditions, not_ended_conditions,
+    JobTransaction, accept_job, never_accepted_conditions, not_ended_conditions, restored_end_changes,
 };
 use crate::jobs::record::{JobRecord, ended_key, open_key, shard_key, time_of_day_ms};
 use crate::jobs::{End, JobId};
@@ -263,7 +263,7 @@
 pub(crate) fn restore_end(record: &JobRecord, end: End, now_ms: u64, max_bytes: usize) -> JobTransaction {
     JobTransaction {
         conditions: not_ended_conditions(&record.spec.id).collect(),
-        changes: end_changes(record, end, now_ms, max_bytes).into(),
+        changes: restored_end_changes(record, end, now_ms, max_bytes).into(),
     }
 }
 
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -94,6 +94,7 @@
         tokio::spawn(end_sweep_loop::run(self.history.clone(), self.store.client.clone()));
         tokio::spawn(audit::run(self.audit.clone()));
         tokio::spawn(membership::run(self.membership.clone()));
+        tokio::spawn(membership::run_confirmations(self.membership.clone()));
         tokio::spawn(mesh::accept_connections(self.membership.clone()));
         for peer in &self.settings.peers {
             tokio::spawn(mesh::send_lines(self.membership.clone(), peer.clone()));
--- a/src/history/job_history.rs
+++ b/src/history/job_history.rs
@@ -5,16 +5,19 @@
 use std::time::{Duration, Instant};
 
 use lru::LruCache;
-use tokio::sync::{Notify, oneshot};
+use serde::Deserialize;
+use tokio::sync::{Notify, oneshot, watch};
 
 use super::end_sweep::EndSweep;
 use super::query_queue::{JobQueryAnswer, QueryCounts, QueryQueue};
-use super::visibility::{EndVisibility, HiddenCancellations};
-use crate::jobs::record::{ended_key, old_end_key};
+use super::visibility::{CancelledJobAnswer, EndVisibility, HiddenCancellations};
+use crate::jobs::record::{EndedRecord, ended_key, old_end_key};
 use crate::jobs::{End, JobId};
+use crate::records::leadership::ConfirmedCancellations;
 use crate::settings::Settings;
 use crate::store::budget::RequestPriority;
 use crate::store::log_limit::LogLimit;
+use crate::store::watch_cache::WatchCache;
 use crate::store::{StateClient, StoreError};
 use crate::sync::lock;
 
@@ -38,6 +41,8 @@
     sweep_requested: Notify,
     /// When the watch cache learned of the latest ends.
     seen_ends: Mutex<LruCache<JobId, Instant>>,
+    /// Wakes requests that wait for the confirmation of a cancellation.
+    confirmed: watch::Sender<()>,
     /// Limits the rate of log lines about ends of earlier builds that cannot be decoded, since users repeat their
     /// queries.
     pub(super) undecodable: Mutex<LogLimit>,
@@ -56,6 +61,7 @@
             sweep: Mutex::default(),
             sweep_requested: Notify::new(),
             seen_ends: Mutex::new(LruCache::new(MAX_SEEN_ENDS)),
+            confirmed: watch::channel(()).0,
             undecodable: Mutex::default(),
         }
     }
@@ -96,16 +102,24 @@
         lock(&self.queries).note_cancellation(id, version);
     }
 
-    /// Marks a cancellation that is in this leader's loaded cluster state as visible to users.
-    pub fn mark_visible(&self, id: &JobId) {
-        lock(&self.queries).mark_visible(id);
-    }
-
     /// Records that a leader's loaded cluster state holds all ends up to this revision.
     pub fn advance_watermark(&self, watermark: u64) {
         lock(&self.queries).advance_watermark(watermark);
     }
 
+    /// Adopts the confirmed cancellations as the watch has last reported them, and wakes the requests that wait for them.
+    pub fn set_confirmed(&self, stored: &ConfirmedCancellations) {
+        let is_new = lock(&self.queries).set_confirmed(stored);
+        if is_new {
+            self.confirmed.send_replace(());
+        }
+    }
+
+    /// Notifies of each change of the confirmed cancellations.
+    pub fn subscribe_confirmed(&self) -> watch::Receiver<()> {
+        self.confirmed.subscribe()
+    }
+
     /// The highest watermark of any leader that this controller has learned of.
     pub fn watermark(&self) -> u64 {
         lock(&self.queries).watermark()
@@ -124,13 +138,22 @@
     pub async fn fetch_cancellation_version(&self, store: &StateClient, id: &JobId) -> Result<(), StoreError> {
         for key in [ended_key(id, End::Cancelled), old_end_key(id)] {
             if let Some(item) = store.get(&key, RequestPriority::Query).await? {
-                self.note_cancellation(id, item.version);
+                // An end that was lost and written again was first stored at an earlier revision.
+                match EndedRecord::deserialize(&item.value) {
+                    Ok(ended) if !ended.restored => lock(&self.queries).note_exact_cancellation(id, item.version),
+                    _ => self.note_cancellation(id, item.version),
+                }
                 return Ok(());
             }
         }
         Ok(())
     }
 
+    /// What users are told of a job whose cancellation is stored ([`QueryQueue::answer_for_cancelled`]).
+    pub fn answer_for_cancelled(&self, id: &JobId, watch_cache: &WatchCache) -> Option<CancelledJobAnswer> {
+        lock(&self.queries).answer_for_cancelled(id, watch_cache)
+    }
+
     /// How many cancellations users may not be told of yet.
     pub fn hidden_cancellations(&self) -> HiddenCancellations {
         lock(&self.queries).hidden_cancellations()
--- a/src/history/job_transactions.rs
+++ b/src/history/job_transactions.rs
@@ -81,9 +81,17 @@
 /// The two changes that end a job: the key of its end is written, its open key dropped. The stored record of the end is
 /// cut to `max_bytes`.
 pub fn end_changes(record: &JobRecord, end: End, now_ms: u64, max_bytes: usize) -> [Change; 2] {
-    let id = &record.spec.id;
-    let ended = EndedRecord::fitting(record, now_ms, max_bytes);
-    [Change::write(ended_key(id, end), to_value(&ended)), Change::Drop { drop: open_key(id) }]
+    move_to_end(&EndedRecord::fitting(record, now_ms, max_bytes), end)
+}
+
+/// The two changes that write an end again which the state service has lost.
+pub fn restored_end_changes(record: &JobRecord, end: End, now_ms: u64, max_bytes: usize) -> [Change; 2] {
+    move_to_end(&EndedRecord { restored: true, ..EndedRecord::fitting(record, now_ms, max_bytes) }, end)
+}
+
+fn move_to_end(ended: &EndedRecord, end: End) -> [Change; 2] {
+    let id = &ended.job.spec.id;
+    [Change::write(ended_key(id, end), to_value(ended)), Change::Drop { drop: open_key(id) }]
 }
 
 /// The transaction that cancels a job that was seen open, and so can have left its open key only by ending. With the
--- a/src/history/query_queue.rs
+++ b/src/history/query_queue.rs
@@ -9,8 +9,10 @@
 
 use super::end_cache::EndCache;
 use super::job_transactions::{JobLocation, locate_job};
-use super::visibility::{EndVisibility, HiddenCancellations, PendingCancellations, end_visibility};
+use super::visibility::{CancelledJobAnswer, EndVisibility, HiddenCancellations, PendingCancellations, end_visibility};
 use crate::jobs::{End, JobId};
+use crate::records::leadership::ConfirmedCancellations;
+use crate::store::watch_cache::WatchCache;
 
 /// Largest number of waiters for all jobs together. Each waiter also holds a connection.
 const MAX_WAITERS: usize = 1024;
@@ -162,7 +164,27 @@
         }
     }
 
-    /// Marks a cancellation that is in the leader's loaded cluster state as visible to users.
+    /// Records the revision at which a job's cancellation was stored, as the store itself tells it.
+    pub fn note_exact_cancellation(&mut self, id: &JobId, version: u64) {
+        self.ends.insert(id, End::Cancelled);
+        if !self.ends.is_visible(id) {
+            self.cancellations.note_exact_version(id, version);
+        }
+    }
+
+    /// What users are told of a job whose cancellation is stored, by a watch cache that was proven to be up to date since
+    /// they asked. None if it is not known well enough when the cancellation was stored, or if an earlier build may have
+    /// confirmed it.
+    pub fn answer_for_cancelled(&mut self, id: &JobId, watch_cache: &WatchCache) -> Option<CancelledJobAnswer> {
+        if self.end_visibility(id, End::Cancelled) == EndVisibility::Visible {
+            return Some(CancelledJobAnswer::Cancelled);
+        }
+        let bounds = [watch_cache.end_revisions(id), self.cancellations.exact_version(id)];
+        let is_unconfirmed = bounds.into_iter().flatten().any(|bounds| watch_cache.is_proven_unconfirmed(id, bounds));
+        is_unconfirmed.then_some(CancelledJobAnswer::Open)
+    }
+
+    /// Marks a confirmed cancellation as visible to users.
     pub fn mark_visible(&mut self, id: &JobId) {
         self.ends.insert(id, End::Cancelled);
         self.ends.mark_visible(id);
@@ -177,6 +199,11 @@
         self.cancellations.advance_watermark(watermark);
     }
 
+    /// Adopts the confirmed cancellations as the watch has last reported them. Returns whether they have changed.
+    pub fn set_confirmed(&mut self, stored: &ConfirmedCancellations) -> bool {
+        self.cancellations.set_stored(stored)
+    }
+
     /// The highest watermark known: all ends up to this revision are in a leader's loaded cluster state.
     pub fn watermark(&self) -> u64 {
         self.cancellations.watermark()
@@ -184,7 +211,7 @@
 
     /// Whether users may be told of this end. A cancellation that was found visible stays visible.
     pub fn end_visibility(&mut self, id: &JobId, end: End) -> EndVisibility {
-        let (version, watermark) = (self.cancellations.version(id), self.cancellations.watermark());
+        let (version, watermark) = (self.cancellations.version(id), self.cancellations.limit_for(id));
         let visibility = end_visibility(end, self.ends.is_visible(id), version, watermark);
         if visibility == EndVisibility::Visible && end == End::Cancelled {
             self.mark_visible(id);
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -38,8 +38,8 @@
 /// Key of a takeover request ([`TakeoverRequest`](crate::records::leadership::TakeoverRequest)), written by a controller
 /// that workers turn to because they cannot reach the leader.
 pub const TAKEOVER_REQUEST_KEY: &str = "c/plea";
-/// Key of the leader's watermark, which is stored if some controller does not receive it directly
-/// (`membership::watermark`).
+/// Key of the confirmed cancellations ([`ConfirmedCancellations`](crate::records::leadership::ConfirmedCancellations)).
+/// No user is told of a cancellation before this key confirms it.
 pub const WATERMARK_KEY: &str = "c/watermark";
 /// Prefix of the keys of task shards; `ID/NUMBER` follows.
 pub const TASK_SHARD_PREFIX: &str = "t/";
@@ -138,6 +138,9 @@
     pub job: JobRecord,
     /// When the job ended, in milliseconds since 1970 by the writing controller's wall clock.
     pub ended_ms: u64,
+    /// Whether the state service had lost the end, and it was written again later than it was first stored.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub restored: bool,
 }
 
 impl EndedRecord {
@@ -152,12 +155,12 @@
             job.spec.types = None;
             job.spec.zone = None;
         }
-        Self { job, ended_ms }
+        Self { job, ended_ms, restored: false }
     }
 }
 
 /// Most bytes of JSON that an [`EndedRecord`] takes beyond the job's own record.
-pub const ENDED_RECORD_EXTRA_BYTES: usize = 40;
+pub const ENDED_RECORD_EXTRA_BYTES: usize = 56;
 
 /// The end of a job as builds before 0.2 stored it.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
--- a/src/membership/cache_changes.rs
+++ b/src/membership/cache_changes.rs
@@ -29,8 +29,8 @@
         }
         let watch_cache = self.store.watch_cache();
         let now = Instant::now();
-        if let Some(stored) = watch_cache.watermark() {
-            self.history.advance_watermark(stored.revision);
+        if let Some(stored) = watch_cache.confirmed_cancellations() {
+            self.history.set_confirmed(stored);
         }
         self.account_for_changes(&changes, &watch_cache, now);
         let mut held = self.leader.cluster();
@@ -81,8 +81,8 @@
             // Ends that this leader has stored as done need no confirmation; any other end may be a cancellation.
             if end != Some(End::Done) {
                 let revision = watch_cache.revision_with_end(id).unwrap_or(watch_cache.revision());
-                lock(&self.unconfirmed).observe_end(revision, now);
-                self.wakeups.mesh.send_replace(());
+                lock(&self.unconfirmed).observe_end(id, revision);
+                self.wakeups.confirmation.notify_one();
             }
         }
         cluster.record_known_ends(watch_cache.watch_revision());
--- a/src/membership/election.rs
+++ b/src/membership/election.rs
@@ -15,9 +15,8 @@
 use super::state::Membership;
 use super::step::{ElectionObservations, Step, next_step};
 use super::unreadable::UnreadableLeaseHolder;
-use super::watermark::WatermarkStall;
-use crate::jobs::record::{LEADER_RECORD_KEY, LEASE_HOLDER_KEY, WATERMARK_KEY};
-use crate::records::leadership::{LeaderRecord, LeaseHolder, Watermark};
+use crate::jobs::record::{LEADER_RECORD_KEY, LEASE_HOLDER_KEY};
+use crate::records::leadership::{LeaderRecord, LeaseHolder, StoredConfirmations};
 use crate::store::budget::RequestPriority;
 use crate::store::{Change, CompareAndSwapOutcome, Condition, StoreError};
 
@@ -158,7 +157,7 @@
             }
             Step::Renew => self.renew(membership).await,
             Step::WriteLeaderRecord => {
-                let writing = write_leader_record(membership, view.lease_holder_version, view.leader_record_version);
+                let writing = write_leader_record(membership, view);
                 let outcome = tokio::time::timeout(self.timing.write_timeout(), writing).await;
                 outcome.unwrap_or(Err(StoreError::Unanswered))
             }
@@ -180,7 +179,6 @@
 /// Takes part in the election for ever: campaigns, and leads while this process holds the lease.
 pub async fn run(membership: Arc<Membership>) {
     let mut participant = ElectionParticipant::new(membership.properties.election_lease);
-    let mut stall = WatermarkStall::default();
     loop {
         let _ =
             tokio::time::timeout(participant.timing.check_interval(), membership.wakeups.membership.notified()).await;
@@ -197,23 +195,6 @@
             debug!(%error, ?step, "membership step failed");
             tokio::time::sleep(crate::sync::jitter(participant.timing.retry_pause())).await;
         }
-        maintain_watermark(&membership, &mut stall).await;
-    }
-}
-
-/// Logs a watermark that doesn't advance, and stores this leader's watermark for controllers that don't receive it.
-async fn maintain_watermark(membership: &Membership, stall: &mut WatermarkStall) {
-    let waiting = membership.history.hidden_cancellations().above_watermark;
-    if let Some(stalled_for) = stall.due_for_log(waiting, membership.history.watermark(), Instant::now()) {
-        warn!(
-            waiting,
-            for_s = stalled_for.as_secs(),
-            leader = membership.leader_node(),
-            "cancellations unconfirmed by the leader; answering their users with 503"
-        );
-    }
-    if let Some(watermark) = membership.watermark_to_store(Instant::now()) {
-        store_watermark(membership, watermark).await;
     }
 }
 
@@ -273,17 +254,14 @@
 
 /// Writes the leader record for this process. Writing it again raises the fencing token: commands under an older token
 /// are void wherever the new one has been seen.
-async fn write_leader_record(
-    membership: &Arc<Membership>,
-    lease_holder_version: u64,
-    version: u64,
-) -> Result<(), StoreError> {
+async fn write_leader_record(membership: &Arc<Membership>, view: &ElectionView) -> Result<(), StoreError> {
     let record = LeaderRecord {
         node: membership.settings.node.clone(),
         incarnation: membership.incarnation.clone(),
         teams: membership.settings.params.teams.iter().map(|t| t.name.clone()).collect(),
+        stored_confirmations: Some(StoredConfirmations::after(view.leader_record.as_ref())),
     };
-    let (conditions, change) = leader_record_write(&record, lease_holder_version, version);
+    let (conditions, change) = leader_record_write(&record, view.lease_holder_version, view.leader_record_version);
     match membership.store.client.compare_and_swap(&conditions, &[change], RequestPriority::Critical).await? {
         CompareAndSwapOutcome::Applied(fencing_token) => {
             if membership.store.watch_cache().note_leader_record(record, fencing_token) {
@@ -300,22 +278,5 @@
     Ok(())
 }
 
-/// Condition and change that store a watermark. The condition on the leader record of its fencing token makes a stored
-/// watermark valid. A late copy of an older watermark only makes a controller that has just started wait for the next
-/// one.
-pub(super) fn watermark_write(watermark: Watermark) -> (Condition, Change) {
-    let value = serde_json::to_value(watermark).unwrap_or_default();
-    (Condition::at(LEADER_RECORD_KEY, watermark.fencing_token), Change::write(WATERMARK_KEY, value))
-}
-
-/// Stores the watermark for controllers that don't receive this leader's lines.
-async fn store_watermark(membership: &Membership, watermark: Watermark) {
-    let (condition, change) = watermark_write(watermark);
-    match membership.store.client.compare_and_swap(&[condition], &[change], RequestPriority::Critical).await {
-        Ok(CompareAndSwapOutcome::Applied(_)) => membership.record_confirmed(watermark.revision, Instant::now()),
-        outcome => debug!(?outcome, "watermark write failed"),
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/membership/mesh/send.rs
+++ b/src/membership/mesh/send.rs
@@ -14,10 +14,8 @@
 use crate::settings::Peer;
 use crate::sync::lock;
 
-/// Interval between two lines with counts, and about the pause before a reconnect.
-const FULL_LINE_INTERVAL: Duration = Duration::from_secs(1);
-/// Minimum time between two lines, which bounds the rate while cancellations wait for the watermark.
-const MIN_LINE_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between two lines, and about the pause before a reconnect.
+const LINE_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval between two lines with service levels; a successor lacks at most the starts of this time.
 const SERVICE_LEVEL_INTERVAL: Duration = Duration::from_secs(20);
 /// Timeout of a connection attempt and of writing a line.
@@ -32,7 +30,7 @@
             let error = send_lines_over(&membership, &peer.node, stream).await;
             debug!(?error, peer = peer.node, "peer connection lost");
         }
-        tokio::time::sleep(crate::sync::jitter(FULL_LINE_INTERVAL)).await;
+        tokio::time::sleep(crate::sync::jitter(LINE_INTERVAL)).await;
     }
 }
 
@@ -41,15 +39,9 @@
     let connected_at = Instant::now();
     let mut sent_counts: HashMap<JobId, TaskCounts> = HashMap::new();
     let mut next_service_levels = Instant::now();
-    let mut changes = membership.wakeups.mesh.subscribe();
-    let mut next_full_line = Instant::now();
     loop {
-        let is_full_line = Instant::now() >= next_full_line;
-        let mut counts = Vec::new();
-        if is_full_line {
-            next_full_line = Instant::now() + FULL_LINE_INTERVAL;
-            counts = membership.changed_counts(&mut sent_counts, MAX_COUNTS);
-        }
+        let next_line = Instant::now() + LINE_INTERVAL;
+        let counts = membership.changed_counts(&mut sent_counts, MAX_COUNTS);
         let mut service_levels = Vec::new();
         if Instant::now() >= next_service_levels {
             next_service_levels = Instant::now() + SERVICE_LEVEL_INTERVAL;
@@ -71,9 +63,7 @@
         tokio::time::timeout(WRITE_TIMEOUT, stream.write_all(text.as_bytes()))
             .await
             .map_err(|_| std::io::ErrorKind::TimedOut)??;
-        // Sends the next line as soon as a cancellation waits for the watermark, and a full line once a second.
-        tokio::time::sleep(MIN_LINE_INTERVAL).await;
-        let _ = tokio::time::timeout(next_full_line.saturating_duration_since(Instant::now()), changes.changed()).await;
+        tokio::time::sleep(next_line.saturating_duration_since(Instant::now())).await;
         // Writes to a dead connection succeed for minutes before it is reported as dead, and after a partition the
         // network stack retransmits only after a time as long as the partition.
         let now = Instant::now();
--- a/src/membership/mesh/tests.rs
+++ b/src/membership/mesh/tests.rs
@@ -45,7 +45,10 @@
 }
 
 fn leader_record(node: &str, version: u64) -> (LeaderRecord, u64) {
-    (LeaderRecord { node: node.into(), incarnation: "1".into(), teams: Vec::new() }, version)
+    (
+        LeaderRecord { node: node.into(), incarnation: "1".into(), teams: Vec::new(), stored_confirmations: None },
+        version,
+    )
 }
 
 #[test]
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -38,6 +38,9 @@
 mod unreadable;
 pub mod watermark;
 
+#[cfg(test)]
+pub(crate) use confirmation::confirmation_write;
+pub use confirmation::run as run_confirmations;
 pub use election::run;
 #[cfg(test)]
 pub(crate) use election::{leader_record_write, lease_acquisition, lease_removal};
--- a/src/membership/watermark.rs
+++ b/src/membership/watermark.rs
@@ -1,27 +1,29 @@
-//! Watermarks of the leader: which are valid, and when the leader stores its own for controllers that don't receive it.
+//! When the leader stores which cancellations are confirmed, and which watermarks of other controllers are valid.
 //!
-//! Controllers send each other watermarks (`mesh`), which costs no request to the store. A controller that doesn't
-//! receive the leader's lines, for example because connections between controllers are refused, would never confirm a
-//! cancellation to its users. The leader sees from the acknowledgements that a controller lags, and stores the
-//! watermark for it. The functions are pure.
+//! The leader stores a confirmation before any user is told (`ConfirmedCancellations`), and every controller, the leader
+//! too, tells its users what its watch has reported. So a controller whose watch cache is proven up to date knows of each
+//! cancellation that no user has been told of. The leader stores for all cancellations together, and only if that
+//! confirms one. The functions are pure.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::records::leadership::{LeaderRecord, Watermark};
+use crate::jobs::JobId;
+use crate::records::leadership::{ConfirmedCancellations, LeaderRecord, Watermark};
 
-/// Time after which the watermark is stored for a cancellation that some controller has not acknowledged.
-/// Acknowledgements arrive with the lines, one a second.
-const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Minimum time between two writes of the watermark for cancellations; each is one change.
-const STORE_INTERVAL: Duration = Duration::from_secs(1);
+/// Minimum time between two writes of the confirmed cancellations; each is one change.
+const STORE_INTERVAL: Duration = Duration::from_millis(200);
+/// Maximum number of ends that wait for their confirmation one by one. The oldest ones beyond it are confirmed with
+/// later ones.
+const MAX_PENDING_ENDS: usize = 8192;
 
 /// Time without a new acknowledgement of some controller after which the watermark is stored, and stored again at this
 /// interval, without any cancellation: the controller may know a cancellation by a later revision than the one at which
 /// it was stored, for example after it has read the store.
 const LAG_LIMIT: Duration = Duration::from_secs(10);
 
-/// Returns the watermark that a controller may send as the leader: the fencing token of its loaded cluster state and
-/// the revision up to which that holds all ends. None unless the last leader record that it has observed, which is at
+/// Returns the watermark that a controller may send or store as the leader, given the fencing token of its loaded cluster
+/// state and a revision up to which cancellations are confirmed. None unless the last leader record that it has observed, which is at
 /// least as recent as the cluster state, names this process and token. After another process's leader record, the
 /// cluster state may hold ends unknown to the successor, whose commands the workers then follow.
 pub fn own_watermark(
@@ -33,15 +35,6 @@
     (leader.incarnation == me && *version == fencing_token).then_some(Watermark { fencing_token, revision })
 }
 
-/// Revisions of the oldest and the newest unconfirmed cancellation.
-#[derive(Debug, Clone, Copy)]
-struct UnconfirmedRange {
-    oldest: u64,
-    newest: u64,
-    /// Time since which `oldest` is the oldest.
-    since: Instant,
-}
-
 /// A revision, and the time since which it is unchanged.
 #[derive(Debug, Clone, Copy)]
 struct Unchanged {
@@ -56,31 +49,58 @@
     }
 }
 
-/// Cancellations that the leader may not have confirmed to every other controller.
+/// Ends that the leader may have to confirm, and when it stored confirmations.
 #[derive(Debug, Default)]
 pub struct UnconfirmedCancellations {
-    range: Option<UnconfirmedRange>,
-    /// When a write of the watermark was last due.
+    /// Ends that may be cancellations, by a revision at which they were stored.
+    pending: BTreeMap<u64, JobId>,
+    /// Revision of the load of the cluster state: all ends up to it are to be confirmed.
+    loaded: Option<u64>,
+    /// When a write was last due.
     store_tried_at: Option<Instant>,
     /// Watermark that every controller has acknowledged.
     acknowledged: Option<Unchanged>,
 }
 
 impl UnconfirmedCancellations {
-    /// Records that the leader has observed a cancellation that was stored at this revision.
-    pub fn observe_end(&mut self, revision: u64, now: Instant) {
-        let range = self.range.unwrap_or(UnconfirmedRange { oldest: revision, newest: revision, since: now });
-        self.range =
-            Some(UnconfirmedRange { oldest: range.oldest.min(revision), newest: range.newest.max(revision), ..range });
+    /// The state after the load of a cluster state with all ends up to this revision.
+    pub fn after_load(revision: u64) -> Self {
+        Self { loaded: Some(revision), ..Self::default() }
+    }
+
+    /// Records that the leader has observed an end, stored at this revision, that may be a cancellation.
+    pub fn observe_end(&mut self, id: &JobId, revision: u64) {
+        self.pending.insert(revision, id.clone());
+        if self.pending.len() > MAX_PENDING_ENDS {
+            self.pending.pop_first();
+        }
     }
 
-    /// Records that every controller knows a watermark of at least this revision, received or stored.
-    pub fn record_confirmed(&mut self, watermark: u64, now: Instant) {
-        let unconfirmed = self.range.filter(|range| range.newest > watermark);
-        self.range = unconfirmed.map(|range| match range.oldest > watermark {
-            true => range,
-            false => UnconfirmedRange { oldest: watermark + 1, newest: range.newest, since: now },
-        });
+    /// Forgets ends that need no confirmation.
+    pub fn forget(&mut self, needs_none: impl Fn(&JobId) -> bool) {
+        self.pending.retain(|_, id| !needs_none(id));
+    }
+
+    /// Returns whether `offered` is to be stored now in place of `stored`, because it confirms a cancellation that
+    /// `stored` does not, and counts that as a try.
+    pub fn take_store_due(
+        &mut self,
+        stored: Option<&ConfirmedCancellations>,
+        offered: &ConfirmedCancellations,
+        now: Instant,
+    ) -> bool {
+        let stored_limit = |id: &JobId| stored.map_or(0, |stored| stored.limit_for(id));
+        self.pending.retain(|revision, id| *revision > stored_limit(id));
+        self.loaded = self.loaded.filter(|revision| *revision > stored.map_or(0, |s| s.last_revision()));
+        let confirms_end = self.pending.iter().any(|(revision, id)| *revision <= offered.limit_for(id));
+        let releases = stored.is_some_and(|stored| !stored.held.is_subset(&offered.held));
+        let follows_load = self.loaded.is_some_and(|revision| revision <= offered.last_revision());
+        let interval_passed = self.store_tried_at.is_none_or(|at| now.saturating_duration_since(at) >= STORE_INTERVAL);
+        let due = (confirms_end || releases || follows_load) && interval_passed;
+        if due {
+            self.store_tried_at = Some(now);
+        }
+        due
     }
 
     /// Returns whether some controller has lagged for so long that the watermark is to be stored now, and counts that
@@ -96,17 +116,6 @@
         }
         due
     }
-
-    /// Returns whether the watermark is to be stored now for an unconfirmed cancellation, and counts that as a try.
-    pub fn take_store_due(&mut self, now: Instant) -> bool {
-        let is_overdue =
-            self.range.is_some_and(|range| now.saturating_duration_since(range.since) >= ACKNOWLEDGEMENT_TIMEOUT);
-        let interval_passed = self.store_tried_at.is_none_or(|at| now.saturating_duration_since(at) >= STORE_INTERVAL);
-        if is_overdue && interval_passed {
-            self.store_tried_at = Some(now);
-        }
-        is_overdue && interval_passed
-    }
 }
 
 /// Time without an advance of the watermark after which waiting cancellations are logged.
--- a/src/scheduling/cluster/jobs.rs
+++ b/src/scheduling/cluster/jobs.rs
@@ -7,6 +7,7 @@
 use tracing::{debug, info};
 
 use super::model::{JobShards, image_digest};
+use super::watermark::StartRisk;
 use super::{Arrivals, Binding, ClusterState, JobState, Machine, MachineId, Phase, Task};
 use crate::jobs::TaskCounts;
 use crate::jobs::record::{JobRecord, StoredTask, time_of_day_ms};
@@ -100,6 +101,7 @@
             shards: JobShards::new(n as u64),
             ended: None,
             ended_after: 0,
+            start_risk: StartRisk::default(),
             ended_done: false,
             not_before: now,
             image_digest: image_digest(&record.spec.image),
--- a/src/scheduling/cluster/model/job.rs
+++ b/src/scheduling/cluster/model/job.rs
@@ -8,6 +8,7 @@
 use crate::jobs::JobSpec;
 use crate::jobs::record::{JobRecord, StoredTask};
 use crate::protocol::workers::AttemptStatus;
+use crate::scheduling::cluster::watermark::StartRisk;
 use crate::scheduling::promises::{Promise, min_start_slack_s};
 use crate::sla::Agreement;
 
@@ -132,6 +133,8 @@
     pub ended: Option<Instant>,
     /// A revision of the store at which the job's end was not stored yet.
     pub(in crate::scheduling::cluster) ended_after: u64,
+    /// Whether a machine may still start a task although the job was cancelled.
+    pub(in crate::scheduling::cluster) start_risk: StartRisk,
     /// Whether the job ended as done: its remaining tasks need not be proven gone in time.
     pub(in crate::scheduling::cluster) ended_done: bool,
     /// The earliest time of the next placement, after failures.
--- a/src/scheduling/cluster/watermark.rs
+++ b/src/scheduling/cluster/watermark.rs
@@ -11,9 +11,25 @@
 //! its task as long as fencing token and agent epoch match. Once the machine has reported the attempt, or has proven it
 //! absent, a launch of it can no longer start anything, and no further one is sent.
 
+use std::collections::BTreeSet;
+
 use super::{ClusterState, JobState};
 use crate::jobs::JobId;
 use crate::protocol::workers::AttemptReport;
+use crate::records::leadership::{ConfirmationStatus, ConfirmedCancellations, Watermark};
+
+/// Whether a machine may still start a task of a cancelled job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(in crate::scheduling::cluster) enum StartRisk {
+    /// A machine may start a task, and no user has been told of the cancellation.
+    #[default]
+    Possible,
+    /// A machine may start a task by all that this leader knows, and it is unknown whether an earlier leader proved the
+    /// contrary and confirmed the cancellation.
+    Undetermined,
+    /// No machine can start a task any more, as this leader or an earlier one has proven.
+    RuledOut,
+}
 
 impl ClusterState {
     /// Records that every job end stored at this revision is in this cluster state.
@@ -30,19 +46,67 @@
         }
     }
 
+    /// Records whether an earlier leader has confirmed the cancellation of a job that was read during the load.
+    pub fn inherit_confirmation(&mut self, id: &JobId, status: ConfirmationStatus) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.start_risk = match status {
+                ConfirmationStatus::Confirmed => StartRisk::RuledOut,
+                ConfirmationStatus::Unconfirmed => StartRisk::Possible,
+                ConfirmationStatus::Undetermined => StartRisk::Undetermined,
+            };
+        }
+    }
+
     /// Advances and returns the watermark: every cancellation stored at this revision is in this cluster state, every
     /// machine that may run a task of its job obeys this leader or a later one, and no launch of one is in flight. The
     /// watermark never decreases.
     pub fn advance_watermark(&mut self) -> u64 {
-        // Tasks that this leader starts are not inherited, and it starts none of a cancelled job: once all machines
-        // have reported under its token, that remains so.
-        let cancelled = self.ending_jobs.iter().filter_map(|id| self.jobs.get(id)).filter(|job| !job.ended_done);
-        let least = cancelled.filter(|job| self.may_still_start(job)).map(|job| job.ended_after).min();
+        self.rule_out_starts();
+        let least = self.blocked_jobs().map(|(_, job)| job.ended_after).min();
         self.watermark =
             self.watermark.max(least.map_or(self.known_ends_revision, |after| after.min(self.known_ends_revision)));
         self.watermark
     }
 
+    /// Returns the cancellations that may be confirmed: all that `stored` confirms, and those up to the watermark. None
+    /// before the load and if this leader cannot tell what an earlier leader has confirmed.
+    pub fn confirmable_cancellations(
+        &mut self,
+        stored: Option<&ConfirmedCancellations>,
+    ) -> Option<ConfirmedCancellations> {
+        let watermark = self.advance_watermark().max(stored.map_or(0, |stored| stored.watermark.revision));
+        if !self.loaded || self.blocked_jobs().any(|(_, job)| job.start_risk == StartRisk::Undetermined) {
+            return None;
+        }
+        let watermark = Watermark { fencing_token: self.fencing_token, revision: watermark };
+        Some(ConfirmedCancellations { watermark, through: watermark.revision, held: BTreeSet::new() })
+    }
+
+    /// Records which cancelled jobs can start no task any more. What was proven once remains so: this leader starts no
+    /// task of a cancelled job, and its machines obey no earlier leader again.
+    fn rule_out_starts(&mut self) {
+        if !self.loaded {
+            return;
+        }
+        let is_ruled_out = |id: &&JobId| {
+            self.jobs.get(*id).is_some_and(|job| job.start_risk != StartRisk::RuledOut && !self.may_still_start(job))
+        };
+        let ruled_out: Vec<JobId> = self.ending_jobs.iter().filter(is_ruled_out).cloned().collect();
+        for id in ruled_out {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.start_risk = StartRisk::RuledOut;
+            }
+        }
+    }
+
+    /// Returns the cancelled jobs of which a machine may still start a task. Tasks that this leader starts are not
+    /// inherited, and it starts none of a cancelled job: once all machines have reported under its token, that remains
+    /// so.
+    fn blocked_jobs(&self) -> impl Iterator<Item = (&JobId, &JobState)> {
+        let cancelled = self.ending_jobs.iter().filter_map(|id| self.jobs.get_key_value(id));
+        cancelled.filter(|(_, job)| !job.ended_done && job.start_risk != StartRisk::RuledOut)
+    }
+
     /// Whether no machine can start a task of this job any more, so that its cancellation may be reported now, whatever
     /// the watermark.
     pub fn cancellation_effective(&self, id: &JobId) -> bool {
--- a/src/scheduling/load.rs
+++ b/src/scheduling/load.rs
@@ -14,11 +14,15 @@
 use crate::cloud_orders::{CLOUD_ORDER_PREFIX, CloudOrder};
 use crate::jobs::JobId;
 use crate::jobs::record::{JobRecord, TASK_SHARD_PREFIX, shard_key};
+use crate::records::leadership::RevisionBounds;
 use crate::scheduling::scheduler::Scheduler;
 use crate::store::StoreError;
 use ended_jobs::{EndedJobs, find_done_jobs};
 use shard::Shard;
 
+/// Bounds of the revision of an end of which nothing is known.
+const UNKNOWN_REVISIONS: RevisionBounds = RevisionBounds { after: 0, at_most: u64::MAX };
+
 /// Counts of what a load has read.
 #[derive(Debug, Default)]
 struct LoadCounts {
@@ -112,15 +116,16 @@
     for id in &ids {
         let stored = ended.stored_ends.get(id);
         let at = scheduler.history.end_seen_at(id).or(stored.map(|end| end.at));
-        let earlier_revision = watch_cache.revision_before_end(id).or(stored.map(|end| end.earlier_revision));
+        let revisions = stored.map(|end| end.revisions).or(watch_cache.end_revisions(id)).unwrap_or(UNKNOWN_REVISIONS);
         cluster.end_job(id, scheduler.history.known_end(id), at.unwrap_or(now).min(now));
-        cluster.set_ended_after(id, earlier_revision.unwrap_or(0));
+        cluster.set_ended_after(id, revisions.after);
+        cluster.inherit_confirmation(id, watch_cache.stored_confirmation(id, revisions));
     }
     let inherited = orders.len();
     cluster.inherit_orders(orders, now);
     cluster.finish_load(now);
     cluster.record_known_ends(watch_cache.watch_revision());
-    scheduler.membership.cluster_state_loaded(cluster.known_ends_revision, now);
+    scheduler.membership.cluster_state_loaded(cluster.known_ends_revision);
     // Intents are needed before anything is placed.
     scheduler.intents.refresh_intents(cluster, &watch_cache, now);
     let (jobs, machines) = (cluster.job_count(), cluster.machines.len());
@@ -170,7 +175,8 @@
     Some(closed.map(|shard| shard.job.clone()).collect())
 }
 
-/// Looks up the cancelled jobs of the page in the watch cache. None if this controller no longer leads.
+/// Looks up the cancelled jobs of the page in the watch cache. A job whose end the cache saw only by a reload counts as
+/// missing, since the revision of its end decides whether users have been told of it. None if this controller no longer leads.
 fn cached_records(scheduler: &Scheduler, page: &[Shard], done: &HashSet<JobId>) -> Option<CachedRecords> {
     let (watch_cache, guard) = (scheduler.store.watch_cache(), scheduler.leader.cluster());
     let cluster = guard.as_ref()?;
@@ -178,7 +184,8 @@
     let cancelled =
         |shard: &&Shard| !cluster.has_job(&shard.job) && shard.has_bound_task() && !done.contains(&shard.job);
     for shard in page.iter().filter(cancelled) {
-        match watch_cache.ended_record(&shard.job) {
+        let is_exact = watch_cache.end_revisions(&shard.job).is_some_and(RevisionBounds::is_exact);
+        match watch_cache.ended_record(&shard.job).filter(|_| is_exact) {
             Some(record) => drop(records.found.insert(shard.job.clone(), record)),
             None => drop(records.missing.insert(shard.job.clone())),
         }
--- a/src/scheduling/load/ended_jobs.rs
+++ b/src/scheduling/load/ended_jobs.rs
@@ -12,6 +12,7 @@
     DONE_JOB_PREFIX, EndedRecord, JobRecord, ended_key, ended_keys, old_job_key, time_of_day_ms,
 };
 use crate::jobs::{End, JobId};
+use crate::records::leadership::RevisionBounds;
 use crate::scheduling::scheduler::Scheduler;
 use crate::store::budget::RequestPriority;
 use crate::store::client::KeyValue;
@@ -25,8 +26,8 @@
 pub(super) struct StoredEnd {
     /// The time of the end, by the wall clock of its writer; only used to decide how soon a machine is returned.
     pub(super) at: Instant,
-    /// A revision of the store at which the end was not stored yet.
-    pub(super) earlier_revision: u64,
+    /// The revisions between which the end was stored.
+    pub(super) revisions: RevisionBounds,
 }
 
 /// The ended jobs for which a load has found task shards.
@@ -44,8 +45,8 @@
     record: JobRecord,
     /// How long ago the job ended.
     age: Duration,
-    /// A revision of the store at which the job's end was not stored yet.
-    earlier_revision: u64,
+    /// The revisions between which the job's end was stored.
+    revisions: RevisionBounds,
 }
 
 impl EndedJobs {
@@ -64,10 +65,10 @@
             }
             while let Some(joined) = reads.join_next().await {
                 let Ok((id, ended_job)) = joined else { continue };
-                if let Some(EndedJob { record, age, earlier_revision }) = ended_job? {
+                if let Some(EndedJob { record, age, revisions }) = ended_job? {
                     let now = Instant::now();
                     let at = now.checked_sub(age).unwrap_or(now);
-                    self.stored_ends.insert(id.clone(), StoredEnd { at, earlier_revision });
+                    self.stored_ends.insert(id.clone(), StoredEnd { at, revisions });
                     records.insert(id, Arc::new(record));
                 }
             }
@@ -126,7 +127,16 @@
         error!(key, job = %record.spec.id, "stored ended job found under another job's key; ignoring the job");
         return None;
     }
-    let ended_ms = EndedRecord::deserialize(&item.value).map_or(u64::MAX, |ended| ended.ended_ms);
+    let ended = EndedRecord::deserialize(&item.value).ok();
+    let ended_ms = ended.as_ref().map_or(u64::MAX, |ended| ended.ended_ms);
     let age = Duration::from_millis(time_of_day_ms().saturating_sub(ended_ms));
-    Some(EndedJob { record, age, earlier_revision: item.version.saturating_sub(1) })
+    // An end that was lost and written again was first stored at an earlier revision, and so was one of an earlier
+    // build, which stored it under another key.
+    let is_first_write = ended.is_some_and(|ended| !ended.restored);
+    let revisions = if is_first_write {
+        RevisionBounds::exact(item.version)
+    } else {
+        RevisionBounds { after: 0, at_most: item.version }
+    };
+    Some(EndedJob { record, age, revisions })
 }
--- a/src/scheduling/load/tests.rs
+++ b/src/scheduling/load/tests.rs
@@ -68,7 +68,7 @@
         let id = job.spec.id.clone();
         let key_of = if name == "another job's id" { "run-000001" } else { &*id };
         let key = ended_key(key_of, End::Cancelled);
-        let value = serde_json::to_value(EndedRecord { job, ended_ms: 9 }).unwrap();
+        let value = serde_json::to_value(EndedRecord { job, ended_ms: 9, restored: false }).unwrap();
         let read = decode_ended_job(key_of, &key, &item(&key, value));
         assert_eq!(read.is_some(), good, "{name}");
     }
--- a/src/scheduling/tests/interleaved_simulation/mod.rs
+++ b/src/scheduling/tests/interleaved_simulation/mod.rs
@@ -3,6 +3,7 @@
 //! after being deposed, lose only the store, or restart at once; machines hang or are partitioned one way; jobs are
 //! cancelled. The model checks the rules itself.
 
+mod answers;
 mod combined_faults;
 mod deliveries;
 mod faults;
--- a/src/scheduling/tests/watermark.rs
+++ b/src/scheduling/tests/watermark.rs
@@ -1,9 +1,10 @@
-//! The watermark up to which a leader confirms cancellations. It never passes the cancellation of a task that an earlier
-//! leader's machines may still run.
+//! The cancellations that a leader confirms: up to a watermark, which never passes the cancellation of a task that an
+//! earlier leader's machines may still run, and beyond it except for those that are held.
 
 use super::*;
-use crate::jobs::End;
 use crate::jobs::record::StoredTask;
+use crate::jobs::{End, JobId};
+use crate::records::leadership::{ConfirmationStatus, ConfirmedCancellations, Watermark};
 
 const FENCING_TOKEN: u64 = 50;
 
@@ -128,3 +129,31 @@
     report_running(&mut cluster, FENCING_TOKEN, 1, now);
     assert_eq!(cluster.advance_watermark(), 90);
 }
+
+/// Guards against a successor that takes back what an earlier leader has confirmed, whose users were told of it, and
+/// against one that confirms what the earlier leader did not.
+#[test]
+fn successor_confirms_what_earlier_leaders_have_confirmed_and_no_more() {
+    let now = Instant::now();
+    let id: JobId = "run-000001".into();
+    for (name, status, expected) in [
+        ("confirmed before", ConfirmationStatus::Confirmed, Some(60)),
+        ("not confirmed before", ConfirmationStatus::Unconfirmed, Some(40)),
+        ("unknown whether it was", ConfirmationStatus::Undetermined, None),
+    ] {
+        let mut cluster = successor(Some(End::Cancelled), now);
+        cluster.inherit_confirmation(&id, status);
+        let confirmed = cluster.confirmable_cancellations(None);
+        assert_eq!(confirmed.map(|confirmed| confirmed.watermark.revision), expected, "{name}");
+        report_running(&mut cluster, FENCING_TOKEN, 1, now);
+        let confirmed = cluster.confirmable_cancellations(None).expect("loaded");
+        assert_eq!(confirmed.watermark.revision, 60, "{name}, after the machine was heard from");
+        let confirmed = cluster.confirmable_cancellations(Some(&ConfirmedCancellations {
+            watermark: Watermark { fencing_token: FENCING_TOKEN, revision: 70 },
+            ..confirmed
+        }));
+        assert_eq!(confirmed.map(|confirmed| confirmed.watermark.revision), Some(70), "nothing is taken back");
+    }
+    let mut cluster = ClusterState::new(FENCING_TOKEN, example(), Properties::default(), now);
+    assert_eq!(cluster.confirmable_cancellations(None), None, "nothing is confirmed before the load");
+}
--- a/src/store/watch_cache.rs
+++ b/src/store/watch_cache.rs
@@ -23,7 +23,9 @@
 use crate::jobs::JobId;
 use crate::jobs::limits::OpenWork;
 use crate::jobs::record::{JobRecord, OPEN_JOB_PREFIX};
-use crate::records::leadership::{LeaderRecord, LeaseHolder, TakeoverRequest, Watermark};
+use crate::records::leadership::{
+    ConfirmationStatus, ConfirmedCancellations, LeaderRecord, LeaseHolder, RevisionBounds, TakeoverRequest, Watermark,
+};
 
 /// Open jobs, the keys of the election lease and of leadership, and declarations, as of one revision of the store.
 #[derive(Debug, Default)]
@@ -103,12 +105,15 @@
 
     /// Returns a revision at which a recently ended job had ended.
     pub fn revision_with_end(&self, id: &str) -> Option<u64> {
-        self.jobs.ended.peek(id).map(|ended| ended.revision_with_end)
+        self.end_revisions(id).map(|bounds| bounds.at_most)
     }
 
-    /// Returns a revision at which a recently ended job had not ended yet.
-    pub fn revision_before_end(&self, id: &str) -> Option<u64> {
-        self.jobs.ended.peek(id).map(|ended| ended.revision_before_end)
+    /// Returns the revisions between which a recently ended job had ended.
+    pub fn end_revisions(&self, id: &str) -> Option<RevisionBounds> {
+        self.jobs
+            .ended
+            .peek(id)
+            .map(|ended| RevisionBounds { after: ended.revision_before_end, at_most: ended.revision_with_end })
     }
 
     /// Returns the number of ended jobs whose records are kept.
@@ -147,9 +152,39 @@
         self.control.takeover_request.value()
     }
 
-    /// Returns the watermark that a leader has stored for controllers that do not receive its messages.
+    /// Returns the watermark up to which every cancellation is confirmed, as it is stored.
     pub fn watermark(&self) -> Option<&Watermark> {
-        self.control.watermark.as_ref()
+        self.confirmed_cancellations().map(|confirmed| &confirmed.watermark)
+    }
+
+    /// Returns the confirmed cancellations, as they are stored.
+    pub fn confirmed_cancellations(&self) -> Option<&ConfirmedCancellations> {
+        self.control.confirmed.value().map(|(confirmed, _)| confirmed)
+    }
+
+    /// Returns the version of the key of the confirmed cancellations, decodable or not; 0 if it does not exist.
+    pub fn confirmed_cancellations_version(&self) -> u64 {
+        self.control.confirmed.version()
+    }
+
+    /// Returns whether what is stored confirms a cancellation of this job that was stored within these bounds. Builds
+    /// before stored confirmations may have confirmed more.
+    pub fn stored_confirmation(&self, id: &str, stored: RevisionBounds) -> ConfirmationStatus {
+        match &self.control.confirmed {
+            VersionedKey::Absent => ConfirmationStatus::Unconfirmed,
+            VersionedKey::Decoded((confirmed, _)) => confirmed.status(id, stored),
+            VersionedKey::Undecodable(_) => ConfirmationStatus::Undetermined,
+        }
+    }
+
+    /// Returns whether no user had been told of a cancellation of this job, which was stored within these bounds, at the
+    /// revision of this cache. That can be known only of cancellations since all leaders store confirmations before they
+    /// tell users.
+    pub fn is_proven_unconfirmed(&self, id: &str, stored: RevisionBounds) -> bool {
+        let stored_first_since =
+            self.leader_record().and_then(|(record, version)| record.confirmations_stored_since(*version));
+        stored_first_since.is_some_and(|since| stored.after >= since)
+            && self.stored_confirmation(id, stored) == ConfirmationStatus::Unconfirmed
     }
 
     /// Returns all declarations.
--- a/src/store/watch_cache/control_keys.rs
+++ b/src/store/watch_cache/control_keys.rs
@@ -8,7 +8,7 @@
 use crate::jobs::record::{
     LEADER_RECORD_KEY, LEASE_HOLDER_KEY, TAKEOVER_REQUEST_KEY, UPGRADED_KEY, UpgradeRecord, WATERMARK_KEY,
 };
-use crate::records::leadership::{LeaderRecord, LeaseHolder, TakeoverRequest, Watermark};
+use crate::records::leadership::{ConfirmedCancellations, LeaderRecord, LeaseHolder, TakeoverRequest};
 
 /// The value of one key and the key's version. A key whose value cannot be decoded counts as present and is overwritten
 /// on condition of its version: if it counted as absent, no controller could ever acquire the lease or lead again.
@@ -62,7 +62,7 @@
     pub(super) lease_holder: VersionedKey<LeaseHolder>,
     pub(super) leader_record: VersionedKey<LeaderRecord>,
     pub(super) takeover_request: VersionedKey<TakeoverRequest>,
-    pub(super) watermark: Option<Watermark>,
+    pub(super) confirmed: VersionedKey<ConfirmedCancellations>,
     pub(super) upgraded: Option<UpgradeRecord>,
 }
 
@@ -73,9 +73,7 @@
             LEASE_HOLDER_KEY => self.lease_holder = VersionedKey::decode(key, value, version),
             LEADER_RECORD_KEY => self.leader_record = VersionedKey::decode(key, value, version),
             TAKEOVER_REQUEST_KEY => self.takeover_request = VersionedKey::decode(key, value, version),
-            WATERMARK_KEY => {
-                self.watermark = decode(key, value).filter(|watermark| is_within_store(key, watermark, version));
-            }
+            WATERMARK_KEY => self.confirmed = decode_confirmed(key, value, version),
             // The marker is written once and never again: if an undecodable one did not count, every controller would
             // wait forever for a decodable one.
             UPGRADED_KEY => self.upgraded = Some(decode(key, value).unwrap_or(UpgradeRecord { old_jobs_kept: true })),
@@ -90,18 +88,29 @@
             LEASE_HOLDER_KEY => self.lease_holder = VersionedKey::Absent,
             LEADER_RECORD_KEY => self.leader_record = VersionedKey::Absent,
             TAKEOVER_REQUEST_KEY => self.takeover_request = VersionedKey::Absent,
-            WATERMARK_KEY => self.watermark = None,
+            WATERMARK_KEY => self.confirmed = VersionedKey::Absent,
             _ => return false,
         }
         true
     }
 }
 
-/// Returns whether a stored watermark is valid: its revision and its fencing token cannot exceed its own version.
-fn is_within_store(key: &str, watermark: &Watermark, version: u64) -> bool {
-    let is_valid = watermark.revision <= version && watermark.fencing_token <= version;
+/// Decodes the confirmed cancellations. A value that is ahead of the store counts as undecodable: it would confirm
+/// cancellations that no leader knows of.
+fn decode_confirmed(key: &str, value: &Value, version: u64) -> VersionedKey<ConfirmedCancellations> {
+    let decoded = VersionedKey::<ConfirmedCancellations>::decode(key, value, version);
+    match decoded.value() {
+        Some((confirmed, _)) if !is_within_store(key, confirmed, version) => VersionedKey::Undecodable(version),
+        _ => decoded,
+    }
+}
+
+/// Returns whether confirmed cancellations are valid: their revisions and their fencing token cannot exceed the version
+/// of their key.
+fn is_within_store(key: &str, confirmed: &ConfirmedCancellations, version: u64) -> bool {
+    let is_valid = confirmed.last_revision() <= version && confirmed.watermark.fencing_token <= version;
     if !is_valid {
-        warn!(key, ?watermark, revision = version, "stored watermark ahead of the store; ignoring it");
+        warn!(key, ?confirmed, revision = version, "stored watermark ahead of the store; ignoring it");
     }
     is_valid
 }
--- a/src/store/watch_cache/tests.rs
+++ b/src/store/watch_cache/tests.rs
@@ -248,3 +248,37 @@
         assert_eq!(watch_cache.watermark().is_some(), valid, "{fencing_token} {revision}");
     }
 }
+
+/// Guards against a job that one controller reports as open after another one has reported it as cancelled: what is
+/// stored must leave its cancellation unconfirmed, and every leader since must store confirmations first.
+#[test]
+fn cancellation_is_proven_unconfirmed_only_by_decodable_values_of_leaders_that_store_first() {
+    let leader = |stored: Value| {
+        let mut record = json!({"node": "a", "incarnation": "1", "teams": []});
+        record["stored_confirmations"] = stored;
+        written_event("c/owner/0", record, 10)
+    };
+    let stores_first = || leader(json!({"since": 5}));
+    let confirmed = |value: Value| written_event("c/watermark", value, 40);
+    let of_revision =
+        |through: u64| confirmed(json!({"token": 10, "revision": 12, "through": through, "held": ["run-1"]}));
+    // (name, changes, job, revision of the cancellation, whether it is proven unconfirmed)
+    for (name, events, id, cancelled_at, proven) in [
+        ("nothing confirmed yet", vec![stores_first()], "run-2", 20, true),
+        ("after all that is confirmed", vec![stores_first(), of_revision(30)], "run-2", 31, true),
+        ("confirmed", vec![stores_first(), of_revision(30)], "run-2", 30, false),
+        ("held", vec![stores_first(), of_revision(30)], "run-1", 30, true),
+        ("before leaders stored first", vec![stores_first()], "run-2", 5, false),
+        ("right after", vec![stores_first()], "run-2", 6, true),
+        ("held, from before leaders stored first", vec![stores_first(), of_revision(30)], "run-1", 5, false),
+        ("a leader of an earlier build", vec![leader(Value::Null), of_revision(30)], "run-1", 30, false),
+        ("no leader known", vec![of_revision(30)], "run-1", 30, false),
+        ("undecodable", vec![stores_first(), confirmed(json!(["x"]))], "run-2", 20, false),
+        ("ahead of the store", vec![stores_first(), of_revision(41)], "run-2", 50, false),
+    ] {
+        let mut watch_cache = WatchCache::default();
+        reload(&mut watch_cache, vec![]);
+        watch_cache.apply_watch(&response(events, 60));
+        assert_eq!(watch_cache.is_proven_unconfirmed(id, RevisionBounds::exact(cancelled_at)), proven, "{name}");
+    }
+}
--- a/src/users/cancellation.rs
+++ b/src/users/cancellation.rs
@@ -4,7 +4,7 @@
 
 use tracing::debug;
 
-use super::lookup::{end_response, look_up_job, open_task_count, respond_after_conflict, respond_with_end};
+use super::lookup::{look_up_job, open_task_count, respond_after_conflict, respond_when_confirmed};
 use super::response::UserResponse;
 use super::service::UserService;
 use super::write_tracker::{JobWrite, WriteTracker};
@@ -23,6 +23,9 @@
         return response;
     }
     let id: JobId = id.into();
+    if service.history.known_end(&id) == Some(End::Cancelled) {
+        return respond_when_confirmed(service, &id).await;
+    }
     // A read from the store may show the job before the watch cache has it.
     if open_task_count(service, &id).is_none() {
         service.store.read_barrier.wait_for_proof().await;
@@ -40,7 +43,7 @@
     matches!(response, UserResponse::Found(JobAnswer { status: Status::Pending | Status::Running, .. }))
 }
 
-/// Writes the cancellation of an open job, and reports it to the user if it is already visible.
+/// Writes the cancellation of an open job, and reports it to the user if it is confirmed within a moment.
 async fn write_cancellation(
     service: &UserService,
     write_tracker: &Arc<WriteTracker>,
@@ -66,16 +69,20 @@
         Ok(CompareAndSwapOutcome::Applied(version)) => {
             tracked.applied();
             service.audit.remember(AcknowledgedWrite::Ended(record, End::Cancelled));
-            if leader.is_some_and(|fencing_token| service.membership.apply_cancellation(&id, fencing_token)) {
-                return end_response(&id, End::Cancelled);
-            }
             service.history.note_cancellation(&id, version);
-            respond_with_end(service, &id, End::Cancelled).await
+            if let Some(fencing_token) = leader {
+                service.membership.apply_cancellation(&id, fencing_token);
+            }
+            // The leader confirms only what its watch has reported.
+            service.store.read_barrier.request_proof();
+            respond_when_confirmed(service, &id).await
         }
         Ok(CompareAndSwapOutcome::Failed(keys)) => {
             tracked.not_applied();
             if keys != [LEADER_RECORD_KEY] {
-                return respond_after_conflict(service, &id, &keys).await;
+                let response = respond_after_conflict(service, &id, &keys).await;
+                let is_cancelled = service.history.known_end(&id) == Some(End::Cancelled);
+                return if is_cancelled { respond_when_confirmed(service, &id).await } else { response };
             }
             // Another controller has become the leader; the watch cache is about to receive its leader record.
             service.store.read_barrier.request_proof();
--- a/src/users/lookup.rs
+++ b/src/users/lookup.rs
@@ -1,40 +1,90 @@
 //! Looks up the status of a job, as far as it may be reported to users.
 
+use std::time::Duration;
+
 use tracing::debug;
 
 use super::response::{RequestError, UserResponse};
 use super::service::UserService;
 use crate::history::job_transactions::find_end;
 use crate::history::query_queue::JobQueryAnswer;
-use crate::history::visibility::EndVisibility;
+use crate::history::visibility::{CancelledJobAnswer, EndVisibility};
 use crate::jobs::{End, JobId, is_valid_job_id};
 use crate::protocol::users::{JobAnswer, Status};
 
-/// Reason of the response for a stored cancellation that is hidden until the leader is known to have it
+/// Reason of the response for a stored cancellation of which it is not known whether users were told
 /// (`history::visibility`).
 const UNCONFIRMED_CANCELLATION: &str = "the job is being withdrawn: its owner has not confirmed that yet";
+/// Reason of the response while nothing can be proven.
+const STORE_UNREACHABLE: &str = "the state service cannot be asked";
+/// How long a request to cancel a job waits for the confirmation. Its user waits for 5 s and repeats it after a 503.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Responds with a job's end; a cancellation is reported only once the leader has it. Every response with an end that
-/// may still be hidden goes through this function.
+/// Responds with a job's end; a cancellation is reported only once it is confirmed. As long as no user was told of a
+/// cancellation, its job is reported as open, so that polls are answered however long the confirmation takes. Every
+/// response with an end that may still be hidden goes through this function or [`respond_when_confirmed`].
 pub(super) async fn respond_with_end(service: &UserService, id: &JobId, end: End) -> UserResponse {
-    service.membership.watermark();
-    let mut visibility = service.history.end_visibility(id, end);
-    if visibility == EndVisibility::Unknown {
-        look_up_cancellation_version(service, id).await;
-        visibility = service.history.end_visibility(id, end);
+    if find_visibility(service, id, end).await == EndVisibility::Visible {
+        return end_response(id, end);
+    }
+    if !service.store.read_barrier.wait_for_proof().await {
+        return UserResponse::retry_soon(STORE_UNREACHABLE);
     }
-    match visibility {
-        EndVisibility::Visible => end_response(id, end),
-        EndVisibility::NotYet | EndVisibility::Unknown => UserResponse::retry_soon(UNCONFIRMED_CANCELLATION),
+    if let Some(response) = respond_by_confirmations(service, id) {
+        return response;
+    }
+    // The watch has not shown at which revision the job was cancelled.
+    fetch_cancellation_version(service, id).await;
+    respond_by_confirmations(service, id).unwrap_or(UserResponse::retry_soon(UNCONFIRMED_CANCELLATION))
+}
+
+/// Responds to a request to cancel a job whose cancellation is stored, and waits a moment for its confirmation.
+pub(super) async fn respond_when_confirmed(service: &UserService, id: &JobId) -> UserResponse {
+    let mut changes = service.history.subscribe_confirmed();
+    let confirmed = async {
+        while find_visibility(service, id, End::Cancelled).await != EndVisibility::Visible {
+            if changes.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    };
+    match tokio::time::timeout(CONFIRMATION_TIMEOUT, confirmed).await {
+        Ok(()) => end_response(id, End::Cancelled),
+        Err(_) => UserResponse::retry_soon(UNCONFIRMED_CANCELLATION),
     }
 }
 
-/// Finds out at which version the job was cancelled, from the watch cache or else from the store.
-async fn look_up_cancellation_version(service: &UserService, id: &JobId) {
+/// Responds to a question about a cancelled job by the confirmed cancellations in the watch cache, which was proven to
+/// be up to date since the question arrived. None if they don't tell whether users may have been told.
+fn respond_by_confirmations(service: &UserService, id: &JobId) -> Option<UserResponse> {
+    let (answer, tasks) = {
+        let watch_cache = service.store.watch_cache();
+        let tasks = watch_cache.ended_record(id).map_or(u64::MAX, |record| record.spec.tasks);
+        (service.history.answer_for_cancelled(id, &watch_cache)?, tasks)
+    };
+    Some(match answer {
+        CancelledJobAnswer::Cancelled => end_response(id, End::Cancelled),
+        CancelledJobAnswer::Open => open_response(service, id, tasks),
+    })
+}
+
+/// Finds out whether users may be told of an end, from the watch cache or else from the store.
+async fn find_visibility(service: &UserService, id: &JobId, end: End) -> EndVisibility {
+    let visibility = service.history.end_visibility(id, end);
+    if visibility != EndVisibility::Unknown {
+        return visibility;
+    }
     let version = service.store.watch_cache().revision_with_end(id);
-    if let Some(version) = version {
-        service.history.note_cancellation(id, version);
-    } else if let Err(error) = service.history.fetch_cancellation_version(&service.store.client, id).await {
+    match version {
+        Some(version) => service.history.note_cancellation(id, version),
+        None => fetch_cancellation_version(service, id).await,
+    }
+    service.history.end_visibility(id, end)
+}
+
+/// Reads from the store at which revision the job was cancelled.
+async fn fetch_cancellation_version(service: &UserService, id: &JobId) {
+    if let Err(error) = service.history.fetch_cancellation_version(&service.store.client, id).await {
         debug!(%error, job = %id, "cancellation revision lookup failed");
     }
 }
@@ -76,7 +126,7 @@
     }
     if open_task_count(service, &id).is_some() {
         if !service.store.read_barrier.wait_for_proof().await {
-            return UserResponse::retry_soon("the state service cannot be asked");
+            return UserResponse::retry_soon(STORE_UNREACHABLE);
         }
         if let Some(tasks) = open_task_count(service, &id) {
             return open_response(service, &id, tasks);
--- a/src/wakeups.rs
+++ b/src/wakeups.rs
@@ -1,6 +1,6 @@
 //! Notifications between the tasks of one controller: code that changes shared state wakes the loops that act on it.
 
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 
 /// One notification for each loop that waits for changes. Every loop also runs again after a timeout, so that a missed
 /// notification only causes a delay.
@@ -19,7 +19,6 @@
     pub fleet: Notify,
     /// Wakes the declarations loop (`declarations::run`): a specification or a status changed.
     pub declarations: Notify,
-    /// Wakes the connections to the other controllers (`membership::mesh`): the cancellation watermark is to be sent at
-    /// once.
-    pub mesh: watch::Sender<()>,
+    /// Wakes the confirmation of cancellations (`membership::run_confirmations`): a cancellation was stored.
+    pub confirmation: Notify,
 }
